--- /dev/null
+++ b/core/jkmember/choose.go
@@ -0,0 +1,135 @@
+package jkmember
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+// maxSuccessors bounds the hosts that share the programs of an ended
+// incarnation, so that its platform record stays small.
+const maxSuccessors = 8
+
+// weight is the rendezvous weight of a name for a key.
+func weight(key, name string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + name)
+}
+
+// rank orders hosts by falling rendezvous weight.
+func rank(key string, hosts []Host) []Host {
+	ranked := append([]Host(nil), hosts...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := ranked[i].Incarnation.Host, ranked[j].Incarnation.Host
+		wa, wb := weight(key, a), weight(key, b)
+		if wa != wb {
+			return wa > wb
+		}
+		return a < b
+	})
+	return ranked
+}
+
+// accepting returns the hosts of a zone that are up and not leaving.
+func (t *Table) accepting(zone string) []Host {
+	var hosts []Host
+	for _, h := range t.Up(zone) {
+		if h.State == StateLive {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// Dispatcher returns the host that sends work to an endpoint of a zone.
+func (t *Table) Dispatcher(endpoint, zone string) (Host, bool) {
+	ranked := rank(endpoint, t.accepting(zone))
+	if len(ranked) == 0 {
+		return Host{}, false
+	}
+	return ranked[0], true
+}
+
+// Leader returns the host of the zone that watches the platform and talks to
+// the other zones.
+func (t *Table) Leader(zone string) (Host, bool) {
+	return t.Dispatcher("zone leader", zone)
+}
+
+// Copies returns up to two hosts with a disk for a program's history: one in
+// the own zone if it has one, and the others from different zones.
+func (t *Table) Copies(program string) []Host {
+	var chosen []Host
+	zones := []string{t.options.Self.Zone}
+	var others []Host
+	for _, name := range t.Zones() {
+		if name != t.options.Self.Zone {
+			others = append(others, Host{Incarnation: jktoken.Incarnation{Host: name}})
+		}
+	}
+	for _, z := range rank(program, others) {
+		zones = append(zones, z.Incarnation.Host)
+	}
+	for _, zone := range zones {
+		if h, ok := t.disk(program, zone); ok {
+			chosen = append(chosen, h)
+		}
+		if len(chosen) == 2 {
+			break
+		}
+	}
+	return chosen
+}
+
+func (t *Table) disk(program, zone string) (Host, bool) {
+	for _, h := range rank(program, t.accepting(zone)) {
+		if h.Disk {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// Successors returns the hosts that take over the programs of an ended
+// incarnation: those of its own zone, or of all zones if it has none left.
+func (t *Table) Successors(ended jktoken.Incarnation, zone string) []jktoken.Incarnation {
+	candidates := t.without(t.accepting(zone), ended)
+	if len(candidates) == 0 {
+		for _, z := range t.Zones() {
+			candidates = append(candidates, t.without(t.accepting(z), ended)...)
+		}
+	}
+	var successors []jktoken.Incarnation
+	for _, h := range rank(ended.String(), candidates) {
+		if len(successors) == maxSuccessors {
+			break
+		}
+		successors = append(successors, h.Incarnation)
+	}
+	return successors
+}
+
+func (t *Table) without(hosts []Host, ended jktoken.Incarnation) []Host {
+	var rest []Host
+	for _, h := range hosts {
+		if h.Incarnation != ended {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+// Successor returns the incarnation among successors that takes a program.
+func Successor(program string, successors []jktoken.Incarnation) (jktoken.Incarnation, bool) {
+	var best jktoken.Incarnation
+	var bestWeight uint64
+	for _, s := range successors {
+		w := weight(program, s.Host)
+		if best.IsZero() || w > bestWeight || (w == bestWeight && s.Host < best.Host) {
+			best = s
+			bestWeight = w
+		}
+	}
+	return best, !best.IsZero()
+}
--- /dev/null
+++ b/core/jkmember/table_test.go
@@ -0,0 +1,115 @@
+package jkmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+var start = time.Unix(1000, 0)
+
+func host(name, zone string, startNumber uint64) Host {
+	return Host{Incarnation: jktoken.Incarnation{Host: name, Start: startNumber}, Zone: zone, State: StateLive, Disk: true}
+}
+
+func table(names ...string) *Table {
+	t := New(start, Options{Self: host("self", "z1", 1), Timeout: 3 * time.Second, Forget: time.Hour})
+	for _, n := range names {
+		t.Observe(start, host(n, "z1", 1))
+	}
+	t.Tick(start)
+	return t
+}
+
+// Guards against a silent host that keeps getting work, and against a late
+// heartbeat of a former incarnation that hides the present one.
+func TestSilentHostGoesDown(t *testing.T) {
+	tab := table("a", "b")
+	later := start.Add(4 * time.Second)
+	tab.Observe(later, host("b", "z1", 2))
+	changes := tab.Tick(later)
+	if len(changes) != 1 || changes[0].Host.Incarnation.Host != "a" || changes[0].Status != StatusDown {
+		t.Fatalf("got %+v, want only a down", changes)
+	}
+	tab.Observe(later, host("b", "z1", 1))
+	if h, _ := tab.Status("b"); h.Incarnation.Start != 2 {
+		t.Fatalf("got start %d, want 2", h.Incarnation.Start)
+	}
+}
+
+// Guards against a partition that makes a zone's hosts look dead.
+func TestPartitionedZoneIsUnreachableNotDown(t *testing.T) {
+	tab := table()
+	d := ZoneDigest{Zone: "z2", Version: 5, Hosts: []Host{host("x", "z2", 1), host("y", "z2", 1)}}
+	tab.ObserveZone(start, d, 0)
+	tab.Tick(start)
+	later := start.Add(10 * time.Second)
+	tab.Tick(later)
+	if _, s := tab.Status("x"); s != StatusUnreachable {
+		t.Fatalf("got %s, want unreachable", s)
+	}
+	// The zone heals and reports that y is gone.
+	tab.ObserveZone(later, ZoneDigest{Zone: "z2", Version: 6, Hosts: []Host{host("x", "z2", 1)}}, 0)
+	tab.Tick(later)
+	if _, s := tab.Status("x"); s != StatusUp {
+		t.Fatalf("got %s for x, want up", s)
+	}
+	if _, s := tab.Status("y"); s != StatusDown {
+		t.Fatalf("got %s for y, want down", s)
+	}
+}
+
+// Guards against a change of one host that moves the endpoints of others, and
+// against a leaving host that still dispatches.
+func TestDispatcherMovesOnlyWhatItMust(t *testing.T) {
+	tab := table("a", "b", "c")
+	before := map[string]string{}
+	for i := range 200 {
+		e := fmt.Sprint("endpoint-", i)
+		h, ok := tab.Dispatcher(e, "z1")
+		if !ok {
+			t.Fatal("no dispatcher")
+		}
+		before[e] = h.Incarnation.Host
+	}
+	leaving := host("a", "z1", 1)
+	leaving.State = StateLeaving
+	tab.Observe(start, leaving)
+	for e, was := range before {
+		h, _ := tab.Dispatcher(e, "z1")
+		if was != "a" && h.Incarnation.Host != was {
+			t.Fatalf("%s moved from %s to %s", e, was, h.Incarnation.Host)
+		}
+		if h.Incarnation.Host == "a" {
+			t.Fatalf("%s is still at the leaving host", e)
+		}
+	}
+}
+
+// Guards against both copies of a history in one zone.
+func TestCopiesAreInDifferentZones(t *testing.T) {
+	tab := table("a", "b")
+	tab.ObserveZone(start, ZoneDigest{Zone: "z2", Version: 1, Hosts: []Host{host("x", "z2", 1)}}, 0)
+	for i := range 50 {
+		copies := tab.Copies(fmt.Sprint("p", i))
+		if len(copies) != 2 || copies[0].Zone == copies[1].Zone {
+			t.Fatalf("got %+v", copies)
+		}
+	}
+}
+
+// Guards against hosts that disagree on the successor of a program.
+func TestSuccessorDependsOnRecordOnly(t *testing.T) {
+	list := []jktoken.Incarnation{{Host: "a", Start: 1}, {Host: "b", Start: 1}, {Host: "c", Start: 1}}
+	reversed := []jktoken.Incarnation{list[2], list[1], list[0]}
+	for i := range 50 {
+		p := fmt.Sprint("p", i)
+		x, _ := Successor(p, list)
+		y, _ := Successor(p, reversed)
+		if x != y {
+			t.Fatalf("%s: %v and %v", p, x, y)
+		}
+	}
+}
--- /dev/null
+++ b/core/jkprogram/life.go
@@ -0,0 +1,232 @@
+package jkprogram
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+// Adopt takes over a program whose former home has ended. The state comes from
+// its copies, which refuse lower epochs from now on; epoch is the one they
+// fenced. Everything granted counts as spent, because the former home may have
+// spent it, and a non-repeatable call that had been announced becomes a turn
+// with an unknown outcome.
+func (c *Core) Adopt(now time.Time, s State, epoch uint64) (Record, error) {
+	if len(c.programs) >= c.options.MaxPrograms {
+		return Record{}, eris.Wrap(&TableFullError{Table: "programs", Limit: c.options.MaxPrograms}, "adopt program")
+	}
+	if old := c.programs[s.Program]; old != nil && old.state.Epoch >= epoch {
+		return Record{}, eris.Errorf("adopt program: epoch %d is not newer than %d", epoch, old.state.Epoch)
+	}
+	s.Epoch = epoch
+	s.Home = c.options.Self
+	s.Spent = max(s.Spent, s.Granted)
+	intent := s.Intent
+	s.Intent = nil
+	s.Closed = nil
+	s.Prior = nil
+	p := newProgram(now, s)
+	c.programs[s.Program] = p
+	if intent != nil && s.End == "" {
+		p.finish(now, Turn{Number: p.state.Turn() + 1, RequestID: intent.RequestID, Kind: KindService, Outcome: OutcomeUnknown})
+	}
+	return p.snapshot(), nil
+}
+
+// Receive takes over a program by a planned handover: the former home has
+// stopped and sent its exact state, so nothing is unknown and no grant is lost.
+func (c *Core) Receive(now time.Time, s State) (Record, error) {
+	if len(c.programs) >= c.options.MaxPrograms {
+		return Record{}, eris.Wrap(&TableFullError{Table: "programs", Limit: c.options.MaxPrograms}, "receive program")
+	}
+	if old := c.programs[s.Program]; old != nil && old.state.Epoch > s.Epoch {
+		return Record{}, eris.Errorf("receive program: epoch %d is older than %d", s.Epoch, old.state.Epoch)
+	}
+	s.Prior = append(s.Prior, Origin{Home: s.Home, Epoch: s.Epoch})
+	s.Epoch++
+	s.Home = c.options.Self
+	p := newProgram(now, s)
+	c.programs[s.Program] = p
+	return p.snapshot(), nil
+}
+
+// Supersede marks a program as taken over by another home. It answers no more
+// requests here.
+func (c *Core) Supersede(id string) {
+	p := c.programs[id]
+	if p == nil {
+		return
+	}
+	p.superseded = true
+	p.running = nil
+	p.endedAt = p.lastActive
+}
+
+// Snapshot returns a record that brings a copy up to date that missed records.
+func (c *Core) Snapshot(id string) (Record, bool) {
+	p := c.programs[id]
+	if p == nil {
+		return Record{}, false
+	}
+	return p.snapshot(), true
+}
+
+// SetCopies replaces the hosts that hold copies of a program and returns the
+// snapshot for them.
+func (c *Core) SetCopies(id string, copies []string) (Record, bool) {
+	p := c.programs[id]
+	if p == nil || p.superseded {
+		return Record{}, false
+	}
+	p.state.Copies = copies
+	return p.snapshot(), true
+}
+
+// Ended is a program that has just ended, with the sub-programs that end with
+// it.
+type Ended struct {
+	Program string
+	Reason  EndReason
+	Record  Record
+	Copies  []string
+	// WasRunning tells that a call has to be cancelled at its endpoint.
+	WasRunning bool
+}
+
+// End ends a program and its sub-programs at this home. Ending an ended program
+// changes nothing.
+func (c *Core) End(now time.Time, id string, reason EndReason) ([]Ended, error) {
+	p := c.programs[id]
+	if p == nil {
+		return nil, eris.Wrap(&UnknownProgramError{Program: id}, "end")
+	}
+	if p.state.End != "" || p.superseded {
+		return nil, nil
+	}
+	var ended []Ended
+	children := make([]string, 0, len(p.children))
+	for child := range p.children {
+		children = append(children, child)
+	}
+	sort.Strings(children)
+	for _, child := range children {
+		more, err := c.End(now, child, EndParent)
+		if err == nil {
+			ended = append(ended, more...)
+		}
+	}
+	e := Ended{Program: id, Reason: reason, Copies: p.state.Copies, WasRunning: p.running != nil}
+	c.settle(p)
+	p.state.End = reason
+	p.endedAt = now
+	e.Record = p.record(RecordEnd)
+	e.Record.End = reason
+	return append(ended, e), nil
+}
+
+// settle charges what runs in full and returns an ending sub-program's unused
+// share to its parent.
+func (c *Core) settle(p *program) {
+	if p.running != nil {
+		p.state.Spent += p.running.charged + p.running.maxCost
+		p.running = nil
+	}
+	parent := c.programs[p.state.Meta.Parent]
+	if parent == nil {
+		return
+	}
+	share, ok := parent.children[p.state.Program]
+	if !ok {
+		return
+	}
+	delete(parent.children, p.state.Program)
+	parent.reserved -= share
+	parent.state.Spent += min(share, p.state.Spent)
+}
+
+// Expired is a program that has passed a limit.
+type Expired struct {
+	Program string
+	Reason  EndReason
+}
+
+// Tick finds programs that are past a limit and forgets programs that ended
+// longer ago than the retention.
+func (c *Core) Tick(now time.Time) []Expired {
+	var expired []Expired
+	for id, p := range c.programs {
+		if p.state.End != "" || p.superseded {
+			if now.Sub(p.endedAt) > c.options.EndedRetention {
+				delete(c.programs, id)
+			}
+			continue
+		}
+		if reason := p.expiry(now); reason != "" {
+			expired = append(expired, Expired{Program: id, Reason: reason})
+		}
+	}
+	sort.Slice(expired, func(i, j int) bool { return expired[i].Program < expired[j].Program })
+	return expired
+}
+
+func (p *program) expiry(now time.Time) EndReason {
+	l := p.state.Meta.Limits
+	switch {
+	case l.MaxDuration > 0 && now.Sub(p.state.Meta.Created) > l.MaxDuration:
+		return EndMaxDuration
+	case l.IdleLimit > 0 && p.running == nil && len(p.children) == 0 && now.Sub(p.lastActive) > l.IdleLimit:
+		return EndIdle
+	case l.MaxTurns > 0 && p.running == nil && p.state.Turn() >= l.MaxTurns:
+		return EndMaxTurns
+	}
+	return ""
+}
+
+// Info is a summary of a program for listings. Amounts are in tokens.
+type Info struct {
+	Program   string
+	Workspace string
+	Template  string
+	Parent    string
+	Home      jktoken.Incarnation
+	Epoch     uint64
+	Turn      uint64
+	Budget    int64
+	Granted   int64
+	Spent     int64
+	Running   string
+	End       EndReason
+	Created   time.Time
+	Copies    []string
+}
+
+// Info returns the summary of a program.
+func (c *Core) Info(id string) (Info, bool) {
+	p := c.programs[id]
+	if p == nil {
+		return Info{}, false
+	}
+	s := &p.state
+	i := Info{
+		Program:   id,
+		Workspace: s.Meta.Workspace,
+		Template:  s.Meta.Template,
+		Parent:    s.Meta.Parent,
+		Home:      s.Home,
+		Epoch:     s.Epoch,
+		Turn:      s.Turn(),
+		Budget:    s.Meta.Budget,
+		Granted:   s.Granted,
+		Spent:     s.Spent + p.reserved,
+		End:       s.End,
+		Created:   s.Meta.Created,
+		Copies:    s.Copies,
+	}
+	if p.running != nil {
+		i.Running = p.running.requestID
+	}
+	return i, true
+}
--- /dev/null
+++ b/core/jkprogram/program.go
@@ -0,0 +1,176 @@
+// Package jkprogram is the pure core of a home: tables of programs with their
+// token chains, de-duplication and budgets. It takes requests and results in
+// and hands decisions and records out; network, time and storage stay outside.
+package jkprogram
+
+import (
+	"time"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+// Kind is the kind of a call.
+type Kind string
+
+// Kinds of calls.
+const (
+	KindModel   Kind = "model"
+	KindService Kind = "service"
+)
+
+// Outcome tells a caller what became of its request.
+type Outcome string
+
+// Outcomes.
+const (
+	OutcomeCompleted Outcome = "completed"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeNotRun    Outcome = "not_run"
+	OutcomeUnknown   Outcome = "outcome_unknown"
+)
+
+// EndReason tells why a program ended.
+type EndReason string
+
+// Reasons for a program's end.
+const (
+	EndCompleted   EndReason = "completed"
+	EndCancelled   EndReason = "cancelled"
+	EndIdle        EndReason = "idle"
+	EndMaxDuration EndReason = "max_duration"
+	EndMaxTurns    EndReason = "max_turns"
+	EndParent      EndReason = "parent_ended"
+)
+
+// Limits ends programs that loop or that their caller left. Zero means no
+// limit.
+type Limits struct {
+	MaxTurns    uint64        `msgpack:"max_turns"`
+	MaxDuration time.Duration `msgpack:"max_duration"`
+	IdleLimit   time.Duration `msgpack:"idle_limit"`
+}
+
+// Meta is what a program is created with.
+type Meta struct {
+	Workspace string    `msgpack:"workspace"`
+	Template  string    `msgpack:"template"`
+	Parent    string    `msgpack:"parent"`
+	Budget    int64     `msgpack:"budget"`
+	Priority  int       `msgpack:"priority"`
+	Limits    Limits    `msgpack:"limits"`
+	Created   time.Time `msgpack:"created"`
+}
+
+// Turn is one finished call.
+type Turn struct {
+	Number    uint64  `msgpack:"number"`
+	RequestID string  `msgpack:"request_id"`
+	Kind      Kind    `msgpack:"kind"`
+	Outcome   Outcome `msgpack:"outcome"`
+	// Status is the HTTP status that the endpoint gave.
+	Status int    `msgpack:"status"`
+	Input  []byte `msgpack:"input"`
+	Answer []byte `msgpack:"answer"`
+	// Messages holds one digest for each chat message that the turn added.
+	Messages []string `msgpack:"messages"`
+	Cost     int64    `msgpack:"cost"`
+	// Digest identifies the history up to and including this turn.
+	Digest string `msgpack:"digest"`
+}
+
+// RecordKind is the kind of a history record.
+type RecordKind string
+
+// Kinds of history records.
+const (
+	RecordSnapshot RecordKind = "snapshot"
+	RecordGrant    RecordKind = "grant"
+	RecordIntent   RecordKind = "intent"
+	RecordTurn     RecordKind = "turn"
+	RecordEnd      RecordKind = "end"
+)
+
+// Intent announces a call that may not be repeated before its dispatch.
+type Intent struct {
+	RequestID string `msgpack:"request_id"`
+	Turn      uint64 `msgpack:"turn"`
+}
+
+// Record is one entry of a program's history as its copies store it. Records
+// of one epoch have consecutive sequence numbers; a snapshot replaces all
+// records before it.
+type Record struct {
+	Program  string              `msgpack:"program"`
+	Home     jktoken.Incarnation `msgpack:"home"`
+	Epoch    uint64              `msgpack:"epoch"`
+	Seq      uint64              `msgpack:"seq"`
+	Kind     RecordKind          `msgpack:"kind"`
+	Granted  int64               `msgpack:"granted"`
+	Intent   *Intent             `msgpack:"intent,omitempty"`
+	Turn     *Turn               `msgpack:"turn,omitempty"`
+	End      EndReason           `msgpack:"end,omitempty"`
+	Snapshot *State              `msgpack:"snapshot,omitempty"`
+}
+
+// Origin is the home and epoch that issued a token.
+type Origin struct {
+	Home  jktoken.Incarnation `msgpack:"home"`
+	Epoch uint64              `msgpack:"epoch"`
+}
+
+// State is a program's whole state as copies and a handover carry it.
+type State struct {
+	Program string              `msgpack:"program"`
+	Home    jktoken.Incarnation `msgpack:"home"`
+	Epoch   uint64              `msgpack:"epoch"`
+	Seq     uint64              `msgpack:"seq"`
+	Meta    Meta                `msgpack:"meta"`
+	Turns   []Turn              `msgpack:"turns"`
+	Granted int64               `msgpack:"granted"`
+	Spent   int64               `msgpack:"spent"`
+	Intent  *Intent             `msgpack:"intent,omitempty"`
+	Closed  []string            `msgpack:"closed,omitempty"`
+	// Prior lists the homes that handed the program over by plan. Their tokens
+	// are as good as the present home's, because those homes stopped first.
+	Prior  []Origin  `msgpack:"prior,omitempty"`
+	Copies []string  `msgpack:"copies"`
+	End    EndReason `msgpack:"end,omitempty"`
+}
+
+// Turn returns the number of finished turns.
+func (s *State) Turn() uint64 { return uint64(len(s.Turns)) }
+
+// Digest returns the digest of the whole history.
+func (s *State) Digest() string {
+	if len(s.Turns) == 0 {
+		return startDigest(s.Program)
+	}
+	return s.Turns[len(s.Turns)-1].Digest
+}
+
+// Apply adds a record to the state. It reports false for a record that does not
+// follow the state; the writer then sends a snapshot.
+func (s *State) Apply(r Record) bool {
+	if r.Kind == RecordSnapshot {
+		*s = *r.Snapshot
+		s.Seq = r.Seq
+		return true
+	}
+	if r.Seq != s.Seq+1 || r.Epoch != s.Epoch {
+		return false
+	}
+	s.Seq = r.Seq
+	s.Granted = max(s.Granted, r.Granted)
+	switch r.Kind {
+	case RecordIntent:
+		s.Intent = r.Intent
+	case RecordTurn:
+		s.Turns = append(s.Turns, *r.Turn)
+		s.Spent += r.Turn.Cost
+		s.Intent = nil
+	case RecordEnd:
+		s.End = r.End
+	case RecordGrant, RecordSnapshot:
+	}
+	return true
+}
