--- /dev/null
+++ b/core/jksched/queue.go
@@ -0,0 +1,208 @@
+package jksched
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Queue holds the waiting and running calls of the endpoints that one
+// dispatcher owns.
+type Queue struct {
+	opt       Options
+	endpoints map[string]*queueRow
+	// order lists the endpoints by id, so that a tick is deterministic.
+	order []*queueRow
+	calls map[callKey]*callRow
+	peers map[string]Load
+	out   []Command
+}
+
+// callKey names one run: both copies of a second dispatch may be in one queue.
+type callKey struct {
+	call     string
+	endpoint string
+}
+
+// callRow is a waiting or running call.
+type callRow struct {
+	call Call
+	row  *queueRow
+	// key is the virtual start time by which waiting calls are ordered.
+	key        time.Time
+	pushed     time.Time
+	dispatched time.Time
+	firstToken time.Time
+	tokens     int64
+	index      int
+	short      bool
+	cancelled  bool
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(opt Options) *Queue {
+	return &Queue{
+		opt:       opt,
+		endpoints: map[string]*queueRow{},
+		calls:     map[callKey]*callRow{},
+		peers:     map[string]Load{},
+	}
+}
+
+// SetEndpoint adds an endpoint or changes its description or state.
+func (q *Queue) SetEndpoint(e Endpoint) {
+	if row, ok := q.endpoints[e.ID]; ok {
+		row.endpoint = e
+		return
+	}
+	row := newQueueRow(e, q.opt)
+	q.endpoints[e.ID] = row
+	at, _ := slices.BinarySearchFunc(q.order, e.ID, func(r *queueRow, id string) int {
+		return compareStrings(r.endpoint.ID, id)
+	})
+	q.order = slices.Insert(q.order, at, row)
+}
+
+// RemoveEndpoint forgets an endpoint after its waiting calls were handed back
+// as moves by the next Tick; running calls are forgotten as they finish.
+func (q *Queue) RemoveEndpoint(id string) {
+	if row, ok := q.endpoints[id]; ok {
+		row.endpoint.State = StateDown
+		row.removed = true
+	}
+}
+
+// SetLoad takes the digest of an endpoint of another dispatcher, whose token
+// pace serves as comparison.
+func (q *Queue) SetLoad(l Load) {
+	if _, own := q.endpoints[l.Endpoint]; own || l.At.Before(q.peers[l.Endpoint].At) {
+		return
+	}
+	l.HotPrefixes = nil
+	q.peers[l.Endpoint] = l
+}
+
+// RemoveLoad forgets the digest of another dispatcher's endpoint.
+func (q *Queue) RemoveLoad(endpoint string) { delete(q.peers, endpoint) }
+
+// Push adds a call to the queue of the endpoint. The error is a *RefusedError;
+// a refused call isn't in the queue.
+func (q *Queue) Push(now time.Time, c Call, endpoint string) error {
+	row, ok := q.endpoints[endpoint]
+	if !ok {
+		return &RefusedError{Reason: ReasonUnknown}
+	}
+	key := callKey{c.ID, endpoint}
+	if _, ok := q.calls[key]; ok {
+		return &RefusedError{Reason: ReasonDuplicate}
+	}
+	if err := q.admit(now, row, c); err != nil {
+		return err
+	}
+	cr := &callRow{call: c, row: row, pushed: now, key: q.orderKey(now, c), short: q.isShort(c)}
+	q.calls[key] = cr
+	heap.Push(row.heapOf(cr), cr)
+	return nil
+}
+
+// Cancel stops a call: a waiting one leaves the queue, a running one gets a
+// cancel command. An empty endpoint means every copy.
+func (q *Queue) Cancel(_ time.Time, call, endpoint string) {
+	for _, row := range q.order {
+		if endpoint != "" && row.endpoint.ID != endpoint {
+			continue
+		}
+		cr, ok := q.calls[callKey{call, row.endpoint.ID}]
+		if !ok || cr.cancelled {
+			continue
+		}
+		if cr.dispatched.IsZero() {
+			q.unqueue(cr)
+			continue
+		}
+		cr.cancelled = true
+		q.emit(Command{Kind: CommandCancel, Call: cr.call, Endpoint: row.endpoint.ID, Reason: ReasonCancelled})
+	}
+}
+
+func (q *Queue) unqueue(cr *callRow) {
+	heap.Remove(cr.row.heapOf(cr), cr.index)
+	delete(q.calls, callKey{cr.call.ID, cr.row.endpoint.ID})
+}
+
+func (q *Queue) emit(c Command) { q.out = append(q.out, c) }
+
+// Tick returns the commands that are due. The caller runs it after every event
+// and at least every 100 ms.
+func (q *Queue) Tick(now time.Time) []Command {
+	for _, row := range q.order {
+		q.handBack(row)
+		q.expire(now, row)
+		q.dispatch(now, row)
+	}
+	q.order = slices.DeleteFunc(q.order, func(r *queueRow) bool {
+		done := r.removed && len(r.running) == 0
+		if done {
+			delete(q.endpoints, r.endpoint.ID)
+		}
+		return done
+	})
+	out := q.out
+	q.out = nil
+	return out
+}
+
+// handBack returns the waiting calls of an endpoint that takes no new work.
+func (q *Queue) handBack(row *queueRow) {
+	reason := ReasonLeaving
+	switch row.endpoint.State {
+	case StateLive:
+		return
+	case StateDown:
+		reason = ReasonDown
+	}
+	q.moveWaiting(row, reason)
+}
+
+func (q *Queue) moveWaiting(row *queueRow, reason Reason) {
+	for row.queued() > 0 {
+		cr := row.first()
+		q.unqueue(cr)
+		q.emit(Command{Kind: CommandMove, Call: cr.call, Endpoint: row.endpoint.ID, Reason: reason})
+	}
+}
+
+// expire refuses waiting calls that can't meet their deadline any more.
+func (q *Queue) expire(now time.Time, row *queueRow) {
+	for _, h := range []*callHeap{&row.short, &row.long} {
+		var late []*callRow
+		for _, cr := range *h {
+			if !cr.call.Deadline.IsZero() && now.Add(q.serviceTime(row, cr.call)).After(cr.call.Deadline) {
+				late = append(late, cr)
+			}
+		}
+		for _, cr := range late {
+			q.unqueue(cr)
+			q.emit(Command{
+				Kind: CommandRefuse, Call: cr.call, Endpoint: row.endpoint.ID,
+				Reason: ReasonDeadline, RetryAfter: q.predictedWait(row),
+			})
+		}
+	}
+}
+
+func (q *Queue) dispatch(now time.Time, row *queueRow) {
+	for row.endpoint.State == StateLive && len(row.running) < row.limit {
+		cr := row.next(q.reserve(row))
+		if cr == nil {
+			return
+		}
+		heap.Remove(row.heapOf(cr), cr.index)
+		cr.dispatched = now
+		row.running[cr.call.ID] = cr
+		if !cr.short {
+			row.runningLong++
+		}
+		q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID})
+	}
+}
