platform: add the key-value client and the stand-in platform

Cause: configuration, takeover and claims need the platform's key-value service, and tests need a stand-in whose answers can be lost. Before: no such packages.

--- /dev/null
+++ b/core/jkstandin/platform_lease.go
@@ -0,0 +1,125 @@
+package jkstandin
+
+import (
+	"net/http"
+	"time"
+
+	"jasmineknot.example/core/jkplatform"
+)
+
+// platformLease is a lease that may have expired: it is gone at its deadline.
+type platformLease struct {
+	answer   jkplatform.LeaseAnswer
+	deadline time.Time
+}
+
+// platformHostList is the host list as it was from one moment on.
+type platformHostList struct {
+	at    time.Time
+	hosts []jkplatform.HostEntry
+}
+
+// held returns the lease of a key unless it has expired. The lock is held.
+func (p *Platform) held(key string) (jkplatform.LeaseAnswer, bool) {
+	l, ok := p.leases[key]
+	if !ok || !p.timer.Now().Before(l.deadline) {
+		return jkplatform.LeaseAnswer{}, false
+	}
+	return l.answer, true
+}
+
+// grant stores a lease. The lock is held.
+func (p *Platform) grant(body jkplatform.LeaseRequest, token uint64) jkplatform.LeaseAnswer {
+	a := jkplatform.LeaseAnswer{
+		Key: body.Key, Holder: body.Holder, Token: token, TTLMillisecond: body.TTLMillisecond,
+	}
+	ttl := time.Duration(body.TTLMillisecond) * time.Millisecond
+	p.leases[body.Key] = platformLease{answer: a, deadline: p.timer.Now().Add(ttl)}
+	return a
+}
+
+func (p *Platform) readLease(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	p.mu.Lock()
+	lease, ok := p.held(key)
+	p.mu.Unlock()
+	if !ok {
+		platformFail(w, http.StatusNotFound, jkplatform.CodeNotFound, key, jkplatform.Record{})
+		return
+	}
+	platformAnswer(w, lease)
+}
+
+func (p *Platform) acquire(w http.ResponseWriter, r *http.Request) {
+	var body jkplatform.LeaseRequest
+	if !platformReadBody(w, r, &body) {
+		return
+	}
+	p.mu.Lock()
+	present, held := p.held(body.Key)
+	refuse := held && present.Holder != body.Holder
+	var granted jkplatform.LeaseAnswer
+	if !refuse {
+		p.store.version++
+		granted = p.grant(body, p.store.version)
+	}
+	p.mu.Unlock()
+	if refuse {
+		platformFail(w, http.StatusConflict, jkplatform.CodeExists, body.Key, platformLeaseRecord(present))
+		return
+	}
+	p.answerWrite(w, granted)
+}
+
+func (p *Platform) renew(w http.ResponseWriter, r *http.Request) {
+	p.withLease(w, r, func(body jkplatform.LeaseRequest) jkplatform.LeaseAnswer {
+		return p.grant(body, body.Token)
+	})
+}
+
+func (p *Platform) release(w http.ResponseWriter, r *http.Request) {
+	p.withLease(w, r, func(body jkplatform.LeaseRequest) jkplatform.LeaseAnswer {
+		delete(p.leases, body.Key)
+		return jkplatform.LeaseAnswer{Key: body.Key, Holder: body.Holder, Token: body.Token}
+	})
+}
+
+// withLease runs a change under the lock if the request's token still holds the
+// lease.
+func (p *Platform) withLease(w http.ResponseWriter, r *http.Request, change func(jkplatform.LeaseRequest) jkplatform.LeaseAnswer) {
+	var body jkplatform.LeaseRequest
+	if !platformReadBody(w, r, &body) {
+		return
+	}
+	p.mu.Lock()
+	present, held := p.held(body.Key)
+	current := held && present.Token == body.Token
+	var answer jkplatform.LeaseAnswer
+	if current {
+		answer = change(body)
+	}
+	p.mu.Unlock()
+	if !current {
+		platformFail(w, http.StatusConflict, jkplatform.CodeConflict, body.Key, platformLeaseRecord(present))
+		return
+	}
+	p.answerWrite(w, answer)
+}
+
+func (p *Platform) hosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	lag := time.Duration(p.faults.HostListLagMillisecond) * time.Millisecond
+	latest := p.timer.Now().Add(-lag)
+	answer := jkplatform.HostsAnswer{}
+	for _, list := range p.lists {
+		if !list.at.After(latest) {
+			answer.Hosts = list.hosts
+		}
+	}
+	p.mu.Unlock()
+	platformAnswer(w, answer)
+}
+
+func platformLeaseRecord(l jkplatform.LeaseAnswer) jkplatform.Record {
+	return jkplatform.Record{Key: l.Key, Value: []byte(l.Holder), Version: l.Token}
+}
