--- /dev/null
+++ b/core/jksettings/defaults.go
@@ -0,0 +1,39 @@
+package jksettings
+
+import (
+	"time"
+
+	"jasmineknot.example/core/jkschema"
+)
+
+// Default returns the settings that a file starts from. Host, zone, addresses,
+// platform and token keys have no default.
+func Default() Settings {
+	return Settings{file: file{
+		LogLevel: LevelInfo,
+		Limits: fileLimits{
+			EndpointQueue: 10000,
+			EntryQueue:    20000,
+			// 240,000 concurrent programs over 410 daemons are 600 per
+			// daemon; the rest is room for a site with few hosts.
+			Programs:      50000,
+			Calls:         200000,
+			Streams:       4096,
+			Suspects:      4096,
+			BodyBytes:     4 << 20,
+			PlatformCalls: 50,
+		},
+		Intervals: fileIntervals{
+			// A host counts as dead after 3 s without a heartbeat, which
+			// leaves five lost heartbeats.
+			Heartbeat:  jkschema.Duration(500 * time.Millisecond),
+			ZoneDigest: jkschema.Duration(time.Second),
+			DeadAfter:  jkschema.Duration(3 * time.Second),
+			Lease:      jkschema.Duration(5 * time.Second),
+			Tick:       jkschema.Duration(10 * time.Millisecond),
+			Watch:      jkschema.Duration(30 * time.Second),
+			HostList:   jkschema.Duration(5 * time.Second),
+			Drain:      jkschema.Duration(30 * time.Second),
+		},
+	}}
+}
