--- /dev/null
+++ b/core/jkchat/fields.go
@@ -0,0 +1,70 @@
+package jkchat
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// FieldError reports an invalid field of a request.
+type FieldError struct {
+	Field   string
+	Value   any
+	Allowed string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: got %v, allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// splitFields decodes the fields named in known and returns the others. Names
+// are matched exactly: encoding/json alone would accept "Model" for "model",
+// and the engine might then read another value than we did.
+func splitFields(data []byte, known map[string]any) (map[string]json.RawMessage, error) {
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, &FieldError{Field: "body", Value: err.Error(), Allowed: "a JSON object"}
+	}
+	names := make([]string, 0, len(known))
+	for name := range known {
+		names = append(names, name)
+	}
+	sort.Strings(names) // the same invalid body always reports the same field
+	for _, name := range names {
+		raw, ok := all[name]
+		delete(all, name)
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, known[name]); err != nil {
+			return nil, &FieldError{Field: name, Value: clip(raw), Allowed: err.Error()}
+		}
+	}
+	if len(all) == 0 {
+		return nil, nil
+	}
+	return all, nil
+}
+
+// joinFields encodes a struct and appends extra fields in sorted order.
+func joinFields(known any, extra map[string]json.RawMessage) ([]byte, error) {
+	body, err := json.Marshal(known)
+	if err != nil || len(extra) == 0 {
+		return body, err
+	}
+	rest, err := json.Marshal(extra)
+	if err != nil {
+		return nil, err
+	}
+	return bytes.Join([][]byte{body[:len(body)-1], rest[1:]}, []byte(",")), nil
+}
+
+// clip shortens a value for an error message.
+func clip(raw []byte) string {
+	const most = 64
+	if len(raw) > most {
+		return string(raw[:most]) + "..."
+	}
+	return string(raw)
+}
