home, route, dispatch, gossip: add the parts between caller and endpoint

Cause: the thin path needs a home that runs calls, a router that finds it by token, a dispatcher per endpoint and a membership service. Ruled out: a directory of programs; retries by the dispatcher, because only the home knows whether a call may run again.

--- /dev/null
+++ b/core/jkhome/copies.go
@@ -0,0 +1,242 @@
+package jkhome
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jktoken"
+)
+
+// copyTimeout bounds one write to a copy. A copy in another zone answers within
+// a few milliseconds; a longer silence counts as unreachable.
+const copyTimeout = 700 * time.Millisecond
+
+// appendAll writes a record to all copies of its program.
+func (h *Home) appendAll(ctx context.Context, r jkprogram.Record) jkprogram.CopyResult {
+	h.mu.Lock()
+	info, ok := h.core.Info(r.Program)
+	h.mu.Unlock()
+	if !ok {
+		return jkprogram.CopyUnreachable
+	}
+	return h.appendTo(ctx, info.Copies, r)
+}
+
+func (h *Home) appendTo(ctx context.Context, hosts []string, r jkprogram.Record) jkprogram.CopyResult {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	results := make([]jkmsg.CopyStatus, len(hosts))
+	var group errgroup.Group
+	for i, host := range hosts {
+		group.Go(func() error {
+			results[i] = h.appendOne(ctx, host, r)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	out := jkprogram.CopyRecorded
+	for i, s := range results {
+		switch s {
+		case jkmsg.CopyFenced:
+			return jkprogram.CopyFenced
+		case jkmsg.CopyStored:
+		default:
+			h.options.Log.Warn("history copy did not take a record", "program", r.Program, "host", hosts[i], "status", s)
+			out = jkprogram.CopyUnreachable
+		}
+	}
+	return out
+}
+
+// appendOne writes a record to one copy. A copy that missed records gets the
+// whole state instead.
+func (h *Home) appendOne(ctx context.Context, host string, r jkprogram.Record) jkmsg.CopyStatus {
+	status, err := h.options.Transport.AppendCopy(ctx, host, r)
+	if err != nil {
+		return jkmsg.CopyFailed
+	}
+	if status != jkmsg.CopyGap {
+		return status
+	}
+	h.mu.Lock()
+	snapshot, ok := h.core.Snapshot(r.Program)
+	h.mu.Unlock()
+	if !ok {
+		return jkmsg.CopyFailed
+	}
+	// The snapshot carries the grant that the record was about to raise.
+	snapshot.Snapshot.Granted = max(snapshot.Snapshot.Granted, r.Granted)
+	if r.Intent != nil {
+		snapshot.Snapshot.Intent = r.Intent
+	}
+	status, err = h.options.Transport.AppendCopy(ctx, host, snapshot)
+	if err != nil {
+		return jkmsg.CopyFailed
+	}
+	return status
+}
+
+// Adopt takes over a program whose home has ended. Copies are the hosts that
+// the caller's token names; without any, all hosts with a disk are asked.
+func (h *Home) Adopt(ctx context.Context, program string, copies []string, epoch uint64) error {
+	if len(copies) == 0 {
+		copies = h.options.Transport.DiskHosts()
+	}
+	best, fence, err := h.readCopies(ctx, program, copies, epoch)
+	if err != nil {
+		return err
+	}
+	now := h.options.Timer.Now()
+	h.mu.Lock()
+	if info, ok := h.core.Info(program); ok && info.Epoch >= fence {
+		h.mu.Unlock()
+		return nil
+	}
+	record, err := h.core.Adopt(now, best, fence)
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	h.options.Log.Info("program taken over", "program", program, "epoch", fence, "turn", best.Turn())
+	if h.appendAll(ctx, record) == jkprogram.CopyFenced {
+		h.mu.Lock()
+		h.core.Supersede(program)
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// readCopies raises the fence at every copy that can be reached and returns the
+// newest state. A copy that may have lost records counts only beside a certain
+// one.
+func (h *Home) readCopies(ctx context.Context, program string, copies []string, epoch uint64) (jkprogram.State, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*copyTimeout)
+	defer cancel()
+	answers := make([]jkmsg.CopyReadResult, len(copies))
+	self := h.Self()
+	read := func(epoch uint64) {
+		var group errgroup.Group
+		for i, host := range copies {
+			group.Go(func() error {
+				a, err := h.options.Transport.ReadCopy(ctx, host, jkmsg.CopyRead{Program: program, TakeOver: true, Reader: self, Epoch: epoch})
+				if err == nil {
+					answers[i] = a
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+	read(epoch)
+	best, fence, certain := newest(answers)
+	if !certain {
+		return best, 0, jkproblem.Newf(jkproblem.TypeUnavailable, "no copy of program %s can be reached that is certain to be complete", program).WithRetryAfter(time.Second)
+	}
+	for _, a := range answers {
+		if a.Held && a.Fence < fence {
+			// All copies get the same fence, so that a later reader finds it at
+			// any of them.
+			read(fence)
+			best, fence, _ = newest(answers)
+			break
+		}
+	}
+	return best, fence, nil
+}
+
+func newest(answers []jkmsg.CopyReadResult) (best jkprogram.State, fence uint64, certain bool) {
+	for _, a := range answers {
+		if !a.Held {
+			continue
+		}
+		certain = certain || !a.Uncertain
+		fence = max(fence, a.Fence)
+		if best.Program == "" || a.State.Epoch > best.Epoch || (a.State.Epoch == best.Epoch && a.State.Seq > best.Seq) {
+			best = a.State
+		}
+	}
+	return best, fence, certain
+}
+
+// Receive takes over a program that its former home hands over at a planned
+// stop.
+func (h *Home) Receive(ctx context.Context, s jkprogram.State) error {
+	now := h.options.Timer.Now()
+	h.mu.Lock()
+	if h.draining {
+		h.mu.Unlock()
+		return jkproblem.New(jkproblem.TypeUnavailable, "this host is stopping too")
+	}
+	record, err := h.core.Receive(now, s)
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	// Copies that can't be reached get a snapshot with the next record.
+	h.appendAll(ctx, record)
+	return nil
+}
+
+// Drain hands every program over as soon as no call of it is under way. Send
+// passes a state to the successor and reports whether it has it.
+func (h *Home) Drain(ctx context.Context, successor func(program string) (jktoken.Incarnation, bool), send func(ctx context.Context, to jktoken.Incarnation, s jkprogram.State) bool) {
+	h.mu.Lock()
+	h.draining = true
+	h.mu.Unlock()
+	for ctx.Err() == nil {
+		left := h.handOver(ctx, successor, send)
+		if left == 0 {
+			return
+		}
+		h.options.Timer.Wait(drainInterval, ctx.Done())
+	}
+}
+
+// drainInterval is the time between two looks at programs that still run.
+const drainInterval = 20 * time.Millisecond
+
+// handOver passes on all idle programs and returns how many are left.
+func (h *Home) handOver(ctx context.Context, successor func(program string) (jktoken.Incarnation, bool), send func(ctx context.Context, to jktoken.Incarnation, s jkprogram.State) bool) int {
+	h.mu.Lock()
+	ids := h.core.IDs()
+	h.mu.Unlock()
+	left := 0
+	for _, id := range ids {
+		if !h.handOverOne(ctx, id, successor, send) {
+			left++
+		}
+	}
+	return left
+}
+
+func (h *Home) handOverOne(ctx context.Context, id string, successor func(program string) (jktoken.Incarnation, bool), send func(ctx context.Context, to jktoken.Incarnation, s jkprogram.State) bool) bool {
+	h.mu.Lock()
+	if _, done := h.moved[id]; done {
+		h.mu.Unlock()
+		return true
+	}
+	state, ok := h.core.State(id)
+	if !ok {
+		h.mu.Unlock()
+		return true
+	}
+	to, found := successor(id)
+	if !found || h.core.IsRunning(id) {
+		h.mu.Unlock()
+		return !found
+	}
+	// From here on this home dispatches nothing for the program, whether or
+	// not the successor's answer arrives.
+	h.core.Supersede(id)
+	h.moved[id] = to
+	h.mu.Unlock()
+	if !send(ctx, to, state) {
+		h.options.Log.Warn("handover was not confirmed", "program", id, "to", to)
+	}
+	return true
+}
--- /dev/null
+++ b/core/jkmsg/message.go
@@ -0,0 +1,269 @@
+// Package jkmsg holds the messages that daemons exchange.
+package jkmsg
+
+import (
+	"time"
+
+	"jasmineknot.example/core/jkmember"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktoken"
+)
+
+// Message types.
+const (
+	TypeHeartbeat   = "heartbeat"
+	TypeZoneDigest  = "zone_digest"
+	TypeZonePull    = "zone_pull"
+	TypeConfigPull  = "config_pull"
+	TypeEndedNotice = "ended_notice"
+	TypeCall        = "call"
+	TypeCreate      = "create"
+	TypeProgram     = "program"
+	TypeDispatch    = "dispatch"
+	TypeRelease     = "release"
+	TypeCopyAppend  = "copy_append"
+	TypeCopyRead    = "copy_read"
+	TypeHandover    = "handover"
+)
+
+// IsControl reports whether a message type is control traffic, as opposed to
+// callers' requests and history.
+func IsControl(messageType string) bool {
+	switch messageType {
+	case TypeHeartbeat, TypeZoneDigest, TypeZonePull, TypeConfigPull, TypeEndedNotice:
+		return true
+	}
+	return false
+}
+
+// Suspect is a request content that has crashed endpoints.
+type Suspect struct {
+	Fingerprint string `msgpack:"fingerprint"`
+	Crashes     int    `msgpack:"crashes"`
+	// Owner is the home that may try the request once more.
+	Owner jktoken.Incarnation `msgpack:"owner"`
+	// Age is the time since the last crash, so that hosts need no common clock.
+	Age time.Duration `msgpack:"age"`
+}
+
+// Heartbeat goes from each host to all hosts of its zone.
+type Heartbeat struct {
+	Host     jkmember.Host                `msgpack:"host"`
+	Revision uint64                       `msgpack:"revision"`
+	Loads    []jksched.Load               `msgpack:"loads,omitempty"`
+	Suspects []Suspect                    `msgpack:"suspects,omitempty"`
+	Zones    map[string]jkmember.ZoneSeen `msgpack:"zones,omitempty"`
+}
+
+// ZoneDigest goes from the leader of a zone to one host of each other zone.
+type ZoneDigest struct {
+	From     jkmember.Host       `msgpack:"from"`
+	Digest   jkmember.ZoneDigest `msgpack:"digest"`
+	Revision uint64              `msgpack:"revision"`
+	Loads    []jksched.Load      `msgpack:"loads,omitempty"`
+	Suspects []Suspect           `msgpack:"suspects,omitempty"`
+}
+
+// ZonePull asks a host for its digest of a zone.
+type ZonePull struct {
+	Zone string `msgpack:"zone"`
+}
+
+// ConfigPull asks a host for its configuration if it is newer than Have.
+type ConfigPull struct {
+	Have uint64 `msgpack:"have"`
+}
+
+// Config is the answer to ConfigPull; Document is empty if nothing is newer.
+type Config struct {
+	Revision uint64 `msgpack:"revision"`
+	Document []byte `msgpack:"document,omitempty"`
+}
+
+// EndedNotice tells that an incarnation has stopped and who took its programs.
+type EndedNotice struct {
+	Incarnation jktoken.Incarnation   `msgpack:"incarnation"`
+	Successors  []jktoken.Incarnation `msgpack:"successors"`
+}
+
+// Call is a caller's request on its way to the program's home.
+type Call struct {
+	Token     string         `msgpack:"token,omitempty"`
+	Program   string         `msgpack:"program"`
+	RequestID string         `msgpack:"request_id"`
+	Kind      jkprogram.Kind `msgpack:"kind"`
+	// Chat is the JSON body of a chat request.
+	Chat []byte `msgpack:"chat,omitempty"`
+	// Service, Method, Path, Header and Body describe a service call.
+	Service string            `msgpack:"service,omitempty"`
+	Method  string            `msgpack:"method,omitempty"`
+	Path    string            `msgpack:"path,omitempty"`
+	Header  map[string]string `msgpack:"header,omitempty"`
+	Body    []byte            `msgpack:"body,omitempty"`
+	// Priority overrides the program's priority if HasPriority is set.
+	Priority    int       `msgpack:"priority,omitempty"`
+	HasPriority bool      `msgpack:"has_priority,omitempty"`
+	Deadline    time.Time `msgpack:"deadline"`
+	Stream      bool      `msgpack:"stream,omitempty"`
+	// Claimed marks a service call without program whose Idempotency-Key is
+	// claimed in the platform.
+	Claimed bool `msgpack:"claimed,omitempty"`
+	// Hops counts the forwards so far.
+	Hops int `msgpack:"hops,omitempty"`
+}
+
+// CallChunk is a piece of a streamed answer's text.
+type CallChunk struct {
+	Text string `msgpack:"text"`
+}
+
+// CallResult is the end of a call.
+type CallResult struct {
+	Outcome jkprogram.Outcome `msgpack:"outcome"`
+	Status  int               `msgpack:"status"`
+	Header  map[string]string `msgpack:"header,omitempty"`
+	// Body is the completion in JSON for a model call, else the service's body.
+	Body    []byte `msgpack:"body,omitempty"`
+	Program string `msgpack:"program,omitempty"`
+	// Token continues the program; empty if it can't go on from here.
+	Token   string             `msgpack:"token,omitempty"`
+	Problem *jkproblem.Problem `msgpack:"problem,omitempty"`
+	// Moved names the incarnation to ask instead.
+	Moved jktoken.Incarnation `msgpack:"moved"`
+	// Replayed tells that the answer was recorded before.
+	Replayed bool `msgpack:"replayed,omitempty"`
+}
+
+// Create asks a parent's home for a sub-program.
+type Create struct {
+	Workspace   string `msgpack:"workspace"`
+	Template    string `msgpack:"template"`
+	ParentToken string `msgpack:"parent_token"`
+	// Parent is the parent's id, for tokens of former homes.
+	Parent    string `msgpack:"parent"`
+	Budget    int64  `msgpack:"budget"`
+	Priority  int    `msgpack:"priority"`
+	RequestID string `msgpack:"request_id"`
+	Hops      int    `msgpack:"hops,omitempty"`
+}
+
+// ProgramAction is an operation on a program as a whole.
+type ProgramAction string
+
+// Actions on programs.
+const (
+	ActionShow   ProgramAction = "show"
+	ActionResume ProgramAction = "resume"
+	ActionCancel ProgramAction = "cancel"
+	ActionFinish ProgramAction = "finish"
+	ActionList   ProgramAction = "list"
+)
+
+// Program asks a home for an action on a program, or for a list of programs.
+type Program struct {
+	Action    ProgramAction `msgpack:"action"`
+	Program   string        `msgpack:"program,omitempty"`
+	Workspace string        `msgpack:"workspace,omitempty"`
+	Token     string        `msgpack:"token,omitempty"`
+	Hops      int           `msgpack:"hops,omitempty"`
+}
+
+// ProgramResult answers Create and Program.
+type ProgramResult struct {
+	Programs []jkprogram.Info    `msgpack:"programs,omitempty"`
+	Token    string              `msgpack:"token,omitempty"`
+	Problem  *jkproblem.Problem  `msgpack:"problem,omitempty"`
+	Moved    jktoken.Incarnation `msgpack:"moved"`
+	// Turns is the history, for show.
+	Turns []jkprogram.Turn `msgpack:"turns,omitempty"`
+}
+
+// Dispatch asks an endpoint's dispatcher to run a call.
+type Dispatch struct {
+	Call        jksched.Call        `msgpack:"call"`
+	Endpoint    string              `msgpack:"endpoint"`
+	Home        jktoken.Incarnation `msgpack:"home"`
+	Fingerprint string              `msgpack:"fingerprint"`
+	Chat        []byte              `msgpack:"chat,omitempty"`
+	Method      string              `msgpack:"method,omitempty"`
+	Path        string              `msgpack:"path,omitempty"`
+	Header      map[string]string   `msgpack:"header,omitempty"`
+	Body        []byte              `msgpack:"body,omitempty"`
+}
+
+// DispatchEvent is one message of a dispatch's answer before its end.
+type DispatchEvent struct {
+	// Text is a piece of the answer.
+	Text string `msgpack:"text,omitempty"`
+	// Second asks the home for a second dispatch elsewhere.
+	Second bool `msgpack:"second,omitempty"`
+}
+
+// DispatchResult is the end of a dispatch.
+type DispatchResult struct {
+	Outcome jkprogram.Outcome `msgpack:"outcome"`
+	Status  int               `msgpack:"status"`
+	Header  map[string]string `msgpack:"header,omitempty"`
+	// Body is the completion in JSON, or the service's body.
+	Body       []byte         `msgpack:"body,omitempty"`
+	Reason     jksched.Reason `msgpack:"reason,omitempty"`
+	Detail     string         `msgpack:"detail,omitempty"`
+	RetryAfter time.Duration  `msgpack:"retry_after,omitempty"`
+	// Load is the endpoint's digest after the call.
+	Load *jksched.Load `msgpack:"load,omitempty"`
+}
+
+// Release asks a dispatcher to drop a program's cache.
+type Release struct {
+	Program string `msgpack:"program"`
+}
+
+// CopyStatus is the result of a write to one copy.
+type CopyStatus string
+
+// Results of a write to one copy.
+const (
+	CopyStored CopyStatus = "stored"
+	CopyFenced CopyStatus = "fenced"
+	CopyGap    CopyStatus = "gap"
+	CopyFailed CopyStatus = "failed"
+)
+
+// CopyAppend stores a record at a copy.
+type CopyAppend struct {
+	Record jkprogram.Record `msgpack:"record"`
+}
+
+// CopyAppendResult answers CopyAppend.
+type CopyAppendResult struct {
+	Status CopyStatus `msgpack:"status"`
+}
+
+// CopyRead reads a program at a copy. With TakeOver the copy's fence rises to
+// at least Epoch.
+type CopyRead struct {
+	Program  string              `msgpack:"program"`
+	TakeOver bool                `msgpack:"take_over"`
+	Reader   jktoken.Incarnation `msgpack:"reader"`
+	Epoch    uint64              `msgpack:"epoch"`
+}
+
+// CopyReadResult answers CopyRead.
+type CopyReadResult struct {
+	Held      bool            `msgpack:"held"`
+	Uncertain bool            `msgpack:"uncertain"`
+	Fence     uint64          `msgpack:"fence"`
+	State     jkprogram.State `msgpack:"state"`
+}
+
+// Handover passes a program to its next home at a planned stop.
+type Handover struct {
+	State jkprogram.State `msgpack:"state"`
+}
+
+// HandoverResult answers Handover.
+type HandoverResult struct {
+	Accepted bool `msgpack:"accepted"`
+}
--- a/core/jkprogram/call.go
+++ b/core/jkprogram/call.go
@@ -18,6 +18,9 @@
 	RequestID  string
 	Kind       Kind
 	Repeatable bool
+	// Claimed tells that the caller's own key was claimed for this program, so
+	// that a non-repeatable call needs no token at the program's first home.
+	Claimed bool
 	// MaxCost bounds the call's cost in tokens, prompt included.
 	MaxCost int64
 	// Messages holds one digest for each chat message of the request, the
@@ -66,10 +69,19 @@
 	if number, ok := p.requests[s.RequestID]; ok {
 		return p.replay(number, c.options.Self), nil
 	}
+	// This check comes first: a refusal as not_run is true only at the home
+	// that issued the token.
+	if !s.Repeatable && !p.issued(s, c.options.Self) {
+		old := &OldEpochError{Program: s.Program, RequestID: s.RequestID, Current: p.state.Epoch}
+		if s.Token != nil {
+			old.Epoch = s.Token.Epoch
+		}
+		return Admission{}, eris.Wrap(old, "submit")
+	}
 	if err := p.open(); err != nil {
 		return Admission{}, err
 	}
-	added, err := p.position(s, c.options.Self)
+	added, err := p.position(s)
 	if err != nil {
 		return Admission{}, err
 	}
@@ -99,14 +111,19 @@
 	if p.running.requestID == s.RequestID {
 		return Admission{Action: ActionAttach}, nil
 	}
+	// The running call may yet be refused and free the token; a request that
+	// was told not_run must stay out even then.
+	if !s.Repeatable {
+		p.close(s.RequestID)
+	}
 	return Admission{}, eris.Wrap(p.stale(p.state.Turn()), "submit")
 }
 
 // position checks that the request stands at the present end of the history
 // and returns the number of messages that it adds.
-func (p *program) position(s Submission, self jktoken.Incarnation) (int, error) {
+func (p *program) position(s Submission) (int, error) {
 	if s.Token != nil {
-		if err := p.checkToken(s, self); err != nil {
+		if err := p.checkToken(s); err != nil {
 			return 0, err
 		}
 	}
@@ -125,7 +142,7 @@
 	return added, nil
 }
 
-func (p *program) checkToken(s Submission, self jktoken.Incarnation) error {
+func (p *program) checkToken(s Submission) error {
 	t := s.Token
 	held := p.state.Turn()
 	switch {
@@ -136,19 +153,20 @@
 	case t.Digest != p.state.Digest():
 		return eris.Wrap(&HistoryMismatchError{Program: s.Program, Turn: t.Turn}, "submit")
 	}
-	if !s.Repeatable && !p.issued(t, self) {
-		return eris.Wrap(&OldEpochError{Program: s.Program, RequestID: s.RequestID, Epoch: t.Epoch, Current: p.state.Epoch}, "submit")
-	}
 	return nil
 }
 
-// issued reports whether the token comes from this home in the present epoch, or
-// from a home that handed over by plan.
-func (p *program) issued(t *jktoken.Claims, self jktoken.Incarnation) bool {
-	if t.Home == self && t.Epoch == p.state.Epoch {
+// issued reports whether this home may dispatch a non-repeatable request: its
+// token comes from this home in the present epoch or from a home that handed
+// over by plan, or its key was claimed for a program that never moved.
+func (p *program) issued(s Submission, self jktoken.Incarnation) bool {
+	if s.Token == nil {
+		return s.Claimed && p.state.Home == self && p.state.Epoch == 0
+	}
+	if s.Token.Home == self && s.Token.Epoch == p.state.Epoch {
 		return true
 	}
-	return slices.Contains(p.state.Prior, Origin{Home: t.Home, Epoch: t.Epoch})
+	return slices.Contains(p.state.Prior, Origin{Home: s.Token.Home, Epoch: s.Token.Epoch})
 }
 
 func (p *program) stale(turn uint64) error {
@@ -158,6 +176,9 @@
 func (p *program) start(now time.Time, s Submission, added int) (Admission, error) {
 	need := p.committed() + s.MaxCost
 	if need > p.state.Meta.Budget {
+		if !s.Repeatable {
+			p.close(s.RequestID)
+		}
 		return Admission{}, eris.Wrap(p.budgetError(s.MaxCost, false), "submit")
 	}
 	p.running = &call{
@@ -249,7 +270,7 @@
 	p.running = nil
 }
 
-// Close closes a request id before any dispatch, so that not_run stays true.
+// close closes a request id before any dispatch, so that not_run stays true.
 func (p *program) close(requestID string) {
 	if len(p.closed) >= closedLimit {
 		p.closedAll = true
--- a/core/jkprogram/core.go
+++ b/core/jkprogram/core.go
@@ -68,6 +68,9 @@
 	granted int64
 }
 
+// SetSelf changes the incarnation under which new programs are created.
+func (c *Core) SetSelf(self jktoken.Incarnation) { c.options.Self = self }
+
 // Creation describes a new program.
 type Creation struct {
 	Program string
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -191,6 +191,7 @@
 	Workspace string
 	Template  string
 	Parent    string
+	Priority  int
 	Home      jktoken.Incarnation
 	Epoch     uint64
 	Turn      uint64
@@ -215,6 +216,7 @@
 		Workspace: s.Meta.Workspace,
 		Template:  s.Meta.Template,
 		Parent:    s.Meta.Parent,
+		Priority:  s.Meta.Priority,
 		Home:      s.Home,
 		Epoch:     s.Epoch,
 		Turn:      s.Turn(),
--- /dev/null
+++ b/core/jkquarantine/table_test.go
@@ -0,0 +1,51 @@
+package jkquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+var (
+	now   = time.Unix(1000, 0)
+	homeA = jktoken.Incarnation{Host: "a", Start: 1}
+	homeB = jktoken.Incarnation{Host: "b", Start: 1}
+)
+
+// Guards against a content that crashes a third endpoint: after the first crash
+// only its home may try again, after the second nobody may.
+func TestTwoCrashesAtMost(t *testing.T) {
+	x, y := New(10), New(10)
+	x.Crashed(now, "f", homeA)
+	y.Merge(now, x.Export(now))
+	if !y.IsRefused(now, "f", homeB) {
+		t.Fatal("another home may run a suspect")
+	}
+	if y.IsRefused(now, "f", homeA) {
+		t.Fatal("the suspect's home may not try again")
+	}
+	y.Crashed(now, "f", homeA)
+	x.Merge(now, y.Export(now))
+	for _, tab := range []*Table{x, y} {
+		if !tab.IsRefused(now.Add(time.Hour), "f", homeA) {
+			t.Fatal("a quarantined content may run")
+		}
+	}
+}
+
+// Guards against other work being refused, and against a table that grows
+// without bound.
+func TestTableIsBounded(t *testing.T) {
+	tab := New(4)
+	for i := range 100 {
+		tab.Crashed(now.Add(time.Duration(i)*time.Second), fmt.Sprint("f", i), homeA)
+	}
+	if tab.Len() != 4 {
+		t.Fatalf("got %d rows, want 4", tab.Len())
+	}
+	if tab.IsRefused(now, "other", homeB) {
+		t.Fatal("unrelated content is refused")
+	}
+}
