--- /dev/null
+++ b/jasmineknotbench/jkpolicy/experiment.go
@@ -0,0 +1,111 @@
+package jkpolicy
+
+import (
+	"runtime"
+	"sync"
+	"time"
+)
+
+// scenario is one of the runs that the measures are taken from.
+type scenario string
+
+// Scenarios of the experiment.
+const (
+	// scenarioSteady is a constant arrival rate at the given load.
+	scenarioSteady scenario = "steady"
+	// scenarioNoStragglers is the same load without the straggler classes.
+	scenarioNoStragglers scenario = "no_stragglers"
+	// scenarioSlowed is scenarioSteady with 2 endpoints slowed for 30 s.
+	scenarioSlowed scenario = "slowed"
+	// scenarioCrest has the same mean load in tenfold swings.
+	scenarioCrest scenario = "crest"
+)
+
+var scenarios = []scenario{scenarioSteady, scenarioNoStragglers, scenarioSlowed, scenarioCrest}
+
+// policies in the order of the report.
+const (
+	naive    = "naive"
+	ordinary = "ordinary"
+	ours     = "jasmineknot"
+)
+
+var policyNames = []string{naive, ordinary, ours}
+
+// settings of one experiment.
+type settings struct {
+	seed     uint64
+	seeds    int
+	load     float64
+	duration time.Duration
+}
+
+// runKey names one run of an experiment.
+type runKey struct {
+	seed     uint64
+	scenario scenario
+	policy   string
+}
+
+// results of all runs of a workload.
+type results struct {
+	workload *workload
+	capacity float64
+	settings settings
+	runs     map[runKey]*stats
+}
+
+func (s settings) plan(w *workload, seed uint64, sc scenario) *plan {
+	o := planOptions{seed: seed, load: s.load, duration: s.duration, stragglers: true}
+	switch sc {
+	case scenarioNoStragglers:
+		o.stragglers = false
+	case scenarioSlowed:
+		o.slowed = 2
+	case scenarioCrest:
+		o.crest = true
+	}
+	return newPlan(w, o)
+}
+
+// runPolicy runs a plan under the named policy.
+func runPolicy(p *plan, name string, seed uint64) *stats {
+	w := newWorld(p)
+	switch name {
+	case naive:
+		w.policy = newNaive(w)
+	case ordinary:
+		w.policy = newOrdinary(w)
+	default:
+		w.policy = newScheduler(w, seed)
+	}
+	return w.run()
+}
+
+// measure runs every scenario under every policy for every seed, on as many
+// threads as the runtime may use.
+func measure(w *workload, s settings, progress func(done, total int)) *results {
+	out := &results{workload: w, settings: s, capacity: capacity(w, true), runs: map[runKey]*stats{}}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	total := s.seeds * len(scenarios) * len(policyNames)
+	for i := range s.seeds {
+		seed := s.seed + uint64(i)
+		for _, sc := range scenarios {
+			for _, name := range policyNames {
+				slots <- struct{}{}
+				wait.Go(func() {
+					got := runPolicy(s.plan(w, seed, sc), name, seed)
+					mu.Lock()
+					out.runs[runKey{seed, sc, name}] = got
+					progress(len(out.runs), total)
+					mu.Unlock()
+					<-slots
+				})
+			}
+		}
+	}
+	wait.Wait()
+	return out
+}
