sched: charge placement for the time taken from running calls

Cause: in the trace of bulles_du_cap most turns moved to the endpoint with the momentarily best pace and prefilled their history again; each prefill holds up the whole batch there, which the cost left out. Ruled out: strict session affinity, which can't leave a full or slow endpoint.

--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -23,6 +23,9 @@
 	TokenPace    time.Duration
 	PrefillPace  time.Duration
 	OutputTokens int64
+	// BatchShare is the share of a full batch's step time that grows with the
+	// number of running calls.
+	BatchShare float64
 
 	// MaxQueued bounds the waiting calls per endpoint, as a multiple of slots.
 	MaxQueued int
@@ -70,7 +73,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Sample: 4, Holders: 4,
-		TokenPace: 25 * time.Millisecond, PrefillPace: 100 * time.Microsecond, OutputTokens: 200,
+		TokenPace: 25 * time.Millisecond, PrefillPace: 50 * time.Microsecond, OutputTokens: 200, BatchShare: 0.3,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
 		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second,
 		ShortTokens: 400, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -73,7 +73,9 @@
 	return e.Kind == KindModel && slices.Contains(e.Models, c.Model)
 }
 
-// cost predicts the latency of the call on the endpoint.
+// cost predicts the latency of the call on the endpoint, plus the time that the
+// call takes from the calls already running there: its prefill holds up every
+// running call, and each of its tokens lengthens their steps.
 func (p *Placer) cost(c Call, row *placerRow) (cost, wait time.Duration) {
 	pace, prefill := p.opt.TokenPace, p.opt.PrefillPace
 	if row.load.TokenPace > 0 {
@@ -82,10 +84,12 @@
 	if row.load.PrefillPace > 0 {
 		prefill = row.load.PrefillPace
 	}
-	output := min(c.MaxTokens, p.opt.OutputTokens)
+	running := time.Duration(min(row.load.Running+len(row.placed), row.endpoint.Slots))
+	output := time.Duration(min(c.MaxTokens, p.opt.OutputTokens))
 	wait = row.load.PredictedWait + p.ownWait(row, pace)
-	cost = wait + time.Duration(output)*pace
-	cost += time.Duration(c.PromptTokens-p.cached(c, row)) * prefill
+	cost = wait + output*pace
+	cost += output * running * time.Duration(p.opt.BatchShare*float64(pace)/float64(max(row.endpoint.Slots, 1)))
+	cost += time.Duration(c.PromptTokens-p.cached(c, row)) * prefill * (1 + running)
 	if p.opt.Delay != nil {
 		cost += 2 * p.opt.Delay(p.opt.Zone, row.endpoint.Zone)
 	}
