sched: release caches of ended and paused programs

A first hazard rule released most paused programs within a second, because people rarely answer within the first second (trace: 9,616 idle releases against 26,500 turns); the rule now looks ahead. Ruled out: release 4 s after every answer without tool calls. Conclusion: kept with a hold of 12 s.

--- a/core/jksched/admit.go
+++ b/core/jksched/admit.go
@@ -50,5 +50,14 @@
 	if row.pace > 0 {
 		pace = row.pace
 	}
-	return time.Duration(min(c.MaxTokens, q.opt.OutputTokens)) * pace
+	return time.Duration(q.output(c)) * pace
+}
+
+// output is the expected number of generated tokens.
+func (q *Queue) output(c Call) int64 {
+	mean, ok := q.outputs[c.Workspace]
+	if !ok {
+		mean = float64(q.opt.OutputTokens)
+	}
+	return max(min(c.MaxTokens, int64(mean)), 1)
 }
--- a/core/jksched/event.go
+++ b/core/jksched/event.go
@@ -12,6 +12,30 @@
 	return mean + time.Duration(smoothing*float64(sample-mean))
 }
 
+// learnOutput updates the mean number of generated tokens of a workspace.
+func learnOutput(means map[string]float64, workspace string, generated int64) {
+	mean, ok := means[workspace]
+	if !ok {
+		mean = float64(generated)
+	}
+	means[workspace] = mean + smoothing/4*(float64(generated)-mean)
+}
+
+// learnPace scales the pace of a finished call to a full batch. It is smoothed
+// over many calls, because other calls' prefill makes single ones noisy.
+func (q *Queue) learnPace(now time.Time, cr *callRow) {
+	if cr.firstToken.IsZero() || cr.tokens < 16 {
+		return
+	}
+	pace := now.Sub(cr.firstToken) / time.Duration(cr.tokens-1)
+	fill := float64(len(cr.row.running)+1) / float64(max(cr.row.endpoint.Slots, 1))
+	full := time.Duration(float64(pace) / (1 - q.opt.BatchShare + q.opt.BatchShare*min(fill, 1)))
+	if cr.row.pace == 0 {
+		cr.row.pace = full
+	}
+	cr.row.pace += (full - cr.row.pace) / 32
+}
+
 // Started reports that the endpoint accepted a dispatched call.
 func (q *Queue) Started(_ time.Time, _, _ string) {}
 
@@ -39,20 +63,14 @@
 	if !cr.short {
 		cr.row.runningLong--
 	}
+	q.dropCall(now, cr.row, cr.call, r)
 	if r.Outcome == OutcomeCompleted {
 		cr.row.service = smooth(cr.row.service, now.Sub(cr.dispatched))
-		if !cr.firstToken.IsZero() && cr.tokens > 1 {
-			cr.row.pace = smooth(cr.row.pace, now.Sub(cr.firstToken)/time.Duration(cr.tokens-1))
-		}
+		learnOutput(q.outputs, cr.call.Workspace, r.Generated)
+		q.learnPace(now, cr)
 	}
 }
 
-// ProgramEnded releases the program's caches for certain.
-func (q *Queue) ProgramEnded(_ time.Time, _ string) {}
-
-// ReportLoad takes an endpoint's own, lagging load report.
-func (q *Queue) ReportLoad(_ time.Time, _ Report) {}
-
 // CacheEvent takes an engine's late notice about its cache.
 func (q *Queue) CacheEvent(_ time.Time, _ CacheEvent) {}
 
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -101,7 +101,8 @@
 	Limit int
 	// PredictedWait is the time an average new call would spend in the queue.
 	PredictedWait time.Duration
-	// TokenPace is the time per generated token of one call; zero if unknown.
+	// TokenPace is the time per generated token of one call in a full batch;
+	// zero if unknown.
 	TokenPace time.Duration
 	// PrefillPace is the time per prompt token that isn't cached.
 	PrefillPace time.Duration
@@ -133,7 +134,7 @@
 	ReasonUnknown    Reason = "unknown_endpoint"
 	ReasonEnded      Reason = "program_ended"
 	ReasonIdle       Reason = "idle"
-	ReasonPressure   Reason = "cache_pressure"
+	ReasonMoved      Reason = "moved"
 	ReasonCancelled  Reason = "cancelled"
 )
 
--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -64,9 +64,14 @@
 	IdleHold time.Duration
 	// StopHold is the hold after an answer that asks for no tools.
 	StopHold time.Duration
-	// CacheHighWater is the share of an engine's cache above which idle
-	// programs' caches are released by value.
+	// HoldRate is the least rate of expected returns, in 1/s, for which a paused
+	// program's cache is held.
+	HoldRate float64
+	// CacheHighWater is the share of an engine's cache above which HoldRate
+	// rises, up to tenfold for a full cache.
 	CacheHighWater float64
+	// SweepEvery is the interval at which paused programs are looked at.
+	SweepEvery time.Duration
 }
 
 // DefaultOptions returns the defaults. The caller sets Rand, Zone and Delay.
@@ -79,6 +84,7 @@
 		ShortTokens: 400, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
 		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.2, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
-		IdleHold: 120 * time.Second, StopHold: 30 * time.Second, CacheHighWater: 0.9,
+		IdleHold: 120 * time.Second, StopHold: 12 * time.Second,
+		HoldRate: 1.0 / 120, CacheHighWater: 0.9, SweepEvery: 500 * time.Millisecond,
 	}
 }
--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -77,27 +77,38 @@
 // call takes from the calls already running there: its prefill holds up every
 // running call, and each of its tokens lengthens their steps.
 func (p *Placer) cost(c Call, row *placerRow) (cost, wait time.Duration) {
-	pace, prefill := p.opt.TokenPace, p.opt.PrefillPace
+	full, prefill := p.opt.TokenPace, p.opt.PrefillPace
 	if row.load.TokenPace > 0 {
-		pace = row.load.TokenPace
+		full = row.load.TokenPace
 	}
 	if row.load.PrefillPace > 0 {
 		prefill = row.load.PrefillPace
 	}
-	running := time.Duration(min(row.load.Running+len(row.placed), row.endpoint.Slots))
-	output := time.Duration(min(c.MaxTokens, p.opt.OutputTokens))
-	wait = row.load.PredictedWait + p.ownWait(row, pace)
-	cost = wait + output*pace
-	cost += output * running * time.Duration(p.opt.BatchShare*float64(pace)/float64(max(row.endpoint.Slots, 1)))
-	cost += time.Duration(c.PromptTokens-p.cached(c, row)) * prefill * (1 + running)
+	slots := max(row.endpoint.Slots, 1)
+	running := min(row.load.Running+len(row.placed), slots)
+	output := time.Duration(p.output(c))
+	wait = row.load.PredictedWait + p.ownWait(row, output*full)
+	// The batch's share counts twice: for the call and for those beside it.
+	batch := 2 * p.opt.BatchShare * float64(running) / float64(slots)
+	cost = wait + time.Duration(float64(output*full)*(1-p.opt.BatchShare+batch))
+	cost += time.Duration(c.PromptTokens-p.cached(c, row)) * prefill * time.Duration(1+running)
 	if p.opt.Delay != nil {
 		cost += 2 * p.opt.Delay(p.opt.Zone, row.endpoint.Zone)
 	}
 	return cost, wait
 }
 
+// output is the expected number of generated tokens.
+func (p *Placer) output(c Call) int64 {
+	mean, ok := p.outputs[c.Workspace]
+	if !ok {
+		mean = float64(p.opt.OutputTokens)
+	}
+	return max(min(c.MaxTokens, int64(mean)), 1)
+}
+
 // ownWait is the wait caused by the home's placements since the digest.
-func (p *Placer) ownWait(row *placerRow, pace time.Duration) time.Duration {
+func (p *Placer) ownWait(row *placerRow, service time.Duration) time.Duration {
 	free := max(row.load.Limit, 1) - row.load.Running
 	if row.load.Limit == 0 {
 		free = row.endpoint.Slots
@@ -106,7 +117,7 @@
 	if over <= 0 {
 		return 0
 	}
-	return time.Duration(over) * time.Duration(p.opt.OutputTokens) * pace / time.Duration(max(row.endpoint.Slots, 1))
+	return time.Duration(over) * service / time.Duration(max(row.endpoint.Slots, 1))
 }
 
 // cached estimates how many tokens of the prompt the endpoint holds.
--- a/core/jksched/placer.go
+++ b/core/jksched/placer.go
@@ -16,7 +16,9 @@
 	byZone   map[zoneTarget][]*placerRow
 	programs map[string]programRow
 	holders  map[string][]*placerRow
-	scratch  []candidate
+	// outputs is the mean number of generated tokens per workspace.
+	outputs map[string]float64
+	scratch []candidate
 }
 
 type target struct {
@@ -58,6 +60,7 @@
 		byZone:    map[zoneTarget][]*placerRow{},
 		programs:  map[string]programRow{},
 		holders:   map[string][]*placerRow{},
+		outputs:   map[string]float64{},
 	}
 }
 
@@ -158,13 +161,20 @@
 // ProgramEnded forgets where the program's history is cached.
 func (p *Placer) ProgramEnded(program string) { delete(p.programs, program) }
 
-// Finished records where the program's history is cached after a call.
-func (p *Placer) Finished(c Call, endpoint string, r Result) {
+// Finished records where the program's history is cached after a call. If an
+// older state of it is still cached on another endpoint, stale names that
+// endpoint, and the home sends a release to its dispatcher.
+func (p *Placer) Finished(c Call, endpoint string, r Result) (stale string) {
 	row, ok := p.endpoints[endpoint]
 	if !ok || r.Outcome != OutcomeCompleted || c.Kind != KindModel {
-		return
+		return ""
+	}
+	if known, ok := p.programs[c.Program]; ok && known.row != row {
+		stale = known.row.endpoint.ID
 	}
+	learnOutput(p.outputs, c.Workspace, r.Generated)
 	p.programs[c.Program] = programRow{row: row, tokens: c.PromptTokens + r.Generated}
+	return stale
 }
 
 // Released records that the program's cache was dropped at the endpoint.
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -15,7 +15,12 @@
 	order []*queueRow
 	calls map[callKey]*callRow
 	peers map[string]Load
-	out   []Command
+	// outputs is the mean number of generated tokens per workspace.
+	outputs map[string]float64
+	out     []Command
+
+	toolPauses pauseModel
+	stopPauses pauseModel
 }
 
 // callKey names one run: both copies of a second dispatch may be in one queue.
@@ -46,6 +51,10 @@
 		endpoints: map[string]*queueRow{},
 		calls:     map[callKey]*callRow{},
 		peers:     map[string]Load{},
+		outputs:   map[string]float64{},
+
+		toolPauses: newPauseModel(),
+		stopPauses: newPauseModel(),
 	}
 }
 
@@ -102,12 +111,13 @@
 	cr := &callRow{call: c, row: row, pushed: now, key: q.orderKey(now, c), short: q.isShort(c)}
 	q.calls[key] = cr
 	heap.Push(row.heapOf(cr), cr)
+	q.holdCall(now, row, c)
 	return nil
 }
 
 // Cancel stops a call: a waiting one leaves the queue, a running one gets a
 // cancel command. An empty endpoint means every copy.
-func (q *Queue) Cancel(_ time.Time, call, endpoint string) {
+func (q *Queue) Cancel(now time.Time, call, endpoint string) {
 	for _, row := range q.order {
 		if endpoint != "" && row.endpoint.ID != endpoint {
 			continue
@@ -117,7 +127,7 @@
 			continue
 		}
 		if cr.dispatched.IsZero() {
-			q.unqueue(cr)
+			q.unqueue(now, cr)
 			continue
 		}
 		cr.cancelled = true
@@ -125,9 +135,10 @@
 	}
 }
 
-func (q *Queue) unqueue(cr *callRow) {
+func (q *Queue) unqueue(now time.Time, cr *callRow) {
 	heap.Remove(cr.row.heapOf(cr), cr.index)
 	delete(q.calls, callKey{cr.call.ID, cr.row.endpoint.ID})
+	q.dropCall(now, cr.row, cr.call, Result{})
 }
 
 func (q *Queue) emit(c Command) { q.out = append(q.out, c) }
@@ -136,9 +147,10 @@
 // and at least every 100 ms.
 func (q *Queue) Tick(now time.Time) []Command {
 	for _, row := range q.order {
-		q.handBack(row)
+		q.handBack(now, row)
 		q.expire(now, row)
 		q.dispatch(now, row)
+		q.sweep(now, row)
 	}
 	q.order = slices.DeleteFunc(q.order, func(r *queueRow) bool {
 		done := r.removed && len(r.running) == 0
@@ -153,7 +165,7 @@
 }
 
 // handBack returns the waiting calls of an endpoint that takes no new work.
-func (q *Queue) handBack(row *queueRow) {
+func (q *Queue) handBack(now time.Time, row *queueRow) {
 	reason := ReasonLeaving
 	switch row.endpoint.State {
 	case StateLive:
@@ -161,13 +173,13 @@
 	case StateDown:
 		reason = ReasonDown
 	}
-	q.moveWaiting(row, reason)
+	q.moveWaiting(now, row, reason)
 }
 
-func (q *Queue) moveWaiting(row *queueRow, reason Reason) {
+func (q *Queue) moveWaiting(now time.Time, row *queueRow, reason Reason) {
 	for row.queued() > 0 {
 		cr := row.first()
-		q.unqueue(cr)
+		q.unqueue(now, cr)
 		q.emit(Command{Kind: CommandMove, Call: cr.call, Endpoint: row.endpoint.ID, Reason: reason})
 	}
 }
@@ -182,7 +194,7 @@
 			}
 		}
 		for _, cr := range late {
-			q.unqueue(cr)
+			q.unqueue(now, cr)
 			q.emit(Command{
 				Kind: CommandRefuse, Call: cr.call, Endpoint: row.endpoint.ID,
 				Reason: ReasonDeadline, RetryAfter: q.predictedWait(row),
--- a/core/jksched/row.go
+++ b/core/jksched/row.go
@@ -21,12 +21,17 @@
 	prefill time.Duration
 	service time.Duration
 	breaker Breaker
+	// held lists the programs whose cache the endpoint may hold.
+	held      map[string]*heldProgram
+	nextSweep time.Time
+	report    Report
 }
 
 func newQueueRow(e Endpoint, opt Options) *queueRow {
 	return &queueRow{
 		endpoint: e,
 		running:  map[string]*callRow{},
+		held:     map[string]*heldProgram{},
 		limit:    e.Slots,
 		breaker:  BreakerClosed,
 		service:  time.Duration(opt.OutputTokens) * opt.TokenPace,
--- a/jasmineknotbench/jkpolicy/scheduler.go
+++ b/jasmineknotbench/jkpolicy/scheduler.go
@@ -256,7 +256,9 @@
 	if req.done {
 		return
 	}
-	s.homes[req.call.Zone].Finished(req.call, e.id, r)
+	if stale := s.homes[req.call.Zone].Finished(req.call, e.id, r); stale != "" {
+		s.release(req.call, s.engines[stale])
+	}
 	delete(s.requests, req.call.ID)
 	for _, id := range slices.Compact(slices.Clone(req.copies)) {
 		if other := s.engines[id]; other != e {
@@ -269,6 +271,14 @@
 	s.w.answer(req, j)
 }
 
+// release tells a dispatcher that the program has moved away from its endpoint.
+func (s *scheduler) release(c jksched.Call, e *engine) {
+	s.w.sim.after(s.net.delay(c.Zone, e.zone), func() {
+		s.queues[e.zone].Release(s.w.sim.clock(), c.Program, e.id)
+		s.pump(e.zone)
+	})
+}
+
 func (s *scheduler) ended(r *programRun) {
 	id := "p" + itoa(r.spec.id)
 	s.homes[r.spec.zone].ProgramEnded(id)
