config: add the configuration document, its editor and follower

Cause: teams edit sections of one document at the same time, and an accepted edit has to be in force everywhere within seconds and never revert. Design: revision n+1 is a create-if-absent of its own record that holds a merge patch (RFC 7396) of one section; each revision divisible by 100 holds the whole document too, so a cold start reads one block. A lost answer is resolved by the edit id at the same key; the editor moves to the next key only when another edit is known to hold this one. Ruled out: a record that points to the newest revision, because it would be a second write for each edit and could be lost by itself; deciding conflicts on the host's own document, because it may lag, so the editor reads the newest revisions first.

--- /dev/null
+++ b/core/jkconfig/document.go
@@ -0,0 +1,184 @@
+// Package jkconfig holds the operators' configuration: one document of sections
+// that belong to different teams, its validation, edits by create-if-absent of
+// numbered revisions, and the follower that keeps a daemon at the newest one.
+package jkconfig
+
+import (
+	"sort"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/rotisserie/eris"
+)
+
+// emptySection is the text of a section that nobody has written yet.
+const emptySection = "{}"
+
+// Document is one revision of the configuration. It is immutable; daemons keep
+// a pointer to the newest one.
+type Document struct {
+	revision uint64
+	// position is the platform's version of the revision's record, from which
+	// a watch continues.
+	position uint64
+	sections map[Section]sectionText
+	tables
+}
+
+// sectionText is the JSON text of a section and the revision that wrote it.
+type sectionText struct {
+	revision uint64
+	owner    string
+	text     []byte
+}
+
+// Empty returns revision 0, which has no content.
+func Empty() *Document { return &Document{sections: map[Section]sectionText{}} }
+
+// Revision returns the number of the revision; 0 is the empty document.
+func (d *Document) Revision() uint64 { return d.revision }
+
+// Text returns the JSON text of a section and the revision that wrote it.
+func (d *Document) Text(s Section) ([]byte, uint64) {
+	content, ok := d.sections[s]
+	if !ok {
+		return []byte(emptySection), 0
+	}
+	return append([]byte{}, content.text...), content.revision
+}
+
+// Owner returns the team that may edit a section, or "" for a section that
+// nobody has written yet.
+func (d *Document) Owner(s Section) string { return d.sections[s].owner }
+
+// with returns the document with one section replaced by a normalised text.
+func (d *Document) with(s Section, text []byte, revision, position uint64) (*Document, error) {
+	next := &Document{
+		revision: revision, position: position,
+		sections: make(map[Section]sectionText, len(d.sections)+1),
+		tables:   d.tables,
+	}
+	for name, content := range d.sections {
+		next.sections[name] = content
+	}
+	owner, err := next.decode(s, text)
+	if err != nil {
+		return nil, err
+	}
+	next.sections[s] = sectionText{revision: revision, owner: owner, text: text}
+	return next, nil
+}
+
+// apply returns the document after a change, which must be the next revision.
+func (d *Document) apply(c Change) (*Document, error) {
+	if c.Revision != d.revision+1 {
+		return nil, eris.Errorf("revision %d doesn't follow revision %d", c.Revision, d.revision)
+	}
+	patch, err := c.patch()
+	if err != nil {
+		return nil, err
+	}
+	old, _ := d.Text(c.Section)
+	text, err := jsonpatch.MergePatch(old, patch)
+	if err != nil {
+		return nil, eris.Wrapf(err, "apply revision %d", c.Revision)
+	}
+	if text, err = normalise(text); err != nil {
+		return nil, err
+	}
+	return d.with(c.Section, text, c.Revision, c.Position)
+}
+
+// Program returns a program template.
+func (d *Document) Program(name string) (Program, bool) {
+	p, ok := d.programs[name]
+	return p, ok
+}
+
+// Model returns a model.
+func (d *Document) Model(name string) (Model, bool) {
+	m, ok := d.models[name]
+	return m, ok
+}
+
+// Models returns the names of all models in order.
+func (d *Document) Models() []string {
+	names := make([]string, 0, len(d.models))
+	for name := range d.models {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Budget returns the budget of a workspace, or else the entry default.
+func (d *Document) Budget(workspace string) (Budget, bool) {
+	if b, ok := d.budgets[workspace]; ok {
+		return b, true
+	}
+	b, ok := d.budgets[defaultEntry]
+	return b, ok
+}
+
+// Priority returns a priority class.
+func (d *Document) Priority(class string) (Priority, bool) {
+	p, ok := d.priorities[class]
+	return p, ok
+}
+
+// Capacity returns the limits of an endpoint or a model. What its entry doesn't
+// set comes from the entry default.
+func (d *Document) Capacity(scope string) Capacity {
+	return d.capacity[scope].orElse(d.capacity[defaultEntry])
+}
+
+// Service returns the rules of a service. A service without rules has the zero
+// rules: nothing may be repeated.
+func (d *Document) Service(name string) (ServiceRules, bool) {
+	for _, s := range serviceSections() {
+		if r, ok := d.rules(s)[name]; ok {
+			return r, true
+		}
+	}
+	return ServiceRules{}, false
+}
+
+// Endpoint returns a back end.
+func (d *Document) Endpoint(id string) (Endpoint, bool) {
+	e, ok := d.endpoints[id]
+	return e, ok
+}
+
+// Endpoints returns all back ends ordered by id.
+func (d *Document) Endpoints() []Endpoint {
+	all := make([]Endpoint, 0, len(d.endpoints))
+	for _, e := range d.endpoints {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	return all
+}
+
+// Host returns an entry host.
+func (d *Document) Host(name string) (Host, bool) {
+	h, ok := d.hosts[name]
+	return h, ok
+}
+
+// Hosts returns all entry hosts ordered by name.
+func (d *Document) Hosts() []Host {
+	all := make([]Host, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		all = append(all, h)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
+
+// Objectives returns the service-level objectives by name.
+func (d *Document) Objectives() map[string]Objective {
+	all := make(map[string]Objective, len(d.objectives))
+	for name, o := range d.objectives {
+		all[name] = o
+	}
+	return all
+}
--- /dev/null
+++ b/core/jkconfig/follower_test.go
@@ -0,0 +1,149 @@
+package jkconfig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"jasmineknot.example/core/jkstandin"
+)
+
+// Guards against a watcher that misses revisions during an outage.
+func TestWatcherFollows(t *testing.T) {
+	s := newSite(t)
+	writer, watcher := s.host(false), s.host(true)
+	writer.mustEdit(t, "a", 0, budgets(1))
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		watcher.follower.Run(ctx)
+		close(stopped)
+	}()
+	eventually(t, "revision 1", func() bool { return watcher.follower.Revision() == 1 })
+	s.platform.SetFaults(jkstandin.PlatformFaults{Down: true})
+	if watcher.follower.Revision() != 1 {
+		t.Fatal("the configuration in force was lost in the outage")
+	}
+	s.platform.SetFaults(jkstandin.PlatformFaults{})
+	writer.mustEdit(t, "b", 1, budgets(2))
+	eventually(t, "revision 2", func() bool { return watcher.follower.Revision() == 2 })
+	cancel()
+	<-stopped
+}
+
+// Guards against a restarted host that takes an older revision than it can
+// reach, or goes back to one that a slower host offers.
+func TestRestartedFollowerNeverGoesBack(t *testing.T) {
+	s := newSite(t)
+	old := s.host(false)
+	old.mustEdit(t, "a", 0, budgets(1))
+	_, oldPacked, err := old.follower.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := s.host(false)
+	peer.mustEdit(t, "b", 1, budgets(2))
+	_, newPacked, err := peer.follower.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.platform.SetFaults(jkstandin.PlatformFaults{Down: true})
+	restarted := s.host(false)
+	if err := restarted.follower.Load(t.Context()); err == nil || restarted.follower.Loaded() {
+		t.Fatal("loaded without a platform")
+	}
+	var seen []uint64
+	restarted.follower.OnChange(func(d *Document) { seen = append(seen, d.Revision()) })
+	for _, offer := range []struct {
+		revision uint64
+		packed   []byte
+		taken    bool
+	}{{1, oldPacked, true}, {2, newPacked, true}, {1, oldPacked, false}} {
+		if ok, err := restarted.follower.Offer(offer.revision, offer.packed); ok != offer.taken || err != nil {
+			t.Fatalf("offer of revision %d: %v %v", offer.revision, ok, err)
+		}
+	}
+	if b, _ := restarted.follower.Newest().Budget("w"); b.Tokens() != 2 || fmt.Sprint(seen) != "[1 2]" {
+		t.Fatalf("budget %d after revisions %v", b.Tokens(), seen)
+	}
+	s.platform.SetFaults(jkstandin.PlatformFaults{})
+	before := s.platform.Counts()
+	if err := restarted.follower.CatchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if after := s.platform.Counts(); after.Reads != before.Reads || after.Watches != before.Watches+1 {
+		t.Fatalf("a host with a peer's document read the platform from the start: %+v", after)
+	}
+}
+
+// Guards against damaged offers and against changes applied across a gap.
+func TestOffersOfPeers(t *testing.T) {
+	s := newSite(t)
+	h, peer := s.host(false), s.host(false)
+	for n := range 4 {
+		h.mustEdit(t, fmt.Sprint("e", n), uint64(n), budgets(n+1))
+	}
+	changes, ok := h.follower.ChangesAfter(0)
+	if !ok || len(changes) != 4 {
+		t.Fatalf("%d changes, %v", len(changes), ok)
+	}
+	var gap *GapError
+	if err := peer.follower.OfferChanges(changes[2:]); !errors.As(err, &gap) {
+		t.Fatalf("want a gap, got %v", err)
+	}
+	if err := peer.follower.OfferChanges(changes[:3]); err != nil || peer.follower.Revision() != 3 {
+		t.Fatalf("revision %d: %v", peer.follower.Revision(), err)
+	}
+	_, packed, err := h.follower.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peer.follower.Offer(9, packed); err == nil {
+		t.Fatal("took a document under a wrong revision")
+	}
+	if _, err := peer.follower.Offer(4, packed[:len(packed)/2]); err == nil || peer.follower.Revision() != 3 {
+		t.Fatal("took a truncated document")
+	}
+	if err := peer.follower.OfferChanges(changes); err != nil || peer.follower.Revision() != 4 {
+		t.Fatalf("revision %d: %v", peer.follower.Revision(), err)
+	}
+}
+
+// Guards against a cold start that reads all records ever written, and against
+// errors at the borders of blocks.
+func TestColdReadAcrossBlocks(t *testing.T) {
+	s := newSite(t)
+	h := s.host(false)
+	for n := range uint64(2*blockSize + 3) {
+		h.mustEdit(t, fmt.Sprint("e", n), n, budgets(int(n)+1))
+		if r := n + 1; r%blockSize > 1 && r%blockSize < blockSize-1 {
+			continue
+		}
+		cold := s.host(false)
+		before := s.platform.Counts().Reads
+		if err := cold.follower.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if reads := s.platform.Counts().Reads - before; cold.follower.Revision() != n+1 || reads > 7 {
+			t.Fatalf("revision %d, want %d, after %d reads", cold.follower.Revision(), n+1, reads)
+		}
+	}
+	d, err := h.follower.At(t.Context(), blockSize+5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := d.Budget("w"); b.Tokens() != blockSize+5 {
+		t.Fatalf("old revision has %d tokens", b.Tokens())
+	}
+	cold := s.host(false)
+	if err := cold.follower.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []*Follower{h.follower, cold.follower} {
+		history, err := f.History(t.Context(), blockSize+3, 5)
+		if err != nil || len(history) != 5 || history[0].Revision != blockSize+2 {
+			t.Fatalf("%d changes: %v", len(history), err)
+		}
+	}
+}
--- /dev/null
+++ b/core/jkconfig/history.go
@@ -0,0 +1,46 @@
+package jkconfig
+
+import (
+	"context"
+	"slices"
+)
+
+// At returns the document as it was at a revision, read from the platform
+// unless it is the newest one.
+func (f *Follower) At(ctx context.Context, revision uint64) (*Document, error) {
+	d := f.Newest()
+	if revision == d.revision {
+		return d, nil
+	}
+	return f.reader.at(ctx, revision)
+}
+
+// History returns up to limit changes before a revision, the newest first, from
+// memory or else from the platform.
+func (f *Follower) History(ctx context.Context, before uint64, limit int) ([]Change, error) {
+	before = min(before, f.Revision()+1)
+	if before <= 1 || limit <= 0 {
+		return nil, nil
+	}
+	until := before - 1
+	after := until - min(until, uint64(limit))
+	changes, ok := f.recentAfter(after)
+	if ok {
+		changes = changes[:until-after]
+	} else {
+		var err error
+		if changes, err = f.reader.between(ctx, after, until); err != nil {
+			return nil, err
+		}
+	}
+	slices.Reverse(changes)
+	return changes, nil
+}
+
+// Diff returns the merge patch (RFC 7396) of the change.
+func (c Change) Diff() ([]byte, error) {
+	if !c.hasPatch() {
+		return nil, nil
+	}
+	return c.patch()
+}
--- /dev/null
+++ b/core/jkconfig/validate.go
@@ -0,0 +1,65 @@
+package jkconfig
+
+import (
+	"strings"
+
+	"jasmineknot.example/core/jkschema"
+)
+
+// maxSection bounds the text of one section in bytes. The largest section at
+// the size of design section 2.6 is endpoints with about 1.6 MB.
+const maxSection = 8 << 20
+
+// Validate returns the problems that the document would have with the given
+// sections replaced, as one *jkschema.ReportError, or nil. A section that the
+// map doesn't name stays as it is.
+func (d *Document) Validate(replace map[Section][]byte) error {
+	next := d.tables
+	found := &findings{}
+	faulty := map[Section]bool{}
+	for s, text := range replace {
+		problems := checkSection(s, text)
+		if len(problems) == 0 {
+			if _, err := next.decode(s, text); err != nil {
+				problems = []jkschema.FieldError{{Field: string(s), Allowed: err.Error()}}
+			}
+		}
+		faulty[s] = len(problems) > 0
+		found.problems = append(found.problems, problems...)
+	}
+	for _, r := range rules() {
+		if !anyFaulty(r.needs, faulty) {
+			r.check(&next, found)
+		}
+	}
+	return jkschema.Report("configuration", found.problems)
+}
+
+func anyFaulty(sections []Section, faulty map[Section]bool) bool {
+	for _, s := range sections {
+		if faulty[s] {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSection returns the problems of one section by itself.
+func checkSection(s Section, text []byte) []jkschema.FieldError {
+	schema, ok := schemas[s]
+	if !ok {
+		return []jkschema.FieldError{{Field: string(s), Allowed: "one of the sections " + sectionNames()}}
+	}
+	if len(text) > maxSection {
+		return []jkschema.FieldError{{Field: string(s), Allowed: "at most 8 MiB"}}
+	}
+	return schema.Check(string(s), text)
+}
+
+func sectionNames() string {
+	var names []string
+	for _, s := range Sections() {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
--- a/core/jkschema/schema.go
+++ b/core/jkschema/schema.go
@@ -20,7 +20,10 @@
 // Compile compiles the text of a schema. Besides the standard formats it knows
 // duration (a positive Go duration string), address (IP address and port) and
 // http-url.
-func Compile(name string, text []byte) (*Schema, error) {
+func Compile(name string, text []byte) (*Schema, error) { return CompileAt(name, "", text) }
+
+// CompileAt is Compile for the part of the text at a JSON pointer.
+func CompileAt(name, pointer string, text []byte) (*Schema, error) {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
 		return nil, eris.Wrapf(err, "schema %s", name)
@@ -33,16 +36,16 @@
 	if err := c.AddResource(name, doc); err != nil {
 		return nil, eris.Wrapf(err, "schema %s", name)
 	}
-	root, err := c.Compile(name)
+	root, err := c.Compile(name + "#" + pointer)
 	if err != nil {
 		return nil, eris.Wrapf(err, "schema %s", name)
 	}
 	return &Schema{root: root}, nil
 }
 
-// MustCompile is Compile for embedded schemas; it panics on a faulty one.
-func MustCompile(name string, text []byte) *Schema {
-	s, err := Compile(name, text)
+// MustCompile is CompileAt for embedded schemas; it panics on a faulty one.
+func MustCompile(name, pointer string, text []byte) *Schema {
+	s, err := CompileAt(name, pointer, text)
 	if err != nil {
 		panic(err)
 	}
--- a/core/jksettings/settings.go
+++ b/core/jksettings/settings.go
@@ -17,7 +17,7 @@
 //go:embed schema.json
 var schemaText []byte
 
-var schema = jkschema.MustCompile("settings.json", schemaText)
+var schema = jkschema.MustCompile("settings.json", "", schemaText)
 
 // Schema returns the text of the JSON schema.
 func Schema() []byte { return append([]byte{}, schemaText...) }
