config: add the HTTP API and the config commands

Cause: operators read, check and edit the document through any daemon. Found while testing: an edit refused during an outage claimed that it had not taken effect, although an earlier request with the same id may have written it. The message speaks of this request only, and a known edit is found without the platform.

--- a/core/jkconfig/editor.go
+++ b/core/jkconfig/editor.go
@@ -97,6 +97,9 @@
 	// All decisions below are made on what the platform has now, not on what
 	// this host happens to know.
 	if err := e.options.Follower.CatchUp(ctx); err != nil {
+		if c, ok := e.options.Follower.findEdit(edit.ID); ok {
+			return edit.same(c)
+		}
 		return Result{}, &UnavailableError{EditID: edit.ID, Cause: err}
 	}
 	return e.run(ctx, &attempt{edit: edit, at: e.options.Timer.Now().UTC()})
--- a/core/jkconfig/errors.go
+++ b/core/jkconfig/errors.go
@@ -44,15 +44,16 @@
 	return fmt.Sprintf("section %s: the edit needs a record of %d bytes, the limit is %d; split it", e.Section, e.Size, e.Limit)
 }
 
-// UnavailableError is returned for an edit that certainly did not take effect
-// because the platform could not be reached or too many edits raced.
+// UnavailableError is returned for an edit that this call certainly did not
+// write, because the platform could not be reached or too many edits raced. An
+// earlier call with the same edit id may have written it.
 type UnavailableError struct {
 	EditID string
 	Cause  error
 }
 
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("edit %s did not take effect, try again later: %v", e.EditID, e.Cause)
+	return fmt.Sprintf("edit %s was not written by this request, send it again later with the same edit id: %v", e.EditID, e.Cause)
 }
 
 func (e *UnavailableError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/jasmineknot/jkcommand/client.go
@@ -0,0 +1,57 @@
+package jkcommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"jasmineknot.example/core/jkconfigapi"
+)
+
+// apiPath is where a daemon serves the configuration.
+const apiPath = "/v1/config"
+
+// editPath is where edits are sent, below apiPath.
+const editPath = "/sections/"
+
+// call sends one request. A problem in the answer is returned as it is; a
+// request without an answer gives *NoAnswerError. The request body can't be
+// replayed by the transport, and edits are protected by their edit id as well.
+func call(ctx context.Context, method, server, path string, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = io.NopCloser(bytes.NewReader(text))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(server, "/")+apiPath+path, reader)
+	if err != nil {
+		return &UsageError{Detail: err.Error()}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	noAnswer := func(cause error) error {
+		return &NoAnswerError{Server: server, Edit: strings.HasPrefix(path, editPath), Cause: cause}
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return noAnswer(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(res.Body).Decode(answer); err != nil {
+			return noAnswer(err)
+		}
+		return nil
+	}
+	var p jkconfigapi.Problem
+	if err := json.NewDecoder(res.Body).Decode(&p); err != nil || p.Type == "" {
+		return noAnswer(fmt.Errorf("status %d without a problem", res.StatusCode))
+	}
+	return &p
+}
