--- /dev/null
+++ b/core/jkconfig/validate.go
@@ -0,0 +1,82 @@
+package jkconfig
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkschema"
+)
+
+// maxSection bounds the text of one section in bytes. The largest section at
+// the size of design section 2.6 is endpoints with about 1.6 MB.
+const maxSection = 8 << 20
+
+// Validate returns the problems that the document would have with the given
+// sections replaced, as one *jkschema.ReportError, or nil. A section that the
+// map doesn't name stays as it is.
+func (d *Document) Validate(replace map[Section][]byte) error {
+	next := d.tables
+	found := &findings{}
+	faulty := map[Section]bool{}
+	for s, text := range replace {
+		problems := checkSection(s, text)
+		if len(problems) == 0 {
+			if err := next.replace(s, text); err != nil {
+				problems = []jkschema.FieldError{{Field: string(s), Allowed: err.Error()}}
+			}
+		}
+		faulty[s] = len(problems) > 0
+		found.problems = append(found.problems, problems...)
+	}
+	for _, r := range rules() {
+		if !anyFaulty(r.needs, faulty) {
+			r.check(&next, found)
+		}
+	}
+	return jkschema.Report("configuration", found.problems)
+}
+
+// replace sets the table of a section from its whole text.
+func (t *tables) replace(s Section, text []byte) error {
+	var f sectionFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return eris.Wrapf(err, "decode section %s", s)
+	}
+	t.clear(s)
+	changed := make(map[string][]byte, len(f.Entries))
+	for id, entry := range f.Entries {
+		changed[id] = entry
+	}
+	return t.update(s, changed)
+}
+
+func anyFaulty(sections []Section, faulty map[Section]bool) bool {
+	for _, s := range sections {
+		if faulty[s] {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSection returns the problems of one section by itself.
+func checkSection(s Section, text []byte) []jkschema.FieldError {
+	schema, ok := schemas[s]
+	if !ok {
+		return []jkschema.FieldError{{Field: string(s), Allowed: "one of the sections " + sectionNames()}}
+	}
+	if len(text) > maxSection {
+		return []jkschema.FieldError{{Field: string(s), Allowed: "at most 8 MiB"}}
+	}
+	return schema.Check(string(s), text)
+}
+
+func sectionNames() string {
+	var names []string
+	for _, s := range Sections() {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
