standin: add model engine, plain service and tool service

Ruled out: an engine that sleeps per request, because batch size, prefill and cache would then not influence each other; refusing connections in the handler after a crash, because a handler can only accept and close, and "connection refused" is what proves that a request was not sent. Server closes the address. Before: nothing existed. The KV test first compared the cached tokens of a prompt with those of prompt and answer; it now requires every full block of the prompt. After: `go test -race -count=5 ./jkstandin ./jkendpoint ./jkchat` passes. Conclusion: faults are switched by POST /faults; /state, /load, /account and /cache_events show what is held and what was done.

--- a/core/jkendpoint/control.go
+++ b/core/jkendpoint/control.go
@@ -102,7 +102,6 @@
 // KV is an exported KV cache of one program.
 type KV struct {
 	Program string   `json:"program"`
-	Model   string   `json:"model"`
 	Tokens  int      `json:"tokens"`
 	Blocks  []string `json:"blocks"` // chained digests of the cached blocks
 }
--- /dev/null
+++ b/core/jkstandin/http_test.go
@@ -0,0 +1,294 @@
+package jkstandin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"jasmineknot.example/core/jkchat"
+	"jasmineknot.example/core/jkendpoint"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// site is an engine behind a real address and a client for it.
+type site struct {
+	*testing.T
+	engine *Engine
+	server *Server
+	client *jkendpoint.Client
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	options := DefaultEngineOptions()
+	options.TimeScale = 0.02
+	timer := jktimer.New()
+	s := &site{T: t, engine: NewEngine(options, timer, jklog.Discard()), client: jkendpoint.New(jkendpoint.Options{})}
+	server, err := Serve("127.0.0.1:0", s.engine, timer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.server = server
+	t.Cleanup(func() {
+		s.client.Close()
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func ignore(jkchat.Chunk) error { return nil }
+
+func ask(program string, tokens int, texts ...string) jkendpoint.ChatRequest {
+	r := jkendpoint.ChatRequest{Program: program, RequestID: program + "-r", Request: jkchat.Request{
+		Model: "standin-model", Metadata: map[string]string{EngineAnswerTokens: fmt.Sprint(tokens)},
+	}}
+	for _, text := range texts {
+		r.Request.Messages = append(r.Request.Messages, jkchat.Message{Role: jkchat.RoleUser, Content: jkchat.Text(text)})
+	}
+	return r
+}
+
+func (s *site) chat(r jkendpoint.ChatRequest) (jkendpoint.ChatResult, error) {
+	return s.client.Chat(s.Context(), s.server.Address(), r, ignore)
+}
+
+// eventually waits for a condition that follows from an event elsewhere.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not within 5 s: %s", what)
+}
+
+// Guards against a cut stream whose resumption loses, repeats or mixes tokens.
+func TestEngineCutAndResume(t *testing.T) {
+	s := newSite(t)
+	s.engine.SetFaults(EngineFaults{CutAfterTokens: 7, CutTimes: 2})
+	r := ask("p1", 30, "hello")
+	text := ""
+	for attempt := range 3 {
+		got, err := s.chat(r)
+		text += got.Message.Content.String()
+		r.ResumeFrom += got.Chunks
+		var uncertain *jkendpoint.UncertainError
+		if attempt < 2 && (!errors.As(err, &uncertain) || !uncertain.Answered || got.Chunks != 7) {
+			t.Fatalf("attempt %d: got %d chunks, %v", attempt, got.Chunks, err)
+		}
+		if attempt == 2 && (err != nil || got.Usage.CompletionTokens != 30) {
+			t.Fatalf("resumed: got %+v, %v", got, err)
+		}
+	}
+	if want := EngineAnswer("p1", r.Request.Messages, 30); text != want {
+		t.Fatalf("got %q, want %q", text, want)
+	}
+	r.ResumeFrom = 3
+	var status *jkendpoint.StatusError
+	if _, err := s.chat(r); !errors.As(err, &status) || status.Status != 404 {
+		t.Fatalf("resumed a finished stream: %v", err)
+	}
+	// Answers are cached, so the next turn prefills only its own message.
+	next := ask("p1", 1)
+	next.Request.Messages = append(next.Request.Messages, r.Request.Messages[0],
+		jkchat.Message{Role: jkchat.RoleAssistant, Content: jkchat.Text(text)}, ask("", 0, "next").Request.Messages[0])
+	got, err := s.chat(next)
+	if err != nil || got.Usage.Cached() < 30 || got.Usage.PromptTokens-got.Usage.Cached() > engineBlockTokens+4 {
+		t.Fatalf("second turn: %+v, %v", got.Usage, err)
+	}
+}
+
+// Guards against computation and memory that stay after a client closed its
+// stream and released its cache.
+func TestEngineCancelAndRelease(t *testing.T) {
+	s := newSite(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	chunks := 0
+	_, err := s.client.Chat(ctx, s.server.Address(), ask("p1", 100_000, fmt.Sprintf("%100d", 1)), func(jkchat.Chunk) error {
+		if chunks++; chunks == 3 {
+			cancel()
+		}
+		return nil
+	})
+	if !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	eventually(t, "stream suspended", func() bool { return s.engine.State().Suspended == 1 })
+	if st := s.engine.State(); st.Running != 0 || st.HeldTokens["p1"] == 0 {
+		t.Fatalf("after the cancel: %+v", st)
+	}
+	if err := s.client.ReleaseCache(t.Context(), s.server.Address(), "p1"); err != nil {
+		t.Fatal(err)
+	}
+	st, err := s.client.State(t.Context(), s.server.Address())
+	if err != nil || len(st.HeldTokens) != 0 || st.Suspended != 0 {
+		t.Fatalf("after the release: %+v, %v", st, err)
+	}
+}
+
+// Guards against a crash that answers, or leaves the address open, or is not
+// counted; and against an engine that does not come back.
+func TestEngineCrash(t *testing.T) {
+	s := newSite(t)
+	s.engine.SetFaults(EngineFaults{CrashMarker: "poison", CrashDownMS: 10_000})
+	other := make(chan error)
+	started := make(chan struct{})
+	go func() {
+		first := true
+		_, err := s.client.Chat(t.Context(), s.server.Address(), ask("p1", 100_000, "long"), func(jkchat.Chunk) error {
+			if first {
+				close(started)
+			}
+			first = false
+			return nil
+		})
+		other <- err
+	}()
+	<-started
+	var uncertain *jkendpoint.UncertainError
+	if _, err := s.chat(ask("p2", 5, "a poison b")); !errors.As(err, &uncertain) || uncertain.Answered || uncertain.Reused {
+		t.Fatalf("crashing request: %v", err)
+	}
+	if err := <-other; !errors.As(err, &uncertain) || !uncertain.Answered {
+		t.Fatalf("other request: %v", err)
+	}
+	var refused *jkendpoint.NotSentError
+	eventually(t, "connection refused", func() bool {
+		_, err := s.chat(ask("p3", 5, "fine"))
+		return errors.As(err, &refused)
+	})
+	eventually(t, "engine is back", func() bool {
+		_, err := s.chat(ask("p3", 5, "fine"))
+		return err == nil
+	})
+	if n := s.engine.Account().Crashes; n != 1 {
+		t.Fatalf("got %d crashes", n)
+	}
+}
+
+// Guards against KV that is lost between export and import, and against an
+// order error that does not say which token is current.
+func TestEngineKVAndFencing(t *testing.T) {
+	a, b := newSite(t), newSite(t)
+	r := ask("p1", 5, fmt.Sprintf("%1000d", 1))
+	if _, err := a.chat(r); err != nil {
+		t.Fatal(err)
+	}
+	kv, err := a.client.ExportKV(t.Context(), a.server.Address(), "p1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.client.ImportKV(t.Context(), b.server.Address(), kv); err != nil {
+		t.Fatal(err)
+	}
+	got, err := b.chat(r)
+	if err != nil || got.Usage.Cached() != got.Usage.PromptTokens/engineBlockTokens*engineBlockTokens {
+		t.Fatalf("got %+v, exported %d tokens, %v", got.Usage, kv.Tokens, err)
+	}
+	order := jkendpoint.Order{Kind: jkendpoint.OrderRole, Role: "decode", FencingToken: 5}
+	if err := a.client.Order(t.Context(), a.server.Address(), order); err != nil {
+		t.Fatal(err)
+	}
+	order.FencingToken = 4
+	var fenced *jkendpoint.FencedError
+	if err := a.client.Order(t.Context(), a.server.Address(), order); !errors.As(err, &fenced) || fenced.Current != 5 {
+		t.Fatalf("got %v", err)
+	}
+	load, err := a.client.Load(t.Context(), a.server.Address())
+	if err != nil || load.MaxBatch != 16 {
+		t.Fatalf("got %+v, %v", load, err)
+	}
+	eventually(t, "cache event", func() bool {
+		page, err := a.client.CacheEvents(t.Context(), a.server.Address(), 0)
+		return err == nil && len(page.Events) > 0 && page.Events[0].Program == "p1"
+	})
+}
+
+// Guards against an account that differs from what the service did, and
+// against faults that hit other actions than asked for.
+func TestServiceFaults(t *testing.T) {
+	timer := jktimer.New()
+	service := NewService(ServiceOptions{}, timer, jklog.Discard())
+	server, err := Serve("127.0.0.1:0", service, timer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	client := jkendpoint.New(jkendpoint.Options{})
+	defer client.Close()
+	for i, test := range []struct {
+		kind      ServiceFaultKind
+		status    int // 0 for no answer
+		runs, ans int
+	}{
+		{"", 200, 1, 1},
+		{ServiceCloseBeforeRun, 0, 0, 0},
+		{ServiceCloseAfterRun, 0, 1, 0},
+		{ServiceHangBeforeRun, 0, 0, 0},
+		{ServiceHangAfterRun, 0, 1, 0},
+		{ServiceSlow, 200, 1, 1},
+		{ServiceFail, 500, 0, 0},
+	} {
+		service.SetFaults(ServiceFaults{Faults: []ServiceFault{{Kind: test.kind, Action: "pay", Every: 2, DelayMS: 5}}})
+		for n := 1; n <= 2; n++ { // the second one is hit
+			id := fmt.Sprintf("a%d-%d", i, n)
+			body, err := json.Marshal(map[string]string{"action_id": id})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			got, err := client.Service(ctx, server.Address(), jkendpoint.ServiceRequest{Method: "POST", Path: "/actions/pay", Body: body})
+			cancel()
+			var uncertain *jkendpoint.UncertainError
+			if n == 1 && (err != nil || got.Status != 200) || n == 2 && got.Status != test.status {
+				t.Fatalf("%s %s: got %+v, %v", test.kind, id, got, err)
+			}
+			if n == 2 && test.status == 0 && !errors.As(err, &uncertain) {
+				t.Fatalf("%s: got %v", test.kind, err)
+			}
+			if a := service.Account().Actions[id]; n == 2 && (a.Runs != test.runs || a.Answered != test.ans) {
+				t.Fatalf("%s: account %+v", test.kind, a)
+			}
+		}
+	}
+}
+
+// Guards against a tool whose hang outlives its client.
+func TestToolHang(t *testing.T) {
+	timer := jktimer.New()
+	tool := NewTool(ToolOptions{}, timer, jklog.Discard())
+	server, err := Serve("127.0.0.1:0", tool, timer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	client := jkendpoint.New(jkendpoint.Options{})
+	defer client.Close()
+	request := jkendpoint.ServiceRequest{Method: "POST", Path: "/tools/kitchen", Body: []byte(`{"pause_ms":1,"arguments":{"a":1}}`)}
+	got, err := client.Service(t.Context(), server.Address(), request)
+	if err != nil || got.Status != 200 || !json.Valid(got.Body) {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	tool.SetFaults(ToolFaults{Hang: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Service(ctx, server.Address(), request); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v", err)
+	}
+	eventually(t, "hanging call is gone", func() bool {
+		a := tool.Account()
+		return a.Gone == 1 && a.Waiting == 0 && a.ByName["kitchen"] == 2
+	})
+}
--- /dev/null
+++ b/core/jkstandin/tool.go
@@ -0,0 +1,164 @@
+package jkstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+// ToolOptions describe a tool service. Pause is the modelled time of a call
+// that does not name its own; TimeScale converts it into real time.
+type ToolOptions struct {
+	TimeScale float64
+	Pause     time.Duration
+}
+
+// ToolFaults are the faults of a tool service.
+type ToolFaults struct {
+	Hang    bool `json:"hang"`     // calls get no answer
+	PauseMS int  `json:"pause_ms"` // added to every call
+	Fail    int  `json:"fail"`     // status of every call, 0 for none
+}
+
+// ToolAccount counts the calls of a tool service.
+type ToolAccount struct {
+	Calls   int            `json:"calls"`
+	Waiting int            `json:"waiting"` // in their pause or hanging
+	Gone    int            `json:"gone"`    // given up by the client
+	ByName  map[string]int `json:"by_name"`
+}
+
+// ToolCall is the body of a call. PauseMS overrides the pause of the options.
+type ToolCall struct {
+	PauseMS   *int            `json:"pause_ms,omitempty"`
+	Arguments json.RawMessage `json:"arguments,omitempty"`
+}
+
+// Tool is a stand-in of a tool service: each call pauses, then answers.
+type Tool struct {
+	options ToolOptions
+	timer   *jktimer.Service
+	logger  jklog.Logger
+	mux     *http.ServeMux
+
+	mu      sync.Mutex
+	faults  ToolFaults
+	change  chan struct{}
+	account ToolAccount
+}
+
+// NewTool returns a tool service.
+func NewTool(options ToolOptions, timer *jktimer.Service, logger jklog.Logger) *Tool {
+	if options.TimeScale <= 0 {
+		options.TimeScale = 1
+	}
+	t := &Tool{
+		options: options, timer: timer, logger: logger.Part("tool"), mux: http.NewServeMux(),
+		change: make(chan struct{}), account: ToolAccount{ByName: map[string]int{}},
+	}
+	t.mux.HandleFunc("POST /tools/{name}", t.serveCall)
+	t.mux.HandleFunc("GET /account", t.serveAccount)
+	t.mux.HandleFunc("POST /faults", t.serveSetFaults)
+	return t
+}
+
+// ServeHTTP serves the tool service.
+func (t *Tool) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults and ends every hang.
+func (t *Tool) SetFaults(f ToolFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+	close(t.change)
+	t.change = make(chan struct{})
+}
+
+// Account returns the calls so far.
+func (t *Tool) Account() ToolAccount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.account
+	out.ByName = map[string]int{}
+	for name, n := range t.account.ByName {
+		out.ByName[name] = n
+	}
+	return out
+}
+
+// ToolResult is the text that a tool answers to its arguments.
+func ToolResult(name string, arguments []byte) string {
+	return ServiceReceipt("tool "+name, string(arguments))
+}
+
+func (t *Tool) serveCall(w http.ResponseWriter, r *http.Request) {
+	var call ToolCall
+	if !decode(w, r, &call) {
+		return
+	}
+	name := r.PathValue("name")
+	faults, change := t.begin(name)
+	done := t.pause(r, call, faults, change)
+	t.end(done)
+	if !done {
+		return
+	}
+	if faults.Fail != 0 {
+		refuse(w, faults.Fail, "failed", "fault is switched on")
+		return
+	}
+	reply(w, http.StatusOK, map[string]string{"name": name, "result": ToolResult(name, call.Arguments)})
+}
+
+func (t *Tool) begin(name string) (ToolFaults, chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.account.Calls++
+	t.account.Waiting++
+	t.account.ByName[name]++
+	return t.faults, t.change
+}
+
+// pause blocks for the time of the call and reports whether the client is
+// still there.
+func (t *Tool) pause(r *http.Request, call ToolCall, f ToolFaults, change chan struct{}) bool {
+	if f.Hang {
+		select {
+		case <-change:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	pause := t.options.Pause
+	if call.PauseMS != nil {
+		pause = time.Duration(*call.PauseMS) * time.Millisecond
+	}
+	pause += time.Duration(f.PauseMS) * time.Millisecond
+	return t.timer.Wait(time.Duration(float64(pause)*t.options.TimeScale), r.Context().Done())
+}
+
+func (t *Tool) end(done bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.account.Waiting--
+	if !done {
+		t.account.Gone++
+	}
+}
+
+func (t *Tool) serveAccount(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, t.Account())
+}
+
+func (t *Tool) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var f ToolFaults
+	if !decode(w, r, &f) {
+		return
+	}
+	t.SetFaults(f)
+	reply(w, http.StatusOK, f)
+}
