bench: add commands for the stand-ins and the load tool

Ruled out: a closed loop of callers, because it would slow down with the site and hide a backlog; counting a run that was cut short as lost actions, because the caller then gave up and not the site ("aborted" in the report). Before: nothing existed. Conclusion: the load tool has not run against the daemon yet.

--- /dev/null
+++ b/jasmineknotbench/jkenginecmd/command.go
@@ -0,0 +1,66 @@
+// Package jkenginecmd is the command that serves a stand-in model engine.
+package jkenginecmd
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkstandin"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/jasmineknotbench/jkserve"
+)
+
+// command holds the values of the flags.
+type command struct {
+	address       string
+	ignoreFencing bool
+	options       jkstandin.EngineOptions
+}
+
+// Register adds the command to an application.
+func Register(app *kingpin.Application) {
+	c := &command{options: jkstandin.DefaultEngineOptions()}
+	cmd := app.Command("standin-engine", "Serve a stand-in model engine.")
+	cmd.Flag("address", "Loopback address; port 0 picks a free port.").Default("127.0.0.1:0").StringVar(&c.address)
+	cmd.Flag("ignore-fencing", "Accept orders with an old fencing token.").BoolVar(&c.ignoreFencing)
+	c.addModelFlags(cmd)
+	c.addCacheFlags(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return c.run() })
+}
+
+func (c *command) addModelFlags(cmd *kingpin.CmdClause) {
+	o := &c.options
+	cmd.Flag("time-scale", "Real seconds per modelled second.").Default("1").Float64Var(&o.TimeScale)
+	cmd.Flag("max-batch", "Sequences computed at once.").Default("16").IntVar(&o.MaxBatch)
+	cmd.Flag("step-base", "Modelled time of a step.").Default(o.StepBase.String()).DurationVar(&o.StepBase)
+	cmd.Flag("step-per-sequence", "Modelled time added to a step by each sequence.").
+		Default(o.StepPerSequence.String()).DurationVar(&o.StepPerSequence)
+	cmd.Flag("prefill-per-token", "Modelled time per prompt token that is not cached.").
+		Default(o.PrefillPerToken.String()).DurationVar(&o.PrefillPerToken)
+	cmd.Flag("load-time", "Modelled time to load a model or adapter.").Default(o.LoadTime.String()).DurationVar(&o.LoadTime)
+	models := o.Models
+	o.Models = nil // kingpin appends to it
+	cmd.Flag("model", "Model loaded at the start; repeatable.").Default(models...).StringsVar(&o.Models)
+	cmd.Flag("adapter", "Adapter loaded at the start; repeatable.").StringsVar(&o.Adapters)
+	cmd.Flag("role", "Role at the start.").Default(o.Role).StringVar(&o.Role)
+}
+
+func (c *command) addCacheFlags(cmd *kingpin.CmdClause) {
+	o := &c.options
+	cmd.Flag("cache-tokens", "Capacity of the prefix cache.").Default("200000").IntVar(&o.CacheTokens)
+	cmd.Flag("cache-event-lag", "Modelled age at which a cache event is published.").
+		Default(o.CacheEventLag.String()).DurationVar(&o.CacheEventLag)
+	cmd.Flag("cache-event-gap", "Every n-th cache event is lost; 0 loses none.").Default("50").IntVar(&o.CacheEventGap)
+	cmd.Flag("load-lag", "Modelled age of the load report.").Default(o.LoadLag.String()).DurationVar(&o.LoadLag)
+	cmd.Flag("resume-window", "Modelled time for which a closed stream can be resumed.").
+		Default(o.ResumeWindow.String()).DurationVar(&o.ResumeWindow)
+}
+
+func (c *command) run() error {
+	timer := jktimer.New()
+	logger := jklog.New(os.Stderr, timer.Now)
+	c.options.CheckFencing = !c.ignoreFencing
+	return jkserve.Run(c.address, jkstandin.NewEngine(c.options, timer, logger), timer, logger.Part("engine"))
+}
--- /dev/null
+++ b/jasmineknotbench/jkserve/serve.go
@@ -0,0 +1,67 @@
+// Package jkserve runs one stand-in as a process: it announces the address on
+// standard output and stops gracefully on SIGTERM.
+package jkserve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkstandin"
+	"jasmineknot.example/core/jktimer"
+)
+
+// stopTimeout bounds the wait for requests in flight after SIGTERM.
+const stopTimeout = 10 * time.Second
+
+// Ready is the line on standard output once the stand-in accepts connections.
+type Ready struct {
+	Ready   bool   `json:"ready"`
+	Address string `json:"address"`
+}
+
+// Run serves a handler on a loopback address until SIGTERM or SIGINT.
+func Run(address string, handler http.Handler, timer *jktimer.Service, logger jklog.Logger) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return Until(ctx, address, handler, timer, logger, os.Stdout)
+}
+
+// Until serves a handler until ctx ends and writes the ready line to out.
+func Until(ctx context.Context, address string, handler http.Handler, timer *jktimer.Service, logger jklog.Logger, out io.Writer) error {
+	if err := checkLoopback(address); err != nil {
+		return err
+	}
+	server, err := jkstandin.Serve(address, handler, timer)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(out).Encode(Ready{Ready: true, Address: server.Address()}); err != nil {
+		return eris.Wrap(err, "announce address")
+	}
+	logger.Info("listening", "address", server.Address())
+	<-ctx.Done()
+	logger.Info("stopping")
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return eris.Wrap(server.Shutdown(stop), "stop")
+}
+
+// checkLoopback refuses other addresses: a stand-in does whatever it is asked.
+func checkLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if ip := net.ParseIP(host); err == nil && ip != nil && ip.IsLoopback() {
+		return nil
+	}
+	return fmt.Errorf("address: got %q, allowed: a loopback IP address with a port", address)
+}
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -1,4 +1,24 @@
-// Command jasmineknotbench is part of jasmineknot, a scheduler for agent programs.
+// Command jasmineknotbench runs stand-ins of the systems around jasmineknot
+// and drives a running site with load.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jasmineknot.example/jasmineknotbench/jkenginecmd"
+	"jasmineknot.example/jasmineknotbench/jkload"
+	"jasmineknot.example/jasmineknotbench/jkservicecmd"
+	"jasmineknot.example/jasmineknotbench/jktoolcmd"
+)
+
+func main() {
+	app := kingpin.New("jasmineknotbench", "Stand-ins and load for jasmineknot.")
+	app.HelpFlag.Short('h')
+	jkenginecmd.Register(app)
+	jkservicecmd.Register(app)
+	jktoolcmd.Register(app)
+	jkload.Register(app)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+}
