--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -1,4 +1,5 @@
-// Command jasmineknotbench is part of jasmineknot, a scheduler for agent programs.
+// Command jasmineknotbench runs stand-ins of the systems around jasmineknot,
+// drives a running site with load and measures policies.
 package main
 
 import (
@@ -6,11 +7,20 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"jasmineknot.example/jasmineknotbench/jkenginecmd"
+	"jasmineknot.example/jasmineknotbench/jkload"
 	"jasmineknot.example/jasmineknotbench/jkpolicy"
+	"jasmineknot.example/jasmineknotbench/jkservicecmd"
+	"jasmineknot.example/jasmineknotbench/jktoolcmd"
 )
 
 func main() {
-	app := kingpin.New("jasmineknotbench", "Measures jasmineknot.")
+	app := kingpin.New("jasmineknotbench", "Stand-ins, load and policy experiments for jasmineknot.")
+	app.HelpFlag.Short('h')
+	jkenginecmd.Register(app)
+	jkservicecmd.Register(app)
+	jktoolcmd.Register(app)
+	jkload.Register(app)
 	jkpolicy.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
