daemon, api: assemble the entry host and its HTTP API

Cause: the parts need one process with listener, membership, lease and HTTP. Ruled out: leases as a guard of dispatch; they only tell others that a silent host may be alive.

--- /dev/null
+++ b/core/jkapi/api.go
@@ -0,0 +1,195 @@
+// Package jkapi is the HTTP API for callers: chat completions, programs and
+// service calls.
+package jkapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jktimer"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderProgram     = "X-Program-Id"
+	HeaderToken       = "X-Program-Token"
+	HeaderRequest     = "X-Request-Id"
+	HeaderPriority    = "X-Priority"
+	HeaderDeadline    = "X-Deadline-Ms"
+	HeaderWorkspace   = "X-Workspace"
+	HeaderTemplate    = "X-Program-Template"
+	HeaderOutcome     = "X-Outcome"
+	HeaderDigest      = "X-Content-Digest"
+	HeaderReplayed    = "X-Replayed"
+	HeaderIdempotency = "Idempotency-Key"
+)
+
+// defaultTemplate is used for a chat request that names no program.
+const defaultTemplate = "default"
+
+// maxHeader bounds the length of each header value that is kept.
+const maxHeader = 2048
+
+// Functions are what the handlers do.
+type Functions struct {
+	Timer   *jktimer.Service
+	Call    func(ctx context.Context, m jkmsg.Call, emit func(text string) error) jkmsg.CallResult
+	Service func(ctx context.Context, m jkmsg.Call, repeatable bool) jkmsg.CallResult
+	Create  func(ctx context.Context, m jkmsg.Create) jkmsg.ProgramResult
+	Program func(ctx context.Context, m jkmsg.Program) jkmsg.ProgramResult
+	// Repeatable tells whether a service call may be repeated.
+	Repeatable func(service, method, path string) bool
+	// Observe records a finished request for the metrics.
+	Observe func(Observation)
+	// BodyLimit bounds a request body in bytes.
+	BodyLimit int64
+	// MaxCalls bounds the calls that this host serves at once.
+	MaxCalls int
+}
+
+// Observation is what the metrics keep of a request.
+type Observation struct {
+	Kind       string
+	Workspace  string
+	Outcome    string
+	Duration   time.Duration
+	FirstToken time.Duration
+	// Late tells that the answer came after the caller's deadline.
+	Late bool
+}
+
+// api holds the handlers.
+type api struct {
+	Functions
+	slots chan struct{}
+}
+
+// Register adds the handlers to an echo router.
+func Register(e *echo.Echo, f Functions) {
+	a := &api{Functions: f, slots: make(chan struct{}, f.MaxCalls)}
+	e.POST("/v1/chat/completions", a.limited(a.chat))
+	e.Any("/v1/services/:service", a.limited(a.service))
+	e.Any("/v1/services/:service/*", a.limited(a.service))
+	e.POST("/v1/programs", a.create)
+	e.GET("/v1/programs", a.list)
+	e.GET("/v1/programs/:id", a.action(jkmsg.ActionShow))
+	e.POST("/v1/programs/:id/resume", a.action(jkmsg.ActionResume))
+	e.POST("/v1/programs/:id/cancel", a.action(jkmsg.ActionCancel))
+	e.POST("/v1/programs/:id/finish", a.action(jkmsg.ActionFinish))
+	e.DELETE("/v1/programs/:id", a.action(jkmsg.ActionCancel))
+}
+
+// limited refuses requests beyond the bound. A non-repeatable request may have
+// run at an earlier try, so its outcome stays unknown here.
+func (a *api) limited(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		select {
+		case a.slots <- struct{}{}:
+			defer func() { <-a.slots }()
+			return next(c)
+		default:
+			return sendProblem(c, jkproblem.Newf(jkproblem.TypeUnavailable, "this host serves %d calls already", cap(a.slots)).WithRetryAfter(time.Second))
+		}
+	}
+}
+
+// base reads the headers that all calls share.
+func (a *api) base(c echo.Context) (jkmsg.Call, *jkproblem.Problem) {
+	h := c.Request().Header
+	m := jkmsg.Call{
+		Token:     h.Get(HeaderToken),
+		Program:   h.Get(HeaderProgram),
+		RequestID: h.Get(HeaderRequest),
+	}
+	for _, name := range []string{HeaderProgram, HeaderRequest, HeaderIdempotency, HeaderWorkspace, HeaderTemplate} {
+		if len(h.Get(name)) > maxHeader {
+			return m, jkproblem.Newf(jkproblem.TypeBadRequest, "%s has %d bytes, allowed: at most %d", name, len(h.Get(name)), maxHeader).WithField(name)
+		}
+	}
+	if v := h.Get(HeaderPriority); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < -100 || n > 100 {
+			return m, jkproblem.Newf(jkproblem.TypeBadRequest, "%s is %q, allowed: -100 to 100", HeaderPriority, v).WithField(HeaderPriority)
+		}
+		m.Priority = n
+		m.HasPriority = true
+	}
+	if v := h.Get(HeaderDeadline); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 1 || n > maxDeadline.Milliseconds() {
+			return m, jkproblem.Newf(jkproblem.TypeBadRequest, "%s is %q, allowed: 1 to %d", HeaderDeadline, v, maxDeadline.Milliseconds()).WithField(HeaderDeadline)
+		}
+		m.Deadline = a.Timer.Now().Add(time.Duration(n) * time.Millisecond)
+	}
+	return m, nil
+}
+
+// maxDeadline bounds what a caller may ask for.
+const maxDeadline = time.Hour
+
+// context ends with the request, or at its deadline.
+func (a *api) context(c echo.Context, m jkmsg.Call) (context.Context, context.CancelFunc) {
+	if m.Deadline.IsZero() {
+		return context.WithCancel(c.Request().Context())
+	}
+	return context.WithTimeout(c.Request().Context(), m.Deadline.Sub(a.Timer.Now()))
+}
+
+// observe records a finished call.
+func (a *api) observe(m jkmsg.Call, kind, workspace string, start, first time.Time, outcome string) {
+	now := a.Timer.Now()
+	o := Observation{
+		Kind: kind, Workspace: workspace, Outcome: outcome, Duration: now.Sub(start),
+		Late: !m.Deadline.IsZero() && now.After(m.Deadline),
+	}
+	if !first.IsZero() {
+		o.FirstToken = first.Sub(start)
+	}
+	a.Observe(o)
+}
+
+// sendProblem writes a problem as the answer.
+func sendProblem(c echo.Context, p *jkproblem.Problem) error {
+	h := c.Response().Header()
+	h.Set(HeaderOutcome, string(p.Outcome))
+	if p.RetryAfter > 0 {
+		seconds := (p.RetryAfter + 999) / 1000
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	h.Set(echo.HeaderContentType, "application/problem+json")
+	return c.JSON(p.Status, p)
+}
+
+// identify sets the headers that let the caller go on with the program.
+func identify(c echo.Context, r jkmsg.CallResult) {
+	h := c.Response().Header()
+	h.Set(HeaderOutcome, string(r.Outcome))
+	if r.Program != "" {
+		h.Set(HeaderProgram, r.Program)
+	}
+	if r.Token != "" {
+		h.Set(HeaderToken, r.Token)
+	}
+	if r.Replayed {
+		h.Set(HeaderReplayed, "true")
+	}
+}
+
+// ErrorHandler answers the errors of echo itself, such as an unknown path.
+func ErrorHandler(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	p := jkproblem.From(err)
+	if e, ok := err.(*echo.HTTPError); ok { //nolint:errorlint // echo returns its errors unwrapped
+		p = jkproblem.New(jkproblem.TypeBadRequest, http.StatusText(e.Code))
+		p.Status = e.Code
+	}
+	_ = sendProblem(c, p)
+}
--- /dev/null
+++ b/core/jkapi/chat.go
@@ -0,0 +1,233 @@
+package jkapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"jasmineknot.example/core/jkchat"
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jkprogram"
+)
+
+// metadataProgram is the request's metadata key that names a program.
+const metadataProgram = "program_id"
+
+// chat serves a chat-completions request.
+func (a *api) chat(c echo.Context) error {
+	start := a.Timer.Now()
+	m, problem := a.base(c)
+	if problem == nil {
+		problem = a.readChat(c, &m)
+	}
+	if problem == nil {
+		problem = a.ensureProgram(c, &m)
+	}
+	if problem != nil {
+		return sendProblem(c, problem)
+	}
+	ctx, cancel := a.context(c, m)
+	defer cancel()
+	if m.Stream {
+		return a.stream(ctx, c, m, start)
+	}
+	result := a.Call(ctx, m, func(string) error { return nil })
+	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, a.Timer.Now(), string(result.Outcome))
+	identify(c, result)
+	if result.Problem != nil {
+		return sendProblem(c, result.Problem)
+	}
+	c.Response().Header().Set(HeaderDigest, digest(result.Body))
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, result.Body)
+}
+
+// readChat reads and checks the body. A request without id gets one from its
+// content, so that a client library's own retry is recognised.
+func (a *api) readChat(c echo.Context, m *jkmsg.Call) *jkproblem.Problem {
+	body, problem := a.body(c)
+	if problem != nil {
+		return problem
+	}
+	request, err := jkchat.ParseRequest(body, jkchat.DefaultLimits())
+	if err != nil {
+		return jkproblem.From(err)
+	}
+	m.Kind = jkprogram.KindModel
+	m.Chat = body
+	m.Stream = request.Stream
+	if m.Program == "" {
+		m.Program = request.Metadata[metadataProgram]
+	}
+	if m.RequestID == "" {
+		m.RequestID = "content-" + digest(body)
+	}
+	return nil
+}
+
+// body reads a request body up to the limit.
+func (a *api) body(c echo.Context) ([]byte, *jkproblem.Problem) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, a.BodyLimit+1))
+	if err != nil {
+		return nil, jkproblem.Newf(jkproblem.TypeBadRequest, "the body can't be read: %v", err).WithField("body")
+	}
+	if int64(len(body)) > a.BodyLimit {
+		p := jkproblem.Newf(jkproblem.TypeBadRequest, "the body has more than %d bytes", a.BodyLimit).WithField("body")
+		p.Status = http.StatusRequestEntityTooLarge
+		return nil, p
+	}
+	return body, nil
+}
+
+// ensureProgram creates a program for a chat request that names none.
+func (a *api) ensureProgram(c echo.Context, m *jkmsg.Call) *jkproblem.Problem {
+	if m.Program != "" || m.Token != "" {
+		return nil
+	}
+	h := c.Request().Header
+	template := h.Get(HeaderTemplate)
+	if template == "" {
+		template = defaultTemplate
+	}
+	r := a.Create(c.Request().Context(), jkmsg.Create{
+		Workspace: h.Get(HeaderWorkspace), Template: template, RequestID: m.RequestID,
+	})
+	if r.Problem != nil {
+		return r.Problem
+	}
+	m.Program = r.Programs[0].Program
+	return nil
+}
+
+// finalEvent is the last event of a stream before the end marker. A stream
+// without it is not whole.
+type finalEvent struct {
+	Outcome jkprogram.Outcome `json:"outcome"`
+	Program string            `json:"program"`
+	Token   string            `json:"token,omitempty"`
+	// Length and Digest cover the text of the whole answer.
+	Length  int                `json:"length"`
+	Digest  string             `json:"digest"`
+	Problem *jkproblem.Problem `json:"problem,omitempty"`
+}
+
+// streamer writes one streamed answer.
+type streamer struct {
+	c       echo.Context
+	events  *jkchat.EventWriter
+	id      string
+	created int64
+	model   string
+	sum     []byte
+	begun   bool
+	first   time.Time
+	now     func() time.Time
+}
+
+func (a *api) stream(ctx context.Context, c echo.Context, m jkmsg.Call, start time.Time) error {
+	s := &streamer{c: c, id: "chatcmpl-" + digest([]byte(m.Program+m.RequestID)), created: start.Unix(), now: a.Timer.Now}
+	result := a.Call(ctx, m, s.text)
+	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, s.first, string(result.Outcome))
+	if result.Problem != nil && !s.begun {
+		identify(c, result)
+		return sendProblem(c, result.Problem)
+	}
+	// A failed write means that the caller is gone; there is nobody to tell.
+	_ = s.end(result)
+	return nil
+}
+
+// begin sends the headers and the first event.
+func (s *streamer) begin() error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	s.first = s.now()
+	response := s.c.Response()
+	response.Header().Set(echo.HeaderContentType, jkchat.ContentType)
+	response.Header().Set("Cache-Control", "no-store")
+	response.WriteHeader(http.StatusOK)
+	s.events = jkchat.NewEventWriter(response, http.NewResponseController(response).Flush)
+	return s.chunk(jkchat.Delta{Role: jkchat.RoleAssistant}, nil, nil)
+}
+
+func (s *streamer) text(text string) error {
+	if err := s.begin(); err != nil {
+		return err
+	}
+	s.sum = append(s.sum, text...)
+	return s.chunk(jkchat.Delta{Content: text}, nil, nil)
+}
+
+func (s *streamer) chunk(d jkchat.Delta, finish *jkchat.FinishReason, usage *jkchat.Usage) error {
+	return s.send("", jkchat.Chunk{
+		ID: s.id, Object: jkchat.ObjectChunk, Created: s.created, Model: s.model,
+		Choices: []jkchat.ChunkChoice{{Delta: d, FinishReason: finish}}, Usage: usage,
+	})
+}
+
+func (s *streamer) send(name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.events.Write(jkchat.Event{Name: name, Data: data})
+}
+
+// end sends what the text lacks, the final event and the end marker. After a
+// problem the end marker is left out, so that the stream does not look whole.
+func (s *streamer) end(r jkmsg.CallResult) error {
+	if err := s.begin(); err != nil {
+		return err
+	}
+	if r.Problem != nil {
+		return s.send("jasmineknot", finalEvent{Outcome: r.Outcome, Program: r.Program, Length: len(s.sum), Digest: digest(s.sum), Problem: r.Problem})
+	}
+	if err := s.rest(r.Body); err != nil {
+		return err
+	}
+	err := s.send("jasmineknot", finalEvent{Outcome: r.Outcome, Program: r.Program, Token: r.Token, Length: len(s.sum), Digest: digest(s.sum)})
+	if err != nil {
+		return err
+	}
+	return s.events.Write(jkchat.Event{Data: []byte(jkchat.Done)})
+}
+
+// rest sends the part of the recorded answer that was not streamed: the text of
+// a replayed answer, tool calls, the finish reason and the usage.
+func (s *streamer) rest(body []byte) error {
+	var completion jkchat.Completion
+	if err := json.Unmarshal(body, &completion); err != nil {
+		return err
+	}
+	if len(completion.Choices) == 0 {
+		return errors.New("the answer has no choice")
+	}
+	choice := completion.Choices[0]
+	whole := choice.Message.Content.String()
+	if len(whole) > len(s.sum) {
+		if err := s.text(whole[len(s.sum):]); err != nil {
+			return err
+		}
+	}
+	var calls []jkchat.ToolCallDelta
+	for i, t := range choice.Message.ToolCalls {
+		calls = append(calls, jkchat.ToolCallDelta{Index: i, ID: t.ID, Type: t.Type, Function: t.Function})
+	}
+	finish := choice.FinishReason
+	return s.chunk(jkchat.Delta{ToolCalls: calls}, &finish, completion.Usage)
+}
+
+// digest returns 128 bits of SHA-256 as hex.
+func digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:16])
+}
--- /dev/null
+++ b/core/jkdaemon/daemon.go
@@ -0,0 +1,324 @@
+// Package jkdaemon assembles the parts of one entry host: it starts them, joins
+// the others and stops without cutting off a request.
+package jkdaemon
+
+import (
+	"context"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkconfig"
+	"jasmineknot.example/core/jkcopy"
+	"jasmineknot.example/core/jkdispatch"
+	"jasmineknot.example/core/jkendpoint"
+	"jasmineknot.example/core/jkgossip"
+	"jasmineknot.example/core/jkhome"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkmember"
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkplatform"
+	"jasmineknot.example/core/jkroute"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jksettings"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jktoken"
+	"jasmineknot.example/core/jkwire"
+)
+
+const (
+	// endedRetention is how long an ended program answers retries.
+	endedRetention = 2 * time.Minute
+	// copyLimit bounds the history log of a host in bytes.
+	copyLimit = 16 << 30
+	// copyEndedRetention and copyOrphanRetention are how long copies outlive
+	// their program's end and its last record.
+	copyEndedRetention  = 10 * time.Minute
+	copyOrphanRetention = 7 * 24 * time.Hour
+)
+
+// Options holds what does not come from the settings file.
+type Options struct {
+	Timer *jktimer.Service
+	Log   jklog.Logger
+	// Faults cuts the daemon off from others; nil outside tests.
+	Faults *jkwire.Faults
+}
+
+// Daemon is one running entry host.
+type Daemon struct {
+	settings jksettings.Settings
+	options  Options
+	log      jklog.Logger
+
+	self       jktoken.Incarnation
+	listener   net.Listener
+	httpListen net.Listener
+	counters   *jkwire.Counters
+	pool       *jkwire.Pool
+	server     *jkwire.Server
+	platform   *jkplatform.Client
+	follower   *jkconfig.Follower
+	editor     *jkconfig.Editor
+	gossip     *jkgossip.Service
+	dispatcher *jkdispatch.Dispatcher
+	home       *jkhome.Home
+	router     *jkroute.Router
+	copies     *jkcopy.Store
+	endpoints  *jkendpoint.Client
+	web        *http.Server
+	metrics    *metrics
+	rules      *rules
+	lease      *hostLease
+
+	platformWay switchedTransport
+
+	ready   atomic.Bool
+	stops   []func()
+	workers sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// New opens the daemon's sockets and data folder and builds its parts.
+func New(s jksettings.Settings, o Options) (*Daemon, error) {
+	d := &Daemon{settings: s, options: o, log: o.Log, counters: &jkwire.Counters{}}
+	seed := rand.New(rand.NewSource(o.Timer.Now().UnixNano()))
+	d.self = newIncarnation(s.Host(), o.Timer.Now(), seed)
+	if err := d.open(); err != nil {
+		d.closeSockets()
+		return nil, err
+	}
+	if err := d.build(seed); err != nil {
+		d.closeSockets()
+		return nil, err
+	}
+	return d, nil
+}
+
+// newIncarnation numbers a start by the clock; random low bits keep two starts
+// within a millisecond apart.
+func newIncarnation(host string, now time.Time, seed *rand.Rand) jktoken.Incarnation {
+	return jktoken.Incarnation{Host: host, Start: uint64(now.UnixMilli())<<16 | uint64(seed.Intn(1<<16))}
+}
+
+func (d *Daemon) open() error {
+	var err error
+	if d.listener, err = net.Listen("tcp", d.settings.Listen()); err != nil {
+		return eris.Wrap(err, "listen for other daemons")
+	}
+	if d.httpListen, err = net.Listen("tcp", d.settings.HTTP()); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	if d.settings.DataFolder() == "" {
+		return nil
+	}
+	d.copies, err = jkcopy.Open(d.settings.DataFolder(), copyLimit)
+	if err == nil && d.copies.Damaged() {
+		d.log.Part("copy").Warn("log was damaged; its tail was cut off")
+	}
+	return err
+}
+
+func (d *Daemon) closeSockets() {
+	if d.listener != nil {
+		_ = d.listener.Close()
+	}
+	if d.httpListen != nil {
+		_ = d.httpListen.Close()
+	}
+	if d.copies != nil {
+		d.copies.Close()
+	}
+}
+
+func (d *Daemon) build(seed *rand.Rand) error {
+	keys, err := jktoken.NewKeyring(d.settings.TokenKeys())
+	if err != nil {
+		return err
+	}
+	hello := jkwire.Hello{Host: d.self.Host, Start: d.self.Start, Zone: d.settings.Zone(), Version: jkwire.ProtocolVersion}
+	d.pool = jkwire.NewPool(jkwire.PoolOptions{Self: hello, Control: jkmsg.IsControl, Counters: d.counters, Faults: d.options.Faults})
+	limits := d.settings.Limits()
+	d.platform = jkplatform.NewHTTPLimited(d.settings.Platform(), &http.Client{Transport: &d.platformWay}, float64(limits.PlatformCalls()), limits.PlatformCalls())
+	d.endpoints = jkendpoint.New(jkendpoint.Options{})
+	d.buildConfig(seed)
+	d.gossip = jkgossip.New(d.gossipOptions())
+	d.dispatcher = jkdispatch.New(jkdispatch.Options{
+		Timer: d.options.Timer, Log: d.log.Part("dispatch"), Client: d.endpoints, Queue: d.schedOptions(seed),
+		Quarantined: d.gossip.IsRefused, Crashed: d.gossip.Crashed,
+	})
+	d.home = jkhome.New(jkhome.Options{
+		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
+		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
+		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
+	})
+	d.router = jkroute.New(jkroute.Options{
+		Timer: d.options.Timer, Log: d.log.Part("router"), Keys: keys, Platform: d.platform,
+		Gossip: d.gossip, Home: d.home, Pool: d.pool,
+	})
+	d.lease = newHostLease(d)
+	d.metrics = newMetrics(d)
+	d.web = d.newWeb()
+	return nil
+}
+
+func (d *Daemon) buildConfig(seed *rand.Rand) {
+	d.follower = jkconfig.NewFollower(jkconfig.FollowerOptions{
+		Client: d.platform, Timer: d.options.Timer, Log: d.log.Part("config"),
+		IsWatcher: d.isLeader, Wait: d.settings.Intervals().Watch(),
+	})
+	d.editor = jkconfig.NewEditor(jkconfig.EditorOptions{
+		Client: d.platform, Timer: d.options.Timer, Log: d.log.Part("config"),
+		Follower: d.follower, Jitter: seed.Float64,
+	})
+	d.rules = &rules{document: d.follower.Newest}
+	d.follower.OnChange(d.apply)
+}
+
+func (d *Daemon) schedOptions(seed *rand.Rand) jksched.Options {
+	o := jksched.DefaultOptions()
+	o.Rand = randv2.New(randv2.NewPCG(seed.Uint64(), seed.Uint64()))
+	o.Zone = d.settings.Zone()
+	return o
+}
+
+func (d *Daemon) gossipOptions() jkgossip.Options {
+	i := d.settings.Intervals()
+	return jkgossip.Options{
+		Self: jkmember.Host{
+			Incarnation: d.self, Zone: d.settings.Zone(), Addr: d.Addr(), HTTP: d.HTTP(),
+			State: jkmember.StateLive, Disk: d.copies != nil,
+		},
+		Peers: d.seeds(), Timer: d.options.Timer, Log: d.log.Part("member"), Pool: d.pool,
+		Heartbeat: i.Heartbeat(), ZoneDigest: i.ZoneDigest(), Timeout: i.DeadAfter(),
+		Suspects: d.settings.Limits().Suspects(),
+		Loads:    func() []jksched.Load { return d.dispatcher.Loads() },
+		Revision: func() uint64 { return d.follower.Revision() },
+		TakeLoad: func(l jksched.Load) {
+			d.home.SetLoad(l)
+			d.dispatcher.SetLoad(l)
+		},
+		TakeConfig: d.takeConfig,
+		HostDown: func(h jkmember.Host, _ jkmember.Status) {
+			d.pool.Drop(h.Addr)
+			d.refreshEndpoints()
+		},
+	}
+}
+
+func (d *Daemon) seeds() []jkmember.Host {
+	var hosts []jkmember.Host
+	for _, p := range d.settings.Peers() {
+		hosts = append(hosts, jkmember.Host{
+			Incarnation: jktoken.Incarnation{Host: p.Host()}, Zone: p.Zone(), Addr: p.Address(), State: jkmember.StateLive,
+		})
+	}
+	return hosts
+}
+
+// Addr returns the address for other daemons.
+func (d *Daemon) Addr() string { return d.listener.Addr().String() }
+
+// HTTP returns the address for callers and operators.
+func (d *Daemon) HTTP() string { return d.httpListen.Addr().String() }
+
+// isLeader reports whether this host watches the platform for its zone.
+func (d *Daemon) isLeader() bool {
+	leads := false
+	d.gossip.Read(func(t *jkmember.Table) {
+		leader, ok := t.Leader(t.Self().Zone)
+		leads = ok && leader.Incarnation == t.Self().Incarnation
+	})
+	return leads
+}
+
+// Start begins to serve.
+func (d *Daemon) Start(ctx context.Context) {
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.server = jkwire.NewServer(d.listener, jkwire.ServerOptions{
+		Self:   jkwire.Hello{Host: d.self.Host, Start: d.self.Start, Zone: d.settings.Zone(), Version: jkwire.ProtocolVersion},
+		Handle: d.handle, Control: jkmsg.IsControl, Counters: d.counters, Faults: d.options.Faults,
+	})
+	d.gossip.Start()
+	d.work(func() { d.follower.Run(ctx) })
+	d.work(func() { d.loadConfig(ctx) })
+	d.work(func() { d.lease.run(ctx) })
+	d.work(func() {
+		if err := d.web.Serve(d.httpListen); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			d.log.Part("http").Error("server stopped", err)
+		}
+	})
+	tick := d.settings.Intervals().Tick()
+	d.stops = append(d.stops,
+		d.options.Timer.Every(tick, d.dispatcher.Tick),
+		d.options.Timer.Every(time.Second, d.home.Tick),
+		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
+		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
+	)
+	if d.copies != nil {
+		d.stops = append(d.stops, d.options.Timer.Every(time.Second, d.keepCopies))
+	}
+	d.ready.Store(true)
+	d.log.Part("daemon").Info("host is serving", "host", d.self, "zone", d.settings.Zone(), "http", d.HTTP(), "listen", d.Addr())
+}
+
+func (d *Daemon) work(run func()) {
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		run()
+	}()
+}
+
+// loadConfig reads the configuration at the start until the platform or a peer
+// has provided one.
+func (d *Daemon) loadConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.follower.Load(ctx); err == nil {
+			return
+		}
+		d.options.Timer.Wait(time.Second, ctx.Done())
+	}
+}
+
+func (d *Daemon) keepCopies() {
+	if err := d.copies.Sync(); err != nil {
+		d.log.Part("copy").Error("log can't be synced", err)
+	}
+	if _, err := d.copies.Expire(d.options.Timer.Now(), copyEndedRetention, copyOrphanRetention); err != nil {
+		d.log.Part("copy").Error("ended programs can't be forgotten", err)
+	}
+}
+
+// Kill closes everything at once, as a crash would. It serves tests within one
+// process.
+func (d *Daemon) Kill() {
+	d.ready.Store(false)
+	for _, stop := range d.stops {
+		stop()
+	}
+	d.gossip.Stop()
+	if d.cancel != nil {
+		d.cancel()
+	}
+	_ = d.web.Close()
+	d.pool.Close()
+	if d.server != nil {
+		d.server.Close()
+	}
+	d.workers.Wait()
+	d.closeSockets()
+}
+
+// CutPlatform cuts the daemon off from the platform. It exists for tests.
+func (d *Daemon) CutPlatform(cut bool) { d.platformWay.cut.Store(cut) }
+
+// Web returns the router of the HTTP API, so that a test can add handlers.
+func (d *Daemon) Web() *echo.Echo { return d.web.Handler.(*echo.Echo) }
--- /dev/null
+++ b/core/jkdaemon/handle.go
@@ -0,0 +1,260 @@
+package jkdaemon
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkcopy"
+	"jasmineknot.example/core/jkhome"
+	"jasmineknot.example/core/jkmember"
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jkwire"
+)
+
+// handle answers one message of another daemon.
+func (d *Daemon) handle(ctx context.Context, in *jkwire.Incoming) {
+	if d.gossip.Handle(in) || d.router.Handle(ctx, in) {
+		return
+	}
+	var err error
+	switch in.Type() {
+	case jkmsg.TypeDispatch:
+		err = d.handleDispatch(ctx, in)
+	case jkmsg.TypeRelease:
+		var m jkmsg.Release
+		if err = in.Decode(&m); err == nil {
+			d.dispatcher.Release(m.Program)
+			err = in.End(nil)
+		}
+	case jkmsg.TypeCopyAppend:
+		var m jkmsg.CopyAppend
+		if err = in.Decode(&m); err == nil {
+			err = in.End(&jkmsg.CopyAppendResult{Status: d.storeCopy(m.Record)})
+		}
+	case jkmsg.TypeCopyRead:
+		var m jkmsg.CopyRead
+		if err = in.Decode(&m); err == nil {
+			r := d.readCopy(m)
+			err = in.End(&r)
+		}
+	case jkmsg.TypeConfigPull:
+		err = d.handleConfig(in)
+	default:
+		err = eris.Errorf("message type %q is not known", in.Type())
+	}
+	if err != nil {
+		_ = in.Fail("bad_message", err.Error())
+	}
+}
+
+func (d *Daemon) handleConfig(in *jkwire.Incoming) error {
+	var m jkmsg.ConfigPull
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	c, err := d.config(m.Have)
+	if err != nil {
+		return err
+	}
+	return in.End(&c)
+}
+
+func (d *Daemon) handleDispatch(ctx context.Context, in *jkwire.Incoming) error {
+	var m jkmsg.Dispatch
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	r := d.dispatcher.Run(ctx, m, func(e jkmsg.DispatchEvent) error { return in.Send(&e) })
+	return in.End(&r)
+}
+
+// storeCopy appends a record to this host's history copies.
+func (d *Daemon) storeCopy(r jkprogram.Record) jkmsg.CopyStatus {
+	if d.copies == nil {
+		return jkmsg.CopyFailed
+	}
+	err := d.copies.Append(d.options.Timer.Now(), r)
+	var fenced *jkcopy.FencedError
+	var gap *jkcopy.GapError
+	switch {
+	case err == nil:
+		return jkmsg.CopyStored
+	case errors.As(err, &fenced):
+		return jkmsg.CopyFenced
+	case errors.As(err, &gap):
+		return jkmsg.CopyGap
+	}
+	d.log.Part("copy").Error("record can't be stored", err, "program", r.Program)
+	return jkmsg.CopyFailed
+}
+
+func (d *Daemon) readCopy(m jkmsg.CopyRead) jkmsg.CopyReadResult {
+	if d.copies == nil {
+		return jkmsg.CopyReadResult{}
+	}
+	var r jkcopy.Reading
+	var err error
+	if m.TakeOver {
+		r, err = d.copies.TakeOver(m.Program, m.Reader, m.Epoch)
+	} else {
+		r, err = d.copies.Read(m.Program)
+	}
+	if err != nil {
+		return jkmsg.CopyReadResult{}
+	}
+	return jkmsg.CopyReadResult{Held: true, Uncertain: r.Uncertain, Fence: r.Fence, State: r.State}
+}
+
+// transport connects the home to the other parts, here or on other hosts.
+func (d *Daemon) transport() jkhome.Transport {
+	return jkhome.Transport{
+		Dispatch:     d.sendDispatch,
+		AppendCopy:   d.sendCopy,
+		ReadCopy:     d.askCopy,
+		ChooseCopies: d.chooseCopies,
+		DiskHosts:    d.diskHosts,
+		Release:      d.release,
+	}
+}
+
+// dispatcherOf returns the host that dispatches to an endpoint; local tells that
+// it is this one.
+func (d *Daemon) dispatcherOf(endpoint string) (host jkmember.Host, local, ok bool) {
+	e, known := d.follower.Newest().Endpoint(endpoint)
+	if !known {
+		return host, false, false
+	}
+	d.gossip.Read(func(t *jkmember.Table) {
+		host, ok = t.Dispatcher(endpoint, e.Zone())
+		local = ok && host.Incarnation == t.Self().Incarnation
+	})
+	return host, local, ok
+}
+
+func (d *Daemon) sendDispatch(ctx context.Context, m jkmsg.Dispatch, event func(jkmsg.DispatchEvent)) (jkmsg.DispatchResult, bool, error) {
+	host, local, ok := d.dispatcherOf(m.Endpoint)
+	if !ok {
+		return jkmsg.DispatchResult{}, false, eris.Errorf("endpoint %s has no dispatcher", m.Endpoint)
+	}
+	if local {
+		return d.dispatcher.Run(ctx, m, func(e jkmsg.DispatchEvent) error { event(e); return nil }), true, nil
+	}
+	s, err := d.pool.Open(ctx, host.Addr, jkmsg.TypeDispatch, &m)
+	if err != nil {
+		return jkmsg.DispatchResult{}, wasSent(err), err
+	}
+	defer s.Close()
+	for {
+		message, err := s.Receive(ctx)
+		if err != nil {
+			return jkmsg.DispatchResult{}, wasSent(err), err
+		}
+		if message.Last {
+			var r jkmsg.DispatchResult
+			return r, true, message.Decode(&r)
+		}
+		var e jkmsg.DispatchEvent
+		if err := message.Decode(&e); err != nil {
+			return jkmsg.DispatchResult{}, true, err
+		}
+		event(e)
+	}
+}
+
+// wasSent tells whether a failed request may have reached the peer.
+func wasSent(err error) bool {
+	var lost *jkwire.LostError
+	if errors.As(err, &lost) {
+		return lost.Sent
+	}
+	var large *jkwire.FrameTooLargeError
+	return !errors.As(err, &large)
+}
+
+func (d *Daemon) hostAddr(name string) (addr string, local bool) {
+	d.gossip.Read(func(t *jkmember.Table) {
+		h, _ := t.Status(name)
+		addr = h.Addr
+		local = name == t.Self().Incarnation.Host
+	})
+	return addr, local
+}
+
+func (d *Daemon) sendCopy(ctx context.Context, host string, r jkprogram.Record) (jkmsg.CopyStatus, error) {
+	addr, local := d.hostAddr(host)
+	if local {
+		return d.storeCopy(r), nil
+	}
+	if addr == "" {
+		return "", eris.Errorf("host %s is not known", host)
+	}
+	var result jkmsg.CopyAppendResult
+	err := d.pool.Call(ctx, addr, jkmsg.TypeCopyAppend, &jkmsg.CopyAppend{Record: r}, &result)
+	return result.Status, err
+}
+
+func (d *Daemon) askCopy(ctx context.Context, host string, m jkmsg.CopyRead) (jkmsg.CopyReadResult, error) {
+	addr, local := d.hostAddr(host)
+	if local {
+		return d.readCopy(m), nil
+	}
+	if addr == "" {
+		return jkmsg.CopyReadResult{}, eris.Errorf("host %s is not known", host)
+	}
+	var result jkmsg.CopyReadResult
+	err := d.pool.Call(ctx, addr, jkmsg.TypeCopyRead, &m, &result)
+	return result, err
+}
+
+func (d *Daemon) chooseCopies(program string) []string {
+	var names []string
+	d.gossip.Read(func(t *jkmember.Table) {
+		for _, h := range t.Copies(program) {
+			names = append(names, h.Incarnation.Host)
+		}
+	})
+	return names
+}
+
+// maxDiskHosts bounds the hosts asked for the copies of a program whose caller
+// has no token.
+const maxDiskHosts = 16
+
+func (d *Daemon) diskHosts() []string {
+	var names []string
+	d.gossip.Read(func(t *jkmember.Table) {
+		for _, c := range t.All() {
+			if c.Host.Disk && c.Status == jkmember.StatusUp && len(names) < maxDiskHosts {
+				names = append(names, c.Host.Incarnation.Host)
+			}
+		}
+	})
+	return names
+}
+
+// release asks the dispatchers of endpoints to drop a program's cache.
+func (d *Daemon) release(program string, endpoints []string) {
+	asked := map[string]bool{}
+	for _, id := range endpoints {
+		host, local, ok := d.dispatcherOf(id)
+		if !ok || asked[host.Incarnation.Host] {
+			continue
+		}
+		asked[host.Incarnation.Host] = true
+		if local {
+			d.dispatcher.Release(program)
+			continue
+		}
+		go d.sendRelease(host, program)
+	}
+}
+
+func (d *Daemon) sendRelease(host jkmember.Host, program string) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().DeadAfter())
+	defer cancel()
+	// A dispatcher that misses this releases the cache after its idle hold.
+	_ = d.pool.Call(ctx, host.Addr, jkmsg.TypeRelease, &jkmsg.Release{Program: program}, nil)
+}
--- /dev/null
+++ b/core/jkdaemon/rules.go
@@ -0,0 +1,181 @@
+package jkdaemon
+
+import (
+	"sort"
+	"sync"
+
+	"jasmineknot.example/core/jkconfig"
+	"jasmineknot.example/core/jkdispatch"
+	"jasmineknot.example/core/jkhome"
+	"jasmineknot.example/core/jkmember"
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktoken"
+)
+
+// defaultRetryRatio is the share of calls that may be tried again where the
+// configuration names none.
+const defaultRetryRatio = 0.1
+
+// rules reads the configuration in force for the other parts.
+type rules struct {
+	document func() *jkconfig.Document
+
+	mu sync.Mutex
+	// placed holds the endpoints that the home was told about last.
+	placed map[string]bool
+}
+
+// replace notes the endpoints now told to the home and returns the former ones.
+func (r *rules) replace(known map[string]bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former := sortedKeys(r.placed)
+	r.placed = known
+	return former
+}
+
+func (r *rules) home() jkhome.Rules {
+	return jkhome.Rules{
+		Template:   r.template,
+		Model:      func(name string) bool { _, ok := r.document().Model(name); return ok },
+		Service:    r.service,
+		RetryRatio: r.retryRatio,
+	}
+}
+
+func (r *rules) template(name string) (jkhome.Template, bool) {
+	d := r.document()
+	p, ok := d.Program(name)
+	if !ok {
+		return jkhome.Template{}, false
+	}
+	t := jkhome.Template{
+		Name: name, Models: p.Models(), Budget: p.BudgetTokens(), ToolTimeout: p.ToolTimeout(),
+		Limits: jkprogram.Limits{MaxTurns: uint64(p.MaxTurns()), MaxDuration: p.MaxDuration(), IdleLimit: p.IdleLimit()},
+	}
+	if class, ok := d.Priority(p.Priority()); ok {
+		t.Priority = class.Level()
+	}
+	return t, true
+}
+
+func (r *rules) service(name, method, path string) jkhome.ServiceRule {
+	d := r.document()
+	rule := jkhome.ServiceRule{Known: r.hasService(name)}
+	rule.Repeatable = method == "GET" || method == "HEAD"
+	if s, ok := d.Service(name); ok {
+		rule.Repeatable = rule.Repeatable || s.Repeatable(path)
+		rule.Timeout = s.Timeout(path)
+	}
+	return rule
+}
+
+func (r *rules) hasService(name string) bool {
+	for _, e := range r.document().Endpoints() {
+		if e.Kind() == jkconfig.KindService && e.Service() == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rules) retryRatio() float64 {
+	if ratio, set := r.document().Capacity("").RetryRatio(); set {
+		return ratio
+	}
+	return defaultRetryRatio
+}
+
+// endpoint converts an endpoint of the configuration.
+func endpoint(e jkconfig.Endpoint) jkdispatch.Endpoint {
+	out := jkdispatch.Endpoint{Addr: e.Address(), Endpoint: jksched.Endpoint{
+		ID: e.ID(), Zone: e.Zone(), Kind: jksched.KindModel, Models: e.Models(), Service: e.Service(),
+		Slots: e.Slots(), CacheTokens: e.CacheTokens(), State: jksched.StateLive,
+	}}
+	if e.Kind() == jkconfig.KindService {
+		out.Kind = jksched.KindService
+	}
+	if e.State() == jkconfig.StateLeaving {
+		out.State = jksched.StateLeaving
+	}
+	return out
+}
+
+// apply puts a new configuration into force.
+func (d *Daemon) apply(doc *jkconfig.Document) {
+	for _, h := range doc.Hosts() {
+		d.gossip.Seed(jkmember.Host{
+			Incarnation: jktoken.Incarnation{Host: h.Name()}, Zone: h.Zone(), Addr: h.Address(), State: jkmember.StateLive,
+		})
+	}
+	d.refreshEndpoints()
+	d.log.Part("config").Info("configuration is in force", "revision", doc.Revision())
+}
+
+// refreshEndpoints tells the home which endpoints there are and the dispatcher
+// which of them are its own.
+func (d *Daemon) refreshEndpoints() {
+	known := map[string]bool{}
+	var all []jksched.Endpoint
+	var own []jkdispatch.Endpoint
+	for _, c := range d.follower.Newest().Endpoints() {
+		e := endpoint(c)
+		known[e.ID] = true
+		all = append(all, e.Endpoint)
+		if d.dispatches(e.ID, e.Zone) {
+			own = append(own, e)
+		}
+	}
+	var gone []string
+	for _, id := range d.rules.replace(known) {
+		if !known[id] {
+			gone = append(gone, id)
+		}
+	}
+	d.home.SetEndpoints(all, gone)
+	d.dispatcher.SetEndpoints(own)
+}
+
+func (d *Daemon) dispatches(endpoint, zone string) bool {
+	mine := false
+	d.gossip.Read(func(t *jkmember.Table) {
+		h, ok := t.Dispatcher(endpoint, zone)
+		mine = ok && h.Incarnation == t.Self().Incarnation
+	})
+	return mine
+}
+
+// takeConfig takes a configuration that a peer has sent.
+func (d *Daemon) takeConfig(c jkmsg.Config) {
+	if len(c.Changes) > 0 {
+		if err := d.follower.OfferChanges(c.Changes); err == nil {
+			return
+		}
+	}
+	if len(c.Document) == 0 {
+		return
+	}
+	if _, err := d.follower.Offer(c.Revision, c.Document); err != nil {
+		d.log.Part("config").Error("a peer's configuration can't be used", err)
+	}
+}
+
+// config answers a peer that has an older revision.
+func (d *Daemon) config(have uint64) (jkmsg.Config, error) {
+	if changes, ok := d.follower.ChangesAfter(have); ok {
+		return jkmsg.Config{Revision: d.follower.Revision(), Changes: changes}, nil
+	}
+	revision, packed, err := d.follower.Packed()
+	return jkmsg.Config{Revision: revision, Document: packed}, err
+}
+
+func sortedKeys(m map[string]bool) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/core/jkdaemon/web.go
@@ -0,0 +1,132 @@
+package jkdaemon
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"jasmineknot.example/core/jkapi"
+	"jasmineknot.example/core/jkconfigadapter"
+	"jasmineknot.example/core/jkconfigapi"
+	"jasmineknot.example/core/jkmember"
+)
+
+// newWeb builds the HTTP server for callers and operators.
+func (d *Daemon) newWeb() *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = jkapi.ErrorHandler
+	jkapi.Register(e, jkapi.Functions{
+		Timer:   d.options.Timer,
+		Call:    d.router.Call,
+		Service: d.router.Service,
+		Create:  d.router.Create,
+		Program: d.router.Program,
+		Repeatable: func(service, method, path string) bool {
+			return d.rules.service(service, method, path).Repeatable
+		},
+		Observe:   d.metrics.observe,
+		BodyLimit: d.settings.Limits().BodyBytes(),
+		MaxCalls:  d.settings.Limits().EntryQueue(),
+	})
+	jkconfigapi.Register(e.Group("/v1/config"), jkconfigadapter.Functions(d.follower, d.editor))
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", d.readyz)
+	e.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlainCharsetUTF8)
+		d.metrics.write(c.Response())
+		return nil
+	})
+	e.GET("/v1/status", d.status)
+	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
+}
+
+// readyz reports whether this host takes callers. A host without configuration
+// can't serve any.
+func (d *Daemon) readyz(c echo.Context) error {
+	switch {
+	case !d.ready.Load():
+		return c.String(http.StatusServiceUnavailable, "stopping\n")
+	case d.follower.Revision() == 0:
+		return c.String(http.StatusServiceUnavailable, "no configuration\n")
+	case len(d.diskHosts()) == 0:
+		return c.String(http.StatusOK, "ready, but no host has a disk: histories have no copies\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// HostStatus is a host as this one sees it.
+type HostStatus struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Status      string `json:"status"`
+	Disk        bool   `json:"disk"`
+}
+
+// EndpointStatus is an endpoint as this host sees it.
+type EndpointStatus struct {
+	Endpoint   string `json:"endpoint"`
+	Zone       string `json:"zone"`
+	State      string `json:"state"`
+	Dispatcher string `json:"dispatcher"`
+	Running    int    `json:"running"`
+	Queued     int    `json:"queued"`
+	Limit      int    `json:"limit"`
+	// TokenPace is in microseconds a token.
+	TokenPace int64  `json:"token_pace_us"`
+	Breaker   string `json:"breaker,omitempty"`
+}
+
+// Status is the answer of /v1/status.
+type Status struct {
+	Host        string           `json:"host"`
+	Revision    uint64           `json:"config_revision"`
+	Programs    int              `json:"programs"`
+	Running     int              `json:"running_calls"`
+	Hosts       []HostStatus     `json:"hosts"`
+	Endpoints   []EndpointStatus `json:"endpoints"`
+	Quarantined []string         `json:"quarantined"`
+}
+
+func (d *Daemon) status(c echo.Context) error {
+	s := Status{
+		Host: d.settings.Host(), Revision: d.follower.Revision(), Programs: d.home.Programs(),
+		Running: d.home.Running(), Quarantined: d.gossip.Quarantined(),
+	}
+	d.gossip.Read(func(t *jkmember.Table) {
+		for _, r := range t.All() {
+			s.Hosts = append(s.Hosts, HostStatus{
+				Host: r.Host.Incarnation.Host, Incarnation: r.Host.Incarnation.String(), Zone: r.Host.Zone,
+				State: string(r.Host.State), Status: string(r.Status), Disk: r.Host.Disk,
+			})
+		}
+	})
+	s.Endpoints = d.endpointStatus()
+	return c.JSON(http.StatusOK, s)
+}
+
+func (d *Daemon) endpointStatus() []EndpointStatus {
+	loads := d.gossip.Loads()
+	loads = append(loads, d.dispatcher.Loads()...)
+	var out []EndpointStatus
+	for _, e := range d.follower.Newest().Endpoints() {
+		s := EndpointStatus{Endpoint: e.ID(), Zone: e.Zone(), State: string(e.State())}
+		if h, _, ok := d.dispatcherOf(e.ID()); ok {
+			s.Dispatcher = h.Incarnation.Host
+		}
+		for _, l := range loads {
+			if l.Endpoint == e.ID() {
+				s.Running = l.Running
+				s.Queued = l.Queued
+				s.Limit = l.Limit
+				s.TokenPace = l.TokenPace.Microseconds()
+				s.Breaker = string(l.Breaker)
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -146,7 +146,7 @@
 	s.once("config", func(ctx context.Context) {
 		var c jkmsg.Config
 		err := s.options.Pool.Call(ctx, addr, jkmsg.TypeConfigPull, &jkmsg.ConfigPull{Have: s.options.Revision()}, &c)
-		if err == nil && len(c.Document) > 0 {
+		if err == nil {
 			s.options.TakeConfig(c)
 		}
 	})
--- a/core/jklog/log.go
+++ b/core/jklog/log.go
@@ -28,11 +28,22 @@
 // Discard returns a logger that drops every line.
 func Discard() Logger { return Logger{base: log.NewNopLogger()} }
 
+// Allow returns a logger that drops lines below a level: debug, info, warn or
+// error.
+func (l Logger) Allow(lowest string) Logger {
+	return Logger{base: level.NewFilter(l.base, level.Allow(level.ParseDefault(lowest, level.InfoValue()))), prefix: l.prefix}
+}
+
 // Part returns a logger whose messages start with the part's name.
 func (l Logger) Part(name string) Logger {
 	return Logger{base: l.base, prefix: name + ": "}
 }
 
+// Debug logs an event that matters only when a fault is looked for.
+func (l Logger) Debug(message string, pairs ...any) {
+	l.write(level.Debug(l.base), message, pairs)
+}
+
 // Info logs an ordinary event. Pairs are alternating keys and values.
 func (l Logger) Info(message string, pairs ...any) {
 	l.write(level.Info(l.base), message, pairs)
--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -31,14 +31,22 @@
 	return ranked
 }
 
-// accepting returns the hosts of a zone that are up and not leaving.
+// accepting returns the hosts of a zone that are up and not leaving. If the
+// lagging list names all of them, it is not believed.
 func (t *Table) accepting(zone string) []Host {
-	var hosts []Host
+	var hosts, listed []Host
 	for _, h := range t.Up(zone) {
-		if h.State == StateLive {
+		switch {
+		case h.State != StateLive:
+		case t.leaving[h.Incarnation.Host]:
+			listed = append(listed, h)
+		default:
 			hosts = append(hosts, h)
 		}
 	}
+	if len(hosts) == 0 {
+		return listed
+	}
 	return hosts
 }
 
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -90,6 +90,8 @@
 	hosts   map[string]*row
 	zones   map[string]*zone
 	own     ZoneDigest
+	// leaving holds the hosts that the platform's list names as leaving.
+	leaving map[string]bool
 }
 
 // New returns a table that knows only its own host.
@@ -105,6 +107,9 @@
 // SetSelf replaces the own host's description, for example with another state.
 func (t *Table) SetSelf(h Host) { t.hosts[h.Incarnation.Host].host = h }
 
+// SetLeaving replaces the hosts that the platform's list names as leaving.
+func (t *Table) SetLeaving(hosts map[string]bool) { t.leaving = hosts }
+
 // Seed adds a configured host that has not been heard yet.
 func (t *Table) Seed(h Host) {
 	if t.hosts[h.Incarnation.Host] == nil {
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -76,10 +76,12 @@
 	Have uint64 `msgpack:"have"`
 }
 
-// Config is the answer to ConfigPull; Document is empty if nothing is newer.
+// Config is the answer to ConfigPull: the changes since the asker's revision, or
+// the whole document if they are no longer in memory.
 type Config struct {
-	Revision uint64 `msgpack:"revision"`
-	Document []byte `msgpack:"document,omitempty"`
+	Revision uint64   `msgpack:"revision"`
+	Changes  [][]byte `msgpack:"changes,omitempty"`
+	Document []byte   `msgpack:"document,omitempty"`
 }
 
 // EndedNotice tells that an incarnation has stopped and who took its programs.
--- a/jasmineknotd/main.go
+++ b/jasmineknotd/main.go
@@ -1,4 +1,12 @@
-// Command jasmineknotd is part of jasmineknot, a scheduler for agent programs.
+// Command jasmineknotd is the daemon of an entry host.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"jasmineknot.example/jasmineknotd/jkdaemoncmd"
+)
+
+func main() {
+	os.Exit(jkdaemoncmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
