--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -322,3 +322,17 @@
 
 // Web returns the router of the HTTP API, so that a test can add handlers.
 func (d *Daemon) Web() *echo.Echo { return d.web.Handler.(*echo.Echo) }
+
+// IsComplete reports whether this host has a configuration and sees the given
+// number of hosts, itself included, as up.
+func (d *Daemon) IsComplete(hosts int) bool {
+	up := 0
+	d.gossip.Read(func(t *jkmember.Table) {
+		for _, c := range t.All() {
+			if c.Status == jkmember.StatusUp {
+				up++
+			}
+		}
+	})
+	return up >= hosts && d.follower.Newest().Revision() > 0
+}
--- /dev/null
+++ b/core/jksite/site.go
@@ -0,0 +1,210 @@
+// Package jksite describes a small site of hosts and endpoints and writes its
+// settings and configuration. The demo, the process tests and the fleet
+// measurement build on it.
+package jksite
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// Model and template names of a described site.
+const (
+	Model    = "chef-8b"
+	Template = "booking"
+	Service  = "deposits"
+)
+
+// tokenSecret signs the tokens of a described site. It protects nothing.
+const tokenSecret = "a secret for tests and demos only"
+
+// Host is an entry host of the site.
+type Host struct {
+	Name     string
+	Zone     string
+	Listen   string
+	HTTP     string
+	Platform string
+	// DataFolder is empty for a host without a disk.
+	DataFolder string
+	// Intervals overrides the settings' intervals, as duration strings.
+	Intervals map[string]string
+	LogLevel  string
+}
+
+// Settings returns the host's settings file.
+func (h Host) Settings() ([]byte, error) {
+	s := map[string]any{
+		"host": h.Name, "zone": h.Zone, "listen": h.Listen, "http": h.HTTP, "platform": h.Platform,
+		"token_keys": []map[string]string{{"id": "k1", "secret": tokenSecret}},
+		"log_level":  "info",
+	}
+	if h.LogLevel != "" {
+		s["log_level"] = h.LogLevel
+	}
+	if h.DataFolder != "" {
+		s["data_folder"] = h.DataFolder
+	}
+	if len(h.Intervals) > 0 {
+		s["intervals"] = h.Intervals
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+// Endpoint is a back end of the site. A Service endpoint has no model.
+type Endpoint struct {
+	ID      string
+	Zone    string
+	Address string
+	Service string
+	Slots   int
+	State   string
+}
+
+// Site is everything that the configuration document names.
+type Site struct {
+	Hosts     []Host
+	Endpoints []Endpoint
+	// Budget is the token budget of a program; zero means 200,000.
+	Budget int64
+	// Idle, MaxDuration and MaxTurns are the limits of a program.
+	Idle        string
+	MaxDuration string
+	MaxTurns    int
+	// ServiceTimeout is the longest wait for a service; empty means 10 s.
+	ServiceTimeout string
+}
+
+// team owns every section of a described site.
+const team = "site"
+
+// Sections returns the configuration document's sections.
+func (s Site) Sections() map[string]any {
+	hosts := map[string]any{}
+	for _, h := range s.Hosts {
+		hosts[h.Name] = map[string]any{"zone": h.Zone, "address": h.Listen, "state": "live"}
+	}
+	endpoints := map[string]any{}
+	for _, e := range s.Endpoints {
+		endpoints[e.ID] = e.section()
+	}
+	template := map[string]any{
+		"models": []string{Model}, "budget_tokens": first(s.Budget, 200000), "max_turns": first(int64(s.MaxTurns), 96),
+		"max_duration": firstText(s.MaxDuration, "1h"), "tool_timeout": "1m", "idle_limit": firstText(s.Idle, "10m"), "priority": "interactive",
+	}
+	return map[string]any{
+		"priorities": map[string]any{"interactive": map[string]any{"level": 0, "weight": 10}},
+		"models":     map[string]any{Model: map[string]any{"versions": []string{"1"}, "replicas": 1}},
+		"hosts":      hosts,
+		"endpoints":  endpoints,
+		"payments": map[string]any{Service: map[string]any{
+			"timeout": firstText(s.ServiceTimeout, "10s"), "paths": map[string]any{"/actions/*": map[string]any{"repeatable": false}},
+		}},
+		"programs": map[string]any{Template: template, "default": template},
+	}
+}
+
+func (e Endpoint) section() map[string]any {
+	m := map[string]any{"zone": e.Zone, "address": e.Address, "slots": first(int64(e.Slots), 16), "state": firstText(e.State, "live")}
+	if e.Service != "" {
+		m["kind"] = "service"
+		m["service"] = e.Service
+		return m
+	}
+	m["kind"] = "engine"
+	m["models"] = []string{Model}
+	m["cache_tokens"] = 200000
+	return m
+}
+
+func first(n, fallback int64) int64 {
+	if n != 0 {
+		return n
+	}
+	return fallback
+}
+
+func firstText(s, fallback string) string {
+	if s != "" {
+		return s
+	}
+	return fallback
+}
+
+// order is the sequence in which sections are written, so that each one only
+// refers to what is there.
+var order = []string{"priorities", "models", "hosts", "endpoints", "payments", "programs"}
+
+// Write puts the site's configuration into force through a host's HTTP API.
+func (s Site) Write(ctx context.Context, client *http.Client, hostHTTP string) error {
+	sections := s.Sections()
+
+	for _, name := range order {
+		if err := WriteSection(ctx, client, hostHTTP, name, sections[name], "setup-"+name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteSection replaces one section of the configuration.
+func WriteSection(ctx context.Context, client *http.Client, hostHTTP, section string, entries any, editID string) error {
+	base, err := revision(ctx, client, hostHTTP)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(map[string]any{
+		"edit_id": editID, "base_revision": base, "team": team,
+		"value": map[string]any{"owner": team, "entries": entries},
+	})
+	if err != nil {
+		return err
+	}
+	return post(ctx, client, "http://"+hostHTTP+"/v1/config/sections/"+section, body)
+}
+
+func revision(ctx context.Context, client *http.Client, hostHTTP string) (uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hostHTTP+"/v1/config", nil)
+	if err != nil {
+		return 0, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	var doc struct {
+		Revision uint64 `json:"revision"`
+	}
+	return doc.Revision, json.NewDecoder(res.Body).Decode(&doc)
+}
+
+func post(ctx context.Context, client *http.Client, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("%s: status %d: %s", url, res.StatusCode, text)
+	}
+	return nil
+}
+
+// Name returns the name of the n-th host of a zone.
+func Name(zone string, n int) string { return fmt.Sprintf("%s-%d", zone, n) }
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -9,6 +9,7 @@
 
 	"jasmineknot.example/jasmineknotbench/jkenginecmd"
 	"jasmineknot.example/jasmineknotbench/jkload"
+	"jasmineknot.example/jasmineknotbench/jkplatformcmd"
 	"jasmineknot.example/jasmineknotbench/jkpolicy"
 	"jasmineknot.example/jasmineknotbench/jkservicecmd"
 	"jasmineknot.example/jasmineknotbench/jktoolcmd"
@@ -18,6 +19,7 @@
 	app := kingpin.New("jasmineknotbench", "Stand-ins, load and policy experiments for jasmineknot.")
 	app.HelpFlag.Short('h')
 	jkenginecmd.Register(app)
+	jkplatformcmd.Register(app)
 	jkservicecmd.Register(app)
 	jktoolcmd.Register(app)
 	jkload.Register(app)
