sched: detect slow endpoints by token pace and dispatch calls again

Cause: a slowed endpoint keeps its queue and its running calls; the load report shows it late. Ruled out: comparing the mean pace of finished calls, which takes as long as the slowed calls themselves.

--- a/core/jksched/event.go
+++ b/core/jksched/event.go
@@ -47,8 +47,12 @@
 	}
 	if cr.firstToken.IsZero() {
 		cr.firstToken = now
+		cr.row.decoding++
+	} else {
+		cr.row.window.tokens += n
 	}
 	cr.tokens += n
+	q.tokens += float64(n)
 }
 
 // Finished reports the end of a run. It is the only event that frees the
@@ -64,7 +68,15 @@
 		cr.row.runningLong--
 	}
 	q.dropCall(now, cr.row, cr.call, r)
+	if !cr.firstToken.IsZero() {
+		cr.row.decoding--
+	}
+	q.tokens += float64(max(cr.call.PromptTokens-r.Cached, 0))
+	if r.EndpointFault {
+		q.fault(now, cr.row)
+	}
 	if r.Outcome == OutcomeCompleted {
+		cr.row.faults = 0
 		cr.row.service = smooth(cr.row.service, now.Sub(cr.dispatched))
 		learnOutput(q.outputs, cr.call.Workspace, r.Generated)
 		q.learnPace(now, cr)
@@ -81,9 +93,7 @@
 		l := Load{
 			Endpoint: r.endpoint.ID, At: now, Running: len(r.running), Queued: r.queued(), Limit: r.limit,
 			PredictedWait: q.predictedWait(r), TokenPace: r.pace, PrefillPace: r.prefill, Breaker: r.breaker,
-		}
-		if len(r.endpoint.Models) > 0 {
-			l.Model = r.endpoint.Models[0]
+			Model: modelOf(r.endpoint), CurrentPace: r.window.current,
 		}
 		out = append(out, l)
 	}
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -104,6 +104,9 @@
 	// TokenPace is the time per generated token of one call in a full batch;
 	// zero if unknown.
 	TokenPace time.Duration
+	// CurrentPace is the time per generated token in the last window; zero if
+	// too little ran. Slow endpoints are found by comparing it.
+	CurrentPace time.Duration
 	// PrefillPace is the time per prompt token that isn't cached.
 	PrefillPace time.Duration
 	Breaker     Breaker
--- /dev/null
+++ b/core/jksched/pace.go
@@ -0,0 +1,167 @@
+package jksched
+
+import (
+	"slices"
+	"time"
+)
+
+// paceWindow measures the time per token that running calls see now.
+type paceWindow struct {
+	began  time.Time
+	last   time.Time
+	tokens int64
+	// exposure is the time that decoding calls waited for those tokens.
+	exposure time.Duration
+	// current is the result of the last full window; zero if it saw too little.
+	current time.Duration
+	// slow and fine count consecutive windows beyond the limits.
+	slow int
+	fine int
+}
+
+// minExposure is the least decoding time in a window that gives a result. It
+// equals one call over a whole default window.
+const minExposure = 400 * time.Millisecond
+
+// observePace closes windows and decides whether the endpoint is slow.
+func (q *Queue) observePace(now time.Time, row *queueRow) {
+	w := &row.window
+	if w.began.IsZero() {
+		w.began, w.last = now, now
+	}
+	w.exposure += now.Sub(w.last) * time.Duration(row.decoding)
+	w.last = now
+	if now.Sub(w.began) < q.opt.PaceWindow {
+		return
+	}
+	w.current = 0
+	if w.exposure >= minExposure {
+		w.current = w.exposure / time.Duration(max(w.tokens, 1))
+	}
+	w.began, w.tokens, w.exposure = now, 0, 0
+	q.judge(now, row)
+}
+
+// judge moves the breaker between closed, slow and half open. Two windows in a
+// row are needed to call an endpoint slow, so that one burst of prefill isn't
+// enough, and four to call it recovered.
+func (q *Queue) judge(now time.Time, row *queueRow) {
+	w := &row.window
+	peers := q.peerPace(row)
+	if w.current == 0 || peers == 0 {
+		return
+	}
+	ratio := float64(w.current) / float64(peers)
+	w.slow, w.fine = count(w.slow, ratio > q.opt.SlowFactor), count(w.fine, ratio < q.opt.RecoverFactor)
+	switch {
+	case row.breaker == BreakerClosed && w.slow >= 2:
+		row.breaker, row.slowSince = BreakerSlow, now
+		row.limit = max(len(row.running)/4, 1)
+		q.moveWaiting(now, row, ReasonSlow)
+	case row.breaker == BreakerSlow && w.fine >= 4:
+		row.breaker = BreakerHalfOpen
+		row.limit = max(row.endpoint.Slots/4, 1)
+	case row.breaker == BreakerHalfOpen && w.slow >= 2:
+		row.breaker = BreakerSlow
+		row.limit = 1
+	}
+}
+
+func count(n int, more bool) int {
+	if more {
+		return n + 1
+	}
+	return 0
+}
+
+// ramp lets a recovered endpoint take more calls step by step, doubling each
+// second, so that the work that left it doesn't return at once.
+func (q *Queue) ramp(now time.Time, row *queueRow) {
+	if row.breaker != BreakerHalfOpen || now.Before(row.nextRamp) {
+		return
+	}
+	row.nextRamp = now.Add(time.Second)
+	row.limit = min(row.limit*2, row.endpoint.Slots)
+	if row.limit == row.endpoint.Slots {
+		row.breaker, row.faults = BreakerClosed, 0
+	}
+}
+
+// peerPace is the median pace of the other endpoints of the same model.
+func (q *Queue) peerPace(row *queueRow) time.Duration {
+	q.paces = q.paces[:0]
+	model := modelOf(row.endpoint)
+	for _, r := range q.order {
+		if r != row && modelOf(r.endpoint) == model && r.window.current > 0 {
+			q.paces = append(q.paces, r.window.current)
+		}
+	}
+	for _, l := range q.peers {
+		if l.Model == model && l.CurrentPace > 0 {
+			q.paces = append(q.paces, l.CurrentPace)
+		}
+	}
+	if len(q.paces) < 2 {
+		return 0
+	}
+	slices.Sort(q.paces)
+	return q.paces[len(q.paces)/2]
+}
+
+func modelOf(e Endpoint) string {
+	if len(e.Models) == 0 {
+		return ""
+	}
+	return e.Models[0]
+}
+
+// fault counts an endpoint's fault; BreakerFaults in a row open the breaker.
+func (q *Queue) fault(now time.Time, row *queueRow) {
+	row.faults++
+	if row.faults < q.opt.BreakerFaults && row.breaker != BreakerHalfOpen {
+		return
+	}
+	row.breaker, row.openUntil = BreakerOpen, now.Add(q.opt.BreakerPause)
+	q.moveWaiting(now, row, ReasonBreaker)
+}
+
+// reopen lets one probe through after the breaker's pause.
+func (q *Queue) reopen(now time.Time, row *queueRow) {
+	if row.breaker == BreakerOpen && !now.Before(row.openUntil) {
+		row.breaker, row.limit = BreakerHalfOpen, 1
+		row.nextRamp = now.Add(time.Second)
+	}
+}
+
+// second asks for copies of calls that a slow endpoint holds up, as long as the
+// tokens for it stay within the allowed share. The calls that have the most
+// left to do gain the most; those nearly done aren't worth a copy.
+func (q *Queue) second(row *queueRow) {
+	if row.breaker != BreakerSlow {
+		return
+	}
+	var found []*callRow
+	for _, cr := range row.running {
+		left := q.output(cr.call) - cr.tokens
+		if cr.call.Repeatable && !cr.call.Second && !cr.seconded && !cr.cancelled && 2*left > q.output(cr.call) {
+			found = append(found, cr)
+		}
+	}
+	slices.SortFunc(found, func(a, b *callRow) int {
+		if a.tokens != b.tokens {
+			return int(a.tokens - b.tokens)
+		}
+		return compareStrings(a.call.ID, b.call.ID)
+	})
+	for _, cr := range found {
+		cost := float64(cr.call.PromptTokens + q.output(cr.call))
+		if q.spent+cost > q.opt.SecondShare*q.tokens {
+			continue
+		}
+		q.spent += cost
+		cr.seconded = true
+		q.emit(Command{
+			Kind: CommandSecondDispatch, Call: cr.call, Endpoint: row.endpoint.ID, Reason: ReasonSlow,
+		})
+	}
+}
--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -84,10 +84,14 @@
 	if row.load.PrefillPace > 0 {
 		prefill = row.load.PrefillPace
 	}
+	if row.load.Breaker == BreakerSlow {
+		full = max(full, row.load.CurrentPace)
+		wait = time.Duration(p.output(c)) * full
+	}
 	slots := max(row.endpoint.Slots, 1)
 	running := min(row.load.Running+len(row.placed), slots)
 	output := time.Duration(p.output(c))
-	wait = row.load.PredictedWait + p.ownWait(row, output*full)
+	wait += row.load.PredictedWait + p.ownWait(row, output*full)
 	// The batch's share counts twice: for the call and for those beside it.
 	batch := 2 * p.opt.BatchShare * float64(running) / float64(slots)
 	cost = wait + time.Duration(float64(output*full)*(1-p.opt.BatchShare+batch))
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -21,6 +21,10 @@
 
 	toolPauses pauseModel
 	stopPauses pauseModel
+	// tokens and spent are the tokens of all work and of second dispatches.
+	tokens float64
+	spent  float64
+	paces  []time.Duration
 }
 
 // callKey names one run: both copies of a second dispatch may be in one queue.
@@ -41,6 +45,7 @@
 	tokens     int64
 	index      int
 	short      bool
+	seconded   bool
 	cancelled  bool
 }
 
@@ -149,6 +154,10 @@
 	for _, row := range q.order {
 		q.handBack(now, row)
 		q.expire(now, row)
+		q.observePace(now, row)
+		q.reopen(now, row)
+		q.ramp(now, row)
+		q.second(row)
 		q.dispatch(now, row)
 		q.sweep(now, row)
 	}
--- a/core/jksched/row.go
+++ b/core/jksched/row.go
@@ -21,6 +21,13 @@
 	prefill time.Duration
 	service time.Duration
 	breaker Breaker
+	// decoding counts the running calls that have got their first token.
+	decoding  int
+	window    paceWindow
+	faults    int
+	slowSince time.Time
+	openUntil time.Time
+	nextRamp  time.Time
 	// held lists the programs whose cache the endpoint may hold.
 	held      map[string]*heldProgram
 	nextSweep time.Time
