sched: order by attained service and keep slots for short calls

Cause: first come, first served lets long programs hold up short calls once an endpoint is full. Ruled out: shortest job first by expected output; stragglers have ordinary single calls, only their sum is long.

--- a/core/jksched/admit.go
+++ b/core/jksched/admit.go
@@ -1,12 +1,39 @@
 package jksched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// orderKey is first come, first served.
-func (q *Queue) orderKey(now time.Time, _ Call) time.Time { return now }
+// orderKey is the virtual start time by which calls are ordered: the time of
+// arrival, later by AgeStep for each doubling of the service that the program
+// has attained. Its distance from the arrival is bounded by the logarithm, so
+// that every call's turn comes.
+func (q *Queue) orderKey(now time.Time, c Call) time.Time {
+	doublings := math.Log2(1 + float64(max(c.Attained, 0))/float64(q.opt.ServiceQuantum))
+	key := now.Add(time.Duration(doublings * float64(q.opt.AgeStep)))
+	key = key.Add(-time.Duration(c.Priority) * q.opt.PriorityStep)
+	if c.ParentWaiting {
+		key = key.Add(-q.opt.ParentBonus)
+	}
+	if q.nearEnd(c) {
+		key = key.Add(-q.opt.EndBonus)
+	}
+	return key
+}
+
+// nearEnd reports whether the program is about as long as those of its
+// workspace usually get. Programs that are far beyond it have no known end.
+func (q *Queue) nearEnd(c Call) bool {
+	mean, ok := q.turns[c.Workspace]
+	at := float64(c.Turn + 1)
+	return ok && at >= 0.8*mean && at <= 2*mean
+}
 
+// isShort tells short calls, for which slots are kept free, from calls with
+// long answers or of programs that have already run for long.
 func (q *Queue) isShort(c Call) bool {
-	return min(c.MaxTokens, q.opt.OutputTokens) <= q.opt.ShortTokens
+	return q.output(c) <= q.opt.ShortTokens && c.Attained <= q.opt.ShortAttained
 }
 
 func (q *Queue) reserve(row *queueRow) int {
@@ -23,6 +50,8 @@
 		return &RefusedError{Reason: ReasonDown, RetryAfter: q.opt.BreakerPause}
 	case row.breaker == BreakerOpen:
 		return &RefusedError{Reason: ReasonBreaker, RetryAfter: q.opt.BreakerPause}
+	case row.breaker == BreakerSlow && len(row.running) >= row.limit:
+		return &RefusedError{Reason: ReasonSlow, RetryAfter: wait}
 	case row.queued() >= q.opt.MaxQueued*max(row.endpoint.Slots, 1):
 		return &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(wait, row.service)}
 	}
--- a/core/jksched/hold.go
+++ b/core/jksched/hold.go
@@ -8,7 +8,9 @@
 
 // heldProgram is a program's cache on an endpoint.
 type heldProgram struct {
-	tokens int64
+	tokens    int64
+	workspace string
+	turn      uint32
 	// idle is when the last call ended, in Unix nanoseconds; zero while a call
 	// of the program waits or runs here.
 	idle  int64
@@ -110,6 +112,7 @@
 		q.pauses(h.tools).observe(time.Duration(now.UnixNano()-h.idle), true)
 		h.idle = 0
 	}
+	h.workspace, h.turn = c.Workspace, uint32(c.Turn)
 	h.calls++
 }
 
@@ -169,6 +172,11 @@
 		return
 	}
 	if reason == ReasonEnded {
+		mean, known := q.turns[h.workspace]
+		if !known {
+			mean = float64(h.turn + 1)
+		}
+		q.turns[h.workspace] = mean + smoothing/4*(float64(h.turn+1)-mean)
 		q.pauses(h.tools).observe(time.Duration(now.UnixNano()-h.idle), false)
 	}
 	q.release(row, program, reason)
--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -39,9 +39,14 @@
 	PriorityStep time.Duration
 	// ParentBonus is the waiting time credited when a parent waits.
 	ParentBonus time.Duration
+	// EndBonus is the waiting time credited to a program near its usual end.
+	EndBonus time.Duration
 	// ShortTokens is the largest expected work, in generated tokens, of a short
 	// call.
 	ShortTokens int64
+	// ShortAttained is the attained service above which no call of a program is
+	// short.
+	ShortAttained int64
 	// ShortReserve is the share of slots kept free for short calls.
 	ShortReserve float64
 	// PaceTarget is the time between tokens above which a queue lowers the
@@ -80,8 +85,8 @@
 		Sample: 4, Holders: 4,
 		TokenPace: 25 * time.Millisecond, PrefillPace: 50 * time.Microsecond, OutputTokens: 200, BatchShare: 0.3,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
-		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second,
-		ShortTokens: 400, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
+		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second, EndBonus: time.Second,
+		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
 		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.2, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
 		IdleHold: 120 * time.Second, StopHold: 12 * time.Second,
--- a/core/jksched/pace.go
+++ b/core/jksched/pace.go
@@ -134,29 +134,28 @@
 }
 
 // second asks for copies of calls that a slow endpoint holds up, as long as the
-// tokens for it stay within the allowed share. The calls that have the most
-// left to do gain the most; those nearly done aren't worth a copy.
+// tokens for it stay within the allowed share. Cheap copies come first, because
+// the share then helps the most calls.
 func (q *Queue) second(row *queueRow) {
 	if row.breaker != BreakerSlow {
 		return
 	}
 	var found []*callRow
 	for _, cr := range row.running {
-		left := q.output(cr.call) - cr.tokens
-		if cr.call.Repeatable && !cr.call.Second && !cr.seconded && !cr.cancelled && 2*left > q.output(cr.call) {
+		if q.worthCopy(row, cr) {
 			found = append(found, cr)
 		}
 	}
 	slices.SortFunc(found, func(a, b *callRow) int {
-		if a.tokens != b.tokens {
-			return int(a.tokens - b.tokens)
+		if x, y := q.copyCost(a.call), q.copyCost(b.call); x != y {
+			return int(x - y)
 		}
 		return compareStrings(a.call.ID, b.call.ID)
 	})
 	for _, cr := range found {
-		cost := float64(cr.call.PromptTokens + q.output(cr.call))
+		cost := float64(q.copyCost(cr.call))
 		if q.spent+cost > q.opt.SecondShare*q.tokens {
-			continue
+			return
 		}
 		q.spent += cost
 		cr.seconded = true
@@ -165,3 +164,25 @@
 		})
 	}
 }
+
+// worthCopy reports whether a copy on a peer would end clearly before the call
+// itself does on the slow endpoint.
+func (q *Queue) worthCopy(row *queueRow, cr *callRow) bool {
+	if !cr.call.Repeatable || cr.call.Second || cr.seconded || cr.cancelled {
+		return false
+	}
+	output := q.output(cr.call)
+	left := max(output-cr.tokens, output/4)
+	again := time.Duration(output)*q.peerPace(row) + time.Duration(q.copyCost(cr.call)-output)*q.opt.PrefillPace
+	return time.Duration(left)*row.window.current > again
+}
+
+// copyCost is the expected number of tokens of a copy: all but the workspace's
+// shared prompt, which most endpoints hold.
+func (q *Queue) copyCost(c Call) int64 {
+	cost := c.PromptTokens + q.output(c)
+	if len(c.Prefix) > 0 {
+		cost -= min(c.Prefix[0].Tokens, c.PromptTokens)
+	}
+	return cost
+}
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -17,7 +17,9 @@
 	peers map[string]Load
 	// outputs is the mean number of generated tokens per workspace.
 	outputs map[string]float64
-	out     []Command
+	// turns is the mean number of turns of ended programs per workspace.
+	turns map[string]float64
+	out   []Command
 
 	toolPauses pauseModel
 	stopPauses pauseModel
@@ -57,6 +59,7 @@
 		calls:     map[callKey]*callRow{},
 		peers:     map[string]Load{},
 		outputs:   map[string]float64{},
+		turns:     map[string]float64{},
 
 		toolPauses: newPauseModel(),
 		stopPauses: newPauseModel(),
