--- a/core/jksched/event.go
+++ b/core/jksched/event.go
@@ -64,6 +64,7 @@
 	}
 	delete(q.calls, callKey{call, endpoint})
 	delete(cr.row.running, call)
+	cr.row.memory -= q.memory(cr.call)
 	if !cr.short {
 		cr.row.runningLong--
 	}
@@ -83,9 +84,6 @@
 	}
 }
 
-// CacheEvent takes an engine's late notice about its cache.
-func (q *Queue) CacheEvent(_ time.Time, _ CacheEvent) {}
-
 // Loads returns the digests of the owned endpoints for heartbeats.
 func (q *Queue) Loads(now time.Time) []Load {
 	out := make([]Load, 0, len(q.order))
@@ -94,6 +92,7 @@
 			Endpoint: r.endpoint.ID, At: now, Running: len(r.running), Queued: r.queued(), Limit: r.limit,
 			PredictedWait: q.predictedWait(r), TokenPace: r.pace, PrefillPace: r.prefill, Breaker: r.breaker,
 			Model: modelOf(r.endpoint), CurrentPace: r.window.current,
+			CacheShare: r.cacheShare(), HotPrefixes: q.hotPrefixes(now, r),
 		}
 		out = append(out, l)
 	}
--- a/core/jksched/hold.go
+++ b/core/jksched/hold.go
@@ -114,6 +114,20 @@
 	}
 	h.workspace, h.turn = c.Workspace, uint32(c.Turn)
 	h.calls++
+	row.resize(h, max(h.tokens, historyTokens(c)))
+}
+
+func (r *queueRow) resize(h *heldProgram, tokens int64) {
+	r.heldTokens += tokens - h.tokens
+	h.tokens = tokens
+}
+
+// historyTokens is the prompt without the workspace's shared part.
+func historyTokens(c Call) int64 {
+	if len(c.Prefix) == 0 {
+		return c.PromptTokens
+	}
+	return max(c.PromptTokens-c.Prefix[0].Tokens, 0)
 }
 
 // dropCall ends a call of the program on the endpoint.
@@ -125,9 +139,10 @@
 	h.calls--
 	switch r.Outcome {
 	case OutcomeCompleted:
-		h.tokens, h.tools = c.PromptTokens+r.Generated, r.ToolCalls
+		row.resize(h, historyTokens(c)+r.Generated)
+		h.tools = r.ToolCalls
 	case OutcomeCancelled, OutcomeFailed:
-		h.tokens = max(h.tokens, c.PromptTokens)
+		row.resize(h, max(h.tokens, historyTokens(c)))
 	}
 	if h.calls > 0 {
 		return
@@ -139,6 +154,7 @@
 }
 
 func (q *Queue) release(row *queueRow, program string, reason Reason) {
+	row.resize(row.held[program], 0)
 	delete(row.held, program)
 	q.emit(Command{
 		Kind: CommandReleaseCache, Call: Call{Program: program, Kind: KindModel},
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -110,6 +110,9 @@
 	// PrefillPace is the time per prompt token that isn't cached.
 	PrefillPace time.Duration
 	Breaker     Breaker
+	// CacheShare is the memory of running and paused programs as a share of the
+	// endpoint's cache.
+	CacheShare  float64
 	HotPrefixes []Segment
 }
 
@@ -138,6 +141,7 @@
 	ReasonEnded      Reason = "program_ended"
 	ReasonIdle       Reason = "idle"
 	ReasonMoved      Reason = "moved"
+	ReasonEvicted    Reason = "evicted"
 	ReasonCancelled  Reason = "cancelled"
 )
 
@@ -180,6 +184,9 @@
 	Endpoint   string
 	Reason     Reason
 	RetryAfter time.Duration
+	// EnginePriority of a dispatch is what to ask of engines that honour
+	// priorities: 1 for short calls, else 0; higher runs first.
+	EnginePriority int
 }
 
 // Outcome is how a run of a call ended.
--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -27,6 +27,12 @@
 	// number of running calls.
 	BatchShare float64
 
+	// CacheFull is the share of an endpoint's cache above which new programs
+	// pay for the caches they evict; EvictCost is the price at a full cache, as a
+	// multiple of their own prefill.
+	CacheFull float64
+	EvictCost float64
+
 	// MaxQueued bounds the waiting calls per endpoint, as a multiple of slots.
 	MaxQueued int
 	// AgeStep is the waiting time that weighs as much as a doubling of the
@@ -84,6 +90,7 @@
 	return Options{
 		Sample: 4, Holders: 4,
 		TokenPace: 25 * time.Millisecond, PrefillPace: 50 * time.Microsecond, OutputTokens: 200, BatchShare: 0.3,
+		CacheFull: 0.6, EvictCost: 4,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
 		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second, EndBonus: time.Second,
 		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -16,6 +16,7 @@
 	slices.SortStableFunc(found, func(a, b candidate) int { return int(a.cost - b.cost) })
 	best := found[0]
 	best.row.placed = append(best.row.placed, now)
+	p.heatUp(now, c)
 	out := Placement{Endpoint: best.row.endpoint.ID, PredictedWait: best.wait}
 	for _, f := range found[1:] {
 		out.Alternatives = append(out.Alternatives, f.row.endpoint.ID)
@@ -23,6 +24,23 @@
 	return out, nil
 }
 
+// heatUp counts a use of the shared prompt; all counts halve every heatHalfLife.
+func (p *Placer) heatUp(now time.Time, c Call) {
+	if now.Sub(p.cooled) >= heatHalfLife {
+		p.cooled = now
+		for hash, n := range p.heat {
+			if n < 1 {
+				delete(p.heat, hash)
+				continue
+			}
+			p.heat[hash] = n / 2
+		}
+	}
+	if len(c.Prefix) > 0 {
+		p.heat[c.Prefix[0].Hash]++
+	}
+}
+
 // candidates returns a bounded number of endpoints: where the program's history
 // is, holders of its shared prefix, and a sample of the own zone and of all.
 func (p *Placer) candidates(c Call, exclude []string) []candidate {
@@ -95,7 +113,7 @@
 	// The batch's share counts twice: for the call and for those beside it.
 	batch := 2 * p.opt.BatchShare * float64(running) / float64(slots)
 	cost = wait + time.Duration(float64(output*full)*(1-p.opt.BatchShare+batch))
-	cost += time.Duration(c.PromptTokens-p.cached(c, row)) * prefill * time.Duration(1+running)
+	cost += time.Duration(p.uncached(c, row)) * prefill * time.Duration(1+running)
 	if p.opt.Delay != nil {
 		cost += 2 * p.opt.Delay(p.opt.Zone, row.endpoint.Zone)
 	}
@@ -124,13 +142,24 @@
 	return time.Duration(over) * service / time.Duration(max(row.endpoint.Slots, 1))
 }
 
-// cached estimates how many tokens of the prompt the endpoint holds.
-func (p *Placer) cached(c Call, row *placerRow) int64 {
-	if known, ok := p.programs[c.Program]; ok && known.row == row {
-		return min(known.tokens, c.PromptTokens)
+// uncached estimates how many tokens of the prompt the endpoint has to
+// prefill. A shared prompt that it doesn't hold serves later calls too, so that
+// its cost is divided by the workspace's heat and hot prompts spread. A program
+// that is new to an endpoint short of memory evicts others, whose prefill is
+// charged as well.
+func (p *Placer) uncached(c Call, row *placerRow) float64 {
+	known, ok := p.programs[c.Program]
+	if ok && known.row == row {
+		return float64(max(c.PromptTokens-known.tokens, 0))
+	}
+	shared := int64(0)
+	if len(c.Prefix) > 0 {
+		shared = min(c.Prefix[0].Tokens, c.PromptTokens)
 	}
-	if len(c.Prefix) > 0 && slices.Contains(p.holders[c.Prefix[0].Hash], row) {
-		return min(c.Prefix[0].Tokens, c.PromptTokens)
+	full := (row.load.CacheShare - p.opt.CacheFull) / (1 - p.opt.CacheFull)
+	tokens := float64(c.PromptTokens-shared) * (1 + p.opt.EvictCost*min(max(full, 0), 1))
+	if shared > 0 && !slices.Contains(p.holders[c.Prefix[0].Hash], row) {
+		tokens += float64(shared) / (1 + p.heat[c.Prefix[0].Hash])
 	}
-	return 0
+	return tokens
 }
--- a/core/jksched/placer.go
+++ b/core/jksched/placer.go
@@ -18,6 +18,9 @@
 	holders  map[string][]*placerRow
 	// outputs is the mean number of generated tokens per workspace.
 	outputs map[string]float64
+	// heat is the recent number of uses per shared prompt.
+	heat    map[string]float64
+	cooled  time.Time
 	scratch []candidate
 }
 
@@ -61,6 +64,7 @@
 		programs:  map[string]programRow{},
 		holders:   map[string][]*placerRow{},
 		outputs:   map[string]float64{},
+		heat:      map[string]float64{},
 	}
 }
 
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -215,18 +215,49 @@
 	}
 }
 
+// dispatch starts waiting calls while slots and memory last. A call that
+// doesn't fit into the memory would block the engine's own queue.
 func (q *Queue) dispatch(now time.Time, row *queueRow) {
 	for row.endpoint.State == StateLive && len(row.running) < row.limit {
 		cr := row.next(q.reserve(row))
-		if cr == nil {
-			return
+		if cr != nil && !q.fits(row, cr) && !cr.short && len(row.short) > 0 {
+			cr = row.short[0]
 		}
-		heap.Remove(row.heapOf(cr), cr.index)
-		cr.dispatched = now
-		row.running[cr.call.ID] = cr
-		if !cr.short {
-			row.runningLong++
+		if cr == nil || !q.fits(row, cr) {
+			return
 		}
-		q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID})
+		q.start(now, row, cr)
+	}
+}
+
+func (q *Queue) start(now time.Time, row *queueRow, cr *callRow) {
+	heap.Remove(row.heapOf(cr), cr.index)
+	cr.dispatched = now
+	row.running[cr.call.ID] = cr
+	row.memory += q.memory(cr.call)
+	priority := 1
+	if !cr.short {
+		row.runningLong++
+		priority = 0
+	}
+	q.touchShared(now, row, cr.call)
+	q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID, EnginePriority: priority})
+}
+
+// fits reports whether the endpoint's memory has room for the call beside the
+// running ones; a call alone always fits.
+func (q *Queue) fits(row *queueRow, cr *callRow) bool {
+	if row.endpoint.CacheTokens == 0 || len(row.running) == 0 {
+		return true
+	}
+	return row.memory+q.memory(cr.call) <= row.endpoint.CacheTokens
+}
+
+// memory is what a running call needs at most beside the shared prompt.
+func (q *Queue) memory(c Call) int64 {
+	need := c.PromptTokens + c.MaxTokens
+	if len(c.Prefix) > 0 {
+		need -= c.Prefix[0].Tokens
 	}
+	return need
 }
--- a/core/jksched/row.go
+++ b/core/jksched/row.go
@@ -31,7 +31,11 @@
 	// held lists the programs whose cache the endpoint may hold.
 	held      map[string]*heldProgram
 	nextSweep time.Time
-	report    Report
+	// heldTokens is the sum over held; memory is what running calls may need.
+	heldTokens int64
+	memory     int64
+	shared     map[string]*sharedPrefix
+	report     Report
 }
 
 func newQueueRow(e Endpoint, opt Options) *queueRow {
@@ -39,6 +43,7 @@
 		endpoint: e,
 		running:  map[string]*callRow{},
 		held:     map[string]*heldProgram{},
+		shared:   map[string]*sharedPrefix{},
 		limit:    e.Slots,
 		breaker:  BreakerClosed,
 		service:  time.Duration(opt.OutputTokens) * opt.TokenPace,
@@ -47,6 +52,13 @@
 
 func (r *queueRow) queued() int { return len(r.short) + len(r.long) }
 
+func (r *queueRow) cacheShare() float64 {
+	if r.endpoint.CacheTokens == 0 {
+		return 0
+	}
+	return float64(r.heldTokens) / float64(r.endpoint.CacheTokens)
+}
+
 func (r *queueRow) heapOf(cr *callRow) *callHeap {
 	if cr.short {
 		return &r.short
--- a/jasmineknotbench/jkpolicy/engine.go
+++ b/jasmineknotbench/jkpolicy/engine.go
@@ -20,6 +20,7 @@
 	started     bool
 	cancelled   bool
 	second      bool
+	priority    int
 	firstToken  time.Duration
 	submitted   time.Duration
 }
@@ -69,20 +70,32 @@
 	if !e.stepping {
 		return
 	}
-	decoding, prefill := 0, int64(0)
-	chunks := make([]int64, len(e.running))
-	for i, j := range e.running {
+	decoding := 0
+	for _, j := range e.running {
 		if j.prefillLeft == 0 {
 			decoding++
-			continue
 		}
-		chunks[i] = min(j.prefillLeft, e.spec.ChunkTokens-prefill)
-		prefill += chunks[i]
 	}
+	chunks, prefill := e.chunks()
 	d := e.spec.step(decoding, prefill)
 	e.sim.after(time.Duration(float64(d)*e.factor()), func() { e.end(chunks) })
 }
 
+// chunks shares the prefill of one step among the jobs: by priority, then in
+// the order of their start.
+func (e *engine) chunks() (chunks []int64, total int64) {
+	chunks = make([]int64, len(e.running))
+	for _, priority := range []int{1, 0} {
+		for i, j := range e.running {
+			if j.priority == priority && j.prefillLeft > 0 {
+				chunks[i] = min(j.prefillLeft, e.spec.ChunkTokens-total)
+				total += chunks[i]
+			}
+		}
+	}
+	return chunks, total
+}
+
 func (e *engine) factor() float64 {
 	for _, s := range e.slow {
 		if e.sim.now >= s.from && e.sim.now < s.to {
--- a/jasmineknotbench/jkpolicy/scheduler.go
+++ b/jasmineknotbench/jkpolicy/scheduler.go
@@ -192,7 +192,7 @@
 	switch c.Kind {
 	case jksched.CommandDispatch:
 		j := s.w.newJob(req)
-		j.second = c.Call.Second
+		j.second, j.priority = c.Call.Second, c.EnginePriority
 		req.jobs = append(req.jobs, j)
 		s.w.sim.after(local, func() {
 			s.queues[zone].Started(s.w.sim.clock(), c.Call.ID, e.id)
