sched: move programs only for a clear gain

Cause: the trace shows placements away from the cached history for gains of a few percent, and mass moves after false verdicts of slowness during prefill. Ruled out: a longer pace window; it would find real slowdowns too late.

--- a/core/jksched/admit.go
+++ b/core/jksched/admit.go
@@ -84,9 +84,5 @@
 
 // output is the expected number of generated tokens.
 func (q *Queue) output(c Call) int64 {
-	mean, ok := q.outputs[c.Workspace]
-	if !ok {
-		mean = float64(q.opt.OutputTokens)
-	}
-	return max(min(c.MaxTokens, int64(mean)), 1)
+	return q.outputs.expect(c, q.opt.OutputTokens)
 }
--- a/core/jksched/event.go
+++ b/core/jksched/event.go
@@ -1,6 +1,9 @@
 package jksched
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // smoothing is the weight of a new measurement in the moving means.
 const smoothing = 0.2
@@ -12,13 +15,35 @@
 	return mean + time.Duration(smoothing*float64(sample-mean))
 }
 
-// learnOutput updates the mean number of generated tokens of a workspace.
-func learnOutput(means map[string]float64, workspace string, generated int64) {
-	mean, ok := means[workspace]
+// outputKey groups calls with answers of similar length: those of one workspace
+// whose limits lie within the same doubling.
+type outputKey struct {
+	workspace string
+	limit     int
+}
+
+// outputMeans holds the mean number of generated tokens per group.
+type outputMeans map[outputKey]float64
+
+func keyOf(c Call) outputKey {
+	return outputKey{c.Workspace, bits.Len64(uint64(max(c.MaxTokens, 0)))}
+}
+
+func (m outputMeans) learn(c Call, generated int64) {
+	mean, ok := m[keyOf(c)]
 	if !ok {
 		mean = float64(generated)
 	}
-	means[workspace] = mean + smoothing/4*(float64(generated)-mean)
+	m[keyOf(c)] = mean + smoothing/4*(float64(generated)-mean)
+}
+
+// expect returns the expected number of generated tokens of the call.
+func (m outputMeans) expect(c Call, unknown int64) int64 {
+	mean, ok := m[keyOf(c)]
+	if !ok {
+		mean = float64(unknown)
+	}
+	return max(min(c.MaxTokens, int64(mean)), 1)
 }
 
 // learnPace scales the pace of a finished call to a full batch. It is smoothed
@@ -47,6 +72,7 @@
 	}
 	if cr.firstToken.IsZero() {
 		cr.firstToken = now
+		cr.row.window.prefill += time.Duration(cr.uncached) * q.opt.PrefillPace * time.Duration(cr.row.decoding)
 		cr.row.decoding++
 	} else {
 		cr.row.window.tokens += n
@@ -79,7 +105,7 @@
 	if r.Outcome == OutcomeCompleted {
 		cr.row.faults = 0
 		cr.row.service = smooth(cr.row.service, now.Sub(cr.dispatched))
-		learnOutput(q.outputs, cr.call.Workspace, r.Generated)
+		q.outputs.learn(cr.call, r.Generated)
 		q.learnPace(now, cr)
 	}
 }
--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -33,6 +33,10 @@
 	CacheFull float64
 	EvictCost float64
 
+	// MoveMargin is the share of the predicted cost by which another endpoint has
+	// to be better than the one that holds the program's history.
+	MoveMargin float64
+
 	// MaxQueued bounds the waiting calls per endpoint, as a multiple of slots.
 	MaxQueued int
 	// AgeStep is the waiting time that weighs as much as a doubling of the
@@ -90,11 +94,11 @@
 	return Options{
 		Sample: 4, Holders: 4,
 		TokenPace: 25 * time.Millisecond, PrefillPace: 50 * time.Microsecond, OutputTokens: 200, BatchShare: 0.3,
-		CacheFull: 0.6, EvictCost: 4,
+		CacheFull: 0.6, EvictCost: 4, MoveMargin: 0.2,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
 		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second, EndBonus: time.Second,
 		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, PaceTarget: 60 * time.Millisecond,
-		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.2, RecoverFactor: 1.4,
+		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.6, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
 		IdleHold: 120 * time.Second, StopHold: 12 * time.Second,
 		HoldRate: 1.0 / 120, CacheHighWater: 0.9, SweepEvery: 500 * time.Millisecond,
--- a/core/jksched/pace.go
+++ b/core/jksched/pace.go
@@ -12,6 +12,8 @@
 	tokens int64
 	// exposure is the time that decoding calls waited for those tokens.
 	exposure time.Duration
+	// prefill is the part of exposure spent on the prefill of other calls.
+	prefill time.Duration
 	// current is the result of the last full window; zero if it saw too little.
 	current time.Duration
 	// slow and fine count consecutive windows beyond the limits.
@@ -36,9 +38,10 @@
 	}
 	w.current = 0
 	if w.exposure >= minExposure {
-		w.current = w.exposure / time.Duration(max(w.tokens, 1))
+		// At most half is taken off, because the prefill is only an estimate.
+		w.current = (w.exposure - min(w.prefill, w.exposure/2)) / time.Duration(max(w.tokens, 1))
 	}
-	w.began, w.tokens, w.exposure = now, 0, 0
+	w.began, w.tokens, w.exposure, w.prefill = now, 0, 0, 0
 	q.judge(now, row)
 }
 
--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -81,6 +81,9 @@
 		}
 	}
 	cost, wait := p.cost(c, row)
+	if known, ok := p.programs[c.Program]; ok && known.row == row {
+		cost -= time.Duration(p.opt.MoveMargin * float64(cost))
+	}
 	p.scratch = append(p.scratch, candidate{row: row, cost: cost, wait: wait})
 }
 
@@ -122,11 +125,7 @@
 
 // output is the expected number of generated tokens.
 func (p *Placer) output(c Call) int64 {
-	mean, ok := p.outputs[c.Workspace]
-	if !ok {
-		mean = float64(p.opt.OutputTokens)
-	}
-	return max(min(c.MaxTokens, int64(mean)), 1)
+	return p.outputs.expect(c, p.opt.OutputTokens)
 }
 
 // ownWait is the wait caused by the home's placements since the digest.
--- a/core/jksched/placer.go
+++ b/core/jksched/placer.go
@@ -16,8 +16,7 @@
 	byZone   map[zoneTarget][]*placerRow
 	programs map[string]programRow
 	holders  map[string][]*placerRow
-	// outputs is the mean number of generated tokens per workspace.
-	outputs map[string]float64
+	outputs  outputMeans
 	// heat is the recent number of uses per shared prompt.
 	heat    map[string]float64
 	cooled  time.Time
@@ -63,7 +62,7 @@
 		byZone:    map[zoneTarget][]*placerRow{},
 		programs:  map[string]programRow{},
 		holders:   map[string][]*placerRow{},
-		outputs:   map[string]float64{},
+		outputs:   outputMeans{},
 		heat:      map[string]float64{},
 	}
 }
@@ -176,7 +175,7 @@
 	if known, ok := p.programs[c.Program]; ok && known.row != row {
 		stale = known.row.endpoint.ID
 	}
-	learnOutput(p.outputs, c.Workspace, r.Generated)
+	p.outputs.learn(c, r.Generated)
 	p.programs[c.Program] = programRow{row: row, tokens: c.PromptTokens + r.Generated}
 	return stale
 }
--- a/core/jksched/prefix.go
+++ b/core/jksched/prefix.go
@@ -40,6 +40,18 @@
 	s.tokens, s.used = c.Prefix[0].Tokens, now
 }
 
+// uncached estimates how many tokens of the prompt the endpoint has to prefill.
+func (q *Queue) uncached(row *queueRow, c Call) int64 {
+	need := historyTokens(c)
+	if h, ok := row.held[c.Program]; ok {
+		need -= min(h.tokens, need)
+	}
+	if len(c.Prefix) > 0 && row.shared[c.Prefix[0].Hash] == nil {
+		need += c.Prefix[0].Tokens
+	}
+	return need
+}
+
 // hotPrefixes returns the most used shared prompts of the endpoint.
 func (q *Queue) hotPrefixes(now time.Time, row *queueRow) []Segment {
 	out := make([]Segment, 0, len(row.shared))
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -12,11 +12,10 @@
 	opt       Options
 	endpoints map[string]*queueRow
 	// order lists the endpoints by id, so that a tick is deterministic.
-	order []*queueRow
-	calls map[callKey]*callRow
-	peers map[string]Load
-	// outputs is the mean number of generated tokens per workspace.
-	outputs map[string]float64
+	order   []*queueRow
+	calls   map[callKey]*callRow
+	peers   map[string]Load
+	outputs outputMeans
 	// turns is the mean number of turns of ended programs per workspace.
 	turns map[string]float64
 	out   []Command
@@ -45,10 +44,12 @@
 	dispatched time.Time
 	firstToken time.Time
 	tokens     int64
-	index      int
-	short      bool
-	seconded   bool
-	cancelled  bool
+	// uncached is the expected number of prompt tokens to prefill.
+	uncached  int64
+	index     int
+	short     bool
+	seconded  bool
+	cancelled bool
 }
 
 // NewQueue returns an empty queue.
@@ -58,7 +59,7 @@
 		endpoints: map[string]*queueRow{},
 		calls:     map[callKey]*callRow{},
 		peers:     map[string]Load{},
-		outputs:   map[string]float64{},
+		outputs:   outputMeans{},
 		turns:     map[string]float64{},
 
 		toolPauses: newPauseModel(),
@@ -117,6 +118,7 @@
 		return err
 	}
 	cr := &callRow{call: c, row: row, pushed: now, key: q.orderKey(now, c), short: q.isShort(c)}
+	cr.uncached = q.uncached(row, c)
 	q.calls[key] = cr
 	heap.Push(row.heapOf(cr), cr)
 	q.holdCall(now, row, c)
