--- a/core/jksched/hold.go
+++ b/core/jksched/hold.go
@@ -8,7 +8,9 @@
 
 // heldProgram is a program's cache on an endpoint.
 type heldProgram struct {
-	tokens int64
+	tokens    int64
+	workspace string
+	turn      uint32
 	// idle is when the last call ended, in Unix nanoseconds; zero while a call
 	// of the program waits or runs here.
 	idle  int64
@@ -110,7 +112,22 @@
 		q.pauses(h.tools).observe(time.Duration(now.UnixNano()-h.idle), true)
 		h.idle = 0
 	}
+	h.workspace, h.turn = c.Workspace, uint32(c.Turn)
 	h.calls++
+	row.resize(h, max(h.tokens, historyTokens(c)))
+}
+
+func (r *queueRow) resize(h *heldProgram, tokens int64) {
+	r.heldTokens += tokens - h.tokens
+	h.tokens = tokens
+}
+
+// historyTokens is the prompt without the workspace's shared part.
+func historyTokens(c Call) int64 {
+	if len(c.Prefix) == 0 {
+		return c.PromptTokens
+	}
+	return max(c.PromptTokens-c.Prefix[0].Tokens, 0)
 }
 
 // dropCall ends a call of the program on the endpoint.
@@ -122,9 +139,10 @@
 	h.calls--
 	switch r.Outcome {
 	case OutcomeCompleted:
-		h.tokens, h.tools = c.PromptTokens+r.Generated, r.ToolCalls
+		row.resize(h, historyTokens(c)+r.Generated)
+		h.tools = r.ToolCalls
 	case OutcomeCancelled, OutcomeFailed:
-		h.tokens = max(h.tokens, c.PromptTokens)
+		row.resize(h, max(h.tokens, historyTokens(c)))
 	}
 	if h.calls > 0 {
 		return
@@ -136,6 +154,7 @@
 }
 
 func (q *Queue) release(row *queueRow, program string, reason Reason) {
+	row.resize(row.held[program], 0)
 	delete(row.held, program)
 	q.emit(Command{
 		Kind: CommandReleaseCache, Call: Call{Program: program, Kind: KindModel},
@@ -169,6 +188,11 @@
 		return
 	}
 	if reason == ReasonEnded {
+		mean, known := q.turns[h.workspace]
+		if !known {
+			mean = float64(h.turn + 1)
+		}
+		q.turns[h.workspace] = mean + smoothing/4*(float64(h.turn+1)-mean)
 		q.pauses(h.tools).observe(time.Duration(now.UnixNano()-h.idle), false)
 	}
 	q.release(row, program, reason)
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -12,15 +12,20 @@
 	opt       Options
 	endpoints map[string]*queueRow
 	// order lists the endpoints by id, so that a tick is deterministic.
-	order []*queueRow
-	calls map[callKey]*callRow
-	peers map[string]Load
-	// outputs is the mean number of generated tokens per workspace.
-	outputs map[string]float64
-	out     []Command
+	order   []*queueRow
+	calls   map[callKey]*callRow
+	peers   map[string]Load
+	outputs outputMeans
+	// turns is the mean number of turns of ended programs per workspace.
+	turns map[string]float64
+	out   []Command
 
 	toolPauses pauseModel
 	stopPauses pauseModel
+	// tokens and spent are the tokens of all work and of second dispatches.
+	tokens float64
+	spent  float64
+	paces  []time.Duration
 }
 
 // callKey names one run: both copies of a second dispatch may be in one queue.
@@ -39,9 +44,12 @@
 	dispatched time.Time
 	firstToken time.Time
 	tokens     int64
-	index      int
-	short      bool
-	cancelled  bool
+	// uncached is the expected number of prompt tokens to prefill.
+	uncached  int64
+	index     int
+	short     bool
+	seconded  bool
+	cancelled bool
 }
 
 // NewQueue returns an empty queue.
@@ -51,7 +59,8 @@
 		endpoints: map[string]*queueRow{},
 		calls:     map[callKey]*callRow{},
 		peers:     map[string]Load{},
-		outputs:   map[string]float64{},
+		outputs:   outputMeans{},
+		turns:     map[string]float64{},
 
 		toolPauses: newPauseModel(),
 		stopPauses: newPauseModel(),
@@ -109,6 +118,7 @@
 		return err
 	}
 	cr := &callRow{call: c, row: row, pushed: now, key: q.orderKey(now, c), short: q.isShort(c)}
+	cr.uncached = q.uncached(row, c)
 	q.calls[key] = cr
 	heap.Push(row.heapOf(cr), cr)
 	q.holdCall(now, row, c)
@@ -149,6 +159,10 @@
 	for _, row := range q.order {
 		q.handBack(now, row)
 		q.expire(now, row)
+		q.observePace(now, row)
+		q.reopen(now, row)
+		q.ramp(now, row)
+		q.second(row)
 		q.dispatch(now, row)
 		q.sweep(now, row)
 	}
@@ -203,18 +217,49 @@
 	}
 }
 
+// dispatch starts waiting calls while slots and memory last. A call that
+// doesn't fit into the memory would block the engine's own queue.
 func (q *Queue) dispatch(now time.Time, row *queueRow) {
 	for row.endpoint.State == StateLive && len(row.running) < row.limit {
 		cr := row.next(q.reserve(row))
-		if cr == nil {
-			return
+		if cr != nil && !q.fits(row, cr) && !cr.short && len(row.short) > 0 {
+			cr = row.short[0]
 		}
-		heap.Remove(row.heapOf(cr), cr.index)
-		cr.dispatched = now
-		row.running[cr.call.ID] = cr
-		if !cr.short {
-			row.runningLong++
+		if cr == nil || !q.fits(row, cr) {
+			return
 		}
-		q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID})
+		q.start(now, row, cr)
+	}
+}
+
+func (q *Queue) start(now time.Time, row *queueRow, cr *callRow) {
+	heap.Remove(row.heapOf(cr), cr.index)
+	cr.dispatched = now
+	row.running[cr.call.ID] = cr
+	row.memory += q.memory(cr.call)
+	priority := 1
+	if !cr.short {
+		row.runningLong++
+		priority = 0
+	}
+	q.touchShared(now, row, cr.call)
+	q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID, EnginePriority: priority})
+}
+
+// fits reports whether the endpoint's memory has room for the call beside the
+// running ones; a call alone always fits.
+func (q *Queue) fits(row *queueRow, cr *callRow) bool {
+	if row.endpoint.CacheTokens == 0 || len(row.running) == 0 {
+		return true
+	}
+	return row.memory+q.memory(cr.call) <= row.endpoint.CacheTokens
+}
+
+// memory is what a running call needs at most beside the shared prompt.
+func (q *Queue) memory(c Call) int64 {
+	need := c.PromptTokens + c.MaxTokens
+	if len(c.Prefix) > 0 {
+		need -= c.Prefix[0].Tokens
 	}
+	return need
 }
