config: write the reference page and hold the whole document every 1,000 revisions

Cause: a reference that is written by hand falls behind the schemas, and a whole document every 100 revisions would take 44 GB a year at the planned size. Ruled out: a record that names the newest revision; 29 reads find it after a year (go test ./core/jkconfig -run Year -v).

--- a/core/jkconfig/change.go
+++ b/core/jkconfig/change.go
@@ -19,7 +19,7 @@
 	// blockSize is the number of revisions from one with the whole document to
 	// the next. It is a power of ten, so that one list by key prefix returns a
 	// block. docs/decisions/configuration.md has the arithmetic.
-	blockSize = 100
+	blockSize = 1000
 	// packAbove is the size in bytes from which a patch is compressed.
 	packAbove = 16 << 10
 	// maxPacked bounds the compressed document in bytes, so that base64 text
@@ -42,7 +42,7 @@
 	Patch  json.RawMessage `json:"patch,omitempty"`
 	Packed []byte          `json:"packed,omitempty"`
 	// Document is the whole document after the change in the form of
-	// Document.Snapshot. Each revision divisible by 100 has it.
+	// Document.Snapshot. Each revision divisible by 1000 has it.
 	Document []byte `json:"document,omitempty"`
 	// Position is the platform's version of the record. It isn't stored there.
 	Position uint64 `json:"position,omitempty"`
@@ -52,7 +52,7 @@
 
 // blockKey is the common prefix of the keys of a block.
 func blockKey(block uint64) string {
-	return fmt.Sprintf("%s%0*d", keyPrefix, keyDigits-2, block)
+	return fmt.Sprintf("%s%0*d", keyPrefix, keyDigits-3, block)
 }
 
 func (c Change) hasPatch() bool { return len(c.Patch) > 0 || len(c.Packed) > 0 }
--- a/core/jkconfig/document_test.go
+++ b/core/jkconfig/document_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -150,11 +151,19 @@
 		t.Fatal(err)
 	}
 	text, _ := d.Text(SectionEndpoints)
-	t.Logf("endpoints section %d bytes, packed document %d bytes, limit %d", len(text), len(packed), maxPacked)
+	change := Change{
+		Revision: d.revision + 1, EditID: "00000000-0000-0000-0000-000000000000", Team: "site", Base: d.revision,
+		Section: SectionEndpoints, At: time.Unix(1800000000, 0), Patch: []byte(`{"entries":{"engine-00000":{"state":"leaving"}}}`),
+	}
+	record, err := change.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("endpoints section %d bytes, packed document %d bytes, limit %d, record of one change %d bytes",
+		len(text), len(packed), maxPacked, len(record))
 	if len(packed) > maxPacked/2 {
 		t.Fatalf("packed document has %d bytes, want at most half of the limit %d", len(packed), maxPacked)
 	}
-	change := Change{Revision: d.revision + 1, Section: SectionEndpoints, Patch: []byte(`{"entries":{"engine-00000":{"state":"leaving"}}}`)}
 	if _, err := d.apply(change); err != nil {
 		t.Fatal(err)
 	}
--- a/core/jkconfig/editor.go
+++ b/core/jkconfig/editor.go
@@ -25,7 +25,7 @@
 	editTimeout = 10 * time.Second
 	// maxHistory is the number of revisions that an edit's base may be behind
 	// when its section has been changed since; about half an hour at 48,000
-	// changes a day. The search for the edit's id reads ten blocks at most.
+	// changes a day. The search for the edit's id reads two blocks at most.
 	maxHistory = 1000
 )
 
--- a/core/jkconfig/follower_test.go
+++ b/core/jkconfig/follower_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"testing"
 
+	"jasmineknot.example/core/jkplatform"
 	"jasmineknot.example/core/jkstandin"
+	"jasmineknot.example/core/jktimer"
 )
 
 // Guards against a watcher that misses revisions during an outage.
@@ -110,16 +112,45 @@
 	}
 }
 
+// fill writes revisions as editors would have, from the first one of a block.
+// Block 0 is left empty; nothing reads it.
+func (s *site) fill(h *host, from, until uint64) {
+	s.t.Helper()
+	d := Empty()
+	for n := from; n <= until; n++ {
+		d.revision = n - 1
+		c := Change{Revision: n, EditID: fmt.Sprint("e", n-1), Section: SectionBudgets, Patch: budgets(int(n))}
+		next, err := d.apply(c)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if n%blockSize == 0 {
+			if c.Document, err = next.Snapshot(); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+		value, err := c.encode()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if _, err := h.client.Create(s.t.Context(), key(n), value); err != nil {
+			s.t.Fatal(err)
+		}
+		d = next
+	}
+}
+
 // Guards against a cold start that reads all records ever written, and against
 // errors at the borders of blocks.
 func TestColdReadAcrossBlocks(t *testing.T) {
 	s := newSite(t)
 	h := s.host(false)
-	for n := range uint64(2*blockSize + 3) {
+	s.fill(h, blockSize, 2*blockSize-3)
+	if err := h.follower.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for n := uint64(2*blockSize - 3); n < 2*blockSize+3; n++ {
 		h.mustEdit(t, fmt.Sprint("e", n), n, budgets(int(n)+1))
-		if r := n + 1; r%blockSize > 1 && r%blockSize < blockSize-1 {
-			continue
-		}
 		cold := s.host(false)
 		before := s.platform.Counts().Reads
 		if err := cold.follower.Load(t.Context()); err != nil {
@@ -141,9 +172,30 @@
 		t.Fatal(err)
 	}
 	for _, f := range []*Follower{h.follower, cold.follower} {
-		history, err := f.History(t.Context(), blockSize+3, 5)
-		if err != nil || len(history) != 5 || history[0].Revision != blockSize+2 {
+		history, err := f.History(t.Context(), blockSize+8, 5)
+		if err != nil || len(history) != 5 || history[0].Revision != blockSize+7 {
 			t.Fatalf("%d changes: %v", len(history), err)
 		}
 	}
 }
+
+// Guards against a search for the newest revision whose cost grows with the
+// number of revisions: a year of 48,000 changes a day is 17,520 blocks.
+func TestSearchAfterAYear(t *testing.T) {
+	for _, last := range []uint64{0, 1, 2, 3, 1000, 17520} {
+		calls := 0
+		client := &jkplatform.Client{Get: func(_ context.Context, k string) (jkplatform.Record, error) {
+			calls++
+			if k > key(last*blockSize+1) {
+				return jkplatform.Record{}, &jkplatform.NotFoundError{Key: k}
+			}
+			return jkplatform.Record{Key: k}, nil
+		}}
+		r := &reader{client: client, timer: jktimer.New()}
+		got, err := r.lastBlock(t.Context())
+		if err != nil || got != last || calls > 40 {
+			t.Errorf("block %d, want %d, after %d reads: %v", got, last, calls, err)
+		}
+		t.Logf("block %d found by %d reads", last, calls)
+	}
+}
--- a/core/jksettings/defaults.go
+++ b/core/jksettings/defaults.go
@@ -1,8 +1,11 @@
 package jksettings
 
 import (
+	"encoding/json"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"jasmineknot.example/core/jkschema"
 )
 
@@ -37,3 +40,9 @@
 		},
 	}}
 }
+
+// DefaultText returns the defaults as JSON, for the reference page.
+func DefaultText() ([]byte, error) {
+	text, err := json.Marshal(Default().file)
+	return text, eris.Wrap(err, "encode defaults")
+}
