--- a/core/jkconfig/follower.go
+++ b/core/jkconfig/follower.go
@@ -77,7 +77,8 @@
 func (f *Follower) Revision() uint64 { return f.Newest().revision }
 
 // OnChange registers a function that is called with each new document in
-// order. It must not call Offer, OfferChanges or CatchUp.
+// order. The follower is locked meanwhile: only Newest and Revision may be
+// called.
 func (f *Follower) OnChange(run func(*Document)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/jkconfig/follower_test.go
+++ b/core/jkconfig/follower_test.go
@@ -199,3 +199,25 @@
 		t.Logf("block %d found by %d reads", last, calls)
 	}
 }
+
+// Guards against numbers that are equal but written differently: the merge
+// patch would leave the old text, and the edit would fail.
+func TestNumbersAreNormalised(t *testing.T) {
+	h := newSite(t).host(false)
+	for n, entry := range []string{
+		`{"max_running": 8, "retry_ratio": 0.1}`,
+		`{"max_running": 8.0, "retry_ratio": 0.10, "slow_factor": 2.50}`,
+		`{"max_running": 8e0, "retry_ratio": 1e-1, "max_queued": 0.0}`,
+	} {
+		edit := Edit{
+			ID: fmt.Sprint("e", n), Team: "site", Section: SectionCapacity, Base: uint64(n),
+			Value: fmt.Appendf(nil, `{"owner": "site", "entries": {"default": %s}}`, entry),
+		}
+		if _, err := h.editor.Apply(t.Context(), edit); err != nil {
+			t.Fatalf("%s: %v", entry, err)
+		}
+		if c := h.follower.Newest().Capacity("x"); c.MaxRunning() != 8 {
+			t.Fatalf("%s: max_running is %d", entry, c.MaxRunning())
+		}
+	}
+}
--- a/core/jkconfig/text.go
+++ b/core/jkconfig/text.go
@@ -13,13 +13,12 @@
 // document at the size of design section 2.6 has about 2 MB.
 const maxUnpacked = 64 << 20
 
-// normalise returns the JSON text with sorted keys and without white space, so
-// that equal sections have equal texts.
+// normalise returns the JSON text with sorted keys, without white space and with
+// one form for each number, so that equal sections have equal texts. The schema
+// keeps whole numbers within the 53 bits that a float64 holds exactly.
 func normalise(text []byte) ([]byte, error) {
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.UseNumber()
 	var value any
-	if err := d.Decode(&value); err != nil {
+	if err := json.Unmarshal(text, &value); err != nil {
 		return nil, eris.Wrap(err, "decode section")
 	}
 	out, err := json.Marshal(value)
--- a/core/jkconfig/validate.go
+++ b/core/jkconfig/validate.go
@@ -40,6 +40,10 @@
 
 // replace sets the table of a section from its whole text.
 func (t *tables) replace(s Section, text []byte) error {
+	text, err := normalise(text)
+	if err != nil {
+		return err
+	}
 	var f sectionFile
 	if err := json.Unmarshal(text, &f); err != nil {
 		return eris.Wrapf(err, "decode section %s", s)
--- a/core/jkplatform/http.go
+++ b/core/jkplatform/http.go
@@ -45,7 +45,11 @@
 // time.
 func withoutRedirects(client *http.Client) *http.Client {
 	if client == nil {
-		client = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		// A waiting watch holds one connection; the others serve calls at
+		// once, which would otherwise each open a new one.
+		transport.MaxIdleConnsPerHost = 16
+		client = &http.Client{Transport: transport}
 	}
 	own := *client
 	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/core/jksettings/settings.go
+++ b/core/jksettings/settings.go
@@ -5,6 +5,7 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"os"
 	"strconv"
 	"time"
@@ -105,11 +106,23 @@
 	}
 	s := Default()
 	if err := json.Unmarshal(text, &s.file); err != nil {
-		return Settings{}, eris.Wrapf(err, "decode %s", subject)
+		return Settings{}, undecodable(subject, err)
 	}
 	return s, jkschema.Report(subject, s.file.check())
 }
 
+// undecodable reports a value that passes the schema but not the decoder, such
+// as 8.0 for a whole number.
+func undecodable(subject string, err error) error {
+	var wrong *json.UnmarshalTypeError
+	if !errors.As(err, &wrong) {
+		return eris.Wrapf(err, "decode %s", subject)
+	}
+	return jkschema.Report(subject, []jkschema.FieldError{{
+		Field: wrong.Field, Value: wrong.Value, Allowed: "a value of type " + wrong.Type.String(),
+	}})
+}
+
 // check returns the problems that the schema can't express.
 func (f *file) check() []jkschema.FieldError {
 	problems := checkUnique("token_keys", "id", len(f.TokenKeys), func(i int) string { return f.TokenKeys[i].ID })
