bench: add measurement of the latency that the path adds

Ruled out: percentiles of the differences of pairs, because the two calls of a pair do not share their noise; the difference of percentiles is reported. After: `go test -race -count=3 ./jkpath` passes in jasmineknotbench against a site of the test that adds 20 ms. Conclusion: `jasmineknotbench path` has not run against the daemon yet.

--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -9,6 +9,7 @@
 
 	"jasmineknot.example/jasmineknotbench/jkenginecmd"
 	"jasmineknot.example/jasmineknotbench/jkload"
+	"jasmineknot.example/jasmineknotbench/jkpath"
 	"jasmineknot.example/jasmineknotbench/jkservicecmd"
 	"jasmineknot.example/jasmineknotbench/jktoolcmd"
 )
@@ -20,5 +21,7 @@
 	jkservicecmd.Register(app)
 	jktoolcmd.Register(app)
 	jkload.Register(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	jkpath.Register(app)
+	_, err := app.Parse(os.Args[1:])
+	app.FatalIfError(err, "")
 }
