endpoint: reuse connections of repeatable chat calls

Cause: a stream is not read to its end after the final event, so net/http closed the connection of every chat call. Ruled out: reading on without a limit, because an engine may keep its response open; the wait ends after 20 ms and the answer is complete either way. `go test -race -count=20 ./jkendpoint` (tests of this package) passes. Conclusion: calls that may not be repeated keep a connection of their own.

--- a/core/jkendpoint/chat.go
+++ b/core/jkendpoint/chat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -73,7 +74,26 @@
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), jkchat.ContentType) {
 		return ChatResult{}, a.failure(fmt.Errorf("answer has content type %q", resp.Header.Get("Content-Type")))
 	}
-	return c.readStream(resp, a, emit)
+	events := jkchat.NewEventReader(io.LimitReader(resp.Body, c.options.MaxStreamBytes), c.options.MaxEventBytes)
+	result, err := readStream(events, a, emit)
+	if err == nil && r.Repeatable {
+		drain(ctx, events, a)
+	}
+	return result, err
+}
+
+// drainTimeout is the time an engine has to end its response after the final
+// event. The connection of a slower one is closed instead of reused.
+const drainTimeout = 20 * time.Millisecond
+
+// drain reads the end of the response, without which the connection cannot be
+// reused.
+func drain(ctx context.Context, events *jkchat.EventReader, a *attempt) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, a.cancel)
+	defer stop()
+	_, _ = events.Next() // the answer is complete whatever follows
 }
 
 func (r ChatRequest) header() http.Header {
@@ -99,8 +119,7 @@
 // errStreamCut reports a stream that ended before its final event.
 var errStreamCut = errors.New("stream ended before its final event")
 
-func (c *Client) readStream(resp *http.Response, a *attempt, emit func(jkchat.Chunk) error) (ChatResult, error) {
-	events := jkchat.NewEventReader(io.LimitReader(resp.Body, c.options.MaxStreamBytes), c.options.MaxEventBytes)
+func readStream(events *jkchat.EventReader, a *attempt, emit func(jkchat.Chunk) error) (ChatResult, error) {
 	var join jkchat.Assembler
 	var result ChatResult
 	fail := func(err error) (ChatResult, error) {
--- a/core/jkendpoint/client_test.go
+++ b/core/jkendpoint/client_test.go
@@ -204,3 +204,42 @@
 		server.Close()
 	}
 }
+
+// Guards against a connection per repeatable call, which costs a handshake
+// each, against reuse by other calls, and against an engine that keeps its
+// response open after the final event.
+func TestChatReusesConnections(t *testing.T) {
+	for _, test := range []struct {
+		repeatable, open bool
+		connections      int64
+	}{{true, false, 1}, {false, false, 3}, {true, true, 3}} {
+		var connections atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", jkchat.ContentType)
+			_, _ = io.WriteString(w, `data: {"choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n")
+			if test.open {
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			}
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		c := New(Options{})
+		for range 3 {
+			got, err := c.Chat(t.Context(), server.Listener.Addr().String(), ChatRequest{Repeatable: test.repeatable},
+				func(jkchat.Chunk) error { return nil })
+			if err != nil || got.Message.Content.String() != "a" {
+				t.Fatalf("%+v: got %+v, %v", test, got, err)
+			}
+		}
+		if connections.Load() != test.connections {
+			t.Errorf("%+v: got %d connections", test, connections.Load())
+		}
+		c.Close()
+		server.Close()
+	}
+}
