--- a/core/jkstandin/engine.go
+++ b/core/jkstandin/engine.go
@@ -172,14 +172,14 @@
 		sequence = e.cache.sequence + 1000
 	}
 	e.cache = newEngineCache(e.options, sequence)
-	e.models, e.adapters = readyModels(e.options.Models), readyModels(e.options.Adapters)
+	e.models, e.adapters = engineReadyModels(e.options.Models), engineReadyModels(e.options.Adapters)
 	e.role = e.options.Role
 	e.queue, e.running, e.suspended = nil, nil, map[string]*engineSequence{}
 	e.reports = nil
 	e.record()
 }
 
-func readyModels(names []string) map[string]*engineModel {
+func engineReadyModels(names []string) map[string]*engineModel {
 	out := map[string]*engineModel{}
 	for _, name := range names {
 		out[name] = &engineModel{phase: jkendpoint.ModelReady}
--- a/core/jkstandin/engine_batch.go
+++ b/core/jkstandin/engine_batch.go
@@ -138,11 +138,11 @@
 
 // remove takes a sequence out of the batch and the queue. The caller holds mu.
 func (e *Engine) remove(s *engineSequence) {
-	e.running = without(e.running, s)
-	e.queue = without(e.queue, s)
+	e.running = engineWithout(e.running, s)
+	e.queue = engineWithout(e.queue, s)
 }
 
-func without(list []*engineSequence, s *engineSequence) []*engineSequence {
+func engineWithout(list []*engineSequence, s *engineSequence) []*engineSequence {
 	var out []*engineSequence
 	for _, other := range list {
 		if other != s {
