--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -139,13 +139,17 @@
 	}
 }
 
-// Release drops a program's cache at all endpoints of this host. It is retried
-// until the endpoint confirms it.
-func (d *Dispatcher) Release(program string) {
+// Release drops a program's cache at the named endpoints and wherever the queue
+// knows of one. It is retried until the endpoint confirms it. The names matter
+// after a change of dispatcher, when the new one has never seen the program.
+func (d *Dispatcher) Release(program string, endpoints []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue.ProgramEnded(d.options.Timer.Now(), program)
 	d.tick()
+	for _, id := range endpoints {
+		d.startRelease(program, id)
+	}
 }
 
 // Run queues a call, runs it and returns its result. Emit receives pieces of
@@ -203,7 +207,7 @@
 
 func (d *Dispatcher) apply(c jksched.Command) {
 	if c.Kind == jksched.CommandReleaseCache {
-		d.startRelease(c)
+		d.startRelease(c.Call.Program, c.Endpoint)
 		return
 	}
 	j := d.jobs[jobKey{call: c.Call.ID, endpoint: c.Endpoint}]
@@ -233,12 +237,12 @@
 	close(j.done)
 }
 
-func (d *Dispatcher) startRelease(c jksched.Command) {
-	addr := d.addrs[c.Endpoint]
+func (d *Dispatcher) startRelease(program, endpoint string) {
+	addr := d.addrs[endpoint]
 	if addr == "" {
 		return
 	}
-	r := release{program: c.Call.Program, addr: addr}
+	r := release{program: program, addr: addr}
 	if _, pending := d.unreleased[r]; pending {
 		return
 	}
--- a/core/jkhome/call.go
+++ b/core/jkhome/call.go
@@ -176,10 +176,15 @@
 }
 
 // complete records the finished call as a turn and signs the next token.
-func (h *Home) complete(ctx context.Context, r *run, a jkprogram.Admission, won jkmsg.DispatchResult) jkmsg.CallResult {
+func (h *Home) complete(ctx context.Context, r *run, a jkprogram.Admission, winner attempt) jkmsg.CallResult {
 	p := r.plan
 	id := p.message.Program
+	won := winner.result
+	if !p.repeatable && won.Outcome != jkprogram.OutcomeCompleted {
+		won.Outcome = jkprogram.OutcomeUnknown
+	}
 	result, err := h.turnOf(p, a, won)
+	result.Endpoint = winner.endpoint
 	if err != nil {
 		return h.fail(p, &ranError{problem: jkproblem.New(jkproblem.TypeEndpointFailed, err.Error())})
 	}
@@ -188,39 +193,39 @@
 	record, claims, err := h.core.Complete(h.options.Timer.Now(), id, result)
 	h.mu.Unlock()
 	if err != nil {
-		return h.lostHome(p, won)
+		return h.unrecorded(p, won)
 	}
 	if h.appendAll(context.WithoutCancel(ctx), record) == jkprogram.CopyFenced {
 		h.mu.Lock()
 		h.core.Supersede(id)
 		h.mu.Unlock()
-		return h.lostHome(p, won)
+		return h.unrecorded(p, won)
 	}
 	return h.turnResult(record.Turn, claims)
 }
 
-// lostHome answers a call that ended after another home had taken the program
-// over. The answer is not part of the program's history there. A repeatable
-// call is to be sent again; for any other the caller gets the answer, but no
-// token.
-func (h *Home) lostHome(p *plan, won jkmsg.DispatchResult) jkmsg.CallResult {
-	if p.repeatable || won.Outcome != jkprogram.OutcomeCompleted {
-		problem := jkproblem.New(jkproblem.TypeMoved, "the program was taken over while the call ran")
-		if !p.repeatable {
-			problem = problem.WithOutcome(jkprogram.OutcomeUnknown)
+// unrecorded answers a call that ended after its program had ended or another
+// home had taken it over. The answer is not part of the history there. A
+// repeatable call is to be sent again; for any other the caller gets the answer,
+// but no token.
+func (h *Home) unrecorded(p *plan, won jkmsg.DispatchResult) jkmsg.CallResult {
+	if !p.repeatable && won.Outcome == jkprogram.OutcomeCompleted {
+		return jkmsg.CallResult{
+			Outcome: won.Outcome, Status: won.Status, Header: answerHeader(won.Header), Body: won.Body, Program: p.message.Program,
 		}
-		return h.refusal(p.message, problem.WithOutcome(pick(p.repeatable, jkprogram.OutcomeFailed, jkprogram.OutcomeUnknown)), p.repeatable)
 	}
-	return jkmsg.CallResult{
-		Outcome: won.Outcome, Status: won.Status, Header: answerHeader(won.Header), Body: won.Body, Program: p.message.Program,
+	h.mu.Lock()
+	info, ok := h.core.Info(p.message.Program)
+	h.mu.Unlock()
+	problem := jkproblem.New(jkproblem.TypeMoved, "the program was taken over while the call ran")
+	if ok && info.End != "" {
+		problem = jkproblem.From(&jkprogram.EndedError{Program: p.message.Program, Reason: info.End})
 	}
-}
-
-func pick(first bool, a, b jkprogram.Outcome) jkprogram.Outcome {
-	if first {
-		return a
+	problem.Outcome = jkprogram.OutcomeFailed
+	if !p.repeatable {
+		problem.Outcome = jkprogram.OutcomeUnknown
 	}
-	return b
+	return h.refusal(p.message, problem, p.repeatable)
 }
 
 // turnOf builds the turn of a dispatch result.
--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -82,18 +83,28 @@
 }
 
 // Adopt takes over a program whose home has ended. Copies are the hosts that
-// the caller's token names; without any, all hosts with a disk are asked.
-func (h *Home) Adopt(ctx context.Context, program string, copies []string, epoch uint64) error {
+// the caller's token names; without any, all hosts with a disk are asked. The
+// former home's host is asked too: it may be alive again and hold more.
+func (h *Home) Adopt(ctx context.Context, program string, former jktoken.Incarnation, copies []string, epoch uint64) error {
+	h.mu.Lock()
+	draining := h.draining
+	h.mu.Unlock()
+	if draining {
+		return jkproblem.New(jkproblem.TypeUnavailable, "this host is stopping").WithRetryAfter(time.Second)
+	}
 	if len(copies) == 0 {
 		copies = h.options.Transport.DiskHosts()
 	}
+	if !slices.Contains(copies, former.Host) {
+		copies = append(slices.Clone(copies), former.Host)
+	}
 	best, fence, err := h.readCopies(ctx, program, copies, epoch)
 	if err != nil {
 		return err
 	}
 	now := h.options.Timer.Now()
 	h.mu.Lock()
-	if info, ok := h.core.Info(program); ok && info.Epoch >= fence {
+	if info, ok := h.core.Info(program); ok && (info.Epoch >= fence || info.Turn > best.Turn()) {
 		h.mu.Unlock()
 		return nil
 	}
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -178,6 +178,22 @@
 	return ok
 }
 
+// Retired returns the state of a program that another home has taken over.
+func (h *Home) Retired(program string) (jkprogram.State, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Retired(program)
+}
+
+// IsBehind reports whether a token names turns that this home lacks and could
+// still get from the program's former home.
+func (h *Home) IsBehind(program string, turn uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	info, ok := h.core.Info(program)
+	return ok && info.Turn < turn && h.core.IsUntouched(program)
+}
+
 // Moved returns the new home of a program that was handed over.
 func (h *Home) Moved(program string) (jktoken.Incarnation, bool) {
 	h.mu.Lock()
--- a/core/jkhome/manage.go
+++ b/core/jkhome/manage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -187,12 +188,7 @@
 			r.cancel()
 		}
 		h.placer.ProgramEnded(e.Program)
-		endpoints := make([]string, 0, len(h.extra(e.Program).endpoints))
-		for name := range h.extra(e.Program).endpoints {
-			endpoints = append(endpoints, name)
-		}
-		sort.Strings(endpoints)
-		releases = append(releases, release{program: e.Program, endpoints: endpoints})
+		releases = append(releases, release{program: e.Program, endpoints: h.used(e)})
 	}
 	h.mu.Unlock()
 	if err != nil {
@@ -207,6 +203,19 @@
 	}
 }
 
+// used returns the endpoints that may hold a program's cache: those of its
+// history and those of attempts that were lost. The caller holds the lock.
+func (h *Home) used(e jkprogram.Ended) []string {
+	endpoints := append([]string(nil), e.Endpoints...)
+	for name := range h.extra(e.Program).endpoints {
+		if !slices.Contains(endpoints, name) {
+			endpoints = append(endpoints, name)
+		}
+	}
+	sort.Strings(endpoints)
+	return endpoints
+}
+
 // transientIdle is how long a program of a single service call answers retries.
 const transientIdle = 10 * time.Minute
 
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -217,9 +217,11 @@
 	Load *jksched.Load `msgpack:"load,omitempty"`
 }
 
-// Release asks a dispatcher to drop a program's cache.
+// Release asks a dispatcher to drop a program's cache at its endpoints, whether
+// or not it knows of one there.
 type Release struct {
-	Program string `msgpack:"program"`
+	Program   string   `msgpack:"program"`
+	Endpoints []string `msgpack:"endpoints"`
 }
 
 // CopyStatus is the result of a write to one copy.
--- a/core/jkprogram/call.go
+++ b/core/jkprogram/call.go
@@ -189,6 +189,7 @@
 		granted:    p.state.Granted,
 	}
 	p.lastActive = now
+	p.untouched = false
 	a := Admission{Action: ActionStart, NewMessages: added}
 	if need > p.state.Granted {
 		p.running.granted = min(p.state.Meta.Budget, max(need, p.state.Granted+step(p.state.Meta.Budget)))
@@ -313,10 +314,11 @@
 
 // Result is what became of a dispatched call.
 type Result struct {
-	Outcome Outcome
-	Status  int
-	Input   []byte
-	Answer  []byte
+	Outcome  Outcome
+	Endpoint string
+	Status   int
+	Input    []byte
+	Answer   []byte
 	// Messages holds the digests of the messages that the turn adds.
 	Messages []string
 	// Cost in tokens; negative means unknown and is charged in full.
@@ -339,6 +341,7 @@
 		RequestID: p.running.requestID,
 		Kind:      p.running.kind,
 		Outcome:   r.Outcome,
+		Endpoint:  r.Endpoint,
 		Status:    r.Status,
 		Input:     r.Input,
 		Answer:    r.Answer,
--- a/core/jkprogram/core.go
+++ b/core/jkprogram/core.go
@@ -50,6 +50,7 @@
 	closed     map[string]bool
 	closedAll  bool
 	superseded bool
+	untouched  bool
 	lastActive time.Time
 	endedAt    time.Time
 	children   map[string]int64
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -9,6 +9,7 @@
 
 	"jasmineknot.example/jasmineknotbench/jkenginecmd"
 	"jasmineknot.example/jasmineknotbench/jkload"
+	"jasmineknot.example/jasmineknotbench/jkpath"
 	"jasmineknot.example/jasmineknotbench/jkplatformcmd"
 	"jasmineknot.example/jasmineknotbench/jkpolicy"
 	"jasmineknot.example/jasmineknotbench/jkservicecmd"
@@ -24,5 +25,7 @@
 	jktoolcmd.Register(app)
 	jkload.Register(app)
 	jkpolicy.Register(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	jkpath.Register(app)
+	_, err := app.Parse(os.Args[1:])
+	app.FatalIfError(err, "")
 }
