copy, home: replace lost copies and make restarted ones uncertain until resolved

Cause: a copy host that comes back may have been replaced meanwhile; its stale state would be read as the history and grants recorded elsewhere be lost. Ruled out: a generation number in the token alone, because an old token names an old set; dropping every copy at a restart, because a restart of both hosts would then lose the history. Before and after: TestRestartMakesCopiesUncertain fails without Begin and passes with it (go test ./core/jkcopy). Conclusion: one platform record per copy host incarnation decides between kept and left; a home checks its own ended record after it writes, a successor reads after the ended record, so one of them sees the other.

--- /dev/null
+++ b/core/jkcopy/former.go
@@ -0,0 +1,80 @@
+package jkcopy
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jktoken"
+)
+
+// formerFile lists the incarnations that wrote the log, the present one last.
+const formerFile = "incarnations.json"
+
+// Begin notes that an incarnation writes the log from now on and returns the
+// former ones that are not resolved yet. Until Resolve, the copies that they
+// wrote are uncertain: their homes may have given this host up meanwhile.
+func (s *Store) Begin(self jktoken.Incarnation) ([]jktoken.Incarnation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var former []jktoken.Incarnation
+	text, err := os.ReadFile(filepath.Join(s.folder, formerFile))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, eris.Wrap(err, "read incarnations of the log")
+	}
+	if err == nil {
+		// A damaged list is treated like a damaged log.
+		if json.Unmarshal(text, &former) != nil {
+			s.damaged = true
+		}
+	}
+	if len(former) > 0 || s.damaged {
+		for _, h := range s.programs {
+			h.uncertain = true
+		}
+	}
+	return former, s.writeFormer(append(former, self))
+}
+
+func (s *Store) writeFormer(incarnations []jktoken.Incarnation) error {
+	text, err := json.Marshal(incarnations)
+	if err != nil {
+		return eris.Wrap(err, "encode incarnations of the log")
+	}
+	path := filepath.Join(s.folder, formerFile)
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return eris.Wrap(err, "write incarnations of the log")
+	}
+	return eris.Wrap(os.Rename(path+".new", path), "write incarnations of the log")
+}
+
+// Resolve ends the uncertainty about former incarnations. Kept tells that no
+// home has given this host up; otherwise every copy that has not been confirmed
+// by its home since the start is forgotten.
+func (s *Store) Resolve(self jktoken.Incarnation, kept bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, h := range s.programs {
+		if !h.uncertain {
+			continue
+		}
+		if kept {
+			h.uncertain = s.damaged
+			continue
+		}
+		if err := s.write(entry{Forget: id}); err != nil {
+			return err
+		}
+	}
+	return s.writeFormer([]jktoken.Incarnation{self})
+}
+
+// Holds reports whether the store has a copy of a program.
+func (s *Store) Holds(program string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.programs[program] != nil
+}
--- a/core/jkcopy/store_test.go
+++ b/core/jkcopy/store_test.go
@@ -177,3 +177,36 @@
 		t.Fatalf("%d programs after a restart, want 0", got)
 	}
 }
+
+// Guards against a restarted host whose copies are believed although their homes
+// may have given it up meanwhile, and against copies lost by an ordinary restart.
+func TestRestartMakesCopiesUncertain(t *testing.T) {
+	first := jktoken.Incarnation{Host: "x", Start: 1}
+	second := jktoken.Incarnation{Host: "x", Start: 2}
+	for _, kept := range []bool{true, false} {
+		folder := t.TempDir()
+		s := open(t, folder)
+		if former, err := s.Begin(first); err != nil || len(former) != 0 {
+			t.Fatalf("got former %v (%v) in a new folder", former, err)
+		}
+		home(t, s)
+		s.Close()
+		again := open(t, folder)
+		if former, err := again.Begin(second); err != nil || len(former) != 1 || former[0] != first {
+			t.Fatalf("got former %v (%v)", former, err)
+		}
+		if r, err := again.Read("p"); err != nil || !r.Uncertain {
+			t.Fatalf("got uncertain %t (%v) before the platform was asked", r.Uncertain, err)
+		}
+		if err := again.Resolve(second, kept); err != nil {
+			t.Fatal(err)
+		}
+		r, err := again.Read("p")
+		if kept && (err != nil || r.Uncertain) {
+			t.Fatalf("got uncertain %t (%v) for kept copies", r.Uncertain, err)
+		}
+		if !kept && err == nil {
+			t.Fatal("a copy that was given up is still read")
+		}
+	}
+}
--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -34,6 +34,8 @@
 )
 
 const (
+	// auditInterval is the time between two audits of the engines' caches.
+	auditInterval = 10 * time.Second
 	// endedRetention is how long an ended program answers retries.
 	endedRetention = 2 * time.Minute
 	// copyLimit bounds the history log of a host in bytes.
@@ -77,6 +79,7 @@
 	metrics    *metrics
 	rules      *rules
 	lease      *hostLease
+	copySet    *copySet
 
 	platformWay switchedTransport
 
@@ -149,6 +152,10 @@
 	d.platform = jkplatform.NewHTTPLimited(d.settings.Platform(), &http.Client{Transport: &d.platformWay}, float64(limits.PlatformCalls()), limits.PlatformCalls())
 	d.endpoints = jkendpoint.New(jkendpoint.Options{})
 	d.buildConfig(seed)
+	d.copySet = newCopySet(d)
+	if err := d.copySet.begin(d.self); err != nil {
+		return err
+	}
 	d.gossip = jkgossip.New(d.gossipOptions())
 	d.dispatcher = jkdispatch.New(jkdispatch.Options{
 		Timer: d.options.Timer, Log: d.log.Part("dispatch"), Client: d.endpoints, Queue: d.schedOptions(seed),
@@ -259,11 +266,15 @@
 	d.stops = append(d.stops,
 		d.options.Timer.Every(tick, d.dispatcher.Tick),
 		d.options.Timer.Every(time.Second, d.home.Tick),
+		d.options.Timer.Every(auditInterval, d.dispatcher.Audit),
+		d.options.Timer.Every(time.Second, func() { d.home.KeepCopies(ctx) }),
 		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
 		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
 	)
 	if d.copies != nil {
-		d.stops = append(d.stops, d.options.Timer.Every(time.Second, d.keepCopies))
+		d.stops = append(d.stops,
+			d.options.Timer.Every(time.Second, d.keepCopies),
+			d.options.Timer.Every(time.Second, func() { d.copySet.resolve(ctx) }))
 	}
 	d.ready.Store(true)
 	d.log.Part("daemon").Info("host is serving", "host", d.self, "zone", d.settings.Zone(), "http", d.HTTP(), "listen", d.Addr())
--- a/core/jkdaemon/handle.go
+++ b/core/jkdaemon/handle.go
@@ -38,6 +38,7 @@
 		var m jkmsg.CopyRead
 		if err = in.Decode(&m); err == nil {
 			r := d.readCopy(m)
+			r.Host = d.home.Self()
 			err = in.End(&r)
 		}
 	case jkmsg.TypeConfigPull:
@@ -127,6 +128,9 @@
 		ReadCopy:     d.askCopy,
 		ChooseCopies: d.chooseCopies,
 		DiskHosts:    d.diskHosts,
+		HostState:    d.hostState,
+		LeaveCopySet: d.copySet.leave,
+		HasLeft:      d.copySet.hasLeft,
 		Release:      d.release,
 	}
 }
@@ -210,7 +214,9 @@
 func (d *Daemon) askCopy(ctx context.Context, host string, m jkmsg.CopyRead) (jkmsg.CopyReadResult, error) {
 	addr, local := d.hostAddr(host)
 	if local {
-		return d.readCopy(m), nil
+		r := d.readCopy(m)
+		r.Host = d.home.Self()
+		return r, nil
 	}
 	if addr == "" {
 		return jkmsg.CopyReadResult{}, eris.Errorf("host %s is not known", host)
--- a/core/jkdaemon/lease.go
+++ b/core/jkdaemon/lease.go
@@ -110,6 +110,11 @@
 	next := newIncarnation(d.settings.Host(), now, rand.New(rand.NewSource(now.UnixNano())))
 	d.log.Part("lease").Warn("this incarnation was declared ended; its programs have moved", "incarnation", d.home.Self(), "next", next)
 	d.home.Supersede(next)
+	// Homes may have given up this host's copies in the meantime, just as
+	// after a restart.
+	if err := d.copySet.begin(next); err != nil {
+		d.log.Part("copy").Error("copies can't be marked as uncertain", err)
+	}
 	d.gossip.SetIncarnation(next)
 	l.has = false
 }
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -52,6 +52,9 @@
 	draining bool
 	// unreleased lists caches that an endpoint has not confirmed as released.
 	unreleased map[release]bool
+	engines    map[string]bool
+	// used holds the time of the last call of each program at each engine.
+	used map[release]time.Time
 }
 
 type jobKey struct {
@@ -72,6 +75,8 @@
 		addrs:      map[string]string{},
 		jobs:       map[jobKey]*job{},
 		unreleased: map[release]bool{},
+		engines:    map[string]bool{},
+		used:       map[release]time.Time{},
 	}
 }
 
@@ -85,12 +90,14 @@
 	for _, e := range endpoints {
 		keep[e.ID] = true
 		d.addrs[e.ID] = e.Addr
+		d.engines[e.ID] = e.Kind == jksched.KindModel
 		d.queue.SetEndpoint(e.Endpoint)
 	}
 	for id := range d.addrs {
 		if !keep[id] {
 			d.queue.RemoveEndpoint(id)
 			delete(d.addrs, id)
+			delete(d.engines, id)
 		}
 	}
 	d.tick()
@@ -242,7 +249,10 @@
 	if addr == "" {
 		return
 	}
-	r := release{program: program, addr: addr}
+	d.releaseAt(release{program: program, addr: addr})
+}
+
+func (d *Dispatcher) releaseAt(r release) {
 	if _, pending := d.unreleased[r]; pending {
 		return
 	}
--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -98,7 +98,7 @@
 	if !slices.Contains(copies, former.Host) {
 		copies = append(slices.Clone(copies), former.Host)
 	}
-	best, fence, err := h.readCopies(ctx, program, copies, epoch)
+	best, fence, err := h.readCopies(ctx, program, former, copies, epoch)
 	if err != nil {
 		return err
 	}
@@ -125,7 +125,7 @@
 // readCopies raises the fence at every copy that can be reached and returns the
 // newest state. A copy that may have lost records counts only beside a certain
 // one.
-func (h *Home) readCopies(ctx context.Context, program string, copies []string, epoch uint64) (jkprogram.State, uint64, error) {
+func (h *Home) readCopies(ctx context.Context, program string, former jktoken.Incarnation, copies []string, epoch uint64) (jkprogram.State, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*copyTimeout)
 	defer cancel()
 	answers := make([]jkmsg.CopyReadResult, len(copies))
@@ -144,6 +144,7 @@
 		_ = group.Wait()
 	}
 	read(epoch)
+	h.dropLeft(ctx, former, answers)
 	best, fence, certain := newest(answers)
 	if !certain {
 		return best, 0, jkproblem.Newf(jkproblem.TypeUnavailable, "no copy of program %s can be reached that is certain to be complete", program).WithRetryAfter(time.Second)
@@ -153,6 +154,7 @@
 			// All copies get the same fence, so that a later reader finds it at
 			// any of them.
 			read(fence)
+			h.dropLeft(ctx, former, answers)
 			best, fence, _ = newest(answers)
 			break
 		}
@@ -160,6 +162,24 @@
 	return best, fence, nil
 }
 
+// dropLeft discards the answers of hosts that the former home gave up as copies.
+// The former home checks its own ended record after it gives a host up, and this
+// check follows that record, so one of the two sees the other.
+func (h *Home) dropLeft(ctx context.Context, former jktoken.Incarnation, answers []jkmsg.CopyReadResult) {
+	for i := range answers {
+		if !answers[i].Held || answers[i].Host.Host == former.Host {
+			continue
+		}
+		left, err := h.options.Transport.HasLeft(ctx, former, answers[i].Host)
+		if err != nil {
+			answers[i].Uncertain = true
+		}
+		if left {
+			answers[i] = jkmsg.CopyReadResult{}
+		}
+	}
+}
+
 func newest(answers []jkmsg.CopyReadResult) (best jkprogram.State, fence uint64, certain bool) {
 	for _, a := range answers {
 		if !a.Held {
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -55,6 +55,15 @@
 	ChooseCopies func(program string) []string
 	// DiskHosts names the hosts that may hold a copy.
 	DiskHosts func() []string
+	// HostState returns a host's incarnation and whether it is up.
+	HostState func(host string) (jktoken.Incarnation, bool)
+	// LeaveCopySet records in the platform that the copies written at a host
+	// incarnation are given up. It reports false if that host has come back
+	// first, or if this home was declared ended.
+	LeaveCopySet func(ctx context.Context, i jktoken.Incarnation) (bool, error)
+	// HasLeft reports whether the copies of a host incarnation were given up by
+	// the former home of a program.
+	HasLeft func(ctx context.Context, former, copyHost jktoken.Incarnation) (bool, error)
 	// Release asks the dispatchers of endpoints to drop a program's cache.
 	Release func(program string, endpoints []string)
 }
@@ -93,8 +102,9 @@
 	serial  uint64
 	retries float64
 	// moved names the new home of programs handed over at a planned stop.
-	moved    map[string]jktoken.Incarnation
-	draining bool
+	moved     map[string]jktoken.Incarnation
+	copyHosts map[string]*copyHost
+	draining  bool
 }
 
 // extra is what a home keeps about a program beside the core's row. It is lost
@@ -127,6 +137,8 @@
 		created: map[string]string{},
 		retries: retryBurst,
 		moved:   map[string]jktoken.Incarnation{},
+
+		copyHosts: map[string]*copyHost{},
 	}
 }
 
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -256,10 +256,12 @@
 
 // CopyReadResult answers CopyRead.
 type CopyReadResult struct {
-	Held      bool            `msgpack:"held"`
-	Uncertain bool            `msgpack:"uncertain"`
-	Fence     uint64          `msgpack:"fence"`
-	State     jkprogram.State `msgpack:"state"`
+	Held bool `msgpack:"held"`
+	// Host is the incarnation that answers.
+	Host      jktoken.Incarnation `msgpack:"host"`
+	Uncertain bool                `msgpack:"uncertain"`
+	Fence     uint64              `msgpack:"fence"`
+	State     jkprogram.State     `msgpack:"state"`
 }
 
 // Handover passes a program to its next home at a planned stop.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -93,6 +93,15 @@
 	return p.snapshot(), true
 }
 
+// Touch returns a record that changes nothing. A copy that takes it is complete.
+func (c *Core) Touch(id string) (Record, bool) {
+	p := c.programs[id]
+	if p == nil || p.superseded || p.state.End != "" {
+		return Record{}, false
+	}
+	return p.record(RecordGrant), true
+}
+
 // SetCopies replaces the hosts that hold copies of a program and returns the
 // snapshot for them.
 func (c *Core) SetCopies(id string, copies []string) (Record, bool) {
