--- a/core/jksched/pace.go
+++ b/core/jksched/pace.go
@@ -42,6 +42,9 @@
 		w.current = (w.exposure - min(w.prefill, w.exposure/2)) / time.Duration(max(w.tokens, 1))
 	}
 	w.began, w.tokens, w.exposure, w.prefill = now, 0, 0, 0
+	if row.breaker == BreakerClosed {
+		q.adapt(row)
+	}
 	q.judge(now, row)
 }
 
@@ -58,7 +61,7 @@
 	w.slow, w.fine = count(w.slow, ratio > q.opt.SlowFactor), count(w.fine, ratio < q.opt.RecoverFactor)
 	switch {
 	case row.breaker == BreakerClosed && w.slow >= 2:
-		row.breaker, row.slowSince = BreakerSlow, now
+		row.breaker = BreakerSlow
 		row.limit = max(len(row.running)/4, 1)
 		q.moveWaiting(now, row, ReasonSlow)
 	case row.breaker == BreakerSlow && w.fine >= 4:
@@ -80,6 +83,7 @@
 // ramp lets a recovered endpoint take more calls step by step, doubling each
 // second, so that the work that left it doesn't return at once.
 func (q *Queue) ramp(now time.Time, row *queueRow) {
+	q.probe(now, row)
 	if row.breaker != BreakerHalfOpen || now.Before(row.nextRamp) {
 		return
 	}
@@ -90,6 +94,31 @@
 	}
 }
 
+// probe lets a slow endpoint that has run nothing for a while take a few calls,
+// because without any its pace can't be measured.
+func (q *Queue) probe(now time.Time, row *queueRow) {
+	if row.breaker != BreakerSlow {
+		return
+	}
+	if len(row.running) > 0 {
+		row.nextRamp = now.Add(q.opt.BreakerPause)
+	}
+	if !now.Before(row.nextRamp) {
+		row.breaker, row.limit = BreakerHalfOpen, min(2, row.endpoint.Slots)
+		row.nextRamp = now.Add(time.Second)
+	}
+}
+
+// adapt lowers the number of running calls in proportion while tokens come too
+// slowly and raises it by one per window otherwise.
+func (q *Queue) adapt(row *queueRow) {
+	if row.window.current > q.opt.PaceTarget {
+		row.limit = max(row.limit*9/10, row.endpoint.Slots/4, 1)
+		return
+	}
+	row.limit = min(row.limit+1, row.endpoint.Slots)
+}
+
 // peerPace is the median pace of the other endpoints of the same model.
 func (q *Queue) peerPace(row *queueRow) time.Duration {
 	q.paces = q.paces[:0]
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -70,7 +70,10 @@
 // SetEndpoint adds an endpoint or changes its description or state.
 func (q *Queue) SetEndpoint(e Endpoint) {
 	if row, ok := q.endpoints[e.ID]; ok {
-		row.endpoint = e
+		if row.endpoint.Slots != e.Slots {
+			row.limit = e.Slots
+		}
+		row.endpoint, row.removed = e, false
 		return
 	}
 	row := newQueueRow(e, q.opt)
--- a/core/jksched/row.go
+++ b/core/jksched/row.go
@@ -25,7 +25,6 @@
 	decoding  int
 	window    paceWindow
 	faults    int
-	slowSince time.Time
 	openUntil time.Time
 	nextRamp  time.Time
 	// held lists the programs whose cache the endpoint may hold.
