--- a/core/jkconfig/editor.go
+++ b/core/jkconfig/editor.go
@@ -22,7 +22,7 @@
 	firstPause = 10 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
 	// editTimeout bounds an edit as a whole, including the wait for its turn.
-	editTimeout = 10 * time.Second
+	editTimeout = 20 * time.Second
 	// maxHistory is the number of revisions that an edit's base may be behind
 	// when its section has been changed since; about half an hour at 48,000
 	// changes a day. The search for the edit's id reads two blocks at most.
--- a/core/jkconfig/follower_watch.go
+++ b/core/jkconfig/follower_watch.go
@@ -9,7 +9,7 @@
 )
 
 // Run follows the platform until the context ends, whenever this host is its
-// zone's watcher.
+// zone's watcher. An outage is logged when it begins and when it is over.
 func (f *Follower) Run(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
@@ -18,14 +18,19 @@
 			continue
 		}
 		err := f.follow(ctx, f.options.Wait)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
+			if retry > firstRetry {
+				f.options.Log.Info("platform can be followed again", "revision", f.Revision())
+			}
 			retry = firstRetry
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if retry == firstRetry {
+			f.options.Log.Warn("platform can't be followed", "error", err, "revision", f.Revision())
 		}
-		f.options.Log.Warn("platform can't be followed", "error", err, "revision", f.Revision(), "retry", retry)
 		f.options.Timer.Wait(retry, ctx.Done())
 		retry = min(2*retry, lastRetry)
 	}
--- a/core/jkconfig/reader.go
+++ b/core/jkconfig/reader.go
@@ -12,9 +12,10 @@
 	"jasmineknot.example/core/jktimer"
 )
 
-// callTimeout bounds one call to the platform, which normally answers within
-// milliseconds.
-const callTimeout = 2 * time.Second
+// callTimeout bounds one call to the platform. It normally answers within
+// milliseconds, but may be slow for long periods; a shorter limit would turn
+// each slow write into one of unknown outcome.
+const callTimeout = 5 * time.Second
 
 // reader finds and reads revisions at the platform.
 type reader struct {
@@ -80,7 +81,7 @@
 
 // block returns the changes of a block in order.
 func (r *reader) block(ctx context.Context, block uint64) ([]Change, error) {
-	ctx, done := within(ctx, r.timer, 5*callTimeout)
+	ctx, done := within(ctx, r.timer, 2*callTimeout)
 	defer done()
 	records, err := r.client.List(ctx, blockKey(block))
 	if err != nil {
