config: test watchers per zone and a platform that never answers

Cause: two failures had no test: platform calls that grow with the number of hosts, and an edit whose writes are never answered.

--- a/core/jkconfig/editor_test.go
+++ b/core/jkconfig/editor_test.go
@@ -11,6 +11,7 @@
 
 	"jasmineknot.example/core/jkplatform"
 	"jasmineknot.example/core/jkstandin"
+	"jasmineknot.example/core/jktimer"
 )
 
 // Guards against two edits of one section where the second silently overwrites
@@ -229,3 +230,35 @@
 		t.Fatalf("an edit without a change made a revision: %+v", r)
 	}
 }
+
+// Guards against an edit that waits for ever for a platform that doesn't
+// answer, or that claims to know the outcome.
+func TestSilentPlatform(t *testing.T) {
+	s := newSite(t)
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	client := jkplatform.NewHTTPLimited(s.url, s.client, 100000, 100000)
+	client.Create = func(ctx context.Context, key string, _ []byte) (jkplatform.Record, error) {
+		<-ctx.Done()
+		return jkplatform.Record{}, &jkplatform.UncertainError{Operation: "create", Key: key, Cause: ctx.Err()}
+	}
+	h := s.hostAt(timer, client, false)
+	decided := make(chan error, 1)
+	go func() {
+		_, err := h.editor.Apply(t.Context(), Edit{ID: "a", Team: "money", Section: SectionBudgets, Value: budgets(1)})
+		decided <- err
+	}()
+	pause := jktimer.New()
+	for {
+		select {
+		case err := <-decided:
+			var uncertain *UncertainError
+			if waited := timer.Now().Sub(time.Unix(1000, 0)); !errors.As(err, &uncertain) || waited < editTimeout {
+				t.Fatalf("after %s: %v", waited, err)
+			}
+			return
+		default:
+			pause.Wait(time.Millisecond, t.Context().Done())
+			clock.Advance(50 * time.Millisecond)
+		}
+	}
+}
--- a/core/jkconfig/fixture_test.go
+++ b/core/jkconfig/fixture_test.go
@@ -50,7 +50,10 @@
 }
 
 func (s *site) hostWith(client *jkplatform.Client, watcher bool) *host {
-	timer := jktimer.New()
+	return s.hostAt(jktimer.New(), client, watcher)
+}
+
+func (s *site) hostAt(timer *jktimer.Service, client *jkplatform.Client, watcher bool) *host {
 	f := NewFollower(FollowerOptions{
 		Client: client, Timer: timer, Log: jklog.Discard(),
 		IsWatcher: func() bool { return watcher }, Wait: time.Second,
--- a/core/jkconfig/follower_test.go
+++ b/core/jkconfig/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 
 	"jasmineknot.example/core/jkplatform"
@@ -221,3 +222,67 @@
 		}
 	}
 }
+
+// exchange stands in for heartbeats: a host that learns of a newer revision
+// from its zone's watcher takes the changes, or else the whole document.
+func exchange(t *testing.T, from, to *Follower) {
+	t.Helper()
+	if from.Revision() <= to.Revision() {
+		return
+	}
+	if changes, ok := from.ChangesAfter(to.Revision()); ok {
+		if err := to.OfferChanges(changes); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	revision, packed, err := from.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := to.Offer(revision, packed); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against platform calls that grow with the number of hosts, and against
+// hosts that miss a revision when they learn of it only from their watcher.
+func TestOneWatcherPerZone(t *testing.T) {
+	s := newSite(t)
+	const zones, hosts, edits = 3, 4, 20
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	watchers, peers := make([]*Follower, zones), make([][]*Follower, zones)
+	for z := range zones {
+		watchers[z] = s.host(true).follower
+		running.Go(func() { watchers[z].Run(ctx) })
+		for range hosts {
+			peer := s.host(false).follower
+			peers[z] = append(peers[z], peer)
+			running.Go(func() { peer.Run(ctx) })
+		}
+	}
+	writer := s.host(false)
+	for n := range uint64(edits) {
+		writer.mustEdit(t, fmt.Sprint("e", n), n, budgets(int(n)+1))
+	}
+	eventually(t, "all hosts at the last revision", func() bool {
+		behind := 0
+		for z, watcher := range watchers {
+			for _, peer := range peers[z] {
+				exchange(t, watcher, peer)
+				if peer.Revision() != edits {
+					behind++
+				}
+			}
+		}
+		return behind == 0
+	})
+	eventually(t, "one waiting watch per zone", func() bool { return s.platform.Counts().Waiting == zones })
+	// Each editor's call and each watcher may see every revision by itself.
+	if c := s.platform.Counts(); c.Watches > (zones+1)*(edits+1) || c.Writes != edits {
+		t.Errorf("calls at the platform: %+v", c)
+	}
+	cancel()
+	running.Wait()
+}
