bench: add a peak, a turn target and new tokens to the load tool

Cause: the crest measure needs a tenfold swing and the share of turns in time; a program whose home ended has to go on under a new token. Ruled out: switching the rate after each arrival, which shifts the peak when the rate before it is low; the process is exact for a rate with steps. Before: a model call with an unknown outcome ended its program. After: `go test -race -count=3 ./jkload` passes in jasmineknotbench, with a site that moves the home of each program. Conclusion: after outcome_unknown a model call is made again under the token of the resume; a service call is not, and its outcome stays unknown.

--- a/jasmineknotbench/jkload/fake_test.go
+++ b/jasmineknotbench/jkload/fake_test.go
@@ -77,6 +77,10 @@
 func (f *fakeSite) serve(w http.ResponseWriter, r *http.Request, token string) {
 	id, turn, _ := strings.Cut(token, "/")
 	p := f.programs[id]
+	if p != nil && r.URL.Path == "/v1/programs/"+id+"/resume" {
+		_, _ = fmt.Fprintf(w, `{"token":"%s/%d"}`, id, p.turn)
+		return
+	}
 	if p == nil || turn != strconv.Itoa(p.turn) {
 		problem(w, http.StatusConflict, "not_run", 0)
 		return
@@ -90,6 +94,10 @@
 		return
 	}
 	p.turn++
+	if f.mode == "new home" && p.turn%3 == 1 {
+		problem(w, http.StatusBadGateway, "outcome_unknown", 0)
+		return
+	}
 	w.Header().Set(headerToken, fmt.Sprintf("%s/%d", id, p.turn))
 	if path, ok := strings.CutPrefix(r.URL.Path, "/v1/services/orders"); ok {
 		f.serveService(w, r, path)
--- a/jasmineknotbench/jkload/options.go
+++ b/jasmineknotbench/jkload/options.go
@@ -17,6 +17,10 @@
 	Duration      time.Duration // time during which programs arrive
 	Grace         time.Duration // time for the last programs to end
 	Rate          float64       // arrivals per second
+	PeakFactor    float64       // rate during the peak against Rate; 0 or 1 for no peak
+	PeakStart     time.Duration // from the start of the run
+	PeakLength    time.Duration
+	TurnTarget    time.Duration // a turn is in time if completed within it; 0 for no limit
 	MaxInFlight   int           // arrivals above it are counted as dropped
 	Turns         int           // mean per program
 	ServiceShare  float64       // of the turns that are service calls
@@ -61,6 +65,7 @@
 		{"programs", o.Programs > 0, o.Programs, "1 or more"},
 		{"duration", o.Duration > 0, o.Duration, "a positive time"},
 		{"rate", o.Rate > 0, o.Rate, "a positive number"},
+		{"peak-factor", o.PeakFactor >= 0, o.PeakFactor, "0 or more"},
 		{"max-in-flight", o.MaxInFlight > 0, o.MaxInFlight, "1 or more"},
 		{"turns", o.Turns > 0, o.Turns, "1 or more"},
 		{"service-share", isShare(o.ServiceShare), o.ServiceShare, "0 to 1"},
--- a/jasmineknotbench/jkload/plan.go
+++ b/jasmineknotbench/jkload/plan.go
@@ -27,22 +27,47 @@
 }
 
 // arrivals returns the start times of the programs, relative to the start of
-// the run: a Poisson process, bounded by count and duration.
+// the run: a Poisson process whose rate has a peak, bounded by count and
+// duration.
 func arrivals(o Options) []time.Duration {
 	random := rand.New(rand.NewPCG(o.Seed, math.MaxUint64))
 	var out []time.Duration
-	at := 0.0
+	at := 0.0 // seconds
 	for range o.Programs {
-		at += random.ExpFloat64() / o.Rate
-		start := time.Duration(at * float64(time.Second))
-		if start > o.Duration {
+		// The expected number of arrivals until the next one is exponential
+		// with mean 1, whatever the rate does meanwhile.
+		need := random.ExpFloat64()
+		for {
+			rate, until := o.rateAt(at)
+			if need <= rate*(until-at) {
+				at += need / rate
+				break
+			}
+			need -= rate * (until - at)
+			at = until
+		}
+		if at > o.Duration.Seconds() {
 			break
 		}
-		out = append(out, start)
+		out = append(out, time.Duration(at*float64(time.Second)))
 	}
 	return out
 }
 
+// rateAt returns the rate at a time in seconds and the time until which it
+// holds.
+func (o Options) rateAt(at float64) (rate, until float64) {
+	start := o.PeakStart.Seconds()
+	end := start + o.PeakLength.Seconds()
+	switch {
+	case o.PeakFactor == 0 || at >= end:
+		return o.Rate, math.Inf(1)
+	case at < start:
+		return o.Rate, start
+	}
+	return o.Rate * o.PeakFactor, end
+}
+
 func newPlan(o Options, index int) plan {
 	random := rand.New(rand.NewPCG(o.Seed, uint64(index)))
 	n := 1 + random.IntN(2*o.Turns-1)
--- a/jasmineknotbench/jkload/program.go
+++ b/jasmineknotbench/jkload/program.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -89,34 +91,45 @@
 // turn performs one call and reports whether the program can go on.
 func (p *program) turn(ctx context.Context, i int, t turn) bool {
 	started := p.timer.Now()
-	kind, done := "chat", p.chat
+	kind, perform := "chat", p.chat
 	if t.service != "" {
-		kind, done = "service", p.service
+		kind, perform = "service", p.service
 	}
-	a := done(ctx, i, t)
+	a := perform(ctx, i, t)
 	p.report.count(kind, a)
-	if a.outcome == outcomeCompleted {
-		p.report.record(kind, p.timer.Now().Sub(started))
+	if a.outcome == outcomeUnknown && a.token == "" && p.resume(ctx, i) {
+		if t.service != "" {
+			return true
+		}
+		// A model call may be repeated; under the new token it is a new call.
+		a = perform(ctx, i, t)
+		p.report.count(kind, a)
 	}
+	return p.conclude(kind, i, a, p.timer.Now().Sub(started))
+}
+
+// conclude takes the result of a turn over and reports whether the program can
+// go on.
+func (p *program) conclude(kind string, i int, a answer, took time.Duration) bool {
 	if a.token != "" {
 		p.token = a.token
 	}
-	switch {
-	case a.outcome == outcomeUnknown && a.token == "":
-		return p.resume(ctx, i) && t.service != ""
-	case a.outcome == outcomeCompleted && a.token == "":
+	if a.outcome == outcomeCompleted && a.token == "" {
 		p.report.violate("program %s turn %d: completed without a new token", p.id, i)
 		return false
-	case a.outcome == outcomeCompleted:
+	}
+	p.report.turn(a.outcome == outcomeCompleted && (p.options.TurnTarget <= 0 || took <= p.options.TurnTarget))
+	if a.outcome == outcomeCompleted {
+		p.report.record(kind, took)
 		return true
 	}
 	// A failed action has an answer; a program goes on after it.
-	return t.service != "" && a.token != ""
+	return kind == "service" && a.token != ""
 }
 
 func (p *program) chat(ctx context.Context, i int, t turn) answer {
-	p.messages = append(p.messages, jkchat.Message{Role: jkchat.RoleUser, Content: jkchat.Text(t.prompt)})
-	sent := p.messages
+	messages := append(slices.Clip(p.messages), jkchat.Message{Role: jkchat.RoleUser, Content: jkchat.Text(t.prompt)})
+	sent := messages
 	if !p.options.ResendHistory {
 		sent = sent[len(sent)-1:]
 	}
@@ -143,11 +156,12 @@
 	}
 	p.report.record("first_byte", a.firstByte)
 	if p.options.CheckAnswers {
-		if err := jkstandin.EngineCheckAnswer(p.id, p.messages, a.text); err != nil {
+		if err := jkstandin.EngineCheckAnswer(p.id, messages, a.text); err != nil {
 			p.report.violate("program %s turn %d: %v", p.id, i, err)
 		}
 	}
-	p.messages = append(p.messages, a.message)
+	messages = append(messages, a.message)
+	p.messages = messages
 	return a
 }
 
--- a/jasmineknotbench/jkload/report.go
+++ b/jasmineknotbench/jkload/report.go
@@ -30,6 +30,8 @@
 	Seconds    float64                   `json:"seconds"`
 	Completed  int                       `json:"completed"` // programs
 	Incomplete int                       `json:"incomplete"`
+	Turns      int                       `json:"turns"`
+	InTime     int                       `json:"in_time"`  // turns completed within the target
 	Dropped    int                       `json:"dropped"`  // not started, too many in flight
 	Retries    int                       `json:"retries"`  // attempts beyond the first
 	Outcomes   map[string]map[string]int `json:"outcomes"` // by kind of call
@@ -108,6 +110,16 @@
 	r.data.Incomplete++
 }
 
+// turn counts a turn and whether it was completed in time.
+func (r *recorder) turn(inTime bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.data.Turns++
+	if inTime {
+		r.data.InTime++
+	}
+}
+
 func (r *recorder) compared(change func(*Comparison)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,7 +149,7 @@
 func (r Report) WriteText(w io.Writer) error {
 	text := fmt.Sprintf("seed %d, %.1f s: %d programs completed, %d incomplete, %d dropped, %d retries\n",
 		r.Seed, r.Seconds, r.Completed, r.Incomplete, r.Dropped, r.Retries)
-	text += r.callText()
+	text += fmt.Sprintf("%d of %d turns in time\n", r.InTime, r.Turns) + r.callText()
 	c := r.Comparison
 	text += fmt.Sprintf("actions=%d ran=%d unknown=%d ran_twice=%d lost=%d not_run_ran=%d without_word=%d aborted=%d unread=%d\n",
 		c.Actions, c.Ran, c.Unknown, c.RanTwice, c.Lost, c.NotRunRan, c.WithoutWord, c.Aborted, c.Unread)
--- a/jasmineknotbench/jkload/run_test.go
+++ b/jasmineknotbench/jkload/run_test.go
@@ -33,7 +33,7 @@
 
 // Guards against a load tool that finds no fault where there is one, or a
 // fault where there is none. Every mode of the fake site but the first and the
-// last three has one kind of fault.
+// last four has one kind of fault.
 func TestRunFindsFaults(t *testing.T) {
 	for _, test := range []struct {
 		mode  string
@@ -48,6 +48,7 @@
 		{"foreign answer", func(r Report) bool { return strings.Contains(strings.Join(r.Details, " "), "answer differs") }, false},
 		{"unknown", func(r Report) bool { return r.Comparison.Unknown > 0 && r.Completed == 10 }, true},
 		{"retry later", func(r Report) bool { return r.Completed == 10 }, true},
+		{"new home", func(r Report) bool { return r.Completed == 10 && r.Outcomes["resume"]["completed"] > 0 }, true},
 		{"truncated", func(r Report) bool { return r.Outcomes["chat"]["none"] > 0 && r.Incomplete > 0 }, true},
 	} {
 		r := smallRun(t, test.mode, func(*Options) {})
@@ -85,8 +86,16 @@
 	if !reflect.DeepEqual(newPlan(o, 7), newPlan(o, 7)) || reflect.DeepEqual(newPlan(o, 7), newPlan(o, 8)) {
 		t.Fatal("plans do not depend on seed and index alone")
 	}
-	if n := len(arrivals(o)); n != 100 {
-		t.Fatalf("got %d arrivals", n)
+	o.Programs, o.Rate, o.Duration = 100_000, 100, 40*time.Second
+	o.PeakFactor, o.PeakStart, o.PeakLength = 10, 10*time.Second, 10*time.Second
+	peak, all := 0, arrivals(o)
+	for _, at := range all {
+		if at >= 10*time.Second && at < 20*time.Second {
+			peak++
+		}
+	}
+	if peak < 9500 || peak > 10500 || len(all)-peak < 2800 || len(all)-peak > 3200 {
+		t.Fatalf("got %d arrivals, %d of them in the peak; want about 13000 and 10000", len(all), peak)
 	}
 	for field, change := range map[string]func(*Options){
 		"entry": func(o *Options) { o.Entries = nil }, "rate": func(o *Options) { o.Rate = 0 },
