gossip: send heartbeats as compact notifications and bound load digests

Cause: a fleet of 100 daemons showed 18.8 KB/s of control traffic a daemon and 38.7 KB/s at a zone's leader, against a limit of 10 KB/s; 5.7% of a core, because every host ranked all endpoints twice a second. Ruled out: fewer heartbeats alone, because three of them have to fit into the 3 s after which a host counts as down; a hub in each zone, because its failure would blind the zone. Conclusion: frames and digests are arrays, heartbeats get no acknowledgement and carry the host's description every eighth time, zone digests carry a version that is pulled when new, and load digests have a byte budget.

--- a/core/jkdaemon/rules.go
+++ b/core/jkdaemon/rules.go
@@ -25,6 +25,19 @@
 	mu sync.Mutex
 	// placed holds the endpoints that the home was told about last.
 	placed map[string]bool
+	// revision and members are the versions that placed was made from.
+	revision uint64
+	members  uint64
+}
+
+// changed notes the versions at hand and reports whether one of them is new.
+func (r *rules) changed(revision, members uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	same := r.revision == revision && r.members == members
+	r.revision = revision
+	r.members = members
+	return !same
 }
 
 // replace notes the endpoints now told to the home and returns the former ones.
@@ -115,17 +128,27 @@
 }
 
 // refreshEndpoints tells the home which endpoints there are and the dispatcher
-// which of them are its own.
+// which of them are its own. It does nothing while neither the configuration nor
+// the membership has changed.
 func (d *Daemon) refreshEndpoints() {
+	doc := d.follower.Newest()
+	zone := d.settings.Zone()
+	var members uint64
+	d.gossip.Read(func(t *jkmember.Table) { members = t.Version() })
+	if !d.rules.changed(doc.Revision(), members) {
+		return
+	}
 	known := map[string]bool{}
 	var all []jksched.Endpoint
-	var own []jkdispatch.Endpoint
-	for _, c := range d.follower.Newest().Endpoints() {
+	var near []jkdispatch.Endpoint
+	var names []string
+	for _, c := range doc.Endpoints() {
 		e := endpoint(c)
 		known[e.ID] = true
 		all = append(all, e.Endpoint)
-		if d.dispatches(e.ID, e.Zone) {
-			own = append(own, e)
+		if e.Zone == zone {
+			near = append(near, e)
+			names = append(names, e.ID)
 		}
 	}
 	var gone []string
@@ -135,16 +158,21 @@
 		}
 	}
 	d.home.SetEndpoints(all, gone)
-	d.dispatcher.SetEndpoints(own)
+	d.dispatcher.SetEndpoints(d.own(near, names))
 }
 
-func (d *Daemon) dispatches(endpoint, zone string) bool {
-	mine := false
+// own returns the endpoints of this zone that this host dispatches to.
+func (d *Daemon) own(near []jkdispatch.Endpoint, names []string) []jkdispatch.Endpoint {
+	var out []jkdispatch.Endpoint
 	d.gossip.Read(func(t *jkmember.Table) {
-		h, ok := t.Dispatcher(endpoint, zone)
-		mine = ok && h.Incarnation == t.Self().Incarnation
+		dispatchers := t.Dispatchers(d.settings.Zone(), names)
+		for _, e := range near {
+			if h, ok := dispatchers[e.ID]; ok && h.Incarnation == t.Self().Incarnation {
+				out = append(out, e)
+			}
+		}
 	})
-	return mine
+	return out
 }
 
 // takeConfig takes a configuration that a peer has sent.
--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -20,12 +20,20 @@
 
 const (
 	// loadBytesPerSecond is the share of a host's control traffic that load
-	// digests may use; the limit for all control traffic is 10 KB/s.
-	loadBytesPerSecond = 5000
-	// loadBytes is the typical size of one load digest in a heartbeat.
-	loadBytes = 120
+	// digests may use within the zone, and again between zones. The limit for
+	// all control traffic is 10 KB/s.
+	loadBytesPerSecond = 2000
+	// loadBytes is the typical size of one load digest.
+	loadBytes = 75
 	// maxLoads bounds the digests in one message.
 	maxLoads = 64
+	// spacing is the least time between a host's heartbeats for each peer. At
+	// 45 peers it stretches the interval to 1 s, which leaves three beats
+	// within the timeout.
+	spacing = 22 * time.Millisecond
+	// describeEvery is the number of beats after which a host sends its whole
+	// description again, for hosts that missed it.
+	describeEvery = 8
 )
 
 // Options holds what the service needs.
@@ -64,6 +72,11 @@
 	pulling  map[string]bool
 	rotation int
 	stops    []func()
+	beats    int
+	lastBeat time.Time
+	// zoneCredit and digestCredit limit the load digests sent.
+	zoneCredit   credit
+	digestCredit credit
 }
 
 // loadRow is the newest digest of an endpoint elsewhere.
@@ -96,7 +109,7 @@
 // Start begins to send.
 func (s *Service) Start() {
 	s.stops = append(s.stops,
-		s.options.Timer.Every(s.options.Heartbeat, s.Beat),
+		s.options.Timer.Every(s.options.Heartbeat, s.periodicBeat),
 		s.options.Timer.Every(s.options.ZoneDigest, s.sendDigests))
 	go s.Beat()
 }
@@ -177,26 +190,62 @@
 }
 
 // Beat sends a heartbeat to every host of the zone.
-func (s *Service) Beat() {
+func (s *Service) Beat() { s.beat(true) }
+
+// periodicBeat sends a heartbeat unless the zone is so large that the last one
+// was sent too short a time ago.
+func (s *Service) periodicBeat() {
+	s.mu.Lock()
+	peers := len(s.zonePeers())
+	due := s.options.Timer.Now().Sub(s.lastBeat)
+	s.mu.Unlock()
+	if due+s.options.Heartbeat/2 > time.Duration(peers)*spacing {
+		s.beat(false)
+	}
+}
+
+func (s *Service) beat(describe bool) {
 	own := s.options.Loads()
 	s.mu.Lock()
 	now := s.options.Timer.Now()
 	changes := s.table.Tick(now)
 	peers := s.zonePeers()
+	self := s.table.Self()
+	interval := min(now.Sub(s.lastBeat), time.Second)
 	hb := jkmsg.Heartbeat{
-		Host:     s.table.Self(),
-		Revision: s.options.Revision(),
-		Loads:    s.pickLoads(now, own, s.loadBudget(len(peers), s.options.Heartbeat)),
-		Suspects: s.suspects.Export(now),
-		Zones:    s.table.Seen(now),
+		Incarnation: self.Incarnation,
+		Revision:    s.options.Revision(),
+		Loads:       s.pickLoads(now, own, s.zoneCredit.take(len(peers), interval)),
+		Suspects:    s.suspects.Export(now),
+		Zones:       s.table.Seen(now, interval+s.options.Heartbeat),
 	}
+	s.beats++
+	if describe || s.beats%describeEvery == 0 {
+		hb.Host = &self
+	}
+	s.lastBeat = now
 	s.mu.Unlock()
 	for _, c := range changes {
 		s.options.Log.Warn("host is not heard", "host", c.Host.Incarnation, "status", c.Status)
 		s.options.HostDown(c.Host, c.Status)
 	}
-	for _, p := range peers {
-		go s.send(p.Addr, jkmsg.TypeHeartbeat, &hb)
+	s.notify(peers, jkmsg.TypeHeartbeat, &hb)
+}
+
+// notify sends one message to several hosts. A lost one needs no report; the
+// silence shows at the receiver.
+func (s *Service) notify(hosts []jkmember.Host, messageType string, message any) {
+	body, err := jkwire.Encode(message)
+	if err != nil {
+		s.options.Log.Error("message can't be encoded", err, "type", messageType)
+		return
+	}
+	for _, h := range hosts {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.options.Timeout)
+			defer cancel()
+			_ = s.options.Pool.Notify(ctx, h.Addr, messageType, body)
+		}()
 	}
 }
 
@@ -213,14 +262,18 @@
 	return peers
 }
 
-// loadBudget returns how many load digests fit into one message to each of n
-// peers.
-func (s *Service) loadBudget(n int, interval time.Duration) int {
+// credit is the number of load digests that may be sent, in fractions.
+type credit float64
+
+// take returns how many digests fit into one message to each of n peers.
+func (c *credit) take(n int, interval time.Duration) int {
 	if n == 0 {
 		return 0
 	}
-	fit := int(loadBytesPerSecond*interval.Seconds()) / loadBytes / n
-	return min(maxLoads, max(1, fit))
+	*c += credit(loadBytesPerSecond * interval.Seconds() / loadBytes / float64(n))
+	fit := min(maxLoads, int(*c))
+	*c = min(*c-credit(fit), maxLoads)
+	return fit
 }
 
 // pickLoads returns own digests and foreign ones, those first that were sent
@@ -251,13 +304,6 @@
 	return out
 }
 
-func (s *Service) send(addr, messageType string, message any) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.options.Timeout)
-	defer cancel()
-	// A lost heartbeat needs no report; the silence shows at the receiver.
-	_ = s.options.Pool.Call(ctx, addr, messageType, message, nil)
-}
-
 // sendDigests tells one host of each other zone about this zone. Only the
 // zone's leader does so.
 func (s *Service) sendDigests() {
@@ -273,16 +319,15 @@
 	digest, _ := s.table.Zone(self.Zone)
 	targets := s.digestTargets()
 	m := jkmsg.ZoneDigest{
-		From:     self,
-		Digest:   digest,
+		Zone:     self.Zone,
+		Addr:     self.Addr,
+		Version:  digest.Version,
 		Revision: s.options.Revision(),
-		Loads:    s.zoneLoads(own, s.loadBudget(len(targets), s.options.ZoneDigest)),
+		Loads:    s.zoneLoads(own, s.digestCredit.take(len(targets), s.options.ZoneDigest)),
 		Suspects: s.suspects.Export(now),
 	}
 	s.mu.Unlock()
-	for _, t := range targets {
-		go s.send(t.Addr, jkmsg.TypeZoneDigest, &m)
-	}
+	s.notify(targets, jkmsg.TypeZoneDigest, &m)
 }
 
 // digestTargets returns one host of each other zone, in turn, so that a dead
--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -52,11 +52,14 @@
 func (s *Service) takeHeartbeat(m jkmsg.Heartbeat) {
 	s.mu.Lock()
 	now := s.options.Timer.Now()
-	if m.Host.Zone != s.table.Self().Zone {
+	if m.Host != nil && m.Host.Zone == s.table.Self().Zone {
+		s.table.Observe(now, *m.Host)
+	}
+	if !s.table.Beat(now, m.Incarnation) {
 		s.mu.Unlock()
 		return
 	}
-	s.table.Observe(now, m.Host)
+	sender, _ := s.table.Status(m.Incarnation.Host)
 	s.suspects.Merge(now, m.Suspects)
 	var pulls []string
 	for zone, seen := range m.Zones {
@@ -69,24 +72,28 @@
 	s.mu.Unlock()
 	s.takeLoads(m.Loads, false)
 	for _, zone := range pulls {
-		s.pullZone(m.Host.Addr, zone, m.Zones[zone].Age)
+		s.pullZone(sender.Addr, zone, m.Zones[zone].Age)
 	}
-	s.pullConfig(m.Host.Addr, m.Revision)
+	s.pullConfig(sender.Addr, m.Revision)
 }
 
 func (s *Service) takeDigest(m jkmsg.ZoneDigest) {
 	s.mu.Lock()
 	now := s.options.Timer.Now()
-	if m.Digest.Zone == s.table.Self().Zone {
+	if m.Zone == s.table.Self().Zone {
 		s.mu.Unlock()
 		return
 	}
-	s.table.ObserveZone(now, m.Digest, 0)
-	s.table.Tick(now)
+	seen := jkmember.ZoneSeen{Version: m.Version}
+	needed := s.table.NeedsZone(m.Zone, seen)
+	s.table.RefreshZone(now, m.Zone, seen)
 	s.suspects.Merge(now, m.Suspects)
 	s.mu.Unlock()
 	s.takeLoads(m.Loads, true)
-	s.pullConfig(m.From.Addr, m.Revision)
+	if needed {
+		s.pullZone(m.Addr, m.Zone, 0)
+	}
+	s.pullConfig(m.Addr, m.Revision)
 }
 
 // takeLoads keeps the newest digest of each endpoint.
--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -52,11 +52,34 @@
 
 // Dispatcher returns the host that sends work to an endpoint of a zone.
 func (t *Table) Dispatcher(endpoint, zone string) (Host, bool) {
-	ranked := rank(endpoint, t.accepting(zone))
-	if len(ranked) == 0 {
-		return Host{}, false
+	return heaviest(endpoint, t.accepting(zone))
+}
+
+// heaviest returns the host that rank would put first.
+func heaviest(key string, hosts []Host) (best Host, ok bool) {
+	var most uint64
+	for _, h := range hosts {
+		w := weight(key, h.Incarnation.Host)
+		if !ok || w > most || (w == most && h.Incarnation.Host < best.Incarnation.Host) {
+			best = h
+			most = w
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+// Dispatchers returns the dispatcher of every endpoint of one zone; it looks at
+// the hosts only once.
+func (t *Table) Dispatchers(zone string, endpoints []string) map[string]Host {
+	hosts := t.accepting(zone)
+	out := make(map[string]Host, len(endpoints))
+	for _, e := range endpoints {
+		if h, ok := heaviest(e, hosts); ok {
+			out[e] = h
+		}
 	}
-	return ranked[0], true
+	return out
 }
 
 // Leader returns the host of the zone that watches the platform and talks to
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -5,6 +5,7 @@
 package jkmember
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -38,6 +39,8 @@
 
 // Host is the description of a host in heartbeats and digests.
 type Host struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Incarnation jktoken.Incarnation `msgpack:"incarnation"`
 	Zone        string              `msgpack:"zone"`
 	Addr        string              `msgpack:"addr"`
@@ -56,6 +59,8 @@
 
 // ZoneSeen tells how fresh a host's knowledge of a zone is.
 type ZoneSeen struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Version uint64        `msgpack:"version"`
 	Age     time.Duration `msgpack:"age"`
 }
@@ -89,6 +94,7 @@
 	options Options
 	hosts   map[string]*row
 	zones   map[string]*zone
+	version uint64
 	own     ZoneDigest
 	// leaving holds the hosts that the platform's list names as leaving.
 	leaving map[string]bool
@@ -105,10 +111,18 @@
 func (t *Table) Self() Host { return t.hosts[t.options.Self.Incarnation.Host].host }
 
 // SetSelf replaces the own host's description, for example with another state.
-func (t *Table) SetSelf(h Host) { t.hosts[h.Incarnation.Host].host = h }
+func (t *Table) SetSelf(h Host) {
+	t.version++
+	t.hosts[h.Incarnation.Host].host = h
+}
 
 // SetLeaving replaces the hosts that the platform's list names as leaving.
-func (t *Table) SetLeaving(hosts map[string]bool) { t.leaving = hosts }
+func (t *Table) SetLeaving(hosts map[string]bool) {
+	if !maps.Equal(hosts, t.leaving) {
+		t.version++
+	}
+	t.leaving = hosts
+}
 
 // Seed adds a configured host that has not been heard yet.
 func (t *Table) Seed(h Host) {
@@ -127,9 +141,27 @@
 	if r != nil && r.host.Incarnation.Start > h.Incarnation.Start {
 		return
 	}
+	if r == nil || r.host != h || r.status != StatusUp {
+		t.version++
+	}
 	t.hosts[h.Incarnation.Host] = &row{host: h, seen: now, status: StatusUp}
 }
 
+// Beat notes a heartbeat of a known incarnation of the own zone. It reports false
+// if the incarnation is not known, so that its description is needed first.
+func (t *Table) Beat(now time.Time, i jktoken.Incarnation) bool {
+	r := t.hosts[i.Host]
+	if r == nil || r.host.Incarnation != i {
+		return false
+	}
+	if r.status != StatusUp {
+		t.version++
+	}
+	r.seen = now
+	r.status = StatusUp
+	return true
+}
+
 // ObserveZone takes the digest of another zone, received age ago by the host
 // that passed it on. It reports whether the digest was new.
 func (t *Table) ObserveZone(now time.Time, d ZoneDigest, age time.Duration) bool {
@@ -166,6 +198,7 @@
 }
 
 func (t *Table) applyZone(now time.Time, d ZoneDigest) {
+	t.version++
 	listed := map[string]bool{}
 	for _, h := range d.Hosts {
 		listed[h.Incarnation.Host] = true
@@ -193,15 +226,25 @@
 	return z.digest, true
 }
 
-// Seen returns the freshness of all other zones for a heartbeat.
-func (t *Table) Seen(now time.Time) map[string]ZoneSeen {
-	seen := map[string]ZoneSeen{}
+// Seen returns the freshness of the zones that were heard within a time, for a
+// heartbeat. Zones heard longer ago are left to the hosts that heard them.
+func (t *Table) Seen(now time.Time, within time.Duration) map[string]ZoneSeen {
+	var seen map[string]ZoneSeen
 	for name, z := range t.zones {
+		if now.Sub(z.seen) > within {
+			continue
+		}
+		if seen == nil {
+			seen = map[string]ZoneSeen{}
+		}
 		seen[name] = ZoneSeen{Version: z.digest.Version, Age: now.Sub(z.seen)}
 	}
 	return seen
 }
 
+// Version changes whenever a host appears, goes, or changes its state.
+func (t *Table) Version() uint64 { return t.version }
+
 // Change is a host whose status or incarnation has changed.
 type Change struct {
 	Host   Host
@@ -217,6 +260,9 @@
 			continue
 		}
 		status := t.conclude(now, r)
+		if status != r.status {
+			t.version++
+		}
 		if status != r.status && status != StatusUp {
 			changes = append(changes, Change{Host: r.host, Status: status})
 		}
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -40,6 +40,8 @@
 
 // Suspect is a request content that has crashed endpoints.
 type Suspect struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Fingerprint string `msgpack:"fingerprint"`
 	Crashes     int    `msgpack:"crashes"`
 	// Owner is the home that may try the request once more.
@@ -50,20 +52,30 @@
 
 // Heartbeat goes from each host to all hosts of its zone.
 type Heartbeat struct {
-	Host     jkmember.Host                `msgpack:"host"`
-	Revision uint64                       `msgpack:"revision"`
-	Loads    []jksched.Load               `msgpack:"loads,omitempty"`
-	Suspects []Suspect                    `msgpack:"suspects,omitempty"`
-	Zones    map[string]jkmember.ZoneSeen `msgpack:"zones,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Incarnation jktoken.Incarnation `msgpack:"incarnation"`
+	Revision    uint64              `msgpack:"revision"`
+	// Host is the sender's whole description. It is left out of most beats; a
+	// host that does not know the sender's incarnation waits for the next one.
+	Host     *jkmember.Host               `msgpack:"host"`
+	Loads    []jksched.Load               `msgpack:"loads"`
+	Suspects []Suspect                    `msgpack:"suspects"`
+	Zones    map[string]jkmember.ZoneSeen `msgpack:"zones"`
 }
 
 // ZoneDigest goes from the leader of a zone to one host of each other zone.
 type ZoneDigest struct {
-	From     jkmember.Host       `msgpack:"from"`
-	Digest   jkmember.ZoneDigest `msgpack:"digest"`
-	Revision uint64              `msgpack:"revision"`
-	Loads    []jksched.Load      `msgpack:"loads,omitempty"`
-	Suspects []Suspect           `msgpack:"suspects,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Zone string `msgpack:"zone"`
+	// Addr is where the receiver pulls the hosts of the zone if it does not
+	// have this version.
+	Addr     string         `msgpack:"addr"`
+	Version  uint64         `msgpack:"version"`
+	Revision uint64         `msgpack:"revision"`
+	Loads    []jksched.Load `msgpack:"loads"`
+	Suspects []Suspect      `msgpack:"suspects"`
 }
 
 // ZonePull asks a host for its digest of a zone.
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -91,6 +91,9 @@
 
 // Load is the digest of one endpoint that its dispatcher puts into heartbeats.
 type Load struct {
+	// The names of the fields would be most of a digest's bytes.
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Endpoint string
 	// Model is the first model of the endpoint; paces of one model are compared.
 	Model   string
--- a/core/jktoken/token.go
+++ b/core/jktoken/token.go
@@ -24,6 +24,8 @@
 
 // Incarnation names one start of a daemon.
 type Incarnation struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Host  string `msgpack:"host"`
 	Start uint64 `msgpack:"start"`
 }
--- a/core/jkwire/frame.go
+++ b/core/jkwire/frame.go
@@ -25,14 +25,19 @@
 	KindEnd    Kind = "end"
 	KindError  Kind = "error"
 	KindCancel Kind = "cancel"
+	// KindNotify opens a stream that gets no answer.
+	KindNotify Kind = "notify"
 )
 
-// Frame is one envelope.
+// Frame is one envelope. It is encoded as an array, because the names of its
+// fields would be a large part of a heartbeat.
 type Frame struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Stream uint64             `msgpack:"stream"`
 	Kind   Kind               `msgpack:"kind"`
-	Type   string             `msgpack:"type,omitempty"`
-	Body   msgpack.RawMessage `msgpack:"body,omitempty"`
+	Type   string             `msgpack:"type"`
+	Body   msgpack.RawMessage `msgpack:"body"`
 }
 
 // FrameTooLargeError is returned for a frame beyond MaxFrame.
@@ -67,7 +72,9 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Cause }
 
-func encodeBody(v any) (msgpack.RawMessage, error) {
+// Encode returns the encoded form of a message body. Notify takes it as it is,
+// so that one message to many peers is encoded once.
+func Encode(v any) (msgpack.RawMessage, error) {
 	if v == nil {
 		return nil, nil
 	}
--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// Notify sends a message that gets no answer. It may be lost without a word.
+func (p *Pool) Notify(ctx context.Context, addr, messageType string, body msgpack.RawMessage) error {
+	c, err := p.conn(ctx, addr)
+	if err != nil {
+		return eris.Wrap(&LostError{Addr: addr, Cause: err}, "connect")
+	}
+	c.mu.Lock()
+	c.next++
+	id := c.next
+	c.mu.Unlock()
+	err = c.link.write(&Frame{Stream: id, Kind: KindNotify, Type: messageType, Body: body}, p.control(messageType))
+	if err != nil {
+		c.fail(err)
+	}
+	return err
+}
+
 // Open starts a stream. A *LostError tells whether the request was sent.
 func (p *Pool) Open(ctx context.Context, addr, messageType string, request any) (*Stream, error) {
 	c, err := p.conn(ctx, addr)
@@ -194,7 +211,7 @@
 }
 
 func exchangeHello(l *link, self Hello) (Hello, error) {
-	body, err := encodeBody(&self)
+	body, err := Encode(&self)
 	if err != nil {
 		return Hello{}, err
 	}
@@ -256,7 +273,7 @@
 var errSlowReader = errors.New("the reader fell behind")
 
 func (c *clientConn) open(messageType string, request any) (*Stream, error) {
-	body, err := encodeBody(request)
+	body, err := Encode(request)
 	if err != nil {
 		return nil, err
 	}
--- a/core/jkwire/server.go
+++ b/core/jkwire/server.go
@@ -145,14 +145,14 @@
 	case f.Kind == KindCancel:
 		c.cancel(f.Stream)
 		return true
-	case f.Kind != KindOpen:
+	case f.Kind != KindOpen && f.Kind != KindNotify:
 		return false
 	case f.Type == typeHello:
 		return c.hello(f)
 	case c.peer.Host == "":
 		return false
 	}
-	in := &Incoming{conn: c, stream: f.Stream, messageType: f.Type, body: f.Body, control: c.server.control(f.Type)}
+	in := &Incoming{conn: c, stream: f.Stream, messageType: f.Type, body: f.Body, control: c.server.control(f.Type), silent: f.Kind == KindNotify}
 	streamCtx, cancel := context.WithCancel(ctx)
 	if !c.add(f.Stream, cancel) {
 		cancel()
@@ -209,6 +209,8 @@
 	messageType string
 	body        msgpack.RawMessage
 	control     bool
+	// silent is set for a notification, whose answers are dropped.
+	silent bool
 }
 
 // Type returns the message type of the request.
@@ -234,7 +236,10 @@
 }
 
 func (s *Incoming) send(kind Kind, v any) error {
-	body, err := encodeBody(v)
+	if s.silent {
+		return nil
+	}
+	body, err := Encode(v)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/jasmineknotbench/jkfleet/load.go
@@ -0,0 +1,97 @@
+package jkfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jasmineknot.example/core/jkchat"
+	"jasmineknot.example/core/jksite"
+)
+
+// turns is the number of calls of each program of the light load.
+const turns = 4
+
+// load starts programs at a steady rate over all daemons.
+type load struct {
+	fleet  *fleet
+	rate   float64
+	calls  atomic.Int64
+	next   atomic.Int64
+	cancel context.CancelFunc
+	end    func()
+	wait   sync.WaitGroup
+	client *http.Client
+}
+
+func newLoad(f *fleet, rate float64) *load {
+	return &load{fleet: f, rate: rate, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+func (l *load) start(ctx context.Context) {
+	ctx, l.cancel = context.WithCancel(ctx)
+	interval := time.Duration(float64(time.Second) / (l.rate * float64(len(l.fleet.processes))))
+	l.end = l.fleet.timer.Every(interval, func() {
+		l.wait.Add(1)
+		go func() {
+			defer l.wait.Done()
+			l.program(ctx)
+		}()
+	})
+}
+
+func (l *load) stop() {
+	l.end()
+	l.cancel()
+	l.wait.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// program runs one program whose turns enter through different daemons. A
+// failed request ends it; the calls counted are the completed ones.
+func (l *load) program(ctx context.Context) {
+	header, _, ok := l.post(ctx, "/v1/programs", "", map[string]string{"workspace": "w", "template": jksite.Template})
+	if !ok {
+		return
+	}
+	token := header.Get("X-Program-Token")
+	messages := []jkchat.Message{{Role: jkchat.RoleUser, Content: jkchat.Text("plan a dinner for forty guests")}}
+	for range turns {
+		header, body, ok := l.post(ctx, "/v1/chat/completions", token, jkchat.Request{Model: jksite.Model, Messages: messages, MaxTokens: 16})
+		var c jkchat.Completion
+		if !ok || json.Unmarshal(body, &c) != nil || len(c.Choices) == 0 {
+			return
+		}
+		l.calls.Add(1)
+		token = header.Get("X-Program-Token")
+		messages = append(messages, c.Choices[0].Message, jkchat.Message{Role: jkchat.RoleUser, Content: jkchat.Text("go on")})
+	}
+}
+
+func (l *load) post(ctx context.Context, path, token string, body any) (http.Header, []byte, bool) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, nil, false
+	}
+	p := l.fleet.processes[l.next.Add(1)%int64(len(l.fleet.processes))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.http+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, nil, false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		req.Header.Set("X-Program-Token", token)
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return nil, nil, false
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return res.Header, text, err == nil && res.StatusCode < http.StatusMultipleChoices
+}
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"jasmineknot.example/jasmineknotbench/jkenginecmd"
+	"jasmineknot.example/jasmineknotbench/jkfleet"
 	"jasmineknot.example/jasmineknotbench/jkload"
 	"jasmineknot.example/jasmineknotbench/jkpath"
 	"jasmineknot.example/jasmineknotbench/jkplatformcmd"
@@ -23,6 +24,7 @@
 	jkplatformcmd.Register(app)
 	jkservicecmd.Register(app)
 	jktoolcmd.Register(app)
+	jkfleet.Register(app)
 	jkload.Register(app)
 	jkpolicy.Register(app)
 	jkpath.Register(app)
