config: refuse to show an unknown configuration as empty

Cause: a daemon that has reached neither the platform nor another host since its start answered GET /v1/config with revision 0, as if nothing had been configured. Before: the script in testdata/config got an empty section. After: it gets unavailable until the platform is read (go test ./jkcommand).

--- a/core/jkconfig/follower_watch.go
+++ b/core/jkconfig/follower_watch.go
@@ -50,10 +50,13 @@
 	return nil
 }
 
-// Loaded reports whether the platform has been read since the start. A host at
-// revision 0 that is not loaded doesn't know the configuration.
+// Loaded reports whether the platform has been read since the start.
 func (f *Follower) Loaded() bool { return f.loaded.Load() }
 
+// Known reports whether the document is known. A host at revision 0 that has
+// reached neither the platform nor another host doesn't know it.
+func (f *Follower) Known() bool { return f.Revision() > 0 || f.Loaded() }
+
 // CatchUp takes the revisions that the platform has now, without waiting.
 func (f *Follower) CatchUp(ctx context.Context) error { return f.follow(ctx, 0) }
 
--- a/core/jkconfigadapter/adapter.go
+++ b/core/jkconfigadapter/adapter.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"jasmineknot.example/core/jkconfig"
 	"jasmineknot.example/core/jkconfigapi"
+	"jasmineknot.example/core/jkplatform"
 )
 
 // Functions returns the functions of the API on a follower and an editor.
@@ -22,10 +25,22 @@
 	editor   *jkconfig.Editor
 }
 
+// newest returns the document in force. Revision 0 is an answer only if the
+// platform really has no revision.
+func (a *adapter) newest() (*jkconfig.Document, error) {
+	if !a.follower.Known() {
+		cause := eris.New("neither the platform nor another host has been reached since the start")
+		return nil, &jkplatform.UnavailableError{Operation: "configuration", Cause: cause}
+	}
+	return a.follower.Newest(), nil
+}
+
 func (a *adapter) document(ctx context.Context, revision uint64) (jkconfigapi.Document, error) {
-	d := a.follower.Newest()
+	d, err := a.newest()
+	if err != nil {
+		return jkconfigapi.Document{}, err
+	}
 	if revision > 0 {
-		var err error
 		if d, err = a.follower.At(ctx, revision); err != nil {
 			return jkconfigapi.Document{}, err
 		}
@@ -69,7 +84,10 @@
 }
 
 func (a *adapter) validate(_ context.Context, v jkconfigapi.Validation) (jkconfigapi.ValidationResult, error) {
-	d := a.follower.Newest()
+	d, err := a.newest()
+	if err != nil {
+		return jkconfigapi.ValidationResult{}, err
+	}
 	replace := map[jkconfig.Section][]byte{}
 	for name, text := range v.Sections {
 		replace[jkconfig.Section(name)] = text
--- a/jasmineknot/jkcommand/config_test.go
+++ b/jasmineknot/jkcommand/config_test.go
@@ -25,13 +25,13 @@
 )
 
 // daemon serves the configuration API on a stand-in platform.
-func daemon(t *testing.T) (url string, platform *jkstandin.Platform) {
+func daemon(t *testing.T) (url string, platform *jkstandin.Platform, f *jkconfig.Follower) {
 	t.Helper()
 	timer := jktimer.New()
 	platform = jkstandin.NewPlatform(timer, jkstandin.PlatformLimits{})
 	store := httptest.NewServer(platform)
 	client := jkplatform.NewHTTP(store.URL, nil)
-	f := jkconfig.NewFollower(jkconfig.FollowerOptions{Client: client, Timer: timer, Log: jklog.Discard(), Wait: time.Second})
+	f = jkconfig.NewFollower(jkconfig.FollowerOptions{Client: client, Timer: timer, Log: jklog.Discard(), Wait: time.Second})
 	e := jkconfig.NewEditor(jkconfig.EditorOptions{Client: client, Timer: timer, Log: jklog.Discard(), Follower: f})
 	router := echo.New()
 	functions := jkconfigadapter.Functions(f, e)
@@ -43,7 +43,7 @@
 		store.CloseClientConnections()
 		store.Close()
 	})
-	return server.URL, platform
+	return server.URL, platform, f
 }
 
 // run runs one command line and returns its output, error and exit code.
@@ -62,7 +62,7 @@
 // tell the operator what to do. The script sends edits of two teams, a
 // conflict, wrong documents and edits during an outage.
 func TestConfigCommands(t *testing.T) {
-	url, platform := daemon(t)
+	url, platform, follower := daemon(t)
 	changing := regexp.MustCompile(`20\d\d-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
 	folder := t.TempDir()
 	datadriven.RunTest(t, "testdata/config", func(t *testing.T, td *datadriven.TestData) string {
@@ -76,6 +76,10 @@
 			if err := os.WriteFile(filepath.Join(folder, first), []byte(rest), 0o600); err != nil {
 				t.Fatal(err)
 			}
+		case "load":
+			if err := follower.Load(t.Context()); err != nil {
+				t.Fatal(err)
+			}
 		case "faults":
 			platform.SetFaults(jkstandin.PlatformFaults{Down: first == "down", LoseAnswers: strings.Count(first, "lose")})
 		}
