--- a/core/jkconfig/document_test.go
+++ b/core/jkconfig/document_test.go
@@ -1,6 +1,7 @@
 package jkconfig
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -115,24 +116,27 @@
 // fleetDocument returns a document at the size of design section 2.6.
 func fleetDocument(t testing.TB) *Document {
 	t.Helper()
-	endpoints, hosts, budgets := map[string]any{}, map[string]any{}, map[string]any{}
+	models, endpoints, hosts, budgets := map[string]any{}, map[string]any{}, map[string]any{}, map[string]any{}
+	for i := range 38 {
+		models[fmt.Sprint("model-", i)] = map[string]any{"versions": []string{"v1"}, "replicas": 200}
+	}
 	for i := range 7900 {
 		endpoints[fmt.Sprintf("engine-%05d", i*7919%99991)] = map[string]any{
-			"zone": fmt.Sprint("zone-", i%9), "address": fmt.Sprintf("10.%d.%d.%d:8000", i%9, i*31%251, i*17%253),
-			"kind": "engine", "models": []string{fmt.Sprint("model-", i%38), fmt.Sprint("model-", i*7%38)},
+			"zone": fmt.Sprint("zone-", i%9), "address": fmt.Sprintf("10.%d.%d.%d:8000", i%9, i*31%251, i/251),
+			"kind": "engine", "models": []string{fmt.Sprint("model-", i%38), fmt.Sprint("model-", (i+1+i/38%37)%38)},
 			"slots": 16 + i%5, "cache_tokens": 400000 + i%1000, "checks_fencing": i%3 == 0, "state": "live",
 		}
 	}
 	for i := range 410 {
 		hosts[fmt.Sprint("host-", i)] = map[string]any{
-			"zone": fmt.Sprint("zone-", i%9), "address": fmt.Sprintf("10.%d.%d.9:7000", i%9, i%251), "state": "live",
+			"zone": fmt.Sprint("zone-", i%9), "address": fmt.Sprintf("10.%d.%d.%d:7000", i%9, i%251, i/251), "state": "live",
 		}
 	}
 	for i := range 3200 {
 		budgets[fmt.Sprint("workspace-", i*7919%99991)] = map[string]any{"tokens": 1000000 + i*977, "window": "24h"}
 	}
 	d := Empty()
-	for s, entries := range map[Section]any{SectionEndpoints: endpoints, SectionHosts: hosts, SectionBudgets: budgets} {
+	for s, entries := range map[Section]any{SectionModels: models, SectionEndpoints: endpoints, SectionHosts: hosts, SectionBudgets: budgets} {
 		text, err := json.Marshal(map[string]any{"owner": "site", "entries": entries})
 		if err != nil {
 			t.Fatal(err)
@@ -187,3 +191,34 @@
 		}
 	}
 }
+
+func BenchmarkValidateFleet(b *testing.B) {
+	d := fleetDocument(b)
+	text, _ := d.Text(SectionEndpoints)
+	for b.Loop() {
+		if err := d.Validate(map[Section][]byte{SectionEndpoints: text}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkEditFleet is the work of one edit that changes one of 7,900
+// endpoints, without the platform.
+func BenchmarkEditFleet(b *testing.B) {
+	d := fleetDocument(b)
+	text, _ := d.Text(SectionEndpoints)
+	edit := Edit{
+		ID: "e", Team: "site", Section: SectionEndpoints, Base: d.revision,
+		Value: bytes.Replace(text, []byte(`"state":"live"`), []byte(`"state":"leaving"`), 1),
+	}
+	for b.Loop() {
+		value, err := edit.check()
+		if err != nil {
+			b.Fatal(err)
+		}
+		edit.Value = value
+		if c, err := (&attempt{edit: edit}).change(d); err != nil || c.Revision == 0 {
+			b.Fatal(c.Revision, err)
+		}
+	}
+}
--- a/core/jkconfig/editor.go
+++ b/core/jkconfig/editor.go
@@ -205,9 +205,6 @@
 // change returns the next revision after base, or revision 0 if the section
 // already has the content.
 func (a *attempt) change(base *Document) (Change, error) {
-	if err := base.Validate(map[Section][]byte{a.edit.Section: a.edit.Value}); err != nil {
-		return Change{}, err
-	}
 	old, _ := base.Text(a.edit.Section)
 	patch, err := jsonpatch.CreateMergePatch(old, a.edit.Value)
 	if err != nil {
@@ -226,13 +223,19 @@
 	return c, c.complete(base, a.edit.Value)
 }
 
-// complete checks that the change leads from base to the wanted text and that
-// it fits into the platform, and adds the whole document where it is due.
+// complete checks that the change leads from base to the wanted text, that the
+// document is valid then and that it fits into the platform, and adds the whole
+// document where it is due. The schema has been checked before.
 func (c *Change) complete(base *Document, want []byte) error {
 	next, err := base.apply(*c)
 	if err != nil {
 		return err
 	}
+	found := &findings{}
+	next.checkRules(nil, found)
+	if err := jkschema.Report("configuration", found.problems); err != nil {
+		return err
+	}
 	if got, _ := next.Text(c.Section); string(got) != string(want) {
 		return eris.Errorf("section %s: the patch doesn't give the edited text", c.Section)
 	}
--- a/core/jkconfig/validate.go
+++ b/core/jkconfig/validate.go
@@ -30,12 +30,18 @@
 		faulty[s] = len(problems) > 0
 		found.problems = append(found.problems, problems...)
 	}
+	next.checkRules(faulty, found)
+	return jkschema.Report("configuration", found.problems)
+}
+
+// checkRules runs the rules between sections on decoded tables, without those
+// of faulty sections.
+func (t *tables) checkRules(faulty map[Section]bool, found *findings) {
 	for _, r := range rules() {
 		if !anyFaulty(r.needs, faulty) {
-			r.check(&next, found)
+			r.check(t, found)
 		}
 	}
-	return jkschema.Report("configuration", found.problems)
 }
 
 // replace sets the table of a section from its whole text.
