spec: refute a home that forgets closed keys with an idle program

Cause: a program row lives until the program is idle past its limit and is then rebuilt from a copy. The copies hold intents and results, but no closed keys, so the same incarnation and epoch accepts a late attempt of a key after not_run.

Seen red: MUTANT_EVICTION_FORGETS_CLOSED is refuted, with the attempt that arrives after not_run dispatched. Conclusion: a home keeps closed keys as long as it accepts tokens of their epoch, or raises its epoch when it reads a program back.

--- a/spec/at_most_once.pml
+++ b/spec/at_most_once.pml
@@ -174,6 +174,12 @@
 	:: atomic { alive[h] == UP && phase[h] == DISPATCHED && crashed[h] ->
 		printf("home %d refuses the repeated request as quarantined\n", h); say_not_run(h) }
 #endif
+#ifdef MUTANT_EVICTION_FORGETS_CLOSED
+	/* The copies hold intents and results, but not the closed keys. */
+	:: atomic { alive[h] == UP && phase[h] == CLOSED ->
+		phase[h] = FRESH; acks[h] = 0;
+		printf("home %d drops the idle program and reads it back from a copy\n", h) }
+#endif
 #ifdef MUTANT_NO_INCARNATION_CHECK
 	:: atomic { h == 0 && alive[h] == GONE ->
 		alive[h] = UP; phase[h] = FRESH; acks[h] = 0;
