--- a/jasmineknotbench/jkpolicy/command.go
+++ b/jasmineknotbench/jkpolicy/command.go
@@ -24,9 +24,12 @@
 	timer    *jktimer.Service
 }
 
+// sweepLoads are the loads of the plot of latency over load.
+var sweepLoads = []float64{0.3, 0.5, 0.7, 0.8, 0.85, 0.9, 0.95}
+
 // Register adds the command "policy" to the application.
 func Register(app *kingpin.Application) {
-	c := &command{out: os.Stdout, progress: os.Stderr, timer: jktimer.New()}
+	c := &command{settings: settings{sweep: sweepLoads}, out: os.Stdout, progress: os.Stderr, timer: jktimer.New()}
 	cmd := app.Command("policy", "Compare scheduling policies in virtual time.")
 	cmd.Flag("seeds", "Number of seeds; figures are medians with their range.").Default("1").IntVar(&c.settings.seeds)
 	cmd.Flag("seed", "First seed.").Default("1").Uint64Var(&c.settings.seed)
--- a/jasmineknotbench/jkpolicy/experiment.go
+++ b/jasmineknotbench/jkpolicy/experiment.go
@@ -38,6 +38,8 @@
 	seeds    int
 	load     float64
 	duration time.Duration
+	// sweep lists the loads of the plot of latency over load.
+	sweep []float64
 }
 
 // runKey names one run of an experiment.
--- a/jasmineknotbench/jkpolicy/stats.go
+++ b/jasmineknotbench/jkpolicy/stats.go
@@ -17,7 +17,11 @@
 	// slowdown, relative to each turn's lower bound.
 	windowTurns []float64
 	// possible is the number of turns that could be in time in hindsight.
-	possible   int
+	possible int
+	// offered and answered count the turns with a deadline per second of their
+	// release, and those of them answered in time.
+	offered    []float64
+	answered   []float64
 	unfinished int
 
 	prefill, repeated, generated, extra int64
@@ -75,6 +79,19 @@
 	}
 }
 
+// countSeconds fills the time line from the recorded turns.
+func (s *stats) countSeconds(end time.Duration) {
+	n := int(end/time.Second) + 1
+	s.offered, s.answered = make([]float64, n), make([]float64, n)
+	for _, t := range s.turns {
+		second := int(t.release / time.Second)
+		s.offered[second]++
+		if t.inTime() {
+			s.answered[second]++
+		}
+	}
+}
+
 func (s *stats) inTime() int {
 	n := 0
 	for _, t := range s.turns {
--- a/jasmineknotbench/jkpolicy/table.go
+++ b/jasmineknotbench/jkpolicy/table.go
@@ -16,20 +16,26 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "measure\ttarget\tnaive\tordinary\tjasmineknot\t")
 	for _, row := range rows {
-		verdict := "missed"
-		if row.Met {
-			verdict = "met"
-		}
-		sign := "<="
-		if row.Bound == atLeast {
-			sign = ">="
-		}
-		fmt.Fprintf(t, "%s\t%s %g\t%s\t%s\t%s\t%s\n", row.Name, sign, row.Target,
-			spread(row.Values[naive]), spread(row.Values[ordinary]), spread(row.Values[ours]), verdict)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", row.Name, row.target(),
+			spread(row.Values[naive]), spread(row.Values[ordinary]), spread(row.Values[ours]), row.verdict())
 	}
 	return t.Flush()
 }
 
+func (m measureRow) target() string {
+	if m.Bound == atLeast {
+		return fmt.Sprintf(">= %g", m.Target)
+	}
+	return fmt.Sprintf("<= %g", m.Target)
+}
+
+func (m measureRow) verdict() string {
+	if m.Met {
+		return "met"
+	}
+	return "missed"
+}
+
 // spread formats the median, and the range if there are several seeds.
 func spread(values []float64) string {
 	if len(values) == 1 {
--- a/jasmineknotbench/jkpolicy/world.go
+++ b/jasmineknotbench/jkpolicy/world.go
@@ -109,6 +109,7 @@
 	for _, e := range w.engines {
 		e.cache.settleAll()
 	}
+	w.stats.countSeconds(w.plan.end())
 	w.stats.turns = crestTurns(w.plan, w.stats.turns)
 	w.stats.possible = hindsight(w.plan, w.stats.turns)
 	return w.stats
