--- a/jasmineknotbench/jkpolicy/experiment.go
+++ b/jasmineknotbench/jkpolicy/experiment.go
@@ -84,30 +84,55 @@
 	return w.run()
 }
 
-// measure runs every scenario under every policy for every seed, on as many
-// threads as the runtime may use.
+// measure runs every scenario under every policy for every seed.
 func measure(w *workload, s settings, progress func(done, total int)) *results {
 	out := &results{workload: w, settings: s, capacity: capacity(w, true), runs: map[runKey]*stats{}}
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
-	total := s.seeds * len(scenarios) * len(policyNames)
+	var keys []runKey
 	for i := range s.seeds {
-		seed := s.seed + uint64(i)
 		for _, sc := range scenarios {
 			for _, name := range policyNames {
-				slots <- struct{}{}
-				wait.Go(func() {
-					got := runPolicy(s.plan(w, seed, sc), name, seed)
-					mu.Lock()
-					out.runs[runKey{seed, sc, name}] = got
-					progress(len(out.runs), total)
-					mu.Unlock()
-					<-slots
-				})
+				keys = append(keys, runKey{s.seed + uint64(i), sc, name})
 			}
 		}
 	}
-	wait.Wait()
+	var mu sync.Mutex
+	parallel(len(keys), func(i int) {
+		k := keys[i]
+		got := runPolicy(s.plan(w, k.seed, k.scenario), k.policy, k.seed)
+		mu.Lock()
+		defer mu.Unlock()
+		out.runs[k] = got
+		progress(len(out.runs), len(keys))
+	})
 	return out
 }
+
+// sweep runs the steady scenario of the first seed at every load of the sweep
+// and returns the statistics by policy, in the order of the loads.
+func sweep(w *workload, s settings) map[string][]*stats {
+	out := map[string][]*stats{}
+	for _, name := range policyNames {
+		out[name] = make([]*stats, len(s.sweep))
+	}
+	parallel(len(s.sweep)*len(policyNames), func(i int) {
+		at := s
+		at.load = s.sweep[i/len(policyNames)]
+		name := policyNames[i%len(policyNames)]
+		out[name][i/len(policyNames)] = runPolicy(at.plan(w, s.seed, scenarioSteady), name, s.seed)
+	})
+	return out
+}
+
+// parallel runs f for 0 to n-1 on as many threads as the runtime may use.
+func parallel(n int, f func(i int)) {
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range n {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			f(i)
+		})
+	}
+	wait.Wait()
+}
--- a/jasmineknotbench/jkpolicy/html.go
+++ b/jasmineknotbench/jkpolicy/html.go
@@ -99,12 +99,11 @@
 	// Naive leaves the range that shows the other policies.
 	p.Y.Min, p.Y.Max = 1, 4
 	var lines []any
+	swept := sweep(r.workload, r.settings)
 	for _, name := range policyNames {
 		var mid, tail plotter.XYs
-		for _, load := range r.settings.sweep {
-			s := r.settings
-			s.load = load
-			got := runPolicy(s.plan(r.workload, s.seed, scenarioSteady), name, s.seed)
+		for i, got := range swept[name] {
+			load := r.settings.sweep[i]
 			mid = append(mid, plotter.XY{X: load, Y: min(quantile(got.latency, 0.5)/quantile(got.bounds, 0.5), 4)})
 			tail = append(tail, plotter.XY{X: load, Y: min(quantile(got.latency, 0.99)/quantile(got.bounds, 0.99), 4)})
 		}
