--- a/core/jksched/place.go
+++ b/core/jksched/place.go
@@ -9,6 +9,7 @@
 // endpoints are not chosen; a call that moves or is dispatched again excludes
 // the endpoint it comes from. The error is a *RefusedError.
 func (p *Placer) Place(now time.Time, c Call, exclude ...string) (Placement, error) {
+	p.now = now
 	found := p.candidates(c, exclude)
 	if len(found) == 0 {
 		return Placement{}, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: p.opt.BreakerPause}
@@ -80,6 +81,7 @@
 			return
 		}
 	}
+	row.forgetPlaced(p.now)
 	cost, wait := p.cost(c, row)
 	if known, ok := p.programs[c.Program]; ok && known.row == row {
 		cost -= time.Duration(p.opt.MoveMargin * float64(cost))
@@ -87,6 +89,18 @@
 	p.scratch = append(p.scratch, candidate{row: row, cost: cost, wait: wait})
 }
 
+// placedFor is how long a placement counts without a digest that includes it.
+// It covers two digests, so that a skewed clock of a dispatcher does no harm.
+const placedFor = time.Second
+
+func (r *placerRow) forgetPlaced(now time.Time) {
+	n := 0
+	for n < len(r.placed) && now.Sub(r.placed[n]) > placedFor {
+		n++
+	}
+	r.placed = r.placed[n:]
+}
+
 func serves(e Endpoint, c Call) bool {
 	if c.Kind == KindService {
 		return e.Kind == KindService && e.Service == c.Service
--- a/core/jksched/placer.go
+++ b/core/jksched/placer.go
@@ -18,8 +18,10 @@
 	holders  map[string][]*placerRow
 	outputs  outputMeans
 	// heat is the recent number of uses per shared prompt.
-	heat    map[string]float64
-	cooled  time.Time
+	heat   map[string]float64
+	cooled time.Time
+	// now is the time of the decision being made.
+	now     time.Time
 	scratch []candidate
 }
 
@@ -135,11 +137,11 @@
 	return target{KindModel, c.Model}
 }
 
-// SetLoad takes a dispatcher's digest. Digests older than the known one are
+// SetLoad takes a dispatcher's digest. A digest that overtook a newer one is
 // ignored.
 func (p *Placer) SetLoad(l Load) {
 	row, ok := p.endpoints[l.Endpoint]
-	if !ok || l.At.Before(row.load.At) {
+	if !ok || overtaken(l, row.load) {
 		return
 	}
 	p.setHotPrefixes(row, l.HotPrefixes)
@@ -147,6 +149,13 @@
 	row.placed = slices.DeleteFunc(row.placed, func(at time.Time) bool { return !at.After(l.At) })
 }
 
+// overtaken reports whether a newer digest than l is known. A digest that is
+// far older comes from another dispatcher, whose clock is behind.
+func overtaken(l, known Load) bool {
+	late := known.At.Sub(l.At)
+	return late > 0 && late < 5*time.Second
+}
+
 func (p *Placer) setHotPrefixes(row *placerRow, next []Segment) {
 	for _, s := range row.load.HotPrefixes {
 		if left := without(p.holders[s.Hash], row); len(left) == 0 {
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -96,7 +96,7 @@
 // SetLoad takes the digest of an endpoint of another dispatcher, whose token
 // pace serves as comparison.
 func (q *Queue) SetLoad(l Load) {
-	if _, own := q.endpoints[l.Endpoint]; own || l.At.Before(q.peers[l.Endpoint].At) {
+	if _, own := q.endpoints[l.Endpoint]; own || overtaken(l, q.peers[l.Endpoint]) {
 		return
 	}
 	l.HotPrefixes = nil
