--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -96,7 +96,7 @@
 // SetLoad takes the digest of an endpoint of another dispatcher, whose token
 // pace serves as comparison.
 func (q *Queue) SetLoad(l Load) {
-	if _, own := q.endpoints[l.Endpoint]; own || l.At.Before(q.peers[l.Endpoint].At) {
+	if _, own := q.endpoints[l.Endpoint]; own || overtaken(l, q.peers[l.Endpoint]) {
 		return
 	}
 	l.HotPrefixes = nil
@@ -225,7 +225,9 @@
 func (q *Queue) dispatch(now time.Time, row *queueRow) {
 	for row.endpoint.State == StateLive && len(row.running) < row.limit {
 		cr := row.next(q.reserve(row))
-		if cr != nil && !q.fits(row, cr) && !cr.short && len(row.short) > 0 {
+		// A call that has waited for memory too long lets no other pass, so that
+		// the running ones drain until it fits.
+		if cr != nil && !q.fits(row, cr) && !cr.short && len(row.short) > 0 && now.Sub(cr.pushed) < q.opt.MemoryWait {
 			cr = row.short[0]
 		}
 		if cr == nil || !q.fits(row, cr) {
