endpoint: count bytes as sent from the start of a write

Ruled out: a fault of the test; BytesSent was wrong. The decision between "not sent" and "uncertain" was not affected, it already used the start of a write. Conclusion: one counter now serves both: it rises when a write starts and falls by what a failed write did not send.

--- a/core/jkendpoint/cancel_test.go
+++ b/core/jkendpoint/cancel_test.go
@@ -71,7 +71,7 @@
 	if _, err := c.Write([]byte("first")); err != nil {
 		t.Fatal(err)
 	}
-	if got := c.sealUnwritten(counts{}); got.written != 5 || got.started != 5 {
+	if got := c.sealUnwritten(counts{}); got.sent != 5 {
 		t.Fatalf("got %+v", got)
 	}
 	if _, err := c.Write([]byte("second")); err != nil {
--- a/core/jkendpoint/conn.go
+++ b/core/jkendpoint/conn.go
@@ -13,11 +13,12 @@
 type countedConn struct {
 	net.Conn
 
-	mu      sync.Mutex
-	started int64 // bytes handed to the operating system, written or not
-	written int64
-	read    int64
-	sealed  bool
+	mu sync.Mutex
+	// sent counts the bytes that were written or may still be: a write counts
+	// when it starts, because an answer can arrive before it returns.
+	sent   int64
+	read   int64
+	sealed bool
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
@@ -26,11 +27,11 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
-	c.started += int64(len(b))
+	c.sent += int64(len(b))
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
-	c.written += int64(n)
+	c.sent -= int64(len(b) - n)
 	c.mu.Unlock()
 	return n, err
 }
@@ -43,12 +44,12 @@
 	return n, err
 }
 
-type counts struct{ started, written, read int64 }
+type counts struct{ sent, read int64 }
 
 func (c *countedConn) counts() counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return counts{c.started, c.written, c.read}
+	return counts{c.sent, c.read}
 }
 
 // sealUnwritten returns the counts and, if nothing was written since base,
@@ -58,8 +59,8 @@
 func (c *countedConn) sealUnwritten(base counts) counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed = c.sealed || c.started == base.started
-	return counts{c.started, c.written, c.read}
+	c.sealed = c.sealed || c.sent == base.sent
+	return counts{c.sent, c.read}
 }
 
 // attempt records what one request put on the wire.
@@ -92,9 +93,8 @@
 // caller holds mu.
 func (a *attempt) total(now counts) counts {
 	return counts{
-		started: a.earlier.started + now.started - a.base.started,
-		written: a.earlier.written + now.written - a.base.written,
-		read:    a.earlier.read + now.read - a.base.read,
+		sent: a.earlier.sent + now.sent - a.base.sent,
+		read: a.earlier.read + now.read - a.base.read,
 	}
 }
 
@@ -107,11 +107,11 @@
 		return &NotSentError{Addr: a.addr, Err: err}
 	}
 	sum := a.total(a.conn.sealUnwritten(a.base))
-	if sum.started == 0 {
+	if sum.sent == 0 {
 		return &NotSentError{Addr: a.addr, Err: err}
 	}
 	return &UncertainError{
-		Addr: a.addr, BytesSent: sum.written, Answered: sum.read > 0 || a.status != 0,
+		Addr: a.addr, BytesSent: sum.sent, Answered: sum.read > 0 || a.status != 0,
 		Status: a.status, Reused: a.reused, Err: err,
 	}
 }
--- a/core/jkendpoint/errors.go
+++ b/core/jkendpoint/errors.go
@@ -24,9 +24,9 @@
 // complete answer arrived, so it may have run.
 type UncertainError struct {
 	Addr      string
-	BytesSent int64
-	Answered  bool // whether any byte of an answer arrived
-	Status    int  // of the incomplete answer, or 0
+	BytesSent int64 // a write still in progress counts in full
+	Answered  bool  // whether any byte of an answer arrived
+	Status    int   // of the incomplete answer, or 0
 	// Reused says that the connection had carried an earlier request. The
 	// endpoint may then just have closed an idle connection; this is weaker
 	// evidence of a crash than a failure on a fresh connection.
