--- a/core/jkapi/chat.go
+++ b/core/jkapi/chat.go
@@ -25,8 +25,9 @@
 func (a *api) chat(c echo.Context) error {
 	start := a.Timer.Now()
 	m, problem := a.base(c)
+	model := ""
 	if problem == nil {
-		problem = a.readChat(c, &m)
+		model, problem = a.readChat(c, &m)
 	}
 	if problem == nil {
 		problem = a.ensureProgram(c, &m)
@@ -37,7 +38,7 @@
 	ctx, cancel := a.context(c, m)
 	defer cancel()
 	if m.Stream {
-		return a.stream(ctx, c, m, start)
+		return a.stream(ctx, c, m, model, start)
 	}
 	result := a.Call(ctx, m, func(string) error { return nil })
 	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, a.Timer.Now(), string(result.Outcome))
@@ -49,16 +50,17 @@
 	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, result.Body)
 }
 
-// readChat reads and checks the body. A request without id gets one from its
-// content, so that a client library's own retry is recognised.
-func (a *api) readChat(c echo.Context, m *jkmsg.Call) *jkproblem.Problem {
+// readChat reads and checks the body and returns the model's name. A request
+// without id gets one from its content, so that a client library's own retry is
+// recognised.
+func (a *api) readChat(c echo.Context, m *jkmsg.Call) (string, *jkproblem.Problem) {
 	body, problem := a.body(c)
 	if problem != nil {
-		return problem
+		return "", problem
 	}
 	request, err := jkchat.ParseRequest(body, jkchat.DefaultLimits())
 	if err != nil {
-		return jkproblem.From(err)
+		return "", jkproblem.From(err)
 	}
 	m.Kind = jkprogram.KindModel
 	m.Chat = body
@@ -69,7 +71,7 @@
 	if m.RequestID == "" {
 		m.RequestID = "content-" + digest(body)
 	}
-	return nil
+	return request.Model, nil
 }
 
 // body reads a request body up to the limit.
@@ -131,8 +133,8 @@
 	now     func() time.Time
 }
 
-func (a *api) stream(ctx context.Context, c echo.Context, m jkmsg.Call, start time.Time) error {
-	s := &streamer{c: c, id: "chatcmpl-" + digest([]byte(m.Program+m.RequestID)), created: start.Unix(), now: a.Timer.Now}
+func (a *api) stream(ctx context.Context, c echo.Context, m jkmsg.Call, model string, start time.Time) error {
+	s := &streamer{c: c, model: model, id: "chatcmpl-" + digest([]byte(m.Program+m.RequestID)), created: start.Unix(), now: a.Timer.Now}
 	result := a.Call(ctx, m, s.text)
 	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, s.first, string(result.Outcome))
 	if result.Problem != nil && !s.begun {
--- a/core/jkdaemon/handle.go
+++ b/core/jkdaemon/handle.go
@@ -26,7 +26,7 @@
 	case jkmsg.TypeRelease:
 		var m jkmsg.Release
 		if err = in.Decode(&m); err == nil {
-			d.dispatcher.Release(m.Program)
+			d.dispatcher.Release(m.Program, m.Endpoints)
 			err = in.End(nil)
 		}
 	case jkmsg.TypeCopyAppend:
@@ -38,6 +38,7 @@
 		var m jkmsg.CopyRead
 		if err = in.Decode(&m); err == nil {
 			r := d.readCopy(m)
+			r.Host = d.home.Self()
 			err = in.End(&r)
 		}
 	case jkmsg.TypeConfigPull:
@@ -92,6 +93,17 @@
 }
 
 func (d *Daemon) readCopy(m jkmsg.CopyRead) jkmsg.CopyReadResult {
+	stored := d.readStore(m)
+	// A former home on this host may hold turns that its copies missed. It runs
+	// nothing for the program any more, so its state is final.
+	retired, ok := d.home.Retired(m.Program)
+	if !ok || (stored.Held && (stored.State.Epoch > retired.Epoch || (stored.State.Epoch == retired.Epoch && stored.State.Seq >= retired.Seq))) {
+		return stored
+	}
+	return jkmsg.CopyReadResult{Held: true, Fence: max(stored.Fence, m.Epoch, retired.Epoch+1), State: retired}
+}
+
+func (d *Daemon) readStore(m jkmsg.CopyRead) jkmsg.CopyReadResult {
 	if d.copies == nil {
 		return jkmsg.CopyReadResult{}
 	}
@@ -116,6 +128,9 @@
 		ReadCopy:     d.askCopy,
 		ChooseCopies: d.chooseCopies,
 		DiskHosts:    d.diskHosts,
+		HostState:    d.hostState,
+		LeaveCopySet: d.copySet.leave,
+		HasLeft:      d.copySet.hasLeft,
 		Release:      d.release,
 	}
 }
@@ -199,7 +214,9 @@
 func (d *Daemon) askCopy(ctx context.Context, host string, m jkmsg.CopyRead) (jkmsg.CopyReadResult, error) {
 	addr, local := d.hostAddr(host)
 	if local {
-		return d.readCopy(m), nil
+		r := d.readCopy(m)
+		r.Host = d.home.Self()
+		return r, nil
 	}
 	if addr == "" {
 		return jkmsg.CopyReadResult{}, eris.Errorf("host %s is not known", host)
@@ -237,24 +254,25 @@
 
 // release asks the dispatchers of endpoints to drop a program's cache.
 func (d *Daemon) release(program string, endpoints []string) {
-	asked := map[string]bool{}
+	byHost := map[jkmember.Host][]string{}
 	for _, id := range endpoints {
 		host, local, ok := d.dispatcherOf(id)
-		if !ok || asked[host.Incarnation.Host] {
-			continue
+		switch {
+		case !ok:
+		case local:
+			d.dispatcher.Release(program, []string{id})
+		default:
+			byHost[host] = append(byHost[host], id)
 		}
-		asked[host.Incarnation.Host] = true
-		if local {
-			d.dispatcher.Release(program)
-			continue
-		}
-		go d.sendRelease(host, program)
+	}
+	for host, ids := range byHost {
+		go d.sendRelease(host, program, ids)
 	}
 }
 
-func (d *Daemon) sendRelease(host jkmember.Host, program string) {
+func (d *Daemon) sendRelease(host jkmember.Host, program string, endpoints []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().DeadAfter())
 	defer cancel()
-	// A dispatcher that misses this releases the cache after its idle hold.
-	_ = d.pool.Call(ctx, host.Addr, jkmsg.TypeRelease, &jkmsg.Release{Program: program}, nil)
+	// A dispatcher that misses this finds the cache by its audit.
+	_ = d.pool.Call(ctx, host.Addr, jkmsg.TypeRelease, &jkmsg.Release{Program: program, Endpoints: endpoints}, nil)
 }
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -52,6 +52,9 @@
 	draining bool
 	// unreleased lists caches that an endpoint has not confirmed as released.
 	unreleased map[release]bool
+	engines    map[string]bool
+	// used holds the time of the last call of each program at each engine.
+	used map[release]time.Time
 }
 
 type jobKey struct {
@@ -72,6 +75,8 @@
 		addrs:      map[string]string{},
 		jobs:       map[jobKey]*job{},
 		unreleased: map[release]bool{},
+		engines:    map[string]bool{},
+		used:       map[release]time.Time{},
 	}
 }
 
@@ -85,12 +90,14 @@
 	for _, e := range endpoints {
 		keep[e.ID] = true
 		d.addrs[e.ID] = e.Addr
+		d.engines[e.ID] = e.Kind == jksched.KindModel
 		d.queue.SetEndpoint(e.Endpoint)
 	}
 	for id := range d.addrs {
 		if !keep[id] {
 			d.queue.RemoveEndpoint(id)
 			delete(d.addrs, id)
+			delete(d.engines, id)
 		}
 	}
 	d.tick()
@@ -139,13 +146,17 @@
 	}
 }
 
-// Release drops a program's cache at all endpoints of this host. It is retried
-// until the endpoint confirms it.
-func (d *Dispatcher) Release(program string) {
+// Release drops a program's cache at the named endpoints and wherever the queue
+// knows of one. It is retried until the endpoint confirms it. The names matter
+// after a change of dispatcher, when the new one has never seen the program.
+func (d *Dispatcher) Release(program string, endpoints []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue.ProgramEnded(d.options.Timer.Now(), program)
 	d.tick()
+	for _, id := range endpoints {
+		d.startRelease(program, id)
+	}
 }
 
 // Run queues a call, runs it and returns its result. Emit receives pieces of
@@ -203,7 +214,7 @@
 
 func (d *Dispatcher) apply(c jksched.Command) {
 	if c.Kind == jksched.CommandReleaseCache {
-		d.startRelease(c)
+		d.startRelease(c.Call.Program, c.Endpoint)
 		return
 	}
 	j := d.jobs[jobKey{call: c.Call.ID, endpoint: c.Endpoint}]
@@ -233,12 +244,15 @@
 	close(j.done)
 }
 
-func (d *Dispatcher) startRelease(c jksched.Command) {
-	addr := d.addrs[c.Endpoint]
+func (d *Dispatcher) startRelease(program, endpoint string) {
+	addr := d.addrs[endpoint]
 	if addr == "" {
 		return
 	}
-	r := release{program: c.Call.Program, addr: addr}
+	d.releaseAt(release{program: program, addr: addr})
+}
+
+func (d *Dispatcher) releaseAt(r release) {
 	if _, pending := d.unreleased[r]; pending {
 		return
 	}
--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -69,7 +69,7 @@
 // race dispatches a call, again and elsewhere where that is safe, and returns
 // the deciding result. An error that is not a *ranError means that the call
 // certainly did not run.
-func (h *Home) race(ctx context.Context, r *run, info jkprogram.Info) (jkmsg.DispatchResult, error) {
+func (h *Home) race(ctx context.Context, r *run, info jkprogram.Info) (attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &racer{
@@ -82,7 +82,7 @@
 		second:   make(chan string, maxPlacements+maxAttempts),
 	}
 	if err := x.launch(); err != nil {
-		return jkmsg.DispatchResult{}, err
+		return attempt{}, err
 	}
 	for {
 		select {
@@ -92,7 +92,7 @@
 			x.active--
 			done, err := x.take(a)
 			if err != nil || done {
-				return a.result, err
+				return a, err
 			}
 		}
 	}
@@ -164,7 +164,6 @@
 	case jkprogram.OutcomeFailed, jkprogram.OutcomeUnknown:
 	}
 	if !x.run.plan.repeatable {
-		a.result.Outcome = jkprogram.OutcomeUnknown
 		return true, nil
 	}
 	return false, x.retry(a)
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -217,9 +217,11 @@
 	Load *jksched.Load `msgpack:"load,omitempty"`
 }
 
-// Release asks a dispatcher to drop a program's cache.
+// Release asks a dispatcher to drop a program's cache at its endpoints, whether
+// or not it knows of one there.
 type Release struct {
-	Program string `msgpack:"program"`
+	Program   string   `msgpack:"program"`
+	Endpoints []string `msgpack:"endpoints"`
 }
 
 // CopyStatus is the result of a write to one copy.
@@ -254,10 +256,12 @@
 
 // CopyReadResult answers CopyRead.
 type CopyReadResult struct {
-	Held      bool            `msgpack:"held"`
-	Uncertain bool            `msgpack:"uncertain"`
-	Fence     uint64          `msgpack:"fence"`
-	State     jkprogram.State `msgpack:"state"`
+	Held bool `msgpack:"held"`
+	// Host is the incarnation that answers.
+	Host      jktoken.Incarnation `msgpack:"host"`
+	Uncertain bool                `msgpack:"uncertain"`
+	Fence     uint64              `msgpack:"fence"`
+	State     jkprogram.State     `msgpack:"state"`
 }
 
 // Handover passes a program to its next home at a planned stop.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -1,6 +1,7 @@
 package jkprogram
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -18,8 +19,8 @@
 	if len(c.programs) >= c.options.MaxPrograms {
 		return Record{}, eris.Wrap(&TableFullError{Table: "programs", Limit: c.options.MaxPrograms}, "adopt program")
 	}
-	if old := c.programs[s.Program]; old != nil && old.state.Epoch >= epoch {
-		return Record{}, eris.Errorf("adopt program: epoch %d is not newer than %d", epoch, old.state.Epoch)
+	if old := c.programs[s.Program]; old != nil && !old.superseded && (!old.untouched || old.state.Epoch >= epoch) {
+		return Record{}, eris.Errorf("adopt program: epoch %d is in use and %d was offered", old.state.Epoch, epoch)
 	}
 	s.Epoch = epoch
 	s.Home = c.options.Self
@@ -33,9 +34,27 @@
 	if intent != nil && s.End == "" {
 		p.finish(now, Turn{Number: p.state.Turn() + 1, RequestID: intent.RequestID, Kind: KindService, Outcome: OutcomeUnknown})
 	}
+	p.untouched = true
 	return p.snapshot(), nil
 }
 
+// IsUntouched reports whether no call has run since the program was adopted. A
+// longer history of the former home may then still replace it.
+func (c *Core) IsUntouched(id string) bool {
+	p := c.programs[id]
+	return p != nil && p.untouched
+}
+
+// Retired returns the state of a program that another home has taken over. It
+// may hold turns that the copies missed.
+func (c *Core) Retired(id string) (State, bool) {
+	p := c.programs[id]
+	if p == nil || !p.superseded {
+		return State{}, false
+	}
+	return p.export(), true
+}
+
 // Receive takes over a program by a planned handover: the former home has
 // stopped and sent its exact state, so nothing is unknown and no grant is lost.
 func (c *Core) Receive(now time.Time, s State) (Record, error) {
@@ -74,6 +93,15 @@
 	return p.snapshot(), true
 }
 
+// Touch returns a record that changes nothing. A copy that takes it is complete.
+func (c *Core) Touch(id string) (Record, bool) {
+	p := c.programs[id]
+	if p == nil || p.superseded || p.state.End != "" {
+		return Record{}, false
+	}
+	return p.record(RecordGrant), true
+}
+
 // SetCopies replaces the hosts that hold copies of a program and returns the
 // snapshot for them.
 func (c *Core) SetCopies(id string, copies []string) (Record, bool) {
@@ -94,6 +122,8 @@
 	Copies  []string
 	// WasRunning tells that a call has to be cancelled at its endpoint.
 	WasRunning bool
+	// Endpoints lists the endpoints that ran a call of the program.
+	Endpoints []string
 }
 
 // End ends a program and its sub-programs at this home. Ending an ended program
@@ -118,7 +148,7 @@
 			ended = append(ended, more...)
 		}
 	}
-	e := Ended{Program: id, Reason: reason, Copies: p.state.Copies, WasRunning: p.running != nil}
+	e := Ended{Program: id, Reason: reason, Copies: p.state.Copies, WasRunning: p.running != nil, Endpoints: p.endpoints()}
 	c.settle(p)
 	p.state.End = reason
 	p.endedAt = now
@@ -127,6 +157,17 @@
 	return append(ended, e), nil
 }
 
+// endpoints returns the endpoints named in the history, in order of first use.
+func (p *program) endpoints() []string {
+	var out []string
+	for _, t := range p.state.Turns {
+		if t.Endpoint != "" && !slices.Contains(out, t.Endpoint) {
+			out = append(out, t.Endpoint)
+		}
+	}
+	return out
+}
+
 // settle charges what runs in full and returns an ending sub-program's unused
 // share to its parent.
 func (c *Core) settle(p *program) {
--- a/core/jkprogram/program.go
+++ b/core/jkprogram/program.go
@@ -67,6 +67,8 @@
 	RequestID string  `msgpack:"request_id"`
 	Kind      Kind    `msgpack:"kind"`
 	Outcome   Outcome `msgpack:"outcome"`
+	// Endpoint ran the call and may hold the program's cache.
+	Endpoint string `msgpack:"endpoint"`
 	// Status is the HTTP status that the endpoint gave.
 	Status int    `msgpack:"status"`
 	Input  []byte `msgpack:"input"`
--- a/core/jkroute/route.go
+++ b/core/jkroute/route.go
@@ -240,7 +240,8 @@
 // its copies if its former home has ended.
 func (r *Router) own(ctx context.Context, program string, claims *jktoken.Claims) error {
 	home := r.options.Home
-	if home.Has(program) {
+	behind := claims != nil && home.IsBehind(program, claims.Turn)
+	if home.Has(program) && !behind {
 		return nil
 	}
 	if _, moved := home.Moved(program); moved {
@@ -258,11 +259,15 @@
 		return &jkprogram.UnknownProgramError{Program: program}
 	}
 	_, err, _ := r.adopt.Do(program, func() (any, error) {
-		if home.Has(program) {
+		if home.Has(program) && !behind {
 			return nil, nil
 		}
-		return nil, home.Adopt(context.WithoutCancel(ctx), program, copies, epoch)
+		return nil, home.Adopt(context.WithoutCancel(ctx), program, first, copies, epoch)
 	})
+	if behind {
+		// Without the former home the call is answered from what is held here.
+		return nil
+	}
 	return err
 }
 
