home, daemon: wait two leases before copies of a silent host are replaced

Cause: after a takeover everything granted counts as spent, so the first call needs a larger grant; it was refused (grant_unavailable) for 20 s because the copy on the dead home's host did not answer until the fixed grace was over. Ruled out: dropping a copy at once, because a restart of its daemon would make every home write its programs again. Before and after: TestHomeKilledAfterDeposit fails with grant_unavailable for 15 s, and passes with it (go test ./jkprocess in jasmineknotd). Conclusion: the grace follows the lease, 10 s by default; a restart of the daemon takes less, a reboot of the host takes longer than either value.

--- a/core/jkdaemon/copyset.go
+++ b/core/jkdaemon/copyset.go
@@ -18,6 +18,10 @@
 	copiesLeft = "left"
 )
 
+// copyGraceLeases is the wait before copies of a silent host are replaced, in
+// leases: 10 s by default, which covers a restart of the daemon.
+const copyGraceLeases = 2
+
 func copySetKey(i jktoken.Incarnation) string {
 	return "copyset/" + i.Host + "/" + strconv.FormatUint(i.Start, 36)
 }
--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -165,6 +165,7 @@
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
 		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
 		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
+		CopyGrace: copyGraceLeases * d.settings.Intervals().Lease(),
 	})
 	d.router = jkroute.New(jkroute.Options{
 		Timer: d.options.Timer, Log: d.log.Part("router"), Keys: keys, Platform: d.platform,
--- a/core/jkhome/copyset.go
+++ b/core/jkhome/copyset.go
@@ -9,10 +9,6 @@
 	"jasmineknot.example/core/jktoken"
 )
 
-// copyGrace is how long a copy's host may be silent before its programs get
-// another copy. It covers a restart of the host.
-const copyGrace = 20 * time.Second
-
 // copyHost is what a home knows of a host that holds copies for it.
 type copyHost struct {
 	// confirmed is the incarnation whose copies were last brought up to date.
@@ -30,7 +26,7 @@
 		case up && incarnation != c.confirmed:
 			h.confirm(ctx, programs)
 			h.setConfirmed(host, incarnation)
-		case !up && h.options.Timer.Now().Sub(c.silent) > copyGrace:
+		case !up && h.options.Timer.Now().Sub(c.silent) > h.options.CopyGrace:
 			h.replaceCopies(ctx, host, c.confirmed, programs)
 		}
 	}
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -86,6 +86,10 @@
 	MaxPrograms int
 	// EndedRetention is how long an ended program still answers retries.
 	EndedRetention time.Duration
+	// CopyGrace is how long a copy's host may be silent before its programs get
+	// another copy. Until then a program that was taken over can't extend its
+	// grant, because one of its copies does not answer.
+	CopyGrace time.Duration
 }
 
 // Home is the home part of one host.
