--- a/jasmineknotd/jkprocess/caller_test.go
+++ b/jasmineknotd/jkprocess/caller_test.go
@@ -59,6 +59,8 @@
 	zone string
 	// onText is called once with the first text of the next stream.
 	onText func()
+	// trace holds the last attempts, for the report of a failure.
+	trace []string
 }
 
 // attempt bounds one try at one host, so that a frozen host costs little.
@@ -155,7 +157,7 @@
 	if r.err != nil {
 		return r.err.Error()
 	}
-	return fmt.Sprintf("%d %s %s %.200s", r.status, r.outcome, r.problem.Type, r.body)
+	return fmt.Sprintf("%d %s %s %.100s %s", r.status, r.outcome, r.problem.Type, r.body, r.problem.Detail)
 }
 
 // final reports whether a retry can't change what the caller knows.
@@ -200,8 +202,13 @@
 func (p *program) send(limit time.Duration, method, path string, header map[string]string, body any) reply {
 	end := clock.Now().Add(limit)
 	for {
-		r := p.s.do(p.next(), method, path, header, body, p.onText)
+		h := p.next()
+		r := p.s.do(h, method, path, header, body, p.onText)
 		p.onText = nil
+		p.trace = append(p.trace, fmt.Sprintf("%s %s via %s: %s %s", clock.Now().Format("05.000"), header[jkapi.HeaderRequest], h.name, r.outcome, r))
+		if len(p.trace) > 12 {
+			p.trace = p.trace[1:]
+		}
 		var dial *net.OpError
 		if r.err != nil && (!errors.As(r.err, &dial) || dial.Op != "dial") {
 			p.s.mu.Lock()
@@ -266,7 +273,7 @@
 // accept checks a reply to a chat request and goes on with its token.
 func (p *program) accept(request jkchat.Request, id string, r reply) error {
 	if r.err != nil || r.outcome != jkprogram.OutcomeCompleted {
-		return fmt.Errorf("program %s request %s: %s", p.id, id, r)
+		return fmt.Errorf("program %s request %s: %s\n%s", p.id, id, r, strings.Join(p.trace, "\n"))
 	}
 	answer := r.text
 	if !strings.HasPrefix(r.header.Get("Content-Type"), jkchat.ContentType) {
--- a/jasmineknotd/jkprocess/turn_test.go
+++ b/jasmineknotd/jkprocess/turn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,7 +177,7 @@
 				break
 			}
 			if word != toldNotRun || try == 20 {
-				return fmt.Errorf("deposit of program %s: %s", p.id, r)
+				return fmt.Errorf("deposit of program %s: %s\n%s", p.id, r, strings.Join(p.trace, "\n"))
 			}
 			p.s.pause(100 * time.Millisecond)
 		}
