demo: run one program on an embedded site and check it

Cause: a reader had no way to see the whole path work without settings files and several processes.

The command starts two zones of two hosts in its process, runs a program with a tool pause and a sub-program, sends one deposit through two hosts with a planned stop of the home in between, and checks history, budget, runs of the deposit and released caches. The list of a program's turns in the HTTP API now names the endpoint of each turn.

--- a/core/jkapi/program.go
+++ b/core/jkapi/program.go
@@ -47,6 +47,8 @@
 	Kind      jkprogram.Kind    `json:"kind"`
 	Outcome   jkprogram.Outcome `json:"outcome"`
 	Cost      int64             `json:"cost_tokens"`
+	// Endpoint ran the call.
+	Endpoint string `json:"endpoint,omitempty"`
 }
 
 func programOf(i jkprogram.Info) Program {
@@ -98,7 +100,7 @@
 	p := programOf(r.Programs[0])
 	p.Token = r.Token
 	for _, t := range r.Turns {
-		p.Turns = append(p.Turns, Turn{Number: t.Number, RequestID: t.RequestID, Kind: t.Kind, Outcome: t.Outcome, Cost: t.Cost})
+		p.Turns = append(p.Turns, Turn{Number: t.Number, RequestID: t.RequestID, Kind: t.Kind, Outcome: t.Outcome, Cost: t.Cost, Endpoint: t.Endpoint})
 	}
 	h := c.Response().Header()
 	h.Set(HeaderProgram, p.ID)
--- a/core/jksite/embedded.go
+++ b/core/jksite/embedded.go
@@ -140,12 +140,14 @@
 	return nil
 }
 
-// Stop stops the daemons by plan, the last one first, and then the stand-ins.
-func (e *Embedded) Stop(ctx context.Context) {
+// Stop ends the daemons at once, the last one first, and then the stand-ins. The
+// stand-ins have no request in flight by then; a graceful shutdown would wait 5 s
+// for connections on which no request was ever sent.
+func (e *Embedded) Stop(context.Context) {
 	for i := len(e.Daemons) - 1; i >= 0; i-- {
 		e.Daemons[i].Kill()
 	}
 	for _, s := range e.servers {
-		_ = s.Shutdown(ctx)
+		_ = s.Close()
 	}
 }
--- /dev/null
+++ b/jasmineknot/jkcaller/caller.go
@@ -0,0 +1,107 @@
+// Package jkcaller sends the command line's requests to the HTTP API of a
+// daemon.
+package jkcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/jasmineknot/jkcommand"
+)
+
+// maxAnswer bounds an answer in bytes. A history of 110,000 tokens fits.
+const maxAnswer = 64 << 20
+
+// Request is one request of the command line.
+type Request struct {
+	Method string
+	// Server is the URL of a daemon, or its address without a scheme.
+	Server string
+	Path   string
+	Header map[string]string
+	// Body is sent as JSON; nil sends none.
+	Body any
+}
+
+// Answer is what a daemon answered.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// URL returns the URL of a server that may be given as a bare address.
+func URL(server string) string {
+	if !strings.Contains(server, "://") {
+		server = "http://" + server
+	}
+	return strings.TrimSuffix(server, "/")
+}
+
+// Send sends a request once. A request without an answer gives
+// *jkcommand.NoAnswerError.
+func Send(ctx context.Context, r Request) (Answer, error) {
+	var body io.Reader
+	if r.Body != nil {
+		text, err := json.Marshal(r.Body)
+		if err != nil {
+			return Answer{}, err
+		}
+		// A reader of unknown type keeps the transport from replaying the
+		// request on another connection.
+		body = io.NopCloser(bytes.NewReader(text))
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, URL(r.Server)+r.Path, body)
+	if err != nil {
+		return Answer{}, &jkcommand.UsageError{Detail: err.Error()}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range r.Header {
+		if v != "" {
+			req.Header.Set(k, v)
+		}
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, &jkcommand.NoAnswerError{Server: r.Server, Cause: err}
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return Answer{}, &jkcommand.NoAnswerError{Server: r.Server, Cause: err}
+	}
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: text}, nil
+}
+
+// Read sends a request and decodes the answer. A problem in the answer is
+// returned as *jkproblem.Problem.
+func Read(ctx context.Context, r Request, into any) (Answer, error) {
+	a, err := Send(ctx, r)
+	if err != nil {
+		return a, err
+	}
+	if a.Status >= http.StatusBadRequest {
+		return a, problem(r, a)
+	}
+	if into == nil {
+		return a, nil
+	}
+	if err := json.Unmarshal(a.Body, into); err != nil {
+		return a, &jkcommand.NoAnswerError{Server: r.Server, Cause: err}
+	}
+	return a, nil
+}
+
+func problem(r Request, a Answer) error {
+	var p jkproblem.Problem
+	if err := json.Unmarshal(a.Body, &p); err != nil || p.Type == "" {
+		p = *jkproblem.Newf(jkproblem.TypeInternal, "%s %s got status %d: %.200s", r.Method, r.Path, a.Status, a.Body)
+		p.Status = a.Status
+	}
+	return &p
+}
--- a/jasmineknot/main.go
+++ b/jasmineknot/main.go
@@ -9,11 +9,13 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"jasmineknot.example/jasmineknot/jkcommand"
+	"jasmineknot.example/jasmineknot/jkdemo"
 )
 
 func main() {
 	app := kingpin.New("jasmineknot", "Operate jasmineknot, a scheduler for agent programs.")
 	jkcommand.Register(app)
+	jkdemo.Register(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "jasmineknot: "+err.Error())
 		os.Exit(jkcommand.ExitCode(err))
