--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -100,7 +100,7 @@
 		CacheFull: 0.6, EvictCost: 4, MoveMargin: 0.2,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
 		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second, EndBonus: time.Second,
-		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, MemoryWait: 5 * time.Second, PaceTarget: 32 * time.Millisecond,
+		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, MemoryWait: 5 * time.Second, PaceTarget: 60 * time.Millisecond,
 		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.6, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
 		IdleHold: 120 * time.Second, StopHold: 4 * time.Second,
