operate: show a site, run programs, drain and lift quarantines

Cause: operators had only the config commands, and a host's state leaving in the configuration had no effect: apply() seeded every configured host as live.

Daemon: the membership table now holds the hosts that the document drains. They get no endpoints, no new copies and no programs of ended hosts; a program that a caller starts at a drained host is created at another one, unless none answers; /readyz answers 503. A zone whose hosts are all drained keeps a leader: only the leader watches the platform, so without one the undrain would never arrive there. /v1/quarantine lists suspects, DELETE /v1/quarantine/{fingerprint} lifts one at that host. A host keeps the time of the lift, so that older news from a host that missed it does not bring the quarantine back.

Commands: status, program run|show|cancel|list, endpoint and host drain|undrain, quarantine list|lift. Hosts without an answer are named. A drain edit that meets another edit of the same section is repeated on the new text, because a refused edit was not applied.

Ruled out: believing the drain only while another host of the zone is live, as with the platform's lagging list.

--- a/core/jkdaemon/rules.go
+++ b/core/jkdaemon/rules.go
@@ -105,11 +105,16 @@
 
 // apply puts a new configuration into force.
 func (d *Daemon) apply(doc *jkconfig.Document) {
+	drained := map[string]bool{}
 	for _, h := range doc.Hosts() {
+		if h.State() == jkconfig.StateLeaving {
+			drained[h.Name()] = true
+		}
 		d.gossip.Seed(jkmember.Host{
 			Incarnation: jktoken.Incarnation{Host: h.Name()}, Zone: h.Zone(), Addr: h.Address(), State: jkmember.StateLive,
 		})
 	}
+	d.gossip.Read(func(t *jkmember.Table) { t.SetDrained(drained) })
 	d.refreshEndpoints()
 	d.log.Part("config").Info("configuration is in force", "revision", doc.Revision())
 }
--- a/core/jkdaemon/web.go
+++ b/core/jkdaemon/web.go
@@ -39,6 +39,8 @@
 		return nil
 	})
 	e.GET("/v1/status", d.status)
+	e.GET("/v1/quarantine", d.quarantine)
+	e.DELETE("/v1/quarantine/:fingerprint", d.liftQuarantine)
 	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
 }
 
@@ -50,6 +52,8 @@
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	case d.follower.Revision() == 0:
 		return c.String(http.StatusServiceUnavailable, "no configuration\n")
+	case d.isDrained():
+		return c.String(http.StatusServiceUnavailable, "leaving by configuration\n")
 	case len(d.diskHosts()) == 0:
 		return c.String(http.StatusOK, "ready, but no host has a disk: histories have no copies\n")
 	}
@@ -64,6 +68,8 @@
 	State       string `json:"state"`
 	Status      string `json:"status"`
 	Disk        bool   `json:"disk"`
+	// HTTP is the address for callers and operators.
+	HTTP string `json:"http,omitempty"`
 }
 
 // EndpointStatus is an endpoint as this host sees it.
@@ -100,7 +106,7 @@
 		for _, r := range t.All() {
 			s.Hosts = append(s.Hosts, HostStatus{
 				Host: r.Host.Incarnation.Host, Incarnation: r.Host.Incarnation.String(), Zone: r.Host.Zone,
-				State: string(r.Host.State), Status: string(r.Status), Disk: r.Host.Disk,
+				State: hostState(t, r.Host), Status: string(r.Status), Disk: r.Host.Disk, HTTP: r.Host.HTTP,
 			})
 		}
 	})
@@ -108,6 +114,20 @@
 	return c.JSON(http.StatusOK, s)
 }
 
+// hostState is a host's own state, unless the configuration drains it.
+func hostState(t *jkmember.Table, h jkmember.Host) string {
+	if t.IsDrained(h.Incarnation.Host) {
+		return string(jkmember.StateLeaving)
+	}
+	return string(h.State)
+}
+
+func (d *Daemon) isDrained() bool {
+	drained := false
+	d.gossip.Read(func(t *jkmember.Table) { drained = t.IsDrained(d.settings.Host()) })
+	return drained
+}
+
 func (d *Daemon) endpointStatus() []EndpointStatus {
 	loads := d.gossip.Loads()
 	loads = append(loads, d.dispatcher.Loads()...)
--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -164,6 +164,22 @@
 	return s.suspects.Quarantined(s.options.Timer.Now())
 }
 
+// Suspects returns every content that has crashed an endpoint, with the time
+// since its last crash.
+func (s *Service) Suspects() []jkmsg.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.All(s.options.Timer.Now())
+}
+
+// Lift ends the quarantine of a content at this host and reports whether the
+// content was known.
+func (s *Service) Lift(fingerprint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Lift(s.options.Timer.Now(), fingerprint)
+}
+
 // Loads returns the newest digests of all endpoints elsewhere.
 func (s *Service) Loads() []jksched.Load {
 	s.mu.Lock()
--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -31,13 +31,13 @@
 	return ranked
 }
 
-// accepting returns the hosts of a zone that are up and not leaving. If the
-// lagging list names all of them, it is not believed.
+// accepting returns the hosts of a zone that are up and neither leaving nor
+// drained. If the lagging list names all of them, it is not believed.
 func (t *Table) accepting(zone string) []Host {
 	var hosts, listed []Host
 	for _, h := range t.Up(zone) {
 		switch {
-		case h.State != StateLive:
+		case h.State != StateLive || t.drained[h.Incarnation.Host]:
 		case t.leaving[h.Incarnation.Host]:
 			listed = append(listed, h)
 		default:
@@ -60,9 +60,18 @@
 }
 
 // Leader returns the host of the zone that watches the platform and talks to
-// the other zones.
+// the other zones. A zone whose hosts are all leaving still needs one, because
+// only the leader learns of the edit that takes a drain back.
 func (t *Table) Leader(zone string) (Host, bool) {
-	return t.Dispatcher("zone leader", zone)
+	const key = "zone leader"
+	if h, ok := t.Dispatcher(key, zone); ok {
+		return h, true
+	}
+	ranked := rank(key, t.Up(zone))
+	if len(ranked) == 0 {
+		return Host{}, false
+	}
+	return ranked[0], true
 }
 
 // Copies returns up to two hosts with a disk for a program's history: one in
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -92,6 +92,8 @@
 	own     ZoneDigest
 	// leaving holds the hosts that the platform's list names as leaving.
 	leaving map[string]bool
+	// drained holds the hosts that the configuration names as leaving.
+	drained map[string]bool
 }
 
 // New returns a table that knows only its own host.
@@ -110,6 +112,13 @@
 // SetLeaving replaces the hosts that the platform's list names as leaving.
 func (t *Table) SetLeaving(hosts map[string]bool) { t.leaving = hosts }
 
+// SetDrained replaces the hosts that the configuration names as leaving. Unlike
+// the platform's list, this is an operator's decision and always believed.
+func (t *Table) SetDrained(hosts map[string]bool) { t.drained = hosts }
+
+// IsDrained reports whether the configuration names a host as leaving.
+func (t *Table) IsDrained(name string) bool { return t.drained[name] }
+
 // Seed adds a configured host that has not been heard yet.
 func (t *Table) Seed(h Host) {
 	if t.hosts[h.Incarnation.Host] == nil {
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -113,3 +113,30 @@
 		}
 	}
 }
+
+// Guards against a drained host that still gets endpoints, copies or programs,
+// and against a zone without a leader, which would never learn of the edit that
+// takes the drain back.
+func TestDrainedHostGetsNothingNew(t *testing.T) {
+	tab := table("a", "b")
+	tab.SetDrained(map[string]bool{"a": true, "b": true})
+	for i := range 50 {
+		key := fmt.Sprint("k", i)
+		if h, ok := tab.Dispatcher(key, "z1"); !ok || h.Incarnation.Host != "self" {
+			t.Fatalf("dispatcher of %s is %s, want self", key, h.Incarnation.Host)
+		}
+		if c := tab.Copies(key); len(c) != 1 || c[0].Incarnation.Host != "self" {
+			t.Fatalf("copies of %s are %v, want self", key, c)
+		}
+	}
+	if s := tab.Successors(host("self", "z1", 1).Incarnation, "z1"); len(s) != 0 {
+		t.Fatalf("successors are %v, want none", s)
+	}
+	tab.SetDrained(map[string]bool{"a": true, "b": true, "self": true})
+	if h, ok := tab.Dispatcher("k", "z1"); ok {
+		t.Fatalf("dispatcher is %s, want none", h.Incarnation.Host)
+	}
+	if _, ok := tab.Leader("z1"); !ok {
+		t.Fatal("the zone has no leader")
+	}
+}
--- a/core/jkquarantine/table.go
+++ b/core/jkquarantine/table.go
@@ -4,6 +4,7 @@
 package jkquarantine
 
 import (
+	"sort"
 	"time"
 
 	"jasmineknot.example/core/jkmsg"
@@ -37,11 +38,16 @@
 type Table struct {
 	limit int
 	rows  map[string]*row
+	// lifted holds when the quarantine of a content was lifted, so that the
+	// news of older crashes, still told by other hosts, is ignored.
+	lifted map[string]time.Time
 }
 
 // New returns a table of at most limit suspects. When it is full the one with
 // the oldest crash is dropped.
-func New(limit int) *Table { return &Table{limit: limit, rows: map[string]*row{}} }
+func New(limit int) *Table {
+	return &Table{limit: limit, rows: map[string]*row{}, lifted: map[string]time.Time{}}
+}
 
 // Len returns the number of suspects.
 func (t *Table) Len() int { return len(t.rows) }
@@ -59,6 +65,9 @@
 // because both hosts may have heard of the same crash.
 func (t *Table) Merge(now time.Time, suspects []jkmsg.Suspect) {
 	for _, s := range suspects {
+		if t.isLifted(now.Add(-s.Age), s.Fingerprint) {
+			continue
+		}
 		r := t.add(s.Fingerprint)
 		if s.Crashes > r.crashes {
 			r.crashes = s.Crashes
@@ -135,5 +144,35 @@
 	return out
 }
 
-// Remove lifts the quarantine of a content.
-func (t *Table) Remove(fingerprint string) { delete(t.rows, fingerprint) }
+// All returns every content in the table, ordered by fingerprint.
+func (t *Table) All(now time.Time) []jkmsg.Suspect {
+	out := make([]jkmsg.Suspect, 0, len(t.rows))
+	for id, r := range t.rows {
+		out = append(out, jkmsg.Suspect{Fingerprint: id, Crashes: r.crashes, Owner: r.owner, Age: now.Sub(r.last)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
+	return out
+}
+
+// liftDelay covers the time that the news of a crash takes between hosts, which
+// makes the crash look later than it was.
+const liftDelay = 2 * time.Second
+
+// Lift ends the quarantine of a content and reports whether it was known. Crashes
+// before now no longer count; later ones do.
+func (t *Table) Lift(now time.Time, fingerprint string) bool {
+	_, known := t.rows[fingerprint]
+	delete(t.rows, fingerprint)
+	for id, at := range t.lifted {
+		if now.Sub(at) > retention || len(t.lifted) >= t.limit {
+			delete(t.lifted, id)
+		}
+	}
+	t.lifted[fingerprint] = now
+	return known
+}
+
+func (t *Table) isLifted(crashed time.Time, fingerprint string) bool {
+	at, ok := t.lifted[fingerprint]
+	return ok && crashed.Before(at.Add(liftDelay))
+}
--- a/core/jkquarantine/table_test.go
+++ b/core/jkquarantine/table_test.go
@@ -49,3 +49,26 @@
 		t.Fatal("unrelated content is refused")
 	}
 }
+
+// Guards against a lift that another host's older news undoes, and against one
+// that hides a new crash.
+func TestLiftHoldsUntilTheNextCrash(t *testing.T) {
+	x, y := New(10), New(10)
+	x.Crashed(now, "f", homeA)
+	x.Crashed(now, "f", homeA)
+	y.Merge(now, x.Export(now))
+	lift := now.Add(time.Minute)
+	if !y.Lift(lift, "f") || y.Lift(lift, "other") {
+		t.Fatal("the lift doesn't tell whether the content was known")
+	}
+	y.Merge(lift.Add(time.Second), x.Export(lift))
+	if y.IsRefused(lift.Add(time.Second), "f", homeB) {
+		t.Fatal("a host that still has the quarantine has brought it back")
+	}
+	later := lift.Add(time.Minute)
+	x.Crashed(later, "f", homeA)
+	y.Merge(later, x.Export(later))
+	if !y.IsRefused(later, "f", homeA) {
+		t.Fatal("a crash after the lift is not known")
+	}
+}
--- a/core/jkroute/program.go
+++ b/core/jkroute/program.go
@@ -18,6 +18,9 @@
 // at this host.
 func (r *Router) Create(ctx context.Context, m jkmsg.Create) jkmsg.ProgramResult {
 	if m.ParentToken == "" {
+		if result, ok := r.createElsewhere(ctx, m); ok {
+			return result
+		}
 		return r.options.Home.Create(ctx, m)
 	}
 	claims, problem := r.claims(m.ParentToken)
@@ -36,6 +39,43 @@
 		func() jkmsg.ProgramResult { return r.options.Home.Create(ctx, m) })
 }
 
+// createElsewhere starts a program at another host if the configuration drains
+// this one. It reports false if the program may start here, also when no other
+// host answers: a cut-off zone goes on serving.
+func (r *Router) createElsewhere(ctx context.Context, m jkmsg.Create) (jkmsg.ProgramResult, bool) {
+	if m.Hops > 0 {
+		return jkmsg.ProgramResult{}, false
+	}
+	for _, h := range r.takers() {
+		m.Hops = 1
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		var result jkmsg.ProgramResult
+		err := r.options.Pool.Call(call, h.Addr, jkmsg.TypeCreate, &m, &result)
+		cancel()
+		if err == nil {
+			return result, true
+		}
+	}
+	return jkmsg.ProgramResult{}, false
+}
+
+// takers returns hosts to start programs at instead of this one; none if this
+// host is not drained.
+func (r *Router) takers() []jkmember.Host {
+	var hosts []jkmember.Host
+	self := r.options.Home.Self()
+	r.options.Gossip.Read(func(t *jkmember.Table) {
+		if !t.IsDrained(self.Host) {
+			return
+		}
+		for _, i := range t.Successors(self, t.Self().Zone) {
+			h, _ := t.Status(i.Host)
+			hosts = append(hosts, h)
+		}
+	})
+	return hosts
+}
+
 // Program carries out an action on a program at its home.
 func (r *Router) Program(ctx context.Context, m jkmsg.Program) jkmsg.ProgramResult {
 	if m.Action == jkmsg.ActionList {
--- a/jasmineknot/jkcommand/client.go
+++ b/jasmineknot/jkcommand/client.go
@@ -55,3 +55,15 @@
 	}
 	return &p
 }
+
+// Document returns the newest configuration document of a daemon.
+func Document(ctx context.Context, server string) (jkconfigapi.Document, error) {
+	var d jkconfigapi.Document
+	return d, call(ctx, http.MethodGet, server, "", nil, &d)
+}
+
+// SendEdit sends an edit of one section to a daemon.
+func SendEdit(ctx context.Context, server string, e jkconfigapi.Edit) (jkconfigapi.EditResult, error) {
+	var r jkconfigapi.EditResult
+	return r, call(ctx, http.MethodPost, server, editPath+e.Section, e, &r)
+}
--- a/jasmineknot/jkcommand/errors.go
+++ b/jasmineknot/jkcommand/errors.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"jasmineknot.example/core/jkconfigapi"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jkprogram"
 )
 
 // Exit codes of the command line.
@@ -60,6 +62,10 @@
 	if errors.As(err, &p) {
 		return problemCode(p.Type)
 	}
+	var caller *jkproblem.Problem
+	if errors.As(err, &caller) {
+		return callerCode(caller)
+	}
 	var noAnswer *NoAnswerError
 	if errors.As(err, &noAnswer) {
 		if noAnswer.Edit {
@@ -88,6 +94,27 @@
 	return ExitUsage
 }
 
+// callerCode returns the exit code for a problem of the callers' API.
+func callerCode(p *jkproblem.Problem) int {
+	switch p.Type {
+	case jkproblem.TypeBadRequest:
+		return ExitInvalid
+	case jkproblem.TypeUnknownProgram, jkproblem.TypeUnknownModel, jkproblem.TypeUnknownService:
+		return ExitNotFound
+	case jkproblem.TypeStaleToken, jkproblem.TypeHistoryMismatch:
+		return ExitConflict
+	}
+	switch p.Outcome {
+	case jkprogram.OutcomeUnknown:
+		return ExitUncertain
+	case jkprogram.OutcomeNotRun:
+		if p.RetryAfter > 0 || p.Type == jkproblem.TypeUnavailable {
+			return ExitUnavailable
+		}
+	}
+	return ExitUsage
+}
+
 // explain adds advice to an error of the API.
 func (c *configCommand) explain(err error) error {
 	if err == nil {
--- /dev/null
+++ b/jasmineknot/jkoperate/operate_test.go
@@ -0,0 +1,209 @@
+package jkoperate
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/datadriven"
+
+	"jasmineknot.example/core/jkdaemon"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jksite"
+	"jasmineknot.example/core/jkstandin"
+	"jasmineknot.example/jasmineknot/jkcaller"
+	"jasmineknot.example/jasmineknot/jkcommand"
+)
+
+// site is an embedded site under test.
+type site struct {
+	t *testing.T
+	*jksite.Embedded
+	// programs numbers the program ids in order of their first appearance.
+	programs []string
+	// fingerprint is that of the content that has crashed an engine.
+	fingerprint string
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	options := jkstandin.DefaultEngineOptions()
+	options.TimeScale = 0.01
+	folder := t.TempDir()
+	e, err := jksite.StartEmbedded(ctx, jksite.EmbeddedOptions{
+		Zones: []string{"a", "b"}, HostsPerZone: 2, Engine: options, Log: jklog.Discard(),
+		Intervals: map[string]string{"heartbeat": "100ms", "zone_digest": "200ms", "dead_after": "1s"},
+		Folder:    func(host string) string { return filepath.Join(folder, host) },
+	})
+	t.Cleanup(func() { e.Stop(context.Background()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &site{t: t, Embedded: e}
+}
+
+// run runs a command line and returns what it printed, with changing values
+// replaced.
+func (s *site) run(server int, line, in string) string {
+	var out bytes.Buffer
+	app := kingpin.New("jasmineknot", "").Terminate(nil).UsageWriter(&out).ErrorWriter(&out)
+	RegisterOn(app, strings.NewReader(in), &out)
+	args := strings.Fields(s.reveal(line))
+	words := 2
+	if args[0] == "status" {
+		words = 1
+	}
+	args = slices.Insert(args, words, "--server", s.Daemons[server].HTTP(), "--timeout", "5s")
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(&out, "%v\nexit %d\n", err, jkcommand.ExitCode(err))
+	}
+	return s.mask(out.String())
+}
+
+var (
+	programID   = regexp.MustCompile(`p-[ab]-\d\.[0-9a-z]+\.[0-9a-z]+`)
+	incarnation = regexp.MustCompile(`([ab]-\d)@[0-9a-z]+`)
+	address     = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	requestID   = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`)
+	age         = regexp.MustCompile(`\d+s ago`)
+	spaces      = regexp.MustCompile(` {2,}`)
+	// pace is an endpoint's measured figures: limit and token time.
+	pace   = regexp.MustCompile(`(engine|deposits)-([ab]  \S+  \S+  \S+  \d+  \d+)  \d+  \S+`)
+	answer = regexp.MustCompile(`(turn \d: ).*`)
+	copies = regexp.MustCompile(`copies  .*`)
+	// Answers, and so the tokens of a turn, depend on the program's id.
+	spent  = regexp.MustCompile(`\d+( spent, )\d+( granted)|\d+( of \d+ tokens spent)`)
+	turn   = regexp.MustCompile(`(model  completed  )engine-[ab]  \d+`)
+	listed = regexp.MustCompile(`(START  \d+  )\d+`)
+	token  = regexp.MustCompile(`token \S+`)
+)
+
+func (s *site) mask(text string) string {
+	text = programID.ReplaceAllStringFunc(text, func(id string) string {
+		i := slices.Index(s.programs, id)
+		if i < 0 {
+			i = len(s.programs)
+			s.programs = append(s.programs, id)
+		}
+		return "PROGRAM" + strconv.Itoa(i+1)
+	})
+	text = incarnation.ReplaceAllString(text, "$1@START")
+	text = address.ReplaceAllString(text, "ADDRESS")
+	text = requestID.ReplaceAllString(text, "ID")
+	text = age.ReplaceAllString(text, "AGE ago")
+	text = spaces.ReplaceAllString(text, "  ")
+	text = copies.ReplaceAllString(text, "copies  NAMES")
+	text = spent.ReplaceAllString(text, "N$1$2$3")
+	text = turn.ReplaceAllString(text, "${1}ENGINE  N")
+	text = listed.ReplaceAllString(text, "${1}N")
+	if s.fingerprint != "" {
+		text = strings.ReplaceAll(text, s.fingerprint, "FINGERPRINT")
+	}
+	text = pace.ReplaceAllString(text, "$1-$2  LIMIT  PACE")
+	text = answer.ReplaceAllString(text, "${1}ANSWER")
+	return token.ReplaceAllString(text, "token TOKEN")
+}
+
+// reveal puts the values back that mask has replaced.
+func (s *site) reveal(line string) string {
+	for i, id := range s.programs {
+		line = strings.ReplaceAll(line, "PROGRAM"+strconv.Itoa(i+1), id)
+	}
+	return strings.ReplaceAll(line, "FINGERPRINT", s.fingerprint)
+}
+
+// findSuspect learns the fingerprint of a content that has crashed an engine.
+func (s *site) findSuspect() {
+	var q jkdaemon.QuarantineStatus
+	for _, d := range s.Daemons {
+		_, err := jkcaller.Read(context.Background(), jkcaller.Request{Method: http.MethodGet, Server: d.HTTP(), Path: quarantinePath}, &q)
+		if err == nil && len(q.Suspects) > 0 {
+			s.fingerprint = q.Suspects[0].Fingerprint
+		}
+	}
+}
+
+// wait waits until a command prints a text.
+func (s *site) wait(server int, line, want string) string {
+	var out string
+	for range 200 {
+		if out = s.run(server, line, ""); strings.Contains(out, want) {
+			return ""
+		}
+		s.Timer.Wait(50*time.Millisecond, nil)
+	}
+	return "got after 10 s:\n" + out
+}
+
+// Guards against commands that hide a host without answer, edits that are not
+// in force at the hosts, work on drained hosts, a quarantine that stays after
+// its lift, and errors without advice.
+func TestOperate(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newSite(t)
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			server := 0
+			if td.HasArg("server") {
+				td.ScanArgs(t, "server", &server)
+			}
+			first, rest, _ := strings.Cut(td.Input, "\n")
+			switch td.Cmd {
+			case "run":
+				return s.run(server, first, rest)
+			case "wait":
+				return s.wait(server, first, rest)
+			case "kill":
+				n, err := strconv.Atoi(first)
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Daemons[n].Kill()
+			case "platform":
+				s.Platform.SetFaults(jkstandin.PlatformFaults{Down: first == "down"})
+			case "crash":
+				for _, e := range s.Engines {
+					e.SetFaults(jkstandin.EngineFaults{CrashMarker: first, CrashDownMS: 100})
+				}
+			case "suspect":
+				s.findSuspect()
+			default:
+				t.Fatalf("command %q is not known", td.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// Guards against a shell completion that offers no names of endpoints.
+func TestCompletion(t *testing.T) {
+	s := newSite(t)
+	t.Setenv(serverVariable, s.Daemons[0].HTTP())
+	// Kingpin writes completions to the process's standard output.
+	file, err := os.Create(filepath.Join(t.TempDir(), "out"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stdout := os.Stdout
+	os.Stdout = file
+	app := kingpin.New("jasmineknot", "").Terminate(nil)
+	RegisterOn(app, strings.NewReader(""), io.Discard)
+	_, err = app.Parse([]string{"--completion-bash", "endpoint", "drain", ""})
+	os.Stdout = stdout
+	text, readErr := os.ReadFile(file.Name())
+	if err != nil || readErr != nil || !strings.Contains(string(text), "engine-b") {
+		t.Errorf("got %q, errors %v and %v, expected a list with engine-b", text, err, readErr)
+	}
+}
