report: count objectives in the daemons and report burn rates

Cause: the section objectives of the configuration had no effect, and nobody could see how fast an error budget is spent.

jkobjective counts good and total events per objective and minute for 6 h in each daemon: turns (the caller's deadline, or else the objective's bound), first tokens of streams, and whole programs at their end. Requests that are wrong by themselves, that their caller gave up, cancelled programs and looping programs say nothing about the service and are left out; 429 and 5xx count as bad, also when the entry host refuses them. The counters are in /metrics and at /v1/report. A result of a call now names the program's workspace and template, so that the entry host, which sees the times, can tell the scope.

jkreport merges the hosts' counters, by age, because hosts need no common clock, and computes burn rates over 5 m/1 h and 30 m/6 h. A pair's threshold spends 2% or 5% of the budget in its long window, and is at least 1. Missing hosts, the time lost by restarts, hosts with another definition and windows longer than the ring are named in the text, the JSON and the page.

Known limits: after a takeover an idle program's last activity is the time of the takeover, so its time is too long by the gap. A call whose home was not reached has no class and counts only for objectives without one.

Command: go test ./core/jkobjective ./core/jkreport ./jasmineknot/jkoperate.

--- a/core/jkapi/api.go
+++ b/core/jkapi/api.go
@@ -68,8 +68,18 @@
 	Outcome    string
 	Duration   time.Duration
 	FirstToken time.Duration
-	// Late tells that the answer came after the caller's deadline.
-	Late bool
+	// HasDeadline tells that the caller set a deadline, Late that the answer
+	// came after it.
+	HasDeadline bool
+	Late        bool
+	// Template is that of the program; empty if its home was not reached.
+	Template string
+	// Status is the HTTP status of the answer.
+	Status int
+	// Streamed tells that FirstToken is the time to the first token of a stream.
+	Streamed bool
+	// Abandoned tells that the caller has closed the connection.
+	Abandoned bool
 }
 
 // api holds the handlers.
@@ -81,9 +91,9 @@
 // Register adds the handlers to an echo router.
 func Register(e *echo.Echo, f Functions) {
 	a := &api{Functions: f, slots: make(chan struct{}, f.MaxCalls)}
-	e.POST("/v1/chat/completions", a.limited(a.chat))
-	e.Any("/v1/services/:service", a.limited(a.service))
-	e.Any("/v1/services/:service/*", a.limited(a.service))
+	e.POST("/v1/chat/completions", a.limited(kindChat, a.chat))
+	e.Any("/v1/services/:service", a.limited(kindService, a.service))
+	e.Any("/v1/services/:service/*", a.limited(kindService, a.service))
 	e.POST("/v1/programs", a.create)
 	e.GET("/v1/programs", a.list)
 	e.GET("/v1/programs/:id", a.action(jkmsg.ActionShow))
@@ -95,14 +105,17 @@
 
 // limited refuses requests beyond the bound. A non-repeatable request may have
 // run at an earlier try, so its outcome stays unknown here.
-func (a *api) limited(next echo.HandlerFunc) echo.HandlerFunc {
+func (a *api) limited(kind string, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		select {
 		case a.slots <- struct{}{}:
 			defer func() { <-a.slots }()
 			return next(c)
 		default:
-			return sendProblem(c, jkproblem.Newf(jkproblem.TypeUnavailable, "this host serves %d calls already", cap(a.slots)).WithRetryAfter(time.Second))
+			p := jkproblem.Newf(jkproblem.TypeUnavailable, "this host serves %d calls already", cap(a.slots)).WithRetryAfter(time.Second)
+			now := a.Timer.Now()
+			a.observe(c, jkmsg.Call{}, kind, now, now, jkmsg.CallResult{Outcome: p.Outcome, Status: p.Status, Problem: p})
+			return sendProblem(c, p)
 		}
 	}
 }
@@ -155,12 +168,25 @@
 	return context.WithTimeout(c.Request().Context(), m.Deadline.Sub(a.Timer.Now()))
 }
 
+// Kinds of observed requests.
+const (
+	kindChat    = "chat"
+	kindService = "service"
+)
+
 // observe records a finished call.
-func (a *api) observe(m jkmsg.Call, kind, workspace string, start, first time.Time, outcome string) {
+func (a *api) observe(c echo.Context, m jkmsg.Call, kind string, start, first time.Time, r jkmsg.CallResult) {
 	now := a.Timer.Now()
 	o := Observation{
-		Kind: kind, Workspace: workspace, Outcome: outcome, Duration: now.Sub(start),
-		Late: !m.Deadline.IsZero() && now.After(m.Deadline),
+		Kind: kind, Workspace: r.Workspace, Outcome: string(r.Outcome), Duration: now.Sub(start),
+		HasDeadline: !m.Deadline.IsZero(), Late: !m.Deadline.IsZero() && now.After(m.Deadline),
+		Template: r.Template, Status: r.Status, Streamed: m.Stream, Abandoned: c.Request().Context().Err() != nil,
+	}
+	if o.Workspace == "" {
+		o.Workspace = c.Request().Header.Get(HeaderWorkspace)
+	}
+	if r.Problem != nil {
+		o.Status = r.Problem.Status
 	}
 	if !first.IsZero() {
 		o.FirstToken = first.Sub(start)
--- a/core/jkapi/chat.go
+++ b/core/jkapi/chat.go
@@ -31,7 +31,9 @@
 		model, problem = a.readChat(c, &m)
 	}
 	if problem == nil {
-		problem = a.ensureProgram(c, &m)
+		if problem = a.ensureProgram(c, &m); problem != nil {
+			a.observe(c, m, kindChat, start, time.Time{}, jkmsg.CallResult{Outcome: problem.Outcome, Problem: problem})
+		}
 	}
 	if problem != nil {
 		return sendProblem(c, problem)
@@ -42,7 +44,7 @@
 		return a.stream(ctx, c, m, model, start)
 	}
 	result := a.Call(ctx, m, func(string) error { return nil })
-	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, a.Timer.Now(), string(result.Outcome))
+	a.observe(c, m, kindChat, start, a.Timer.Now(), result)
 	identify(c, result)
 	if result.Problem != nil {
 		return sendProblem(c, result.Problem)
@@ -125,7 +127,7 @@
 func (a *api) stream(ctx context.Context, c echo.Context, m jkmsg.Call, model string, start time.Time) error {
 	s := &streamer{c: c, model: model, id: "chatcmpl-" + digest([]byte(m.Program+m.RequestID)), created: start.Unix(), now: a.Timer.Now}
 	result := a.Call(ctx, m, s.write)
-	a.observe(m, "chat", c.Request().Header.Get(HeaderWorkspace), start, s.first, string(result.Outcome))
+	a.observe(c, m, kindChat, start, s.first, result)
 	if result.Problem != nil && !s.begun {
 		identify(c, result)
 		return sendProblem(c, result.Problem)
--- a/core/jkapi/service.go
+++ b/core/jkapi/service.go
@@ -38,7 +38,7 @@
 		m.Program = ""
 		result = a.Service(ctx, m, repeatable)
 	}
-	a.observe(m, "service", c.Request().Header.Get(HeaderWorkspace), start, a.Timer.Now(), string(result.Outcome))
+	a.observe(c, m, kindService, start, a.Timer.Now(), result)
 	identify(c, result)
 	if result.Problem != nil {
 		return sendProblem(c, result.Problem)
--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkmember"
 	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkobjective"
 	"jasmineknot.example/core/jkplatform"
 	"jasmineknot.example/core/jkroute"
 	"jasmineknot.example/core/jksched"
@@ -78,6 +79,7 @@
 	web        *http.Server
 	metrics    *metrics
 	rules      *rules
+	objectives *jkobjective.Recorder
 	lease      *hostLease
 	copySet    *copySet
 
@@ -164,7 +166,7 @@
 	d.home = jkhome.New(jkhome.Options{
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
 		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
-		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
+		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention, Ended: d.programEnded,
 		CopyGrace: copyGraceLeases * d.settings.Intervals().Lease(),
 	})
 	d.router = jkroute.New(jkroute.Options{
@@ -187,6 +189,7 @@
 		Follower: d.follower, Jitter: seed.Float64,
 	})
 	d.rules = &rules{document: d.follower.Newest}
+	d.objectives = jkobjective.New(jkobjective.Options{Timer: d.options.Timer, Count: d.countObjective})
 	d.follower.OnChange(d.apply)
 }
 
--- a/core/jkdaemon/rules.go
+++ b/core/jkdaemon/rules.go
@@ -128,6 +128,7 @@
 		})
 	}
 	d.gossip.Read(func(t *jkmember.Table) { t.SetDrained(drained) })
+	d.objectives.SetObjectives(doc.Objectives())
 	d.refreshEndpoints()
 	d.log.Part("config").Info("configuration is in force", "revision", doc.Revision())
 }
--- a/core/jkdaemon/web.go
+++ b/core/jkdaemon/web.go
@@ -26,7 +26,7 @@
 		Repeatable: func(service, method, path string) bool {
 			return d.rules.service(service, method, path).Repeatable
 		},
-		Observe:   d.metrics.observe,
+		Observe:   d.observe,
 		BodyLimit: d.settings.Limits().BodyBytes(),
 		MaxCalls:  d.settings.Limits().EntryQueue(),
 	})
@@ -39,6 +39,9 @@
 		return nil
 	})
 	e.GET("/v1/status", d.status)
+	e.GET("/v1/report", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, d.objectives.Snapshot(d.settings.Host()))
+	})
 	e.GET("/v1/quarantine", d.quarantine)
 	e.DELETE("/v1/quarantine/:fingerprint", d.liftQuarantine)
 	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
--- a/core/jkhome/call.go
+++ b/core/jkhome/call.go
@@ -24,6 +24,16 @@
 // Call serves one request of a program of this home. Claims are nil for a
 // caller without token. Emit receives the text of a streamed answer.
 func (h *Home) Call(ctx context.Context, m jkmsg.Call, claims *jktoken.Claims, emit func(text string) error) jkmsg.CallResult {
+	result := h.serve(ctx, m, claims, emit)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if info, ok := h.core.Info(m.Program); ok {
+		result.Workspace, result.Template = info.Workspace, info.Template
+	}
+	return result
+}
+
+func (h *Home) serve(ctx context.Context, m jkmsg.Call, claims *jktoken.Claims, emit func(text string) error) jkmsg.CallResult {
 	p, err := h.newPlan(m, claims)
 	if err != nil {
 		return h.refusal(m, jkproblem.From(err), true)
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -90,6 +90,8 @@
 	// another copy. Until then a program that was taken over can't extend its
 	// grant, because one of its copies does not answer.
 	CopyGrace time.Duration
+	// Ended is told about each program that ends here; nil if nobody counts.
+	Ended func(jkprogram.Ended)
 }
 
 // Home is the home part of one host.
--- a/core/jkhome/manage.go
+++ b/core/jkhome/manage.go
@@ -198,6 +198,9 @@
 		h.options.Transport.Release(r.program, r.endpoints)
 	}
 	for _, e := range ended {
+		if h.options.Ended != nil {
+			h.options.Ended(e)
+		}
 		// A copy that misses the end forgets the program as an orphan.
 		go h.appendTo(context.Background(), e.Copies, e.Record)
 	}
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -151,6 +151,9 @@
 	Moved jktoken.Incarnation `msgpack:"moved"`
 	// Replayed tells that the answer was recorded before.
 	Replayed bool `msgpack:"replayed,omitempty"`
+	// Workspace and Template are the program's, for the entry host's figures.
+	Workspace string `msgpack:"workspace,omitempty"`
+	Template  string `msgpack:"template,omitempty"`
 }
 
 // Create asks a parent's home for a sub-program.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -135,6 +135,10 @@
 	WasRunning bool
 	// Endpoints lists the endpoints that ran a call of the program.
 	Endpoints []string
+	Meta      Meta
+	Turns     uint64
+	// LastActive is when the last call began or ended.
+	LastActive time.Time
 }
 
 // End ends a program and its sub-programs at this home. Ending an ended program
@@ -160,6 +164,7 @@
 		}
 	}
 	e := Ended{Program: id, Reason: reason, Copies: p.state.Copies, WasRunning: p.running != nil, Endpoints: p.endpoints()}
+	e.Meta, e.Turns, e.LastActive = p.state.Meta, p.state.Turn(), p.lastActive
 	c.settle(p)
 	p.state.End = reason
 	p.endedAt = now
--- /dev/null
+++ b/core/jkreport/html.go
@@ -0,0 +1,122 @@
+package jkreport
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"math"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 2.6 * vg.Inch
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"measure": measure, "scope": scope, "percent": percent, "burn": burnText, "duration": shortDuration,
+}).Parse(pageText))
+
+// curves are the burn rates in a plot.
+var curves = []struct {
+	minutes int
+	label   string
+	color   color.Color
+}{
+	{5, "burn over 5 min", color.RGBA{R: 0x9a, G: 0xb8, B: 0xd8, A: 0xff}},
+	{60, "burn over 1 h", color.RGBA{R: 0x1f, G: 0x4e, B: 0x79, A: 0xff}},
+}
+
+// pageObjective is an objective with its plot.
+type pageObjective struct {
+	Objective
+	Plot template.HTML
+}
+
+// WriteHTML writes the report as a page that needs no other file.
+func WriteHTML(w io.Writer, r Report) error {
+	data := struct {
+		Report
+		Rows  []pageObjective
+		Notes []string
+	}{Report: r, Notes: Notes(r)}
+	for _, o := range r.Objectives {
+		svg, err := plotSVG(o)
+		if err != nil {
+			return eris.Wrapf(err, "plot objective %s", o.Name)
+		}
+		data.Rows = append(data.Rows, pageObjective{Objective: o, Plot: svg})
+	}
+	return page.Execute(w, data)
+}
+
+// newPlot draws an objective's burn rates and the alarm thresholds.
+func newPlot(o Objective) (*plot.Plot, error) {
+	p := plot.New()
+	p.X.Label.Text = "minutes before the report"
+	p.Y.Label.Text = "burn rate"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	for _, c := range curves {
+		line, err := plotter.NewLine(o.points(c.minutes))
+		if err != nil {
+			return nil, err
+		}
+		line.Color = c.color
+		p.Add(line)
+		p.Legend.Add(c.label, line)
+	}
+	for _, pair := range o.Pairs {
+		line := plotter.NewFunction(func(float64) float64 { return pair.Threshold })
+		line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		line.Color = color.RGBA{R: 0xb0, G: 0x30, B: 0x30, A: 0xff}
+		p.Add(line)
+		p.Legend.Add(fmt.Sprintf("alarm %d/%d min", pair.Short, pair.Long), line)
+		p.Y.Max = math.Max(p.Y.Max, pair.Threshold*1.1)
+	}
+	return p, nil
+}
+
+// plotSVG returns the plot as SVG. Its texts hold numbers and fixed words only,
+// so it needs no escaping.
+func plotSVG(o Objective) (template.HTML, error) {
+	p, err := newPlot(o)
+	if err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	// A page that holds the SVG element has no place for the XML declaration.
+	text := out.Bytes()
+	if i := bytes.Index(text, []byte("<svg")); i > 0 {
+		text = text[i:]
+	}
+	return template.HTML(text), nil //nolint:gosec // the text is our own plot
+}
+
+// points returns the burn rate over a sliding window for each minute.
+func (o *Objective) points(minutes int) plotter.XYs {
+	points := make(plotter.XYs, 0, len(o.perMinute))
+	for age := len(o.perMinute) - 1; age >= 0; age-- {
+		points = append(points, plotter.XY{X: float64(-age), Y: burn(o.sum(age, minutes), o.Target)})
+	}
+	return points
+}
--- a/jasmineknot/jkoperate/command.go
+++ b/jasmineknot/jkoperate/command.go
@@ -44,6 +44,7 @@
 	registerEndpoint(app, in, out)
 	registerHost(app, in, out)
 	registerQuarantine(app, in, out)
+	registerReport(app, in, out)
 }
 
 func newCommand(cmd *kingpin.CmdClause, in io.Reader, out io.Writer) *command {
--- a/jasmineknot/jkoperate/operate_test.go
+++ b/jasmineknot/jkoperate/operate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -63,7 +64,7 @@
 	RegisterOn(app, strings.NewReader(in), &out)
 	args := strings.Fields(s.reveal(line))
 	words := 2
-	if args[0] == "status" {
+	if args[0] == "status" || args[0] == "report" {
 		words = 1
 	}
 	args = slices.Insert(args, words, "--server", s.Daemons[server].HTTP(), "--timeout", "5s")
@@ -85,10 +86,12 @@
 	answer = regexp.MustCompile(`(turn \d: ).*`)
 	copies = regexp.MustCompile(`copies  .*`)
 	// Answers, and so the tokens of a turn, depend on the program's id.
-	spent  = regexp.MustCompile(`\d+( spent, )\d+( granted)|\d+( of \d+ tokens spent)`)
-	turn   = regexp.MustCompile(`(model  completed  )engine-[ab]  \d+`)
-	listed = regexp.MustCompile(`(START  \d+  )\d+`)
-	token  = regexp.MustCompile(`token \S+`)
+	spent    = regexp.MustCompile(`\d+( spent, )\d+( granted)|\d+( of \d+ tokens spent)`)
+	turn     = regexp.MustCompile(`(model  completed  )engine-[ab]  \d+`)
+	listed   = regexp.MustCompile(`(START  \d+  )\d+`)
+	uptime   = regexp.MustCompile(`started \d+s ago`)
+	coverage = regexp.MustCompile(`\d+% of`)
+	token    = regexp.MustCompile(`token \S+`)
 )
 
 func (s *site) mask(text string) string {
@@ -105,6 +108,8 @@
 	text = requestID.ReplaceAllString(text, "ID")
 	text = age.ReplaceAllString(text, "AGE ago")
 	text = spaces.ReplaceAllString(text, "  ")
+	text = uptime.ReplaceAllString(text, "started N ago")
+	text = coverage.ReplaceAllString(text, "N% of")
 	text = copies.ReplaceAllString(text, "copies  NAMES")
 	text = spent.ReplaceAllString(text, "N$1$2$3")
 	text = turn.ReplaceAllString(text, "${1}ENGINE  N")
@@ -171,6 +176,10 @@
 					t.Fatal(err)
 				}
 				s.Daemons[n].Kill()
+			case "section":
+				if err := jksite.WriteSection(context.Background(), http.DefaultClient, s.Daemons[0].HTTP(), first, json.RawMessage(rest), "edit-"+first); err != nil {
+					return err.Error()
+				}
 			case "platform":
 				s.Platform.SetFaults(jkstandin.PlatformFaults{Down: first == "down"})
 			case "crash":
