--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -18,6 +18,9 @@
  *    record of the exclusion and then found no ended record of its own; a
  *    successor reads the exclusions after it found the record that names it,
  *    then looks for an ended record of its own, and reads no excluded copy.
+ *
+ * VARIANT_HANDOVER_BY_RECORD: a stopping home hands over what it may still spend
+ * to the host that its ended record names.
  */
 #ifndef BUDGET
 #define BUDGET 1
@@ -170,6 +173,16 @@
 		read_copy(h, 0) }
 	:: atomic { h > 0 && named[h] && !started[h] && (set[h] & 2) && !(read[h] & 2) ->
 		read_copy(h, 1) }
+#ifdef VARIANT_HANDOVER_BY_RECORD
+	:: atomic { h == 0 && RUNS(0) && !granting[0] && named[1] && !granting[1] && REACH(0, 1) ->
+		serving[0] = false; serving[1] = true; epoch[1] = 2;
+		if
+		:: total[0] > total[1] -> total[1] = total[0]
+		:: else
+		fi;
+		usable[1] = usable[1] + usable[0]; usable[0] = 0;
+		printf("home 0 hands over to host 1, its recorded successor\n") }
+#endif
 #ifdef MUTANT_HANDOVER_WITHOUT_RECORD
 	:: atomic { h == 0 && RUNS(0) && !granting[0] && !named[2] && !serving[2] && REACH(0, 1) ->
 		serving[0] = false; serving[2] = true; epoch[2] = 2; total[2] = total[0];
