order: decide which engine holds which model in a pure core

Nothing compared the section models with what the engines report.

The core keeps tables of engines and models of one zone and returns orders: loads within the weight store's limit, one rollout step at a time with a stop at the first failure, unloads that never take the last ready replica of a model in use, and moves of replicas with hysteresis.

Ruled out: loading a replica at once on the engine with the fewest models while another is about to drop one. The script move showed both models on one engine and an empty engine beside it; the core now waits for the engine that gets free.

--- /dev/null
+++ b/core/jkorder/order_test.go
@@ -0,0 +1,203 @@
+package jkorder
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"jasmineknot.example/core/jkendpoint"
+)
+
+// Guards against the failures that each script names in its comments: a rollout
+// that goes on after a failure, an unloaded last replica, a weight store that
+// is asked too often, replicas that move to and fro.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{now: time.Unix(1000, 0), fakes: map[string]*fake{}, calls: map[string]int{}}
+		s.start = s.now
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+// loadTime is the time that a fake engine takes to load.
+const loadTime = 20 * time.Second
+
+// fake is an engine that carries out orders, with a fault or without.
+type fake struct {
+	state jkendpoint.State
+	ready time.Time
+	fault string // silent, refuse, hang, wrong
+}
+
+type script struct {
+	core       *Core
+	start, now time.Time
+	fakes      map[string]*fake
+	calls      map[string]int
+	engines    []EngineSpec
+	revision   uint64
+	loadsMost  int
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "zone":
+		o := DefaultOptions()
+		o.Zone = d.CmdArgs[0].Key
+		s.core = New(s.now, o)
+	case "engines": // lines: id zone models checks|ignores held...
+		s.setEngines(d.Input)
+	case "models": // lines: name versions replicas=n|endpoints=a,b [adapter=x]
+		s.setModels(d.Input)
+	case "begin":
+		s.core.Begin(s.now, s.now)
+	case "restore":
+		for _, h := range s.core.TakeHalts() {
+			s.core.Begin(s.now, s.now)
+			s.core.Restore(h)
+		}
+	case "fault":
+		s.fakes[d.CmdArgs[0].Key].fault = d.CmdArgs[1].Key
+	case "calls":
+		s.calls[d.CmdArgs[0].Key] = len(d.CmdArgs[1].Key)
+	case "resume":
+		return fmt.Sprintln(s.core.Resume(d.CmdArgs[0].Key))
+	case "request": // engine kind model [force]
+		o := jkendpoint.Order{Kind: jkendpoint.OrderKind(d.CmdArgs[1].Key), Model: d.CmdArgs[2].Key}
+		err := s.core.Request(s.now, d.CmdArgs[0].Key, o, d.HasArg("force"))
+		var refused *RequestError
+		if err != nil && !errors.As(err, &refused) {
+			t.Fatalf("unexpected error type %T", err)
+		}
+		return fmt.Sprintln(err)
+	case "run":
+		by, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.advance(by)
+	case "state":
+		return s.show()
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return ""
+}
+
+func (s *script) setEngines(input string) {
+	s.engines = nil
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		e := EngineSpec{ID: f[0], Zone: f[1], Addr: f[0], Models: strings.Split(f[2], ","), ChecksFencing: f[3] == "checks", Leaving: f[3] == "leaving"}
+		s.engines = append(s.engines, e)
+		if s.fakes[e.ID] != nil {
+			continue
+		}
+		s.fakes[e.ID] = &fake{}
+		for _, held := range f[4:] {
+			name, version, _ := strings.Cut(held, "@")
+			s.fakes[e.ID].state.Models = append(s.fakes[e.ID].state.Models, jkendpoint.ModelState{Name: name, Version: version, Phase: jkendpoint.ModelReady})
+		}
+	}
+}
+
+func (s *script) setModels(input string) {
+	s.revision++
+	w := Wanted{Revision: s.revision, Engines: s.engines}
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		m := ModelSpec{Name: f[0], Versions: strings.Split(f[1], ",")}
+		for _, arg := range f[2:] {
+			key, value, _ := strings.Cut(arg, "=")
+			switch key {
+			case "replicas":
+				m.Replicas, _ = strconv.Atoi(value)
+			case "endpoints":
+				m.Endpoints = strings.Split(value, ",")
+			case "adapter":
+				m.Adapter = value
+			}
+		}
+		w.Models = append(w.Models, m)
+	}
+	s.core.SetWanted(s.now, s.now, w)
+}
+
+// advance ticks each second and returns the orders with their times.
+func (s *script) advance(by time.Duration) string {
+	var out strings.Builder
+	for end := s.now.Add(by); s.now.Before(end); {
+		s.now = s.now.Add(time.Second)
+		s.core.SetLoads(s.now, s.calls)
+		for _, r := range s.core.Reads(s.now) {
+			f := s.fakes[r.Engine]
+			if f.fault == "silent" {
+				s.core.Unreachable(s.now, r.Engine)
+				continue
+			}
+			f.finish(s.now)
+			state := f.state
+			state.Models, state.Adapters = slices.Clone(state.Models), slices.Clone(state.Adapters)
+			s.core.Observe(s.now, r.Engine, state)
+		}
+		for _, c := range s.core.Tick(s.now) {
+			r := s.fakes[c.Engine].take(s.now, c.Order)
+			fmt.Fprintf(&out, "%s: %s %s%s@%s %s\n", s.now.Sub(s.start), c.Engine, c.Order.Kind, " "+c.Order.Model+c.Order.Adapter, c.Order.Version, r)
+			s.core.Sent(s.now, c, r, "by fault")
+		}
+		s.loadsMost = max(s.loadsMost, s.core.Loading())
+	}
+	return out.String()
+}
+
+func (f *fake) finish(now time.Time) {
+	for _, list := range [][]jkendpoint.ModelState{f.state.Models, f.state.Adapters} {
+		for i, m := range list {
+			if m.Phase != jkendpoint.ModelLoading || now.Before(f.ready) || f.fault == "hang" {
+				continue
+			}
+			list[i].Phase = jkendpoint.ModelReady
+			if f.fault == "wrong" {
+				list[i].Version += ".0"
+			}
+		}
+	}
+}
+
+func (f *fake) take(now time.Time, o jkendpoint.Order) Result {
+	if f.fault == "refuse" {
+		return ResultRefused
+	}
+	list, name := &f.state.Models, o.Model
+	if o.Kind == jkendpoint.OrderAdapter {
+		list, name = &f.state.Adapters, o.Adapter
+	}
+	*list = slices.DeleteFunc(*list, func(m jkendpoint.ModelState) bool { return m.Name == name })
+	if o.Kind != jkendpoint.OrderUnload {
+		*list = append(*list, jkendpoint.ModelState{Name: name, Version: o.Version, Phase: jkendpoint.ModelLoading})
+		f.ready = now.Add(loadTime)
+	}
+	return ResultAccepted
+}
+
+func (s *script) show() string {
+	var out strings.Builder
+	for _, e := range s.engines {
+		fmt.Fprintf(&out, "%s:", e.ID)
+		for _, m := range append(slices.Clone(s.fakes[e.ID].state.Models), s.fakes[e.ID].state.Adapters...) {
+			fmt.Fprintf(&out, " %s@%s %s", m.Name, m.Version, m.Phase)
+		}
+		fmt.Fprintln(&out)
+	}
+	for _, r := range s.core.Rollouts() {
+		fmt.Fprintf(&out, "%s %s: %s %s %s\n", r.Model, r.Version, r.Phase, r.Engine, r.Reason)
+	}
+	fmt.Fprintf(&out, "most loads at once: %d\n", s.loadsMost)
+	return out.String()
+}
