--- a/core/jkorder/manual.go
+++ b/core/jkorder/manual.go
@@ -69,6 +69,7 @@
 	if m == nil || m.rollout.Phase != PhaseHalted {
 		return &RequestError{"model", name, "a model whose rollout is halted"}
 	}
+	delete(c.kept, name)
 	m.rollout = m.settled()
 	return nil
 }
--- a/core/jkorder/order.go
+++ b/core/jkorder/order.go
@@ -161,13 +161,16 @@
 	names   []string // of all models, sorted
 	bucket  bucket
 	movedAt time.Time
-	halts   []Halt
+	halts   []Halt // not yet taken
+	// kept holds the halts by model. An entry equal to the one that failed stays
+	// halted until an operator resumes it.
+	kept map[string]Halt
 }
 
 // New returns an empty core.
 func New(now time.Time, o Options) *Core {
 	return &Core{
-		options: o, engines: map[string]*engine{}, models: map[string]*model{},
+		options: o, engines: map[string]*engine{}, models: map[string]*model{}, kept: map[string]Halt{},
 		bucket: bucket{level: float64(o.LoadBurst), at: now},
 	}
 }
@@ -185,6 +188,7 @@
 		m.rollout = m.settled()
 	}
 	c.halts = nil
+	c.kept = map[string]Halt{}
 	c.bucket = bucket{at: now}
 	c.movedAt = now
 }
@@ -210,6 +214,7 @@
 		if m == nil || !m.spec.equal(s) {
 			m = &model{spec: s, used: now, moved: movedOf(m)}
 			m.rollout = m.settled()
+			m.halt(c.kept[s.Name])
 			c.dropPins(s.Name)
 		}
 		c.models[s.Name] = m
--- a/core/jkorder/order_test.go
+++ b/core/jkorder/order_test.go
@@ -201,3 +201,55 @@
 	fmt.Fprintf(&out, "most loads at once: %d\n", s.loadsMost)
 	return out.String()
 }
+
+// Guards against an order that is computed from a state read before the barrier:
+// an old order may have changed the engine since.
+func TestReadBackAfterBarrier(t *testing.T) {
+	o := DefaultOptions()
+	o.Zone = "a"
+	now := time.Unix(1000, 0)
+	barrier := now.Add(20 * time.Second)
+	c := New(now, o)
+	c.SetWanted(now, barrier, Wanted{
+		Revision: 1, Models: []ModelSpec{{Name: "m", Versions: []string{"1"}, Replicas: 1}},
+		Engines: []EngineSpec{{ID: "e", Zone: "a", Addr: "e", Models: []string{"m"}}},
+	})
+	before := barrier.Add(-time.Second)
+	c.Observe(before, "e", jkendpoint.State{})
+	if got := c.Tick(before); len(got) != 0 {
+		t.Fatalf("orders before the barrier: %+v", got)
+	}
+	if got := c.Tick(barrier); len(got) != 0 {
+		t.Fatalf("orders from a state read before the barrier: %+v", got)
+	}
+	c.Observe(barrier, "e", jkendpoint.State{})
+	if got := c.Tick(barrier); len(got) != 1 {
+		t.Fatalf("got %+v after the read, want one load", got)
+	}
+}
+
+// BenchmarkTick measures a tick in one of nine zones at the size planned for:
+// 7,900 engines and 38 models.
+func BenchmarkTick(b *testing.B) {
+	o := DefaultOptions()
+	o.Zone = "z4"
+	now := time.Unix(1000, 0)
+	c := New(now, o)
+	w := Wanted{Revision: 1}
+	for i := range 38 {
+		w.Models = append(w.Models, ModelSpec{Name: fmt.Sprintf("m%02d", i), Versions: []string{"1"}, Replicas: 200})
+	}
+	for i := range 7900 {
+		model := w.Models[i%38].Name
+		e := EngineSpec{ID: fmt.Sprintf("e%04d", i), Zone: fmt.Sprintf("z%d", i%9), Models: []string{model, w.Models[(i+1)%38].Name}}
+		w.Engines = append(w.Engines, e)
+	}
+	c.SetWanted(now, now, w)
+	for i, e := range w.Engines {
+		c.Observe(now, e.ID, jkendpoint.State{Models: []jkendpoint.ModelState{{Name: w.Models[i%38].Name, Version: "1", Phase: jkendpoint.ModelReady}}})
+	}
+	for b.Loop() {
+		c.Reads(now)
+		c.Tick(now)
+	}
+}
--- a/core/jkorder/rollout.go
+++ b/core/jkorder/rollout.go
@@ -167,13 +167,11 @@
 		return
 	}
 	if o.Kind == jkendpoint.OrderVersion || o.Kind == jkendpoint.OrderLoad && !c.isProven(now, m) {
-		m.rollout = Rollout{
-			Model: m.spec.Name, Version: o.Version, Phase: PhaseHalted,
-			Engine: e.spec.ID, Reason: reason, Revision: c.wanted.Revision,
-		}
-		c.halts = append(c.halts, Halt{
+		h := Halt{
 			Model: m.spec.Name, Version: o.Version, Engine: e.spec.ID, Reason: reason, Revision: c.wanted.Revision, Spec: m.spec,
-		})
+		}
+		c.halts = append(c.halts, h)
+		c.Restore(h)
 		return
 	}
 	pause := c.options.Backoff << min(e.failures[o.Model], 10)
@@ -188,13 +186,22 @@
 	return out
 }
 
-// Restore takes a halt that a former controller kept.
+// Restore takes a halt that this or a former controller has found.
 func (c *Core) Restore(h Halt) {
-	m := c.models[h.Model]
-	if m == nil || !m.spec.equal(h.Spec) {
+	if h.Model == "" {
 		return
 	}
-	m.rollout = Rollout{Model: h.Model, Version: h.Version, Phase: PhaseHalted, Engine: h.Engine, Reason: h.Reason, Revision: h.Revision}
+	c.kept[h.Model] = h
+	if m := c.models[h.Model]; m != nil {
+		m.halt(h)
+	}
+}
+
+// halt stops the rollout if the halt is of the present entry.
+func (m *model) halt(h Halt) {
+	if m.spec.equal(h.Spec) {
+		m.rollout = Rollout{Model: h.Model, Version: h.Version, Phase: PhaseHalted, Engine: h.Engine, Reason: h.Reason, Revision: h.Revision}
+	}
 }
 
 // Rollouts returns the state of all models by name.
@@ -205,3 +212,9 @@
 	}
 	return out
 }
+
+// IsHalted reports whether a model's rollout is halted.
+func (c *Core) IsHalted(name string) bool {
+	m := c.models[name]
+	return m != nil && m.rollout.Phase == PhaseHalted
+}
