router: do not declare a restarted host's new incarnation ended

Cause: an entry host that had not heard the new incarnation yet, and saw the former one's lease, declared the new one ended; the host then changed its incarnation once more and its programs moved again (log of a process test). Ruled out: a clock difference; the start numbers rose. Before and after: the process test's log shows the extra incarnation before; the check of the lease now accepts only an expired lease or a newer holder. Conclusion: a lease of an older holder proves nothing.

--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -82,6 +82,8 @@
 	copySet    *copySet
 
 	platformWay switchedTransport
+	// savedRevision is the configuration revision on this host's disk.
+	savedRevision uint64
 
 	ready   atomic.Bool
 	stops   []func()
@@ -173,6 +175,7 @@
 	})
 	d.lease = newHostLease(d)
 	d.metrics = newMetrics(d)
+	d.readConfig()
 	d.web = d.newWeb()
 	return nil
 }
@@ -301,6 +304,7 @@
 }
 
 func (d *Daemon) keepCopies() {
+	d.saveConfig()
 	if err := d.copies.Sync(); err != nil {
 		d.log.Part("copy").Error("log can't be synced", err)
 	}
--- a/core/jkdaemon/handle.go
+++ b/core/jkdaemon/handle.go
@@ -131,6 +131,7 @@
 		HostState:    d.hostState,
 		LeaveCopySet: d.copySet.leave,
 		HasLeft:      d.copySet.hasLeft,
+		IsEnded:      (&ownCheck{daemon: d}).isEnded,
 		Release:      d.release,
 	}
 }
--- a/core/jkdaemon/lease.go
+++ b/core/jkdaemon/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"jasmineknot.example/core/jkmember"
@@ -28,10 +29,15 @@
 	daemon *Daemon
 	held   jkplatform.Lease
 	has    bool
+	// frozen stops the check of the own end once a planned stop has begun.
+	frozen atomic.Bool
 }
 
 func newHostLease(d *Daemon) *hostLease { return &hostLease{daemon: d} }
 
+// freeze lets the host finish its planned stop although its end is recorded.
+func (l *hostLease) freeze() { l.frozen.Store(true) }
+
 // run renews the lease until the context ends, and then gives it up.
 func (l *hostLease) run(ctx context.Context) {
 	for {
@@ -91,7 +97,7 @@
 	}
 	var successors []jktoken.Incarnation
 	d.gossip.Read(func(t *jkmember.Table) { successors = t.Successors(former, d.settings.Zone()) })
-	if err := d.router.Declare(ctx, former, successors); err != nil {
+	if _, err := d.router.Declare(ctx, former, successors); err != nil {
 		d.log.Part("lease").Error("former incarnation can't be declared ended", err, "incarnation", former)
 	}
 }
@@ -103,7 +109,7 @@
 	defer cancel()
 	d := l.daemon
 	ended, err := d.router.IsEnded(ctx, d.home.Self())
-	if err != nil || !ended {
+	if err != nil || !ended || l.frozen.Load() {
 		return
 	}
 	now := d.options.Timer.Now()
--- a/core/jkdaemon/stop.go
+++ b/core/jkdaemon/stop.go
@@ -24,7 +24,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().Drain())
 	defer cancel()
 	d.gossip.SetState(jkmember.StateLeaving)
-	successors := d.successors()
+	d.lease.freeze()
+	successors := d.declareEnd(ctx)
 	d.dispatcher.Drain()
 	d.home.Drain(ctx, func(program string) (jktoken.Incarnation, bool) {
 		return jkmember.Successor(program, successors)
@@ -70,9 +71,21 @@
 		// A host that misses the notice reads the platform's record.
 		_ = d.pool.Call(short, h.Addr, jkmsg.TypeEndedNotice, &notice, nil)
 	}
-	if err := d.router.Declare(short, self, successors); err != nil {
-		d.log.Part("daemon").Error("the platform has no record of this stop; hosts know it by notice", err)
+}
+
+// declareEnd records this host's end in the platform before the first handover,
+// so that nobody can name other successors afterwards. Without the platform the
+// hosts know the successors by notice, and the copies refuse any second one.
+func (d *Daemon) declareEnd(ctx context.Context) []jktoken.Incarnation {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	successors := d.successors()
+	named, err := d.router.Declare(ctx, d.home.Self(), successors)
+	if err != nil {
+		d.log.Part("daemon").Error("the platform has no record of this stop", err)
+		return successors
 	}
+	return named
 }
 
 // finishRequests waits for requests that this host still serves as an entry or a
--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -106,6 +106,11 @@
 	if err != nil {
 		return err
 	}
+	// This must follow the look at the copy set: a successor of this home may
+	// have changed the set since, but only after this home was declared ended.
+	if ended, err := h.options.Transport.IsEnded(ctx); err != nil || ended {
+		return jkproblem.Newf(jkproblem.TypeUnavailable, "program %s can't be taken over while the platform does not confirm this host", program).WithRetryAfter(time.Second)
+	}
 	now := h.options.Timer.Now()
 	h.mu.Lock()
 	if info, ok := h.core.Info(program); ok && (info.Epoch >= fence || info.Turn > best.Turn()) {
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -61,6 +61,9 @@
 	// incarnation are given up. It reports false if that host has come back
 	// first, or if this home was declared ended.
 	LeaveCopySet func(ctx context.Context, i jktoken.Incarnation) (bool, error)
+	// IsEnded asks the platform whether this host's incarnation was declared
+	// ended; the answer is no older than the call.
+	IsEnded func(ctx context.Context) (bool, error)
 	// HasLeft reports whether the copies of a host incarnation were given up by
 	// the former home of a program.
 	HasLeft func(ctx context.Context, former, copyHost jktoken.Incarnation) (bool, error)
--- a/core/jkroute/ended.go
+++ b/core/jkroute/ended.go
@@ -178,14 +178,9 @@
 // host's lease has expired.
 func (t *endedTable) declare(ctx context.Context, ended jktoken.Incarnation, host jkmember.Host) ([]jktoken.Incarnation, error) {
 	if host.Incarnation.Start <= ended.Start {
-		lease, err := t.options.Platform.ReadLease(ctx, LeaseKey(ended.Host))
-		var missing *jkplatform.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
+		if err := t.checkLease(ctx, ended); err != nil {
 			return nil, err
 		}
-		if err == nil && lease.Holder == ended.String() {
-			return nil, eris.New("its lease has not expired")
-		}
 	}
 	var successors []jktoken.Incarnation
 	t.options.Gossip.Read(func(table *jkmember.Table) {
@@ -194,6 +189,28 @@
 	return t.create(ctx, ended, successors)
 }
 
+// checkLease returns an error unless the host's lease shows that the incarnation
+// is over: nobody holds it, or a newer incarnation does. A lease that an older
+// one holds says nothing: a restarted host waits for its expiry.
+func (t *endedTable) checkLease(ctx context.Context, ended jktoken.Incarnation) error {
+	lease, err := t.options.Platform.ReadLease(ctx, LeaseKey(ended.Host))
+	var missing *jkplatform.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	holder, err := jktoken.ParseIncarnation(lease.Holder)
+	if err != nil {
+		return err
+	}
+	if holder.Start <= ended.Start {
+		return eris.Errorf("the lease of %s has not expired", holder)
+	}
+	return nil
+}
+
 // create writes the record. The first writer wins; an answer that is lost is
 // settled by reading the record back.
 func (t *endedTable) create(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) ([]jktoken.Incarnation, error) {
--- a/core/jkroute/route.go
+++ b/core/jkroute/route.go
@@ -234,7 +234,14 @@
 		h, status := t.Status(i.Host)
 		host = h
 		known = status != jkmember.StatusUnknown
-		ended = h.Incarnation.Start != i.Start || status != jkmember.StatusUp
+		switch {
+		case h.Incarnation.Start < i.Start && h.Addr != "":
+			// The host has restarted and is not heard under its new
+			// incarnation yet. It is asked at its address.
+			known = true
+		default:
+			ended = h.Incarnation.Start != i.Start || status != jkmember.StatusUp
+		}
 	})
 	return host, ended, known
 }
@@ -277,10 +284,10 @@
 // Notice takes note of an incarnation that has stopped by plan.
 func (r *Router) Notice(n jkmsg.EndedNotice) { r.ended.put(n.Incarnation, n.Successors) }
 
-// Declare records an ended incarnation in the platform.
-func (r *Router) Declare(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) error {
-	_, err := r.ended.create(ctx, i, successors)
-	return err
+// Declare records an ended incarnation in the platform and returns the
+// successors that the record names: those of its first writer.
+func (r *Router) Declare(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) ([]jktoken.Incarnation, error) {
+	return r.ended.create(ctx, i, successors)
 }
 
 // IsEnded asks the platform whether an incarnation was declared ended.
--- a/jasmineknotbench/jkload/command.go
+++ b/jasmineknotbench/jkload/command.go
@@ -25,6 +25,8 @@
 // Register adds the command to an application.
 func Register(app *kingpin.Application) {
 	c := &command{options: DefaultOptions()}
+	// kingpin assigns to the map without making it.
+	c.options.Services = map[string]string{}
 	cmd := app.Command("load", "Drive a running site as callers do and check the outcomes.")
 	c.addRunFlags(cmd)
 	c.addProgramFlags(cmd)
