home: run calls under a claimed Idempotency-Key

Cause: newPlan did not pass the message's Claimed mark on to the core, which then took every such call for one of a former home. A call that may not be repeated and has an Idempotency-Key but no token was refused as outcome_unknown ("may have run at a former home (epoch 0, now 0)") and never ran.

Found by the examples of docs/api.md.

--- a/core/jkhome/plan.go
+++ b/core/jkhome/plan.go
@@ -43,7 +43,7 @@
 // newPlan reads a request. The error is a problem for the caller.
 func (h *Home) newPlan(m jkmsg.Call, claims *jktoken.Claims) (*plan, error) {
 	p := &plan{message: m, submission: jkprogram.Submission{
-		Program: m.Program, Token: claims, RequestID: m.RequestID, Kind: m.Kind,
+		Program: m.Program, Token: claims, RequestID: m.RequestID, Kind: m.Kind, Claimed: m.Claimed,
 	}}
 	if m.Kind == jkprogram.KindService {
 		h.planService(p)
