program: report a parted history as a conflict

Cause: after a partition the caller of the cut-off home's branch was told history_unavailable (503) for ever, because its token names more turns than the successor holds; the two histories have parted and no copy can bring the turns. Ruled out: reading the copies again, because this home has run turns of its own since it took the program over; without such turns the answer stays 503. Before and after: TestZoneCutOff fails with 503 and passes with 409 history_mismatch (go test ./jkprocess in jasmineknotd). Conclusion: a fork is told as a conflict.

--- a/core/jkprogram/call.go
+++ b/core/jkprogram/call.go
@@ -146,6 +146,10 @@
 	t := s.Token
 	held := p.state.Turn()
 	switch {
+	case t.Turn > held && t.Epoch < p.state.Epoch && !p.untouched:
+		// The former home went on while this one did too: the histories have
+		// parted, and no copy can bring the missing turns.
+		return eris.Wrap(&HistoryMismatchError{Program: s.Program, Turn: t.Turn}, "submit")
 	case t.Turn > held:
 		return eris.Wrap(&HistoryBehindError{Program: s.Program, Turn: t.Turn, Held: held}, "submit")
 	case t.Turn < held:
