home: hand over a program only after its turn is at the copies

Cause: between the end of a call and the write of its turn a planned stop could hand the program over. The successor's first record then fenced the turn off and the caller of a deposit got its answer without a token; its next request was refused as stale. Ruled out: a lost handover and a second run: the deposit ran once and the successor had the turn. Conclusion: a program counts as running until its call's record is written.

--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -266,7 +266,9 @@
 		return true
 	}
 	to, found := successor(id)
-	if !found || h.core.IsRunning(id) {
+	// A run ends only after its turn is at the copies. Before that the
+	// successor's first record would fence the turn off.
+	if !found || h.core.IsRunning(id) || h.runs[id] != nil {
 		h.mu.Unlock()
 		return !found
 	}
