dispatch: release caches by the program's limits when its home has died

Cause: a program whose home dies and whose caller is gone ends by its idle limit, but nobody told the engine; the dispatcher kept the cache for 120 s, and a new dispatcher, which knows no limits, as well. Ruled out: adopting all programs of a dead home at once, which reads every copy for programs that may never be used again. Conclusion: a dispatch carries the limits; the audit runs every 3 s, and caches left by a former dispatcher are held 4 s.

--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	// auditInterval is the time between two audits of the engines' caches.
-	auditInterval = 10 * time.Second
+	// auditInterval is the time between two audits of the engines' caches. A
+	// program whose home has died must not hold memory 5 s after its end.
+	auditInterval = 3 * time.Second
 	// endedRetention is how long an ended program answers retries.
 	endedRetention = 2 * time.Minute
 	// copyLimit bounds the history log of a host in bytes.
--- a/core/jkdispatch/audit.go
+++ b/core/jkdispatch/audit.go
@@ -4,12 +4,18 @@
 	"context"
 	"time"
 
+	"jasmineknot.example/core/jkmsg"
 	"jasmineknot.example/core/jksched"
 )
 
 // auditTimeout bounds the question for one engine's state.
 const auditTimeout = 2 * time.Second
 
+// unknownHold is the hold of a cache that a former dispatcher has left behind
+// without the program's limits. The program's next call is likely to come
+// sooner; if it comes later, one prompt is computed again.
+const unknownHold = 4 * time.Second
+
 // Audit asks every engine of this host which programs it holds caches for, and
 // releases those that nobody has used for the idle hold. It finds caches whose
 // home has died or whose former dispatcher took its knowledge along.
@@ -45,11 +51,11 @@
 	}
 	for program := range held {
 		r := release{program: program, addr: addr}
-		last, known := d.used[r]
+		u, known := d.used[r]
 		switch {
 		case !known:
-			d.used[r] = now
-		case now.Sub(last) > d.options.Queue.IdleHold:
+			d.used[r] = use{last: now, hold: min(unknownHold, d.options.Queue.IdleHold)}
+		case now.Sub(u.last) > u.hold || (!u.ends.IsZero() && now.After(u.ends)):
 			d.releaseAt(r)
 		}
 	}
@@ -57,8 +63,22 @@
 
 // noteUse records that a program has run at an engine. The caller holds the
 // lock.
-func (d *Dispatcher) noteUse(c jksched.Call, addr string) {
-	if c.Kind == jksched.KindModel {
-		d.used[release{program: c.Program, addr: addr}] = d.options.Timer.Now()
+func (d *Dispatcher) noteUse(m jkmsg.Dispatch, addr string) {
+	if m.Call.Kind != jksched.KindModel {
+		return
+	}
+	u := use{last: d.options.Timer.Now(), hold: d.options.Queue.IdleHold, ends: m.Ends}
+	if m.IdleLimit > 0 {
+		u.hold = min(u.hold, m.IdleLimit)
 	}
+	d.used[release{program: m.Call.Program, addr: addr}] = u
+}
+
+// use is what is known of a program's cache at one engine.
+type use struct {
+	last time.Time
+	// hold is how long the cache stays without a call; ends is the time by
+	// which the program has ended in any case, zero for none.
+	hold time.Duration
+	ends time.Time
 }
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -53,8 +53,8 @@
 	// unreleased lists caches that an endpoint has not confirmed as released.
 	unreleased map[release]bool
 	engines    map[string]bool
-	// used holds the time of the last call of each program at each engine.
-	used map[release]time.Time
+	// used holds the last call of each program at each engine.
+	used map[release]use
 }
 
 type jobKey struct {
@@ -76,7 +76,7 @@
 		jobs:       map[jobKey]*job{},
 		unreleased: map[release]bool{},
 		engines:    map[string]bool{},
-		used:       map[release]time.Time{},
+		used:       map[release]use{},
 	}
 }
 
--- a/core/jkdispatch/job.go
+++ b/core/jkdispatch/job.go
@@ -50,7 +50,7 @@
 // start runs the call at its endpoint. The caller holds the dispatcher's lock.
 func (j *job) start(addr string) {
 	j.started = true
-	j.dispatcher.noteUse(j.message.Call, addr)
+	j.dispatcher.noteUse(j.message, addr)
 	j.dispatcher.queue.Started(j.dispatcher.options.Timer.Now(), j.message.Call.ID, j.message.Endpoint)
 	go j.run(addr)
 }
@@ -72,7 +72,7 @@
 	d := j.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.noteUse(j.message.Call, addr)
+	d.noteUse(j.message, addr)
 	d.queue.Finished(d.options.Timer.Now(), j.message.Call.ID, j.message.Endpoint, s)
 	d.tick()
 	r.Load = d.load(j.message.Endpoint)
--- a/core/jkhome/plan.go
+++ b/core/jkhome/plan.go
@@ -230,7 +230,10 @@
 		ParentWaiting: info.Parent != "",
 		Streamed:      m.Stream,
 	}
-	d := jkmsg.Dispatch{Home: h.self, Fingerprint: p.fingerprint}
+	d := jkmsg.Dispatch{Home: h.self, Fingerprint: p.fingerprint, IdleLimit: info.Limits.IdleLimit}
+	if limit := info.Limits.MaxDuration; limit > 0 {
+		d.Ends = info.Created.Add(limit)
+	}
 	if m.Kind == jkprogram.KindService {
 		call.Kind = jksched.KindService
 		call.Service = m.Service
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -203,11 +203,15 @@
 	Endpoint    string              `msgpack:"endpoint"`
 	Home        jktoken.Incarnation `msgpack:"home"`
 	Fingerprint string              `msgpack:"fingerprint"`
-	Chat        []byte              `msgpack:"chat,omitempty"`
-	Method      string              `msgpack:"method,omitempty"`
-	Path        string              `msgpack:"path,omitempty"`
-	Header      map[string]string   `msgpack:"header,omitempty"`
-	Body        []byte              `msgpack:"body,omitempty"`
+	// IdleLimit and Ends are the program's limits, zero for none: after them
+	// the dispatcher drops the cache even if the home has died.
+	IdleLimit time.Duration     `msgpack:"idle_limit"`
+	Ends      time.Time         `msgpack:"ends"`
+	Chat      []byte            `msgpack:"chat,omitempty"`
+	Method    string            `msgpack:"method,omitempty"`
+	Path      string            `msgpack:"path,omitempty"`
+	Header    map[string]string `msgpack:"header,omitempty"`
+	Body      []byte            `msgpack:"body,omitempty"`
 }
 
 // DispatchEvent is one message of a dispatch's answer before its end.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -253,6 +253,7 @@
 	Running   string
 	End       EndReason
 	Created   time.Time
+	Limits    Limits
 	Copies    []string
 }
 
@@ -277,6 +278,7 @@
 		Spent:     s.Spent + p.reserved,
 		End:       s.End,
 		Created:   s.Meta.Created,
+		Limits:    s.Meta.Limits,
 		Copies:    s.Copies,
 	}
 	if p.running != nil {
