router: keep records of ended incarnations free of circles and dead ends

Cause: a host that lagged named a former incarnation as successor of the new one of the same host. The records then named each other and the program could never be reached again ('has changed its home too often'). A record without successors would have the same effect. Ruled out: a slow takeover: the copies were readable and the record was final. Conclusion: a record names no former incarnation of the same host and none known as ended, and always at least one host. A new incarnation that is not heard of before its host counts as down is judged by the lease.

--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -153,7 +153,8 @@
 func (t *Table) without(hosts []Host, ended jktoken.Incarnation) []Host {
 	var rest []Host
 	for _, h := range hosts {
-		if h.Incarnation != ended {
+		// A former incarnation of the host may still count as up here.
+		if h.Incarnation.Host != ended.Host || h.Incarnation.Start > ended.Start {
 			rest = append(rest, h)
 		}
 	}
--- a/core/jkroute/ended.go
+++ b/core/jkroute/ended.go
@@ -182,10 +182,16 @@
 			return nil, err
 		}
 	}
-	var successors []jktoken.Incarnation
+	var candidates, successors []jktoken.Incarnation
 	t.options.Gossip.Read(func(table *jkmember.Table) {
-		successors = table.Successors(ended, host.Zone)
+		candidates = table.Successors(ended, host.Zone)
 	})
+	for _, c := range candidates {
+		// Records that name each other would lead in a circle.
+		if !t.has(c) {
+			successors = append(successors, c)
+		}
+	}
 	return t.create(ctx, ended, successors)
 }
 
@@ -214,6 +220,10 @@
 // create writes the record. The first writer wins; an answer that is lost is
 // settled by reading the record back.
 func (t *endedTable) create(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) ([]jktoken.Incarnation, error) {
+	if len(successors) == 0 {
+		// The record is final, so one without successors would end the programs.
+		return nil, eris.New("no host is known that could succeed it")
+	}
 	var e endedRecord
 	for _, s := range successors {
 		e.Successors = append(e.Successors, successor{Host: s.Host, Start: s.Start})
--- a/core/jkroute/route.go
+++ b/core/jkroute/route.go
@@ -235,9 +235,10 @@
 		host = h
 		known = status != jkmember.StatusUnknown
 		switch {
-		case h.Incarnation.Start < i.Start && h.Addr != "":
+		case h.Incarnation.Start < i.Start && h.Addr != "" && (status == jkmember.StatusUp || status == jkmember.StatusUnknown):
 			// The host has restarted and is not heard under its new
-			// incarnation yet. It is asked at its address.
+			// incarnation yet. It is asked at its address. Once it is down, its
+			// lease decides, because the new incarnation may be gone too.
 			known = true
 		default:
 			ended = h.Incarnation.Start != i.Start || status != jkmember.StatusUp
