gossip: leave out the time in which this host was paused

Cause: a host that was frozen counted its own pause as silence of all others. When the platform had been down meanwhile their leases had expired too, and the resumed host declared every host ended and took all programs over. Ruled out: a defect of the leases: nobody could renew them during the outage. Conclusion: the silence of others is measured in time in which this host ran.

--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -74,6 +74,8 @@
 	stops    []func()
 	beats    int
 	lastBeat time.Time
+	// awake is the last time at which this host was certainly running.
+	awake time.Time
 	// zoneCredit and digestCredit limit the load digests sent.
 	zoneCredit   credit
 	digestCredit credit
@@ -110,6 +112,7 @@
 func (s *Service) Start() {
 	s.stops = append(s.stops,
 		s.options.Timer.Every(s.options.Heartbeat, s.periodicBeat),
+		s.options.Timer.Every(s.options.Heartbeat/2, s.stayAwake),
 		s.options.Timer.Every(s.options.ZoneDigest, s.sendDigests))
 	go s.Beat()
 }
@@ -208,6 +211,27 @@
 // Beat sends a heartbeat to every host of the zone.
 func (s *Service) Beat() { s.beat(true) }
 
+// stayAwake shows tick that this host runs.
+func (s *Service) stayAwake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skipPause(s.options.Timer.Now())
+}
+
+// tick updates the table. The caller holds the lock.
+func (s *Service) tick(now time.Time) []jkmember.Change {
+	s.skipPause(now)
+	return s.table.Tick(now)
+}
+
+func (s *Service) skipPause(now time.Time) {
+	if pause := now.Sub(s.awake); !s.awake.IsZero() && pause > s.options.Timeout/2 {
+		s.options.Log.Warn("this host did not run for a while", "pause", pause)
+		s.table.SkipPause(pause)
+	}
+	s.awake = now
+}
+
 // periodicBeat sends a heartbeat unless the zone is so large that the last one
 // was sent too short a time ago.
 func (s *Service) periodicBeat() {
@@ -224,7 +248,7 @@
 	own := s.options.Loads()
 	s.mu.Lock()
 	now := s.options.Timer.Now()
-	changes := s.table.Tick(now)
+	changes := s.tick(now)
 	peers := s.zonePeers()
 	self := s.table.Self()
 	interval := min(now.Sub(s.lastBeat), time.Second)
--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -141,7 +141,7 @@
 		defer s.mu.Unlock()
 		now := s.options.Timer.Now()
 		s.table.ObserveZone(now, d, age)
-		s.table.Tick(now)
+		s.tick(now)
 	})
 }
 
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -287,6 +287,17 @@
 	return changes
 }
 
+// SkipPause leaves out a time in which this host itself did not run. A paused
+// host that counted it as silence of the others would declare them all ended.
+func (t *Table) SkipPause(pause time.Duration) {
+	for _, r := range t.hosts {
+		r.seen = r.seen.Add(pause)
+	}
+	for _, z := range t.zones {
+		z.seen = z.seen.Add(pause)
+	}
+}
+
 func (t *Table) conclude(now time.Time, r *row) Status {
 	if r.status == StatusUnknown {
 		return StatusUnknown
