home: take a program back that a former incarnation of the host has lost

Cause: a superseded host goes on under a new incarnation and keeps the rows of the old one. When such a program came back to it, the old row answered program_moved until it was forgotten after 2 min. Ruled out: dropping the rows at once, because successors read them as the former home's state. Conclusion: a row of a former incarnation doesn't count as held.

--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -113,7 +113,7 @@
 	}
 	now := h.options.Timer.Now()
 	h.mu.Lock()
-	if info, ok := h.core.Info(program); ok && (info.Epoch >= fence || info.Turn > best.Turn()) {
+	if info, ok := h.core.Info(program); ok && !h.core.IsRetired(program) && (info.Epoch >= fence || info.Turn > best.Turn()) {
 		h.mu.Unlock()
 		return nil
 	}
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -194,7 +194,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	_, ok := h.core.Info(program)
-	return ok
+	return ok && !h.core.IsRetired(program)
 }
 
 // Retired returns the state of a program that another home has taken over.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -56,6 +56,13 @@
 	return p != nil && p.untouched
 }
 
+// IsRetired reports whether the row was left behind by a former incarnation of
+// this host. The program may come back to the present one.
+func (c *Core) IsRetired(id string) bool {
+	p := c.programs[id]
+	return p != nil && p.superseded && p.state.Home != c.options.Self
+}
+
 // Retired returns the state of a program that another home has taken over. It
 // may hold turns that the copies missed.
 func (c *Core) Retired(id string) (State, bool) {
