--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -57,6 +57,13 @@
 	return p != nil && p.untouched
 }
 
+// IsRetired reports whether the row was left behind by a former incarnation of
+// this host. The program may come back to the present one.
+func (c *Core) IsRetired(id string) bool {
+	p := c.programs[id]
+	return p != nil && p.superseded && p.state.Home != c.options.Self
+}
+
 // Retired returns the state of a program that another home has taken over. It
 // may hold turns that the copies missed.
 func (c *Core) Retired(id string) (State, bool) {
@@ -254,6 +261,7 @@
 	Running   string
 	End       EndReason
 	Created   time.Time
+	Limits    Limits
 	Copies    []string
 }
 
@@ -278,6 +286,7 @@
 		Spent:     s.Spent + p.reserved,
 		End:       s.End,
 		Created:   s.Meta.Created,
+		Limits:    s.Meta.Limits,
 		Copies:    s.Copies,
 	}
 	if p.running != nil {
