--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -103,7 +103,7 @@
 		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, MemoryWait: 5 * time.Second, PaceTarget: 60 * time.Millisecond,
 		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.6, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
-		IdleHold: 120 * time.Second, StopHold: 4 * time.Second,
-		HoldRate: 1.0 / 400, CacheHighWater: 0.9, SweepEvery: 500 * time.Millisecond,
+		IdleHold: 120 * time.Second, StopHold: 4500 * time.Millisecond,
+		HoldRate: 1.0 / 400, CacheHighWater: 0.9, SweepEvery: 200 * time.Millisecond,
 	}
 }
