sched: let small prefills pass large ones in the engine

Cause: the first token of ordinary turns waits behind the prefill of histories that were released during a person's pause. Ruled out: a limit on large prefills at once; it would delay those further.

--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -185,7 +185,8 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	// EnginePriority of a dispatch is what to ask of engines that honour
-	// priorities: 1 for short calls, else 0; higher runs first.
+	// priorities, from 0 to 2: one step each for a short call and for a small
+	// prefill. Higher runs first.
 	EnginePriority int
 }
 
--- a/core/jksched/options.go
+++ b/core/jksched/options.go
@@ -59,6 +59,9 @@
 	ShortAttained int64
 	// ShortReserve is the share of slots kept free for short calls.
 	ShortReserve float64
+	// SmallPrefill is the largest expected prefill, in tokens, that asks the
+	// engine to pass larger ones.
+	SmallPrefill int64
 	// MemoryWait is how long short calls may pass a call that doesn't fit into the
 	// endpoint's memory.
 	MemoryWait time.Duration
@@ -100,7 +103,7 @@
 		CacheFull: 0.6, EvictCost: 4, MoveMargin: 0.2,
 		MaxQueued: 8, AgeStep: 2 * time.Second, ServiceQuantum: 2000,
 		PriorityStep: 4 * time.Second, ParentBonus: 2 * time.Second, EndBonus: time.Second,
-		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, MemoryWait: 5 * time.Second, PaceTarget: 60 * time.Millisecond,
+		ShortTokens: 400, ShortAttained: 4000, ShortReserve: 0.125, SmallPrefill: 1024, MemoryWait: 5 * time.Second, PaceTarget: 60 * time.Millisecond,
 		PaceWindow: 500 * time.Millisecond, SlowFactor: 2.6, RecoverFactor: 1.4,
 		SecondShare: 0.04, BreakerFaults: 3, BreakerPause: 2 * time.Second,
 		IdleHold: 120 * time.Second, StopHold: 4500 * time.Millisecond,
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -242,10 +242,14 @@
 	cr.dispatched = now
 	row.running[cr.call.ID] = cr
 	row.memory += q.memory(cr.call)
-	priority := 1
-	if !cr.short {
+	priority := 0
+	if cr.short {
+		priority++
+	} else {
 		row.runningLong++
-		priority = 0
+	}
+	if cr.uncached <= q.opt.SmallPrefill {
+		priority++
 	}
 	q.touchShared(now, row, cr.call)
 	q.emit(Command{Kind: CommandDispatch, Call: cr.call, Endpoint: row.endpoint.ID, EnginePriority: priority})
--- a/jasmineknotbench/jkpolicy/engine.go
+++ b/jasmineknotbench/jkpolicy/engine.go
@@ -85,7 +85,7 @@
 // the order of their start.
 func (e *engine) chunks() (chunks []int64, total int64) {
 	chunks = make([]int64, len(e.running))
-	for _, priority := range []int{1, 0} {
+	for _, priority := range []int{2, 1, 0} {
 		for i, j := range e.running {
 			if j.priority == priority && j.prefillLeft > 0 {
 				chunks[i] = min(j.prefillLeft, e.spec.ChunkTokens-total)
