policy: measure the time between tokens without the way back

Cause: the time between tokens included the way from the engine to the caller once per call, which weighs on short answers; the first token left it out. Ruled out: nothing.

--- a/jasmineknotbench/jkpolicy/engine.go
+++ b/jasmineknotbench/jkpolicy/engine.go
@@ -22,6 +22,7 @@
 	second      bool
 	priority    int
 	firstToken  time.Duration
+	lastToken   time.Duration
 	submitted   time.Duration
 }
 
@@ -120,6 +121,7 @@
 			j.firstToken = e.sim.now
 		}
 		j.generated++
+		j.lastToken = e.sim.now
 		if j.generated >= j.output {
 			done = append(done, j)
 		}
--- a/jasmineknotbench/jkpolicy/stats.go
+++ b/jasmineknotbench/jkpolicy/stats.go
@@ -47,7 +47,8 @@
 	if !p.measures(req.arrived) {
 		return
 	}
-	first := (j.firstToken - req.arrived).Seconds()
+	// The first token takes the same way back as the last one.
+	first := (now - j.lastToken + j.firstToken - req.arrived).Seconds()
 	s.first = append(s.first, first)
 	if req.run.spec.class.Short {
 		s.shortFirst = append(s.shortFirst, first)
@@ -57,7 +58,7 @@
 		s.windowTurns = append(s.windowTurns, (now-req.arrived).Seconds()/callBound(p.load, *req.turn).Seconds())
 	}
 	if j.output > 1 {
-		s.gap = append(s.gap, (now-j.firstToken).Seconds()/float64(j.output-1))
+		s.gap = append(s.gap, (j.lastToken-j.firstToken).Seconds()/float64(j.output-1))
 	}
 	if req.deadline > 0 {
 		s.turns = append(s.turns, turnRecord{
