sched: index peers' digests by model

Cause: every window of every endpoint went over the digests of all 7,900 endpoints to find the median pace of its model's peers. Ruled out: caching the median; with few peers the own pace has to be left out.

--- a/core/jksched/bench_test.go
+++ b/core/jksched/bench_test.go
@@ -118,3 +118,29 @@
 		})
 	}
 }
+
+// BenchmarkTick is one tick of a dispatcher at the largest fleet: 20 owned
+// endpoints with 30 running calls each and the digests of 7,900 peers.
+func BenchmarkTick(b *testing.B) {
+	q := NewQueue(testOptions())
+	for i := range 20 {
+		id := fmt.Sprint("e", i)
+		q.SetEndpoint(Endpoint{ID: id, Kind: KindModel, Models: []string{fmt.Sprint("m", i)}, Slots: 32, State: StateLive})
+		for k := range 30 {
+			c := benchCall(1, i*30+k)
+			c.Model = fmt.Sprint("m", i)
+			if err := q.Push(start, c, id); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	for i := range 7900 {
+		q.SetLoad(Load{Endpoint: fmt.Sprint("p", i), Model: fmt.Sprint("m", i%38), At: start, CurrentPace: 25 * time.Millisecond})
+	}
+	q.Tick(start)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		q.Tick(start.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+}
--- a/core/jksched/pace.go
+++ b/core/jksched/pace.go
@@ -128,8 +128,8 @@
 			q.paces = append(q.paces, r.window.current)
 		}
 	}
-	for _, l := range q.peers {
-		if l.Model == model && l.CurrentPace > 0 {
+	for _, l := range q.peers[model] {
+		if l.CurrentPace > 0 {
 			q.paces = append(q.paces, l.CurrentPace)
 		}
 	}
@@ -173,8 +173,9 @@
 		return
 	}
 	var found []*callRow
+	peers := q.peerPace(row)
 	for _, cr := range row.running {
-		if q.worthCopy(row, cr) {
+		if q.worthCopy(row, cr, peers) {
 			found = append(found, cr)
 		}
 	}
@@ -199,13 +200,13 @@
 
 // worthCopy reports whether a copy on a peer would end clearly before the call
 // itself does on the slow endpoint.
-func (q *Queue) worthCopy(row *queueRow, cr *callRow) bool {
+func (q *Queue) worthCopy(row *queueRow, cr *callRow, peers time.Duration) bool {
 	if !cr.call.Repeatable || cr.call.Second || cr.seconded || cr.cancelled {
 		return false
 	}
 	output := q.output(cr.call)
 	left := max(output-cr.tokens, output/4)
-	again := time.Duration(output)*q.peerPace(row) + time.Duration(q.copyCost(cr.call)-output)*q.opt.PrefillPace
+	again := time.Duration(output)*peers + time.Duration(q.copyCost(cr.call)-output)*q.opt.PrefillPace
 	return time.Duration(left)*row.window.current > again
 }
 
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -12,9 +12,10 @@
 	opt       Options
 	endpoints map[string]*queueRow
 	// order lists the endpoints by id, so that a tick is deterministic.
-	order   []*queueRow
-	calls   map[callKey]*callRow
-	peers   map[string]Load
+	order []*queueRow
+	calls map[callKey]*callRow
+	// peers holds the digests of other dispatchers' endpoints by model.
+	peers   map[string]map[string]Load
 	outputs outputMeans
 	// turns is the mean number of turns of ended programs per workspace.
 	turns map[string]float64
@@ -58,7 +59,7 @@
 		opt:       opt,
 		endpoints: map[string]*queueRow{},
 		calls:     map[callKey]*callRow{},
-		peers:     map[string]Load{},
+		peers:     map[string]map[string]Load{},
 		outputs:   outputMeans{},
 		turns:     map[string]float64{},
 
@@ -96,15 +97,22 @@
 // SetLoad takes the digest of an endpoint of another dispatcher, whose token
 // pace serves as comparison.
 func (q *Queue) SetLoad(l Load) {
-	if _, own := q.endpoints[l.Endpoint]; own || overtaken(l, q.peers[l.Endpoint]) {
+	if _, own := q.endpoints[l.Endpoint]; own || overtaken(l, q.peers[l.Model][l.Endpoint]) {
 		return
 	}
+	if q.peers[l.Model] == nil {
+		q.peers[l.Model] = map[string]Load{}
+	}
 	l.HotPrefixes = nil
-	q.peers[l.Endpoint] = l
+	q.peers[l.Model][l.Endpoint] = l
 }
 
 // RemoveLoad forgets the digest of another dispatcher's endpoint.
-func (q *Queue) RemoveLoad(endpoint string) { delete(q.peers, endpoint) }
+func (q *Queue) RemoveLoad(endpoint string) {
+	for _, loads := range q.peers {
+		delete(loads, endpoint)
+	}
+}
 
 // Push adds a call to the queue of the endpoint. The error is a *RefusedError;
 // a refused call isn't in the queue.
