--- a/jasmineknotbench/jkpolicy/engine.go
+++ b/jasmineknotbench/jkpolicy/engine.go
@@ -22,6 +22,7 @@
 	second      bool
 	priority    int
 	firstToken  time.Duration
+	lastToken   time.Duration
 	submitted   time.Duration
 }
 
@@ -85,7 +86,7 @@
 // the order of their start.
 func (e *engine) chunks() (chunks []int64, total int64) {
 	chunks = make([]int64, len(e.running))
-	for _, priority := range []int{1, 0} {
+	for _, priority := range []int{2, 1, 0} {
 		for i, j := range e.running {
 			if j.priority == priority && j.prefillLeft > 0 {
 				chunks[i] = min(j.prefillLeft, e.spec.ChunkTokens-total)
@@ -120,6 +121,7 @@
 			j.firstToken = e.sim.now
 		}
 		j.generated++
+		j.lastToken = e.sim.now
 		if j.generated >= j.output {
 			done = append(done, j)
 		}
