daemon: run the zone's controller and answer operators' orders

The controller had no host. With limits.model_loads set, each host of a zone is a candidate for its lease; /v1/orders shows the rollouts and redirects to the host that holds it, as do load, unload and resume. The setting is 0 by default: a site that has not named its weight store's limit gets no orders.

--- a/core/jkcontrol/control.go
+++ b/core/jkcontrol/control.go
@@ -116,6 +116,17 @@
 	c.saveHalts()
 }
 
+// Close ends the controller after the requests in flight and keeps its lease, as
+// a crash would.
+func (c *Controller) Close() {
+	c.cancel()
+	c.ticking.Lock()
+	defer c.ticking.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term = nil
+}
+
 // Stop ends the controller after the requests in flight and gives up its lease.
 func (c *Controller) Stop() {
 	c.cancel()
--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -80,6 +80,7 @@
 	rules      *rules
 	lease      *hostLease
 	copySet    *copySet
+	orders     *orders
 
 	platformWay switchedTransport
 
@@ -171,6 +172,7 @@
 		Gossip: d.gossip, Home: d.home, Pool: d.pool,
 	})
 	d.lease = newHostLease(d)
+	d.orders = newOrders(d)
 	d.metrics = newMetrics(d)
 	d.web = d.newWeb()
 	return nil
@@ -271,6 +273,7 @@
 		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
 		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
 	)
+	d.stops = append(d.stops, d.orders.start())
 	if d.copies != nil {
 		d.stops = append(d.stops,
 			d.options.Timer.Every(time.Second, d.keepCopies),
@@ -315,6 +318,7 @@
 	for _, stop := range d.stops {
 		stop()
 	}
+	d.orders.close()
 	d.gossip.Stop()
 	if d.cancel != nil {
 		d.cancel()
--- a/core/jkdaemon/metrics.go
+++ b/core/jkdaemon/metrics.go
@@ -25,6 +25,7 @@
 	gauge("jk_peer_sent_bytes", func() float64 { return float64(d.counters.SentBytes()) })
 	gauge("jk_peer_received_bytes", func() float64 { return float64(d.counters.ReceivedBytes()) })
 	gauge("jk_control_sent_bytes", func() float64 { return float64(d.counters.ControlBytes()) })
+	d.orders.gauges(gauge)
 	if d.copies != nil {
 		gauge("jk_copies", func() float64 { return float64(d.copies.Len()) })
 		gauge("jk_copy_bytes", func() float64 { return float64(d.copies.Bytes()) })
--- a/core/jkdaemon/stop.go
+++ b/core/jkdaemon/stop.go
@@ -24,6 +24,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().Drain())
 	defer cancel()
 	d.gossip.SetState(jkmember.StateLeaving)
+	d.orders.stop()
 	successors := d.successors()
 	d.dispatcher.Drain()
 	d.home.Drain(ctx, func(program string) (jktoken.Incarnation, bool) {
--- a/core/jkdaemon/web.go
+++ b/core/jkdaemon/web.go
@@ -39,6 +39,7 @@
 		return nil
 	})
 	e.GET("/v1/status", d.status)
+	d.orders.register(e)
 	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
 }
 
--- a/core/jksettings/access.go
+++ b/core/jksettings/access.go
@@ -99,6 +99,10 @@
 // second.
 func (l Limits) PlatformCalls() int { return l.file.PlatformCalls }
 
+// ModelLoads returns the number of loads at once in this host's zone; 0 means
+// that this host gives no orders.
+func (l Limits) ModelLoads() int { return l.file.ModelLoads }
+
 // Intervals are the daemon's times.
 type Intervals struct {
 	file fileIntervals
@@ -127,3 +131,6 @@
 
 // Drain returns the longest time of a graceful stop.
 func (i Intervals) Drain() time.Duration { return time.Duration(i.file.Drain) }
+
+// ModelLoad returns the average time between two loads in this host's zone.
+func (i Intervals) ModelLoad() time.Duration { return time.Duration(i.file.ModelLoad) }
--- a/core/jksettings/defaults.go
+++ b/core/jksettings/defaults.go
@@ -25,6 +25,8 @@
 			Suspects:      4096,
 			BodyBytes:     4 << 20,
 			PlatformCalls: 50,
+			// Orders are off until an operator has set the weight store's limit.
+			ModelLoads: 0,
 		},
 		Intervals: fileIntervals{
 			// A host counts as dead after 3 s without a heartbeat, which
@@ -37,6 +39,7 @@
 			Watch:      jkschema.Duration(30 * time.Second),
 			HostList:   jkschema.Duration(5 * time.Second),
 			Drain:      jkschema.Duration(30 * time.Second),
+			ModelLoad:  jkschema.Duration(10 * time.Second),
 		},
 	}}
 }
--- a/core/jksettings/settings.go
+++ b/core/jksettings/settings.go
@@ -74,6 +74,7 @@
 	Suspects      int   `json:"suspects"`
 	BodyBytes     int64 `json:"body_bytes"`
 	PlatformCalls int   `json:"platform_calls"`
+	ModelLoads    int   `json:"model_loads"`
 }
 
 type fileIntervals struct {
@@ -85,6 +86,7 @@
 	Watch      jkschema.Duration `json:"watch"`
 	HostList   jkschema.Duration `json:"host_list"`
 	Drain      jkschema.Duration `json:"drain"`
+	ModelLoad  jkschema.Duration `json:"model_load"`
 }
 
 // Load reads a settings file. Wrong fields give a *jkschema.ReportError.
--- a/core/jksite/embedded.go
+++ b/core/jksite/embedded.go
@@ -42,6 +42,8 @@
 	Engine jkstandin.EngineOptions
 	// Intervals overrides the hosts' intervals.
 	Intervals map[string]string
+	// Limits overrides the hosts' limits.
+	Limits map[string]int
 }
 
 // StartEmbedded starts a site with one engine and one service for each zone and
@@ -93,13 +95,13 @@
 	e.Engines = append(e.Engines, engine)
 	e.Services = append(e.Services, service)
 	e.Site.Endpoints = append(e.Site.Endpoints,
-		Endpoint{ID: "engine-" + zone, Zone: zone, Address: addr},
+		Endpoint{ID: "engine-" + zone, Zone: zone, Address: addr, ChecksFencing: o.Engine.CheckFencing},
 		Endpoint{ID: "deposits-" + zone, Zone: zone, Address: serviceAddr, Service: Service})
 	return nil
 }
 
 func (e *Embedded) startHost(ctx context.Context, zone string, n int, platform string, o EmbeddedOptions) error {
-	h := Host{Name: Name(zone, n), Zone: zone, Listen: loopback, HTTP: loopback, Platform: platform, Intervals: o.Intervals}
+	h := Host{Name: Name(zone, n), Zone: zone, Listen: loopback, HTTP: loopback, Platform: platform, Intervals: o.Intervals, Limits: o.Limits}
 	if o.Folder != nil {
 		h.DataFolder = o.Folder(h.Name)
 	}
--- a/core/jksite/site.go
+++ b/core/jksite/site.go
@@ -35,7 +35,9 @@
 	DataFolder string
 	// Intervals overrides the settings' intervals, as duration strings.
 	Intervals map[string]string
-	LogLevel  string
+	// Limits overrides the settings' limits.
+	Limits   map[string]int
+	LogLevel string
 }
 
 // Settings returns the host's settings file.
@@ -54,6 +56,9 @@
 	if len(h.Intervals) > 0 {
 		s["intervals"] = h.Intervals
 	}
+	if len(h.Limits) > 0 {
+		s["limits"] = h.Limits
+	}
 	return json.MarshalIndent(s, "", "  ")
 }
 
@@ -65,6 +70,8 @@
 	Service string
 	Slots   int
 	State   string
+	// ChecksFencing tells that the engine refuses orders with an old token.
+	ChecksFencing bool
 }
 
 // Site is everything that the configuration document names.
@@ -73,6 +80,8 @@
 	Endpoints []Endpoint
 	// Budget is the token budget of a program; zero means 200,000.
 	Budget int64
+	// Replicas is the number of engines wanted; zero means one.
+	Replicas int
 	// Idle, MaxDuration and MaxTurns are the limits of a program.
 	Idle        string
 	MaxDuration string
@@ -100,7 +109,7 @@
 	}
 	return map[string]any{
 		"priorities": map[string]any{"interactive": map[string]any{"level": 0, "weight": 10}},
-		"models":     map[string]any{Model: map[string]any{"versions": []string{"1"}, "replicas": 1}},
+		"models":     map[string]any{Model: map[string]any{"versions": []string{"1"}, "replicas": first(int64(s.Replicas), 1)}},
 		"hosts":      hosts,
 		"endpoints":  endpoints,
 		"payments": map[string]any{Service: map[string]any{
@@ -120,6 +129,7 @@
 	m["kind"] = "engine"
 	m["models"] = []string{Model}
 	m["cache_tokens"] = 200000
+	m["checks_fencing"] = e.ChecksFencing
 	return m
 }
 
