--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -83,6 +83,8 @@
 	orders     *orders
 
 	platformWay switchedTransport
+	// savedRevision is the configuration revision on this host's disk.
+	savedRevision uint64
 
 	ready   atomic.Bool
 	stops   []func()
@@ -166,6 +168,7 @@
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
 		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
 		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
+		CopyGrace: copyGraceLeases * d.settings.Intervals().Lease(),
 	})
 	d.router = jkroute.New(jkroute.Options{
 		Timer: d.options.Timer, Log: d.log.Part("router"), Keys: keys, Platform: d.platform,
@@ -174,6 +177,7 @@
 	d.lease = newHostLease(d)
 	d.orders = newOrders(d)
 	d.metrics = newMetrics(d)
+	d.readConfig()
 	d.web = d.newWeb()
 	return nil
 }
@@ -303,6 +307,7 @@
 }
 
 func (d *Daemon) keepCopies() {
+	d.saveConfig()
 	if err := d.copies.Sync(); err != nil {
 		d.log.Part("copy").Error("log can't be synced", err)
 	}
--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -57,6 +57,10 @@
 // appendOne writes a record to one copy. A copy that missed records gets the
 // whole state instead.
 func (h *Home) appendOne(ctx context.Context, host string, r jkprogram.Record) jkmsg.CopyStatus {
+	if _, up := h.options.Transport.HostState(host); !up {
+		// Waiting for a host that is known to be silent would delay each turn.
+		return jkmsg.CopyFailed
+	}
 	status, err := h.options.Transport.AppendCopy(ctx, host, r)
 	if err != nil {
 		return jkmsg.CopyFailed
@@ -102,6 +106,11 @@
 	if err != nil {
 		return err
 	}
+	// This must follow the look at the copy set: a successor of this home may
+	// have changed the set since, but only after this home was declared ended.
+	if ended, err := h.options.Transport.IsEnded(ctx); err != nil || ended {
+		return jkproblem.Newf(jkproblem.TypeUnavailable, "program %s can't be taken over while the platform does not confirm this host", program).WithRetryAfter(time.Second)
+	}
 	now := h.options.Timer.Now()
 	h.mu.Lock()
 	if info, ok := h.core.Info(program); ok && (info.Epoch >= fence || info.Turn > best.Turn()) {
--- a/core/jkroute/route.go
+++ b/core/jkroute/route.go
@@ -64,6 +64,9 @@
 type target struct {
 	local bool
 	host  jkmember.Host
+	// hops is the number of ended incarnations between the token's home and
+	// this one. Each may have raised the program's epoch.
+	hops uint64
 }
 
 // Call sends a call to its program's home and passes the answer on. It tries
@@ -129,7 +132,7 @@
 	if !t.local {
 		return r.forward(ctx, t.host, m, out)
 	}
-	if err := r.own(ctx, m.Program, claims); err != nil {
+	if err := r.own(ctx, m.Program, claims, t.hops); err != nil {
 		p := jkproblem.From(err)
 		return refused(m.Program, p), p.Type == jkproblem.TypeUnavailable
 	}
@@ -204,9 +207,9 @@
 		home = hint
 	}
 	self := r.options.Home.Self()
-	for range maxChain {
+	for hops := range maxChain {
 		if home == self {
-			return target{local: true}, nil
+			return target{local: true, hops: uint64(hops)}, nil
 		}
 		host, ended, known := r.locate(home)
 		if known && !ended {
@@ -231,14 +234,21 @@
 		h, status := t.Status(i.Host)
 		host = h
 		known = status != jkmember.StatusUnknown
-		ended = h.Incarnation.Start != i.Start || status != jkmember.StatusUp
+		switch {
+		case h.Incarnation.Start < i.Start && h.Addr != "":
+			// The host has restarted and is not heard under its new
+			// incarnation yet. It is asked at its address.
+			known = true
+		default:
+			ended = h.Incarnation.Start != i.Start || status != jkmember.StatusUp
+		}
 	})
 	return host, ended, known
 }
 
 // own makes sure that the program is in this home's table, taking it over from
 // its copies if its former home has ended.
-func (r *Router) own(ctx context.Context, program string, claims *jktoken.Claims) error {
+func (r *Router) own(ctx context.Context, program string, claims *jktoken.Claims, hops uint64) error {
 	home := r.options.Home
 	behind := claims != nil && home.IsBehind(program, claims.Turn)
 	if home.Has(program) && !behind {
@@ -248,11 +258,11 @@
 		return nil
 	}
 	first, _ := jkhome.FirstHome(program)
-	epoch := uint64(1)
+	epoch := max(1, hops)
 	var copies []string
 	if claims != nil {
 		first = claims.Home
-		epoch = claims.Epoch + 1
+		epoch = claims.Epoch + max(1, hops)
 		copies = claims.Copies
 	}
 	if first == home.Self() {
@@ -274,10 +284,10 @@
 // Notice takes note of an incarnation that has stopped by plan.
 func (r *Router) Notice(n jkmsg.EndedNotice) { r.ended.put(n.Incarnation, n.Successors) }
 
-// Declare records an ended incarnation in the platform.
-func (r *Router) Declare(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) error {
-	_, err := r.ended.create(ctx, i, successors)
-	return err
+// Declare records an ended incarnation in the platform and returns the
+// successors that the record names: those of its first writer.
+func (r *Router) Declare(ctx context.Context, i jktoken.Incarnation, successors []jktoken.Incarnation) ([]jktoken.Incarnation, error) {
+	return r.ended.create(ctx, i, successors)
 }
 
 // IsEnded asks the platform whether an incarnation was declared ended.
