order: guard the token bucket, the factor of moves and make-before-break

The check for a surge in unload had no effect beside the last of these and is gone. An operator's load no longer changes the version of a model that the engine holds, past the rollout, and no replica moves to a model whose rollout is halted.

--- a/core/jkorder/manual.go
+++ b/core/jkorder/manual.go
@@ -44,6 +44,9 @@
 		if o.Version != m.spec.version() {
 			return &RequestError{"version", o.Version, "the wanted version, " + m.spec.version()}
 		}
+		if e.holds(o.Model) && e.version(o.Model) != o.Version {
+			return &RequestError{"model", o.Model, "a model that the endpoint doesn't hold; versions change by a rollout"}
+		}
 		e.pins[o.Model] = true
 	case jkendpoint.OrderUnload:
 		if !e.holds(o.Model) {
--- a/core/jkorder/move.go
+++ b/core/jkorder/move.go
@@ -39,7 +39,7 @@
 	var hot *model
 	for _, name := range c.names {
 		m := c.models[name]
-		if m.spec.Replicas == 0 || m.target() < 1 || m.demand <= float64(m.target()) {
+		if m.spec.Replicas == 0 || m.target() < 1 || m.rollout.Phase == PhaseHalted || m.demand <= float64(m.target()) {
 			continue
 		}
 		if hot == nil || m.demand*float64(hot.target()) > hot.demand*float64(m.target()) {
--- a/core/jkorder/order_test.go
+++ b/core/jkorder/order_test.go
@@ -19,15 +19,12 @@
 // is asked too often, replicas that move to and fro.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{now: time.Unix(1000, 0), fakes: map[string]*fake{}, calls: map[string]int{}}
+		s := &script{now: time.Unix(1000, 0), fakes: map[string]*fake{}, calls: map[string]int{}, loadTime: 20 * time.Second}
 		s.start = s.now
 		datadriven.RunTest(t, path, s.run)
 	})
 }
 
-// loadTime is the time that a fake engine takes to load.
-const loadTime = 20 * time.Second
-
 // fake is an engine that carries out orders, with a fault or without.
 type fake struct {
 	state jkendpoint.State
@@ -43,6 +40,7 @@
 	engines    []EngineSpec
 	revision   uint64
 	loadsMost  int
+	loadTime   time.Duration // of a fake engine
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -65,7 +63,10 @@
 	case "fault":
 		s.fakes[d.CmdArgs[0].Key].fault = d.CmdArgs[1].Key
 	case "calls":
-		s.calls[d.CmdArgs[0].Key] = len(d.CmdArgs[1].Key)
+		s.calls[d.CmdArgs[0].Key], _ = strconv.Atoi(d.CmdArgs[1].Key)
+	case "load_seconds":
+		n, _ := strconv.Atoi(d.CmdArgs[0].Key)
+		s.loadTime = time.Duration(n) * time.Second
 	case "resume":
 		return fmt.Sprintln(s.core.Resume(d.CmdArgs[0].Key))
 	case "request": // engine kind model [force]
@@ -147,7 +148,7 @@
 			s.core.Observe(s.now, r.Engine, state)
 		}
 		for _, c := range s.core.Tick(s.now) {
-			r := s.fakes[c.Engine].take(s.now, c.Order)
+			r := s.fakes[c.Engine].take(s.now.Add(s.loadTime), c.Order)
 			fmt.Fprintf(&out, "%s: %s %s%s@%s %s\n", s.now.Sub(s.start), c.Engine, c.Order.Kind, " "+c.Order.Model+c.Order.Adapter, c.Order.Version, r)
 			s.core.Sent(s.now, c, r, "by fault")
 		}
@@ -170,7 +171,7 @@
 	}
 }
 
-func (f *fake) take(now time.Time, o jkendpoint.Order) Result {
+func (f *fake) take(ready time.Time, o jkendpoint.Order) Result {
 	if f.fault == "refuse" {
 		return ResultRefused
 	}
@@ -181,7 +182,7 @@
 	*list = slices.DeleteFunc(*list, func(m jkendpoint.ModelState) bool { return m.Name == name })
 	if o.Kind != jkendpoint.OrderUnload {
 		*list = append(*list, jkendpoint.ModelState{Name: name, Version: o.Version, Phase: jkendpoint.ModelLoading})
-		f.ready = now.Add(loadTime)
+		f.ready = ready
 	}
 	return ResultAccepted
 }
--- a/core/jkorder/place.go
+++ b/core/jkorder/place.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		unwanted := m.mustNotHold(e) || !e.canHold(m.spec.Name)
-		if !unwanted && (surplus <= 0 || m.surge || c.readyOthers(now, m, e) < m.target()) {
+		if !unwanted && (surplus <= 0 || c.readyOthers(now, m, e) < m.target()) {
 			continue
 		}
 		if !c.mayUnload(now, m, e) {
