order: describe a site in one command of the scripts

The scripts named engines and models in two commands that always came together. One command takes both; every expected output is unchanged.

--- a/core/jkorder/order_test.go
+++ b/core/jkorder/order_test.go
@@ -45,14 +45,13 @@
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
-	case "zone":
-		o := DefaultOptions()
-		o.Zone = d.CmdArgs[0].Key
-		s.core = New(s.now, o)
-	case "engines": // lines: id zone models checks|ignores held...
-		s.setEngines(d.Input)
-	case "models": // lines: name versions replicas=n|endpoints=a,b [adapter=x]
-		s.setModels(d.Input)
+	case "site": // lines: id zone models checks|ignores|leaving held..., or model name versions replicas=n|endpoints=a,b [adapter=x]
+		if d.HasArg("zone") {
+			o := DefaultOptions()
+			d.ScanArgs(t, "zone", &o.Zone)
+			s.core = New(s.now, o)
+		}
+		s.setSite(d.Input)
 	case "begin":
 		s.core.Begin(s.now, s.now)
 	case "restore":
@@ -63,7 +62,9 @@
 	case "fault":
 		s.fakes[d.CmdArgs[0].Key].fault = d.CmdArgs[1].Key
 	case "calls":
-		s.calls[d.CmdArgs[0].Key], _ = strconv.Atoi(d.CmdArgs[1].Key)
+		for _, arg := range d.CmdArgs {
+			s.calls[arg.Key], _ = strconv.Atoi(arg.Vals[0])
+		}
 	case "load_seconds":
 		n, _ := strconv.Atoi(d.CmdArgs[0].Key)
 		s.loadTime = time.Duration(n) * time.Second
@@ -91,43 +92,52 @@
 	return ""
 }
 
-func (s *script) setEngines(input string) {
-	s.engines = nil
+// setSite replaces the models and, if any are named, the engines.
+func (s *script) setSite(input string) {
+	s.revision++
+	var models []ModelSpec
+	var engines []EngineSpec
 	for line := range strings.Lines(input) {
 		f := strings.Fields(line)
-		e := EngineSpec{ID: f[0], Zone: f[1], Addr: f[0], Models: strings.Split(f[2], ","), ChecksFencing: f[3] == "checks", Leaving: f[3] == "leaving"}
-		s.engines = append(s.engines, e)
-		if s.fakes[e.ID] != nil {
+		if f[0] == "model" {
+			models = append(models, modelSpec(f[1:]))
 			continue
 		}
-		s.fakes[e.ID] = &fake{}
-		for _, held := range f[4:] {
-			name, version, _ := strings.Cut(held, "@")
-			s.fakes[e.ID].state.Models = append(s.fakes[e.ID].state.Models, jkendpoint.ModelState{Name: name, Version: version, Phase: jkendpoint.ModelReady})
+		e := EngineSpec{ID: f[0], Zone: f[1], Addr: f[0], Models: strings.Split(f[2], ","), ChecksFencing: f[3] == "checks", Leaving: f[3] == "leaving"}
+		engines = append(engines, e)
+		if s.fakes[e.ID] == nil {
+			s.fakes[e.ID] = newFake(f[4:])
 		}
 	}
+	if len(engines) > 0 {
+		s.engines = engines
+	}
+	s.core.SetWanted(s.now, s.now, Wanted{Revision: s.revision, Engines: s.engines, Models: models})
 }
 
-func (s *script) setModels(input string) {
-	s.revision++
-	w := Wanted{Revision: s.revision, Engines: s.engines}
-	for line := range strings.Lines(input) {
-		f := strings.Fields(line)
-		m := ModelSpec{Name: f[0], Versions: strings.Split(f[1], ",")}
-		for _, arg := range f[2:] {
-			key, value, _ := strings.Cut(arg, "=")
-			switch key {
-			case "replicas":
-				m.Replicas, _ = strconv.Atoi(value)
-			case "endpoints":
-				m.Endpoints = strings.Split(value, ",")
-			case "adapter":
-				m.Adapter = value
-			}
+func newFake(held []string) *fake {
+	f := &fake{}
+	for _, h := range held {
+		name, version, _ := strings.Cut(h, "@")
+		f.state.Models = append(f.state.Models, jkendpoint.ModelState{Name: name, Version: version, Phase: jkendpoint.ModelReady})
+	}
+	return f
+}
+
+func modelSpec(f []string) ModelSpec {
+	m := ModelSpec{Name: f[0], Versions: strings.Split(f[1], ",")}
+	for _, arg := range f[2:] {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "replicas":
+			m.Replicas, _ = strconv.Atoi(value)
+		case "endpoints":
+			m.Endpoints = strings.Split(value, ",")
+		case "adapter":
+			m.Adapter = value
 		}
-		w.Models = append(w.Models, m)
 	}
-	s.core.SetWanted(s.now, s.now, w)
+	return m
 }
 
 // advance ticks each second and returns the orders with their times.
