--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -83,6 +83,7 @@
 	objectives *jkobjective.Recorder
 	lease      *hostLease
 	copySet    *copySet
+	orders     *orders
 
 	platformWay switchedTransport
 	// savedRevision is the configuration revision on this host's disk.
@@ -177,6 +178,7 @@
 		Gossip: d.gossip, Home: d.home, Pool: d.pool,
 	})
 	d.lease = newHostLease(d)
+	d.orders = newOrders(d)
 	d.metrics = newMetrics(d)
 	d.readConfig()
 	d.web = d.newWeb()
@@ -279,6 +281,7 @@
 		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
 		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
 	)
+	d.stops = append(d.stops, d.orders.start())
 	if d.copies != nil {
 		d.stops = append(d.stops,
 			d.options.Timer.Every(time.Second, d.keepCopies),
@@ -325,6 +328,7 @@
 	for _, stop := range d.stops {
 		stop()
 	}
+	d.orders.close()
 	d.gossip.Stop()
 	if d.cancel != nil {
 		d.cancel()
--- a/core/jkorder/order_test.go
+++ b/core/jkorder/order_test.go
@@ -19,15 +19,12 @@
 // is asked too often, replicas that move to and fro.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{now: time.Unix(1000, 0), fakes: map[string]*fake{}, calls: map[string]int{}}
+		s := &script{now: time.Unix(1000, 0), fakes: map[string]*fake{}, calls: map[string]int{}, loadTime: 20 * time.Second}
 		s.start = s.now
 		datadriven.RunTest(t, path, s.run)
 	})
 }
 
-// loadTime is the time that a fake engine takes to load.
-const loadTime = 20 * time.Second
-
 // fake is an engine that carries out orders, with a fault or without.
 type fake struct {
 	state jkendpoint.State
@@ -43,18 +40,18 @@
 	engines    []EngineSpec
 	revision   uint64
 	loadsMost  int
+	loadTime   time.Duration // of a fake engine
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
-	case "zone":
-		o := DefaultOptions()
-		o.Zone = d.CmdArgs[0].Key
-		s.core = New(s.now, o)
-	case "engines": // lines: id zone models checks|ignores held...
-		s.setEngines(d.Input)
-	case "models": // lines: name versions replicas=n|endpoints=a,b [adapter=x]
-		s.setModels(d.Input)
+	case "site": // lines: id zone models checks|ignores|leaving held..., or model name versions replicas=n|endpoints=a,b [adapter=x]
+		if d.HasArg("zone") {
+			o := DefaultOptions()
+			d.ScanArgs(t, "zone", &o.Zone)
+			s.core = New(s.now, o)
+		}
+		s.setSite(d.Input)
 	case "begin":
 		s.core.Begin(s.now, s.now)
 	case "restore":
@@ -65,7 +62,12 @@
 	case "fault":
 		s.fakes[d.CmdArgs[0].Key].fault = d.CmdArgs[1].Key
 	case "calls":
-		s.calls[d.CmdArgs[0].Key] = len(d.CmdArgs[1].Key)
+		for _, arg := range d.CmdArgs {
+			s.calls[arg.Key], _ = strconv.Atoi(arg.Vals[0])
+		}
+	case "load_seconds":
+		n, _ := strconv.Atoi(d.CmdArgs[0].Key)
+		s.loadTime = time.Duration(n) * time.Second
 	case "resume":
 		return fmt.Sprintln(s.core.Resume(d.CmdArgs[0].Key))
 	case "request": // engine kind model [force]
@@ -90,43 +92,52 @@
 	return ""
 }
 
-func (s *script) setEngines(input string) {
-	s.engines = nil
+// setSite replaces the models and, if any are named, the engines.
+func (s *script) setSite(input string) {
+	s.revision++
+	var models []ModelSpec
+	var engines []EngineSpec
 	for line := range strings.Lines(input) {
 		f := strings.Fields(line)
-		e := EngineSpec{ID: f[0], Zone: f[1], Addr: f[0], Models: strings.Split(f[2], ","), ChecksFencing: f[3] == "checks", Leaving: f[3] == "leaving"}
-		s.engines = append(s.engines, e)
-		if s.fakes[e.ID] != nil {
+		if f[0] == "model" {
+			models = append(models, modelSpec(f[1:]))
 			continue
 		}
-		s.fakes[e.ID] = &fake{}
-		for _, held := range f[4:] {
-			name, version, _ := strings.Cut(held, "@")
-			s.fakes[e.ID].state.Models = append(s.fakes[e.ID].state.Models, jkendpoint.ModelState{Name: name, Version: version, Phase: jkendpoint.ModelReady})
+		e := EngineSpec{ID: f[0], Zone: f[1], Addr: f[0], Models: strings.Split(f[2], ","), ChecksFencing: f[3] == "checks", Leaving: f[3] == "leaving"}
+		engines = append(engines, e)
+		if s.fakes[e.ID] == nil {
+			s.fakes[e.ID] = newFake(f[4:])
 		}
 	}
+	if len(engines) > 0 {
+		s.engines = engines
+	}
+	s.core.SetWanted(s.now, s.now, Wanted{Revision: s.revision, Engines: s.engines, Models: models})
 }
 
-func (s *script) setModels(input string) {
-	s.revision++
-	w := Wanted{Revision: s.revision, Engines: s.engines}
-	for line := range strings.Lines(input) {
-		f := strings.Fields(line)
-		m := ModelSpec{Name: f[0], Versions: strings.Split(f[1], ",")}
-		for _, arg := range f[2:] {
-			key, value, _ := strings.Cut(arg, "=")
-			switch key {
-			case "replicas":
-				m.Replicas, _ = strconv.Atoi(value)
-			case "endpoints":
-				m.Endpoints = strings.Split(value, ",")
-			case "adapter":
-				m.Adapter = value
-			}
+func newFake(held []string) *fake {
+	f := &fake{}
+	for _, h := range held {
+		name, version, _ := strings.Cut(h, "@")
+		f.state.Models = append(f.state.Models, jkendpoint.ModelState{Name: name, Version: version, Phase: jkendpoint.ModelReady})
+	}
+	return f
+}
+
+func modelSpec(f []string) ModelSpec {
+	m := ModelSpec{Name: f[0], Versions: strings.Split(f[1], ",")}
+	for _, arg := range f[2:] {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "replicas":
+			m.Replicas, _ = strconv.Atoi(value)
+		case "endpoints":
+			m.Endpoints = strings.Split(value, ",")
+		case "adapter":
+			m.Adapter = value
 		}
-		w.Models = append(w.Models, m)
 	}
-	s.core.SetWanted(s.now, s.now, w)
+	return m
 }
 
 // advance ticks each second and returns the orders with their times.
@@ -147,7 +158,7 @@
 			s.core.Observe(s.now, r.Engine, state)
 		}
 		for _, c := range s.core.Tick(s.now) {
-			r := s.fakes[c.Engine].take(s.now, c.Order)
+			r := s.fakes[c.Engine].take(s.now.Add(s.loadTime), c.Order)
 			fmt.Fprintf(&out, "%s: %s %s%s@%s %s\n", s.now.Sub(s.start), c.Engine, c.Order.Kind, " "+c.Order.Model+c.Order.Adapter, c.Order.Version, r)
 			s.core.Sent(s.now, c, r, "by fault")
 		}
@@ -170,7 +181,7 @@
 	}
 }
 
-func (f *fake) take(now time.Time, o jkendpoint.Order) Result {
+func (f *fake) take(ready time.Time, o jkendpoint.Order) Result {
 	if f.fault == "refuse" {
 		return ResultRefused
 	}
@@ -181,7 +192,7 @@
 	*list = slices.DeleteFunc(*list, func(m jkendpoint.ModelState) bool { return m.Name == name })
 	if o.Kind != jkendpoint.OrderUnload {
 		*list = append(*list, jkendpoint.ModelState{Name: name, Version: o.Version, Phase: jkendpoint.ModelLoading})
-		f.ready = now.Add(loadTime)
+		f.ready = ready
 	}
 	return ResultAccepted
 }
