--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -35,8 +35,9 @@
 )
 
 const (
-	// auditInterval is the time between two audits of the engines' caches.
-	auditInterval = 10 * time.Second
+	// auditInterval is the time between two audits of the engines' caches. A
+	// program whose home has died must not hold memory 5 s after its end.
+	auditInterval = 3 * time.Second
 	// endedRetention is how long an ended program answers retries.
 	endedRetention = 2 * time.Minute
 	// copyLimit bounds the history log of a host in bytes.
@@ -82,6 +83,7 @@
 	objectives *jkobjective.Recorder
 	lease      *hostLease
 	copySet    *copySet
+	orders     *orders
 
 	platformWay switchedTransport
 	// savedRevision is the configuration revision on this host's disk.
@@ -176,6 +178,7 @@
 		Gossip: d.gossip, Home: d.home, Pool: d.pool,
 	})
 	d.lease = newHostLease(d)
+	d.orders = newOrders(d)
 	d.metrics = newMetrics(d)
 	d.readConfig()
 	d.web = d.newWeb()
@@ -278,9 +281,11 @@
 		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
 		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
 	)
+	d.stops = append(d.stops, d.orders.start())
 	if d.copies != nil {
 		d.stops = append(d.stops,
 			d.options.Timer.Every(time.Second, d.keepCopies),
+			d.options.Timer.Every(time.Second, func() { d.endOrphans(ctx) }),
 			d.options.Timer.Every(time.Second, func() { d.copySet.resolve(ctx) }))
 	}
 	d.ready.Store(true)
@@ -323,6 +328,7 @@
 	for _, stop := range d.stops {
 		stop()
 	}
+	d.orders.close()
 	d.gossip.Stop()
 	if d.cancel != nil {
 		d.cancel()
--- a/core/jkdaemon/web.go
+++ b/core/jkdaemon/web.go
@@ -42,6 +42,7 @@
 	e.GET("/v1/report", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, d.objectives.Snapshot(d.settings.Host()))
 	})
+	d.orders.register(e)
 	e.GET("/v1/quarantine", d.quarantine)
 	e.DELETE("/v1/quarantine/:fingerprint", d.liftQuarantine)
 	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
--- a/core/jkdispatch/job.go
+++ b/core/jkdispatch/job.go
@@ -50,7 +50,7 @@
 // start runs the call at its endpoint. The caller holds the dispatcher's lock.
 func (j *job) start(addr string) {
 	j.started = true
-	j.dispatcher.noteUse(j.message.Call, addr)
+	j.dispatcher.noteUse(j.message, addr)
 	j.dispatcher.queue.Started(j.dispatcher.options.Timer.Now(), j.message.Call.ID, j.message.Endpoint)
 	go j.run(addr)
 }
@@ -72,7 +72,7 @@
 	d := j.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.noteUse(j.message.Call, addr)
+	d.noteUse(j.message, addr)
 	d.queue.Finished(d.options.Timer.Now(), j.message.Call.ID, j.message.Endpoint, s)
 	d.tick()
 	r.Load = d.load(j.message.Endpoint)
@@ -190,13 +190,18 @@
 }
 
 // statusFailure handles a complete answer that reports a failure. A refusal for
-// lack of room did not run.
+// lack of room, or because an order has just taken the model away, did not run.
 func (j *job) statusFailure(e *jkendpoint.StatusError) (jkmsg.DispatchResult, jksched.Result) {
 	if e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable {
 		r := refused(jksched.ReasonQueueFull, e.RetryAfter)
 		r.Detail = e.Error()
 		return *r, jksched.Result{Outcome: jksched.OutcomeFailed}
 	}
+	if e.IsModelNotFound() {
+		r := refused(jksched.ReasonDown, 0)
+		r.Detail = e.Error()
+		return *r, jksched.Result{Outcome: jksched.OutcomeFailed}
+	}
 	return jkmsg.DispatchResult{Outcome: jkprogram.OutcomeFailed, Status: e.Status, Body: e.Body, Detail: e.Error()},
 		jksched.Result{Outcome: jksched.OutcomeFailed, EndpointFault: e.Status >= http.StatusInternalServerError}
 }
--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -113,7 +113,7 @@
 	}
 	now := h.options.Timer.Now()
 	h.mu.Lock()
-	if info, ok := h.core.Info(program); ok && (info.Epoch >= fence || info.Turn > best.Turn()) {
+	if info, ok := h.core.Info(program); ok && !h.core.IsRetired(program) && (info.Epoch >= fence || info.Turn > best.Turn()) {
 		h.mu.Unlock()
 		return nil
 	}
@@ -266,7 +266,9 @@
 		return true
 	}
 	to, found := successor(id)
-	if !found || h.core.IsRunning(id) {
+	// A run ends only after its turn is at the copies. Before that the
+	// successor's first record would fence the turn off.
+	if !found || h.core.IsRunning(id) || h.runs[id] != nil {
 		h.mu.Unlock()
 		return !found
 	}
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -179,6 +179,9 @@
 	ActionCancel ProgramAction = "cancel"
 	ActionFinish ProgramAction = "finish"
 	ActionList   ProgramAction = "list"
+	// ActionExpire ends a program whose home has died and that no caller has
+	// used since.
+	ActionExpire ProgramAction = "expire"
 )
 
 // Program asks a home for an action on a program, or for a list of programs.
@@ -206,11 +209,15 @@
 	Endpoint    string              `msgpack:"endpoint"`
 	Home        jktoken.Incarnation `msgpack:"home"`
 	Fingerprint string              `msgpack:"fingerprint"`
-	Chat        []byte              `msgpack:"chat,omitempty"`
-	Method      string              `msgpack:"method,omitempty"`
-	Path        string              `msgpack:"path,omitempty"`
-	Header      map[string]string   `msgpack:"header,omitempty"`
-	Body        []byte              `msgpack:"body,omitempty"`
+	// IdleLimit and Ends are the program's limits, zero for none: after them
+	// the dispatcher drops the cache even if the home has died.
+	IdleLimit time.Duration     `msgpack:"idle_limit"`
+	Ends      time.Time         `msgpack:"ends"`
+	Chat      []byte            `msgpack:"chat,omitempty"`
+	Method    string            `msgpack:"method,omitempty"`
+	Path      string            `msgpack:"path,omitempty"`
+	Header    map[string]string `msgpack:"header,omitempty"`
+	Body      []byte            `msgpack:"body,omitempty"`
 }
 
 // DispatchEvent is one message of a dispatch's answer before its end.
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -40,6 +40,7 @@
 	s.Intent = nil
 	s.Closed = nil
 	s.Prior = nil
+	s.Base = s.Turn()
 	p := newProgram(now, s)
 	c.programs[s.Program] = p
 	if intent != nil && s.End == "" {
@@ -56,6 +57,13 @@
 	return p != nil && p.untouched
 }
 
+// IsRetired reports whether the row was left behind by a former incarnation of
+// this host. The program may come back to the present one.
+func (c *Core) IsRetired(id string) bool {
+	p := c.programs[id]
+	return p != nil && p.superseded && p.state.Home != c.options.Self
+}
+
 // Retired returns the state of a program that another home has taken over. It
 // may hold turns that the copies missed.
 func (c *Core) Retired(id string) (State, bool) {
@@ -258,6 +266,7 @@
 	Running   string
 	End       EndReason
 	Created   time.Time
+	Limits    Limits
 	Copies    []string
 }
 
@@ -282,6 +291,7 @@
 		Spent:     s.Spent + p.reserved,
 		End:       s.End,
 		Created:   s.Meta.Created,
+		Limits:    s.Meta.Limits,
 		Copies:    s.Copies,
 	}
 	if p.running != nil {
