member: let a zone whose hosts are all drained send its digest

A zone whose last host was drained sent none, so the other zones took it for cut off and stayed at the former revision.

Before: TestOperate/drain fails, zone a unreachable and zone b at revision 9 for 10 s; TestDrainedHostGetsNothingNew fails with the added check. After: go test ./core/jkmember ok, go test -count 3 ./jasmineknot/jkoperate ok. Leader and Speaks now share one ranking.

--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -82,15 +82,21 @@
 	return out
 }
 
+// leaders ranks the hosts of a zone as its leaders. A zone whose hosts are all
+// drained still needs one, because only the leader learns of the edit that takes
+// a drain back.
+func (t *Table) leaders(zone string) []Host {
+	hosts := t.accepting(zone)
+	if len(hosts) == 0 {
+		hosts = t.Up(zone)
+	}
+	return rank("zone leader", hosts)
+}
+
 // Leader returns the host of the zone that watches the platform and talks to
-// the other zones. A zone whose hosts are all leaving still needs one, because
-// only the leader learns of the edit that takes a drain back.
+// the other zones.
 func (t *Table) Leader(zone string) (Host, bool) {
-	const key = "zone leader"
-	if h, ok := t.Dispatcher(key, zone); ok {
-		return h, true
-	}
-	ranked := rank(key, t.Up(zone))
+	ranked := t.leaders(zone)
 	if len(ranked) == 0 {
 		return Host{}, false
 	}
@@ -100,7 +106,7 @@
 // Speaks reports whether this host sends its zone's digest in a round. The two
 // first hosts take turns, so that the zone is still heard when one of them dies.
 func (t *Table) Speaks(round int) bool {
-	ranked := rank("zone leader", t.accepting(t.options.Self.Zone))
+	ranked := t.leaders(t.options.Self.Zone)
 	if len(ranked) == 0 {
 		return false
 	}
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -139,4 +139,9 @@
 	if _, ok := tab.Leader("z1"); !ok {
 		t.Fatal("the zone has no leader")
 	}
+	alone := New(start, Options{Self: host("self", "z1", 1), Timeout: 3 * time.Second, Forget: time.Hour})
+	alone.SetDrained(map[string]bool{"self": true})
+	if !alone.Speaks(0) {
+		t.Fatal("a drained zone sends no digest, so that the others take it for cut off")
+	}
 }
