--- a/jasmineknot/jkoperate/fleet.go
+++ b/jasmineknot/jkoperate/fleet.go
@@ -66,7 +66,7 @@
 
 func split(parts []part) ([]part, []Missing) {
 	var answered []part
-	var missing []Missing
+	missing := []Missing{}
 	for _, p := range parts {
 		if p.err != nil {
 			missing = append(missing, Missing{Host: p.host, Reason: strings.TrimSpace(p.err.Error())})
--- a/jasmineknot/jkoperate/operate_test.go
+++ b/jasmineknot/jkoperate/operate_test.go
@@ -216,3 +216,19 @@
 		t.Errorf("got %q, errors %v and %v, expected a list with engine-b", text, err, readErr)
 	}
 }
+
+// Guards against JSON answers that leave out the hosts without an answer, so
+// that a script takes partial figures for whole ones.
+func TestJSONNamesMissingHosts(t *testing.T) {
+	s := newSite(t)
+	s.Daemons[3].Kill()
+	for _, line := range []string{"status --json", "report --json", "quarantine list --json"} {
+		var answer struct {
+			Missing []Missing `json:"missing"`
+		}
+		out := s.run(0, line, "")
+		if err := json.Unmarshal([]byte(out), &answer); err != nil || len(answer.Missing) != 1 || answer.Missing[0].Host != "b-2" {
+			t.Errorf("%s: got %v and error %v\n%s", line, answer.Missing, err, out)
+		}
+	}
+}
