--- a/core/jkcopy/store.go
+++ b/core/jkcopy/store.go
@@ -388,7 +388,7 @@
 			h.touched = now
 		}
 		age := now.Sub(h.touched)
-		if age <= orphanedFor && !(h.ended && age > endedFor) {
+		if age <= orphanedFor && (!h.ended || age <= endedFor) {
 			continue
 		}
 		if err := s.write(entry{Forget: id}); err != nil {
--- a/core/jksite/docs_test.go
+++ b/core/jksite/docs_test.go
@@ -102,10 +102,10 @@
 			return err
 		}
 	}
-	var shown, real any
+	var shown, actual any
 	d := json.NewDecoder(bytes.NewReader(got))
-	if json.Unmarshal([]byte(body), &shown) == nil && d.Decode(&real) == nil {
-		return r.matchJSON("body", shown, real)
+	if json.Unmarshal([]byte(body), &shown) == nil && d.Decode(&actual) == nil {
+		return r.matchJSON("body", shown, actual)
 	}
 	rest := string(got)
 	for _, line := range strings.Split(body, "\n") {
