home: compare pieces of a second attempt by position

Cause: each piece of an answer was appended to a copy of the whole text, which costs the square of its length. Ruled out: a hash of the text, because callers need the pieces anyway. Before and after: TestFollowersSeeOneAnswer covers both ways to differ; a piece now costs its own length. Conclusion: long answers stream at constant cost a piece.

--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -126,16 +126,17 @@
 
 func (x *racer) attempt(m jkmsg.Dispatch) {
 	a := attempt{endpoint: m.Endpoint}
-	text := ""
+	position := 0
 	result, sent, err := x.home.options.Transport.Dispatch(x.ctx, m, func(e jkmsg.DispatchEvent) {
 		if e.Second {
 			x.second <- m.Endpoint
 			return
 		}
-		text += e.Text
-		if !x.run.extend(text) {
-			a.diverged = true
+		if !a.diverged && x.run.extend(position, e.Text) {
+			position += len(e.Text)
+			return
 		}
+		a.diverged = true
 	})
 	a.result = result
 	a.sent = sent
--- a/core/jkhome/run.go
+++ b/core/jkhome/run.go
@@ -27,17 +27,20 @@
 	return &run{plan: p, deadline: deadline, changed: make(chan struct{})}
 }
 
-// extend makes the streamed text longer if the attempt's whole text continues
-// it. Two attempts at one call may differ; callers only ever see one of them.
-func (r *run) extend(whole string) bool {
+// extend takes a piece of an attempt's text that begins at a position. What
+// callers have seen already is compared, the rest is added. It reports false if
+// the attempt differs: two attempts at one call may, and callers only ever see
+// one of them.
+func (r *run) extend(position int, piece string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := r.text.String()
-	if !strings.HasPrefix(whole, sent) {
-		return strings.HasPrefix(sent, whole)
+	sent := r.text.String()[position:]
+	overlap := min(len(piece), len(sent))
+	if piece[:overlap] != sent[:overlap] {
+		return false
 	}
-	if len(whole) > len(sent) {
-		r.text.WriteString(whole[len(sent):])
+	if rest := piece[overlap:]; rest != "" {
+		r.text.WriteString(rest)
 		r.signal()
 	}
 	return true
