member: accept a lower digest version from a zone that is heard again

Cause: each leader of a zone counts the versions of its digest by its own clock. After a leader came back that had seen fewer changes than its stand-in, the others held a higher version, neither pulled nor refreshed the digest, and the whole zone stayed unreachable for them. Conclusion: a version that differs is pulled once the known one has gone stale.

--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -63,7 +63,7 @@
 	s.suspects.Merge(now, m.Suspects)
 	var pulls []string
 	for zone, seen := range m.Zones {
-		if s.table.NeedsZone(zone, seen) {
+		if s.table.NeedsZone(now, zone, seen) {
 			pulls = append(pulls, zone)
 		} else {
 			s.table.RefreshZone(now, zone, seen)
@@ -85,7 +85,7 @@
 		return
 	}
 	seen := jkmember.ZoneSeen{Version: m.Version}
-	needed := s.table.NeedsZone(m.Zone, seen)
+	needed := s.table.NeedsZone(now, m.Zone, seen)
 	s.table.RefreshZone(now, m.Zone, seen)
 	s.suspects.Merge(now, m.Suspects)
 	s.mu.Unlock()
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -178,10 +178,10 @@
 		return false
 	}
 	z := t.zones[d.Zone]
-	if z != nil && d.Version < z.digest.Version {
+	if z != nil && d.Version < z.digest.Version && !t.isStale(now, z) {
 		return false
 	}
-	changed := z == nil || d.Version > z.digest.Version
+	changed := z == nil || d.Version != z.digest.Version
 	t.zones[d.Zone] = &zone{digest: d, seen: now.Add(-age)}
 	if changed {
 		t.applyZone(now, d)
@@ -197,15 +197,23 @@
 	}
 }
 
-// NeedsZone reports whether a peer knows a newer digest of a zone.
-func (t *Table) NeedsZone(name string, s ZoneSeen) bool {
+// NeedsZone reports whether a peer knows a newer digest of a zone. A lower
+// version counts as newer if the known one is not heard any more: each leader
+// of a zone counts by itself, and the next one may have seen fewer changes.
+func (t *Table) NeedsZone(now time.Time, name string, s ZoneSeen) bool {
 	if name == t.options.Self.Zone {
 		return false
 	}
 	z := t.zones[name]
-	return z == nil || z.digest.Version < s.Version
+	if z == nil || z.digest.Version < s.Version {
+		return true
+	}
+	return z.digest.Version != s.Version && t.isStale(now, z) && s.Age < t.options.Timeout/2
 }
 
+// isStale reports whether a zone's digest has missed its refreshes.
+func (t *Table) isStale(now time.Time, z *zone) bool { return now.Sub(z.seen) > t.options.Timeout/2 }
+
 func (t *Table) applyZone(now time.Time, d ZoneDigest) {
 	t.version++
 	listed := map[string]bool{}
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -140,3 +140,26 @@
 		t.Fatal("the zone has no leader")
 	}
 }
+
+// Guards against a zone that stays unreachable for ever because its new leader
+// counts lower versions than the former one.
+func TestLowerVersionOfNewLeader(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(now, Options{Self: Host{Incarnation: jktoken.Incarnation{Host: "a", Start: 1}, Zone: "z1"}, Timeout: 3 * time.Second, Forget: time.Hour})
+	far := Host{Incarnation: jktoken.Incarnation{Host: "b", Start: 1}, Zone: "z2"}
+	table.ObserveZone(now, ZoneDigest{Zone: "z2", Version: 9, Hosts: []Host{far}}, 0)
+	low := ZoneSeen{Version: 7}
+	if table.NeedsZone(now.Add(time.Second), "z2", low) || table.ObserveZone(now.Add(time.Second), ZoneDigest{Zone: "z2", Version: 7}, 0) {
+		t.Fatal("a lower version replaced a digest that is still heard")
+	}
+	now = now.Add(4 * time.Second)
+	table.Tick(now)
+	if !table.NeedsZone(now, "z2", low) {
+		t.Fatal("the new leader's digest is not asked for")
+	}
+	table.ObserveZone(now, ZoneDigest{Zone: "z2", Version: 7, Hosts: []Host{far}}, 0)
+	table.Tick(now)
+	if _, status := table.Status("b"); status != StatusUp {
+		t.Fatalf("got %s, want up", status)
+	}
+}
--- a/jasmineknotd/jkprocess/platform_test.go
+++ b/jasmineknotd/jkprocess/platform_test.go
@@ -138,6 +138,11 @@
 			r := rand.New(rand.NewSource(int64(seed + 1)))
 			over := make(chan struct{})
 			var callers sync.WaitGroup
+			stop := sync.OnceFunc(func() {
+				close(over)
+				callers.Wait()
+			})
+			t.Cleanup(stop)
 			for i := range 8 {
 				p := s.create(s.hosts[i%4])
 				callers.Add(1)
@@ -163,8 +168,7 @@
 				s.awaitReady()
 				s.pause(time.Second)
 			}
-			close(over)
-			callers.Wait()
+			stop()
 			s.checkActions()
 		})
 	}
