dispatch, home, quarantine: count crashes once and run suspects one at a time

Cause: each dispatcher counted the crashes that it saw, and counts of two hosts don't add up, so a call whose attempts went to three zones crashed three engines before the news spread. A crash also went uncounted when the probe met a kept connection that the crash had broken. And all requests that had run beside a crashing one ran beside it again and were quarantined with it. Ruled out: adding the counts of hosts, because both may have heard of one crash. The table's test passes the count now and checks the same. Conclusion: a dispatch carries the crashes known to the home, the result carries them back, and an endpoint runs one suspect at a time.

--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -162,11 +162,12 @@
 	d.gossip = jkgossip.New(d.gossipOptions())
 	d.dispatcher = jkdispatch.New(jkdispatch.Options{
 		Timer: d.options.Timer, Log: d.log.Part("dispatch"), Client: d.endpoints, Queue: d.schedOptions(seed),
-		Quarantined: d.gossip.IsRefused, Crashed: d.gossip.Crashed,
+		Quarantined: d.gossip.IsRefused, Crashes: d.gossip.Crashes, Crashed: d.gossip.Crashed,
 	})
 	d.home = jkhome.New(jkhome.Options{
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
 		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
+		Crashes: d.gossip.Crashes, Crashed: d.gossip.Crashed,
 		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
 		CopyGrace: copyGraceLeases * d.settings.Intervals().Lease(),
 	})
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -37,8 +37,10 @@
 	Queue  jksched.Options
 	// Quarantined reports whether a content may not be run for a home.
 	Quarantined func(fingerprint string, home jktoken.Incarnation) bool
-	// Crashed reports that an endpoint died while it ran the content.
-	Crashed func(fingerprint string, home jktoken.Incarnation)
+	// Crashes returns the known crashes of a content. Crashed reports that an
+	// endpoint died while it ran the content, with the crashes so far.
+	Crashes func(fingerprint string) int
+	Crashed func(fingerprint string, home jktoken.Incarnation, crashes int)
 }
 
 // Dispatcher is the dispatching part of one host.
@@ -55,6 +57,8 @@
 	engines    map[string]bool
 	// used holds the last call of each program at each engine.
 	used map[release]use
+	// suspects holds the slot for crash suspects of each endpoint.
+	suspects map[string]chan struct{}
 }
 
 type jobKey struct {
@@ -76,7 +80,7 @@
 		jobs:       map[jobKey]*job{},
 		unreleased: map[release]bool{},
 		engines:    map[string]bool{},
-		used:       map[release]use{},
+		used:       map[release]use{}, suspects: map[string]chan struct{}{},
 	}
 }
 
@@ -164,6 +168,16 @@
 // running one is cancelled if it may be repeated.
 func (d *Dispatcher) Run(ctx context.Context, m jkmsg.Dispatch, emit func(jkmsg.DispatchEvent) error) jkmsg.DispatchResult {
 	j := newJob(d, m, emit)
+	if j.crashes > 0 {
+		turn := d.suspectTurn(m.Endpoint)
+		select {
+		case turn <- struct{}{}:
+			defer func() { <-turn }()
+		case <-ctx.Done():
+			j.cancel()
+			return *refused(jksched.ReasonCancelled, 0)
+		}
+	}
 	if refusal := d.push(j); refusal != nil {
 		return *refusal
 	}
@@ -186,6 +200,18 @@
 	return j.result
 }
 
+// suspectTurn returns the slot for the one crash suspect that an endpoint runs at
+// a time. After a crash all requests that ran there are suspects; if they ran
+// together again, the next crash would quarantine all of them.
+func (d *Dispatcher) suspectTurn(endpoint string) chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.suspects[endpoint] == nil {
+		d.suspects[endpoint] = make(chan struct{}, 1)
+	}
+	return d.suspects[endpoint]
+}
+
 // push enters a job into the queue; a result means that it was refused.
 func (d *Dispatcher) push(j *job) *jkmsg.DispatchResult {
 	d.mu.Lock()
--- a/core/jkdispatch/job.go
+++ b/core/jkdispatch/job.go
@@ -26,12 +26,15 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	started    bool
-	result     jkmsg.DispatchResult
-	done       chan struct{}
+	// crashes is the number of crashes of the content before this call.
+	crashes int
+	result  jkmsg.DispatchResult
+	done    chan struct{}
 }
 
 func newJob(d *Dispatcher, m jkmsg.Dispatch, emit func(jkmsg.DispatchEvent) error) *job {
 	j := &job{dispatcher: d, message: m, emit: emit, done: make(chan struct{})}
+	j.crashes = max(m.Crashes, d.options.Crashes(m.Fingerprint))
 	// The job outlives its request's context: a call that may not be repeated
 	// runs to its end even when nobody waits for it.
 	if m.Call.Deadline.IsZero() {
@@ -184,7 +187,9 @@
 		return jkmsg.DispatchResult{Outcome: jkprogram.OutcomeUnknown, Reason: jksched.ReasonCancelled, Detail: err.Error()},
 			jksched.Result{Outcome: jksched.OutcomeCancelled}
 	case errors.As(err, &uncertain):
-		j.suspect(addr)
+		return jkmsg.DispatchResult{
+			Outcome: jkprogram.OutcomeUnknown, Reason: jksched.ReasonDown, Detail: err.Error(), Crashes: j.suspect(addr),
+		}, failed
 	}
 	return jkmsg.DispatchResult{Outcome: jkprogram.OutcomeUnknown, Reason: jksched.ReasonDown, Detail: err.Error()}, failed
 }
@@ -201,16 +206,37 @@
 		jksched.Result{Outcome: jksched.OutcomeFailed, EndpointFault: e.Status >= http.StatusInternalServerError}
 }
 
-// suspect reports the call's content if the endpoint died while it ran: a
-// broken connection alone may have other causes.
-func (j *job) suspect(addr string) {
+// suspect reports the call's content if the endpoint died while it ran, and
+// returns the number of crashes: a broken connection alone may have other
+// causes.
+func (j *job) suspect(addr string) int {
+	if !j.hasDied(addr) {
+		return 0
+	}
+	j.dispatcher.options.Crashed(j.message.Fingerprint, j.message.Home, j.crashes+1)
+	return j.crashes + 1
+}
+
+// maxProbes bounds the probes of an endpoint that breaks off each one.
+const maxProbes = 3
+
+// hasDied reports whether an endpoint refuses connections, or breaks off every
+// probe. One broken probe may only have met a kept connection.
+func (j *job) hasDied(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	_, err := j.dispatcher.options.Client.State(ctx, addr)
-	var notSent *jkendpoint.NotSentError
-	if errors.As(err, &notSent) {
-		j.dispatcher.options.Crashed(j.message.Fingerprint, j.message.Home)
+	for range maxProbes {
+		_, err := j.dispatcher.options.Client.State(ctx, addr)
+		var notSent *jkendpoint.NotSentError
+		var uncertain *jkendpoint.UncertainError
+		if errors.As(err, &notSent) {
+			return true
+		}
+		if !errors.As(err, &uncertain) || ctx.Err() != nil {
+			return false
+		}
 	}
+	return true
 }
 
 func refused(reason jksched.Reason, retryAfter time.Duration) *jkmsg.DispatchResult {
--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -163,10 +163,18 @@
 	return s.suspects.IsRefused(s.options.Timer.Now(), fingerprint, home)
 }
 
-// Crashed notes a crash and tells the zone at once.
-func (s *Service) Crashed(fingerprint string, home jktoken.Incarnation) {
+// Crashes returns the number of known crashes of a content.
+func (s *Service) Crashes(fingerprint string) int {
 	s.mu.Lock()
-	s.suspects.Crashed(s.options.Timer.Now(), fingerprint, home)
+	defer s.mu.Unlock()
+	return s.suspects.Crashes(fingerprint)
+}
+
+// Crashed notes that a content has crashed endpoints so many times and tells the
+// zone at once.
+func (s *Service) Crashed(fingerprint string, home jktoken.Incarnation, crashes int) {
+	s.mu.Lock()
+	s.suspects.Crashed(s.options.Timer.Now(), fingerprint, home, crashes)
 	s.mu.Unlock()
 	s.options.Log.Warn("endpoint crashed while running a request", "fingerprint", fingerprint, "home", home)
 	go s.Beat()
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -83,6 +83,10 @@
 	Sched     jksched.Options
 	// IsRefused reports whether a request content is quarantined for this home.
 	IsRefused func(fingerprint string, home jktoken.Incarnation) bool
+	// Crashes returns the known crashes of a content; Crashed notes a number of
+	// crashes.
+	Crashes func(fingerprint string) int
+	Crashed func(fingerprint string, home jktoken.Incarnation, crashes int)
 	// Rand is the source of jitter.
 	Rand *rand.Rand
 	// MaxPrograms bounds the table of programs.
--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -116,6 +116,7 @@
 		return err
 	}
 	m.Endpoint = placement.Endpoint
+	m.Crashes = h.options.Crashes(x.run.plan.fingerprint)
 	m.Call.ID += "#" + strconv.Itoa(x.placements)
 	m.Call.Second = x.active > 0
 	x.placements++
@@ -172,6 +173,10 @@
 // note tells the placer how the attempt ended.
 func (x *racer) note(a attempt) {
 	h := x.home
+	if a.result.Crashes > 0 {
+		// The news of the dispatcher may come after the next attempt.
+		h.options.Crashed(x.run.plan.fingerprint, h.Self(), a.result.Crashes)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a.result.Load != nil {
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -203,6 +203,8 @@
 	Endpoint    string              `msgpack:"endpoint"`
 	Home        jktoken.Incarnation `msgpack:"home"`
 	Fingerprint string              `msgpack:"fingerprint"`
+	// Crashes is the number of crashes of the content that the home knows of.
+	Crashes int `msgpack:"crashes"`
 	// IdleLimit and Ends are the program's limits, zero for none: after them
 	// the dispatcher drops the cache even if the home has died.
 	IdleLimit time.Duration     `msgpack:"idle_limit"`
@@ -232,6 +234,9 @@
 	Reason     jksched.Reason `msgpack:"reason,omitempty"`
 	Detail     string         `msgpack:"detail,omitempty"`
 	RetryAfter time.Duration  `msgpack:"retry_after,omitempty"`
+	// Crashes is set if the endpoint died while it ran the call: the crashes
+	// of the content so far.
+	Crashes int `msgpack:"crashes,omitempty"`
 	// Load is the endpoint's digest after the call.
 	Load *jksched.Load `msgpack:"load,omitempty"`
 }
--- a/core/jkquarantine/table.go
+++ b/core/jkquarantine/table.go
@@ -52,10 +52,23 @@
 // Len returns the number of suspects.
 func (t *Table) Len() int { return len(t.rows) }
 
-// Crashed notes that an endpoint died while it ran a content for a home.
-func (t *Table) Crashed(now time.Time, fingerprint string, home jktoken.Incarnation) {
+// Crashes returns the number of known crashes of a content.
+func (t *Table) Crashes(fingerprint string) int {
+	if r := t.rows[fingerprint]; r != nil {
+		return r.crashes
+	}
+	return 0
+}
+
+// Crashed notes that an endpoint died while it ran a content for a home, which
+// makes the given number of crashes. Two hosts that note the same crash give the
+// same number, so it counts once.
+func (t *Table) Crashed(now time.Time, fingerprint string, home jktoken.Incarnation, crashes int) {
 	r := t.add(fingerprint)
-	r.crashes++
+	if crashes <= r.crashes {
+		return
+	}
+	r.crashes = crashes
 	r.owner = home
 	r.last = now
 	r.sent = time.Time{}
--- a/core/jkquarantine/table_test.go
+++ b/core/jkquarantine/table_test.go
@@ -18,7 +18,7 @@
 // only its home may try again, after the second nobody may.
 func TestTwoCrashesAtMost(t *testing.T) {
 	x, y := New(10), New(10)
-	x.Crashed(now, "f", homeA)
+	x.Crashed(now, "f", homeA, x.Crashes("f")+1)
 	y.Merge(now, x.Export(now))
 	if !y.IsRefused(now, "f", homeB) {
 		t.Fatal("another home may run a suspect")
@@ -26,7 +26,7 @@
 	if y.IsRefused(now, "f", homeA) {
 		t.Fatal("the suspect's home may not try again")
 	}
-	y.Crashed(now, "f", homeA)
+	y.Crashed(now, "f", homeA, y.Crashes("f")+1)
 	x.Merge(now, y.Export(now))
 	for _, tab := range []*Table{x, y} {
 		if !tab.IsRefused(now.Add(time.Hour), "f", homeA) {
@@ -40,7 +40,7 @@
 func TestTableIsBounded(t *testing.T) {
 	tab := New(4)
 	for i := range 100 {
-		tab.Crashed(now.Add(time.Duration(i)*time.Second), fmt.Sprint("f", i), homeA)
+		tab.Crashed(now.Add(time.Duration(i)*time.Second), fmt.Sprint("f", i), homeA, tab.Crashes(fmt.Sprint("f", i))+1)
 	}
 	if tab.Len() != 4 {
 		t.Fatalf("got %d rows, want 4", tab.Len())
@@ -54,8 +54,8 @@
 // that hides a new crash.
 func TestLiftHoldsUntilTheNextCrash(t *testing.T) {
 	x, y := New(10), New(10)
-	x.Crashed(now, "f", homeA)
-	x.Crashed(now, "f", homeA)
+	x.Crashed(now, "f", homeA, x.Crashes("f")+1)
+	x.Crashed(now, "f", homeA, x.Crashes("f")+1)
 	y.Merge(now, x.Export(now))
 	lift := now.Add(time.Minute)
 	if !y.Lift(lift, "f") || y.Lift(lift, "other") {
@@ -66,7 +66,7 @@
 		t.Fatal("a host that still has the quarantine has brought it back")
 	}
 	later := lift.Add(time.Minute)
-	x.Crashed(later, "f", homeA)
+	x.Crashed(later, "f", homeA, x.Crashes("f")+1)
 	y.Merge(later, x.Export(later))
 	if !y.IsRefused(later, "f", homeA) {
 		t.Fatal("a crash after the lift is not known")
