--- a/jasmineknotbench/jkpolicy/html.go
+++ b/jasmineknotbench/jkpolicy/html.go
@@ -98,6 +98,7 @@
 	p.Y.Label.Text = "latency / lower bound"
 	// Naive leaves the range that shows the other policies.
 	p.Y.Min, p.Y.Max = 1, 4
+	p.Legend.Top, p.Legend.Left = true, true
 	var lines []any
 	swept := sweep(r.workload, r.settings)
 	for _, name := range policyNames {
