--- a/jasmineknotd/jkprocess/turn_test.go
+++ b/jasmineknotd/jkprocess/turn_test.go
@@ -1,12 +1,17 @@
 package jkprocess
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"jasmineknot.example/core/jkapi"
+	"jasmineknot.example/core/jkchat"
+	"jasmineknot.example/core/jkproblem"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jksite"
 	"jasmineknot.example/core/jkstandin"
 )
 
@@ -183,3 +188,34 @@
 		}
 	}
 }
+
+// Guards against a program that spends more than its budget when its home dies:
+// all completed and lost attempts together stay below it, and the call that does
+// not fit is refused as not_run.
+func TestBudgetSurvivesTakeover(t *testing.T) {
+	const budget = 20000
+	s := startSite(t, options{desc: jksite.Site{Budget: budget}})
+	p := s.create(s.hosts[0])
+	spent := 0
+	for n := 0; ; n++ {
+		if n == 6 {
+			s.hosts[0].kill()
+		}
+		request := p.request(fmt.Sprintf("step %d", n), false, 200)
+		header, id := p.headers()
+		r := p.send(patience, "POST", "/v1/chat/completions", header, request)
+		if r.problem.Type == jkproblem.TypeBudgetExhausted && r.outcome == jkprogram.OutcomeNotRun {
+			break
+		}
+		s.noError(p.accept(request, id, r))
+		var c jkchat.Completion
+		s.noError(json.Unmarshal(r.body, &c))
+		if spent += c.Usage.TotalTokens; spent > budget {
+			t.Fatalf("%d tokens of %d were spent after %d turns", spent, budget, n+1)
+		}
+	}
+	if len(p.requests) < 7 {
+		t.Errorf("the budget ended before the takeover: %d turns, %d tokens", len(p.requests), spent)
+	}
+	s.noError(p.checkHistory())
+}
