--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkmember"
 	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkobjective"
 	"jasmineknot.example/core/jkplatform"
 	"jasmineknot.example/core/jkroute"
 	"jasmineknot.example/core/jksched"
@@ -79,8 +80,10 @@
 	web        *http.Server
 	metrics    *metrics
 	rules      *rules
+	objectives *jkobjective.Recorder
 	lease      *hostLease
 	copySet    *copySet
+	orders     *orders
 
 	platformWay switchedTransport
 	// savedRevision is the configuration revision on this host's disk.
@@ -167,8 +170,8 @@
 	d.home = jkhome.New(jkhome.Options{
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
 		Rules: d.rules.home(), Transport: d.transport(), Sched: d.schedOptions(seed), IsRefused: d.gossip.IsRefused,
+		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention, Ended: d.programEnded,
 		Crashes: d.gossip.Crashes, Crashed: d.gossip.Crashed,
-		Rand: seed, MaxPrograms: limits.Programs(), EndedRetention: endedRetention,
 		CopyGrace: copyGraceLeases * d.settings.Intervals().Lease(),
 	})
 	d.router = jkroute.New(jkroute.Options{
@@ -176,6 +179,7 @@
 		Gossip: d.gossip, Home: d.home, Pool: d.pool,
 	})
 	d.lease = newHostLease(d)
+	d.orders = newOrders(d)
 	d.metrics = newMetrics(d)
 	d.readConfig()
 	d.web = d.newWeb()
@@ -192,6 +196,7 @@
 		Follower: d.follower, Jitter: seed.Float64,
 	})
 	d.rules = &rules{document: d.follower.Newest}
+	d.objectives = jkobjective.New(jkobjective.Options{Timer: d.options.Timer, Count: d.countObjective})
 	d.follower.OnChange(d.apply)
 }
 
@@ -277,9 +282,11 @@
 		d.options.Timer.Every(d.settings.Intervals().Heartbeat(), d.refreshEndpoints),
 		d.options.Timer.Every(d.settings.Intervals().HostList(), d.readHostList),
 	)
+	d.stops = append(d.stops, d.orders.start())
 	if d.copies != nil {
 		d.stops = append(d.stops,
 			d.options.Timer.Every(time.Second, d.keepCopies),
+			d.options.Timer.Every(time.Second, func() { d.endOrphans(ctx) }),
 			d.options.Timer.Every(time.Second, func() { d.copySet.resolve(ctx) }))
 	}
 	d.ready.Store(true)
@@ -322,6 +329,7 @@
 	for _, stop := range d.stops {
 		stop()
 	}
+	d.orders.close()
 	d.gossip.Stop()
 	if d.cancel != nil {
 		d.cancel()
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -151,6 +151,9 @@
 	Moved jktoken.Incarnation `msgpack:"moved"`
 	// Replayed tells that the answer was recorded before.
 	Replayed bool `msgpack:"replayed,omitempty"`
+	// Workspace and Template are the program's, for the entry host's figures.
+	Workspace string `msgpack:"workspace,omitempty"`
+	Template  string `msgpack:"template,omitempty"`
 }
 
 // Create asks a parent's home for a sub-program.
@@ -176,6 +179,9 @@
 	ActionCancel ProgramAction = "cancel"
 	ActionFinish ProgramAction = "finish"
 	ActionList   ProgramAction = "list"
+	// ActionExpire ends a program whose home has died and that no caller has
+	// used since.
+	ActionExpire ProgramAction = "expire"
 )
 
 // Program asks a home for an action on a program, or for a list of programs.
