--- a/jasmineknotd/jkprocess/caller_test.go
+++ b/jasmineknotd/jkprocess/caller_test.go
@@ -289,7 +289,8 @@
 	if n := len(strings.Fields(answer)); n < request.MaxTokens {
 		return fmt.Errorf("program %s request %s: answer has %d words of %d tokens", p.id, id, n, request.MaxTokens)
 	}
-	p.messages = append(request.Messages, jkchat.Message{Role: jkchat.RoleAssistant, Content: jkchat.Text(answer)})
+	p.messages = request.Messages
+	p.messages = append(p.messages, jkchat.Message{Role: jkchat.RoleAssistant, Content: jkchat.Text(answer)})
 	p.token = r.token
 	p.requests = append(p.requests, id)
 	return nil
--- a/jasmineknotd/jkprocess/endpoint_test.go
+++ b/jasmineknotd/jkprocess/endpoint_test.go
@@ -122,8 +122,11 @@
 		// The content counts, not the program: another home refuses it as well.
 		for _, h := range s.hosts {
 			status, err := s.status(h)
-			if err != nil || len(status.Quarantined) == 0 {
-				return fmt.Errorf("%s has no quarantine (%v)", h.name, err)
+			if err != nil {
+				return err
+			}
+			if len(status.Quarantined) == 0 {
+				return fmt.Errorf("%s has no quarantine", h.name)
 			}
 		}
 		if len(quarantined) < len(s.hosts) {
--- a/jasmineknotd/jkprocess/site_test.go
+++ b/jasmineknotd/jkprocess/site_test.go
@@ -281,16 +281,6 @@
 	return nil
 }
 
-func (s *site) inZone(zone string) []*host {
-	var out []*host
-	for _, h := range s.hosts {
-		if h.zone == zone {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // account sums up what the services did.
 func (s *site) account() map[string]jkstandin.ServiceAction {
 	s.t.Helper()
@@ -308,20 +298,6 @@
 	return sum
 }
 
-// requests is the number of actions that services were asked for.
-func (s *site) requests() int {
-	s.t.Helper()
-	n := 0
-	for _, p := range s.services {
-		var a jkstandin.ServiceAccount
-		if err := s.get(p.ready.Address+"/account", &a); err != nil {
-			s.t.Fatal(err)
-		}
-		n += a.Requests
-	}
-	return n
-}
-
 func (s *site) engineAccount(p *process) (a jkstandin.EngineAccount) {
 	s.t.Helper()
 	if err := s.get(p.ready.Address+"/account", &a); err != nil {
