--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// loadBytesPerSecond is the share of a host's control traffic that load
-	// digests may use within the zone, and again between zones. The limit for
-	// all control traffic is 10 KB/s.
-	loadBytesPerSecond = 2000
+	// zoneLoadBytes and digestLoadBytes are the bytes a second that load digests
+	// may use within the zone and between zones. The limit for all control
+	// traffic is 10 KB/s, and the hosts that speak for a zone need both.
+	zoneLoadBytes   = 2000
+	digestLoadBytes = 800
 	// loadBytes is the typical size of one load digest.
 	loadBytes = 75
 	// maxLoads bounds the digests in one message.
@@ -263,7 +264,7 @@
 	hb := jkmsg.Heartbeat{
 		Incarnation: self.Incarnation,
 		Revision:    s.options.Revision(),
-		Loads:       s.pickLoads(now, own, s.zoneCredit.take(len(peers), interval)),
+		Loads:       s.pickLoads(now, own, s.zoneCredit.take(len(peers), interval, zoneLoadBytes)),
 		Suspects:    s.suspects.Export(now),
 		Zones:       s.table.Seen(now, interval+s.options.Heartbeat),
 	}
@@ -314,11 +315,11 @@
 type credit float64
 
 // take returns how many digests fit into one message to each of n peers.
-func (c *credit) take(n int, interval time.Duration) int {
+func (c *credit) take(n int, interval time.Duration, bytesPerSecond float64) int {
 	if n == 0 {
 		return 0
 	}
-	*c += credit(loadBytesPerSecond * interval.Seconds() / loadBytes / float64(n))
+	*c += credit(bytesPerSecond * interval.Seconds() / loadBytes / float64(n))
 	fit := min(maxLoads, int(*c))
 	*c = min(*c-credit(fit), maxLoads)
 	return fit
@@ -371,7 +372,7 @@
 		Addr:     self.Addr,
 		Version:  digest.Version,
 		Revision: s.options.Revision(),
-		Loads:    s.zoneLoads(own, s.digestCredit.take(len(targets), s.options.ZoneDigest)),
+		Loads:    s.zoneLoads(own, s.digestCredit.take(len(targets), s.options.ZoneDigest, digestLoadBytes)),
 		Suspects: s.suspects.Export(now),
 	}
 	s.mu.Unlock()
--- a/jasmineknotbench/jkcapacity/model.go
+++ b/jasmineknotbench/jkcapacity/model.go
@@ -19,6 +19,7 @@
 	ControlMax    float64 `json:"control_bytes_per_second_max"`
 	PlatformCalls float64 `json:"platform_calls_per_second"`
 	Calls         float64 `json:"calls_per_second"`
+	AnswerTokens  float64 `json:"answer_tokens"`
 }
 
 // Slopes is the content of slopes.json. Times are in nanoseconds.
@@ -39,6 +40,10 @@
 	HistoryBytes  float64 `json:"history_bytes"`
 	EndpointBytes float64 `json:"endpoint_bytes"`
 	RecordBytes   float64 `json:"record_bytes"`
+	// ApplyTime is a configuration change at a host with 7,900 endpoints;
+	// ChangeBytes is its message with the answer to the pull.
+	ApplyTime   float64 `json:"apply_change_ns"`
+	ChangeBytes float64 `json:"change_bytes"`
 }
 
 // The target's figures.
@@ -47,6 +52,7 @@
 	zones         = 9
 	endpoints     = 7900
 	requests      = 5300.0
+	tokens        = 1.4e6
 	programs      = 240000
 	turns         = 96
 	changesPerDay = 48000
@@ -85,8 +91,8 @@
 	if err := json.Unmarshal(text, &s); err != nil {
 		return Plan{}, eris.Wrap(err, "read slopes")
 	}
-	if len(s.Idle) < 2 || len(s.Loaded) < 1 {
-		return Plan{}, eris.New("slopes: fleet_idle needs two rows or more and fleet_loaded one")
+	if len(s.Idle) < 2 || len(s.Loaded) != 2 {
+		return Plan{}, eris.New("slopes: fleet_idle needs two rows or more, fleet_loaded two of one size with different answer_tokens")
 	}
 	var p Plan
 	p.core(s)
@@ -129,22 +135,32 @@
 	slope, start := fit(column(s.Idle, size), column(s.Idle, func(f Fleet) float64 { return f.Core }))
 	idle := start + slope*daemons
 	p.add("control core, idle", "core", idle, coreLimit, "line through the idle fleets: %.4f + %.2e × %d daemons", start, slope, daemons)
-	perCall := s.perCall()
+	perCall, perToken := s.perCall()
 	decisions := (s.TurnTime + s.PlaceTime + s.QueueTime) / 1e9
 	calls := requests / daemons
-	p.add("control core, with decisions", "core", idle+calls*decisions, coreLimit, "idle + %.1f calls/s × %.0f µs for turn, placement and queue", calls, decisions*1e6)
-	p.add("whole core, with all work on calls", "core", idle+calls*perCall, 0, "idle + %.1f calls/s × %.2f ms measured under load (HTTP, relaying, copies)", calls, perCall*1e3)
-}
-
-// perCall is the processor time in seconds that one call costs a daemon.
-func (s Slopes) perCall() float64 {
-	last := s.Loaded[len(s.Loaded)-1]
-	for _, idle := range s.Idle {
-		if idle.Daemons == last.Daemons {
-			return (last.Core - idle.Core) * last.Daemons / last.Calls
+	changes := changesPerDay / float64(secondsADay)
+	p.add("control core, with decisions and edits", "core", idle+calls*decisions+changes*s.ApplyTime/1e9, coreLimit,
+		"idle + %.1f calls/s × %.0f µs for turn, placement and queue + %.2f changes/s × %.1f ms", calls, decisions*1e6, changes, s.ApplyTime/1e6)
+	each := float64(tokens) / daemons
+	work := calls*perCall + each*perToken
+	p.add("data path, all daemons' share of calls", "core", work, 0,
+		"%.1f calls/s × %.2f ms + %.0f tokens/s × %.0f µs, over entry, home, dispatcher and copies", calls, perCall*1e3, each, perToken*1e6)
+	p.add("reserve of the data path on one core", "times", 1/work, 10, "one core ÷ the line above; the limit is the wanted reserve")
+}
+
+// perCall returns the processor time in seconds that one call and one of its
+// tokens cost the fleet's daemons together.
+func (s Slopes) perCall() (call, token float64) {
+	short, long := s.Loaded[0], s.Loaded[1]
+	idle := math.NaN()
+	for _, f := range s.Idle {
+		if f.Daemons == short.Daemons {
+			idle = f.Core
 		}
 	}
-	return math.NaN()
+	cost := func(f Fleet) float64 { return (f.Core - idle) * f.Daemons / f.Calls }
+	token = (cost(long) - cost(short)) / (long.AnswerTokens - short.AnswerTokens)
+	return cost(short) - short.AnswerTokens*token, token
 }
 
 func (p *Plan) memory(s Slopes) {
@@ -176,7 +192,8 @@
 	} {
 		slope, start := fit(x, column(s.Idle, c.read))
 		n := beats(float64(daemons) / zones)
-		p.add(c.name, "bytes/s", start+slope*n, controlLimit, "%.0f + %.0f B × %.1f heartbeats/s to %d peers", start, slope, n, daemons/zones)
+		edits := s.ChangeBytes * changesPerDay / float64(secondsADay)
+		p.add(c.name, "bytes/s", start+slope*n+edits, controlLimit, "%.0f + %.0f B × %.1f heartbeats/s to %d peers + %.0f for edits", start, slope, n, daemons/zones, edits)
 	}
 }
 
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"jasmineknot.example/jasmineknotbench/jkcapacity"
 	"jasmineknot.example/jasmineknotbench/jkenginecmd"
 	"jasmineknot.example/jasmineknotbench/jkfleet"
 	"jasmineknot.example/jasmineknotbench/jkload"
@@ -20,6 +21,7 @@
 func main() {
 	app := kingpin.New("jasmineknotbench", "Stand-ins, load and policy experiments for jasmineknot.")
 	app.HelpFlag.Short('h')
+	jkcapacity.Register(app)
 	jkenginecmd.Register(app)
 	jkplatformcmd.Register(app)
 	jkservicecmd.Register(app)
