--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// loadBytesPerSecond is the share of a host's control traffic that load
-	// digests may use within the zone, and again between zones. The limit for
-	// all control traffic is 10 KB/s.
-	loadBytesPerSecond = 2000
+	// zoneLoadBytes and digestLoadBytes are the bytes a second that load digests
+	// may use within the zone and between zones. The limit for all control
+	// traffic is 10 KB/s, and the hosts that speak for a zone need both.
+	zoneLoadBytes   = 2000
+	digestLoadBytes = 800
 	// loadBytes is the typical size of one load digest.
 	loadBytes = 75
 	// maxLoads bounds the digests in one message.
@@ -163,10 +164,18 @@
 	return s.suspects.IsRefused(s.options.Timer.Now(), fingerprint, home)
 }
 
-// Crashed notes a crash and tells the zone at once.
-func (s *Service) Crashed(fingerprint string, home jktoken.Incarnation) {
+// Crashes returns the number of known crashes of a content.
+func (s *Service) Crashes(fingerprint string) int {
 	s.mu.Lock()
-	s.suspects.Crashed(s.options.Timer.Now(), fingerprint, home)
+	defer s.mu.Unlock()
+	return s.suspects.Crashes(fingerprint)
+}
+
+// Crashed notes that a content has crashed endpoints so many times and tells the
+// zone at once.
+func (s *Service) Crashed(fingerprint string, home jktoken.Incarnation, crashes int) {
+	s.mu.Lock()
+	s.suspects.Crashed(s.options.Timer.Now(), fingerprint, home, crashes)
 	s.mu.Unlock()
 	s.options.Log.Warn("endpoint crashed while running a request", "fingerprint", fingerprint, "home", home)
 	go s.Beat()
@@ -255,7 +264,7 @@
 	hb := jkmsg.Heartbeat{
 		Incarnation: self.Incarnation,
 		Revision:    s.options.Revision(),
-		Loads:       s.pickLoads(now, own, s.zoneCredit.take(len(peers), interval)),
+		Loads:       s.pickLoads(now, own, s.zoneCredit.take(len(peers), interval, zoneLoadBytes)),
 		Suspects:    s.suspects.Export(now),
 		Zones:       s.table.Seen(now, interval+s.options.Heartbeat),
 	}
@@ -306,11 +315,11 @@
 type credit float64
 
 // take returns how many digests fit into one message to each of n peers.
-func (c *credit) take(n int, interval time.Duration) int {
+func (c *credit) take(n int, interval time.Duration, bytesPerSecond float64) int {
 	if n == 0 {
 		return 0
 	}
-	*c += credit(loadBytesPerSecond * interval.Seconds() / loadBytes / float64(n))
+	*c += credit(bytesPerSecond * interval.Seconds() / loadBytes / float64(n))
 	fit := min(maxLoads, int(*c))
 	*c = min(*c-credit(fit), maxLoads)
 	return fit
@@ -363,7 +372,7 @@
 		Addr:     self.Addr,
 		Version:  digest.Version,
 		Revision: s.options.Revision(),
-		Loads:    s.zoneLoads(own, s.digestCredit.take(len(targets), s.options.ZoneDigest)),
+		Loads:    s.zoneLoads(own, s.digestCredit.take(len(targets), s.options.ZoneDigest, digestLoadBytes)),
 		Suspects: s.suspects.Export(now),
 	}
 	s.mu.Unlock()
--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -116,6 +116,7 @@
 		return err
 	}
 	m.Endpoint = placement.Endpoint
+	m.Crashes = h.options.Crashes(x.run.plan.fingerprint)
 	m.Call.ID += "#" + strconv.Itoa(x.placements)
 	m.Call.Second = x.active > 0
 	x.placements++
@@ -126,16 +127,17 @@
 
 func (x *racer) attempt(m jkmsg.Dispatch) {
 	a := attempt{endpoint: m.Endpoint}
-	text := ""
+	position := 0
 	result, sent, err := x.home.options.Transport.Dispatch(x.ctx, m, func(e jkmsg.DispatchEvent) {
 		if e.Second {
 			x.second <- m.Endpoint
 			return
 		}
-		text += e.Text
-		if !x.run.extend(text) {
-			a.diverged = true
+		if !a.diverged && x.run.extend(position, e.Text) {
+			position += len(e.Text)
+			return
 		}
+		a.diverged = true
 	})
 	a.result = result
 	a.sent = sent
@@ -172,6 +174,10 @@
 // note tells the placer how the attempt ended.
 func (x *racer) note(a attempt) {
 	h := x.home
+	if a.result.Crashes > 0 {
+		// The news of the dispatcher may come after the next attempt.
+		h.options.Crashed(x.run.plan.fingerprint, h.Self(), a.result.Crashes)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a.result.Load != nil {
