dispatch, home, config: put the scheduler's releases, priorities and knobs into force

Cause: the daemon ignored four outputs of the scheduling core: the engine priority of a dispatch, the endpoint at which a program left its cache behind, the release of a cache towards the program's home, and the document's knobs second_dispatch_ratio, slow_factor, max_running and max_wait. Ruled out: reading the knobs at the start only, because an accepted edit takes effect everywhere.

--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -86,6 +86,8 @@
 	orders     *orders
 
 	platformWay switchedTransport
+	// queueDefaults are the dispatcher's settings before the document's knobs.
+	queueDefaults jksched.Options
 	// savedRevision is the configuration revision on this host's disk.
 	savedRevision uint64
 
@@ -163,9 +165,10 @@
 		return err
 	}
 	d.gossip = jkgossip.New(d.gossipOptions())
+	d.queueDefaults = d.schedOptions(seed)
 	d.dispatcher = jkdispatch.New(jkdispatch.Options{
-		Timer: d.options.Timer, Log: d.log.Part("dispatch"), Client: d.endpoints, Queue: d.schedOptions(seed),
-		Quarantined: d.gossip.IsRefused, Crashes: d.gossip.Crashes, Crashed: d.gossip.Crashed,
+		Timer: d.options.Timer, Log: d.log.Part("dispatch"), Client: d.endpoints, Queue: d.queueDefaults,
+		Quarantined: d.gossip.IsRefused, Crashes: d.gossip.Crashes, Crashed: d.gossip.Crashed, Released: d.tellReleased,
 	})
 	d.home = jkhome.New(jkhome.Options{
 		Self: d.self, Zone: d.settings.Zone(), Timer: d.options.Timer, Log: d.log.Part("home"), Keys: keys,
@@ -200,6 +203,19 @@
 	d.follower.OnChange(d.apply)
 }
 
+// queueOptions applies the document's knobs to the dispatcher's settings.
+func (d *Daemon) queueOptions() jksched.Options {
+	o := d.queueDefaults
+	c := d.follower.Newest().Capacity("")
+	if ratio, set := c.SecondDispatchRatio(); set {
+		o.SecondShare = ratio
+	}
+	if c.SlowFactor() > 0 {
+		o.SlowFactor = c.SlowFactor()
+	}
+	return o
+}
+
 func (d *Daemon) schedOptions(seed *rand.Rand) jksched.Options {
 	o := jksched.DefaultOptions()
 	o.Rand = randv2.New(randv2.NewPCG(seed.Uint64(), seed.Uint64()))
--- a/core/jkdaemon/handle.go
+++ b/core/jkdaemon/handle.go
@@ -11,6 +11,7 @@
 	"jasmineknot.example/core/jkmember"
 	"jasmineknot.example/core/jkmsg"
 	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jktoken"
 	"jasmineknot.example/core/jkwire"
 )
 
@@ -26,7 +27,13 @@
 	case jkmsg.TypeRelease:
 		var m jkmsg.Release
 		if err = in.Decode(&m); err == nil {
-			d.dispatcher.Release(m.Program, m.Endpoints)
+			d.takeRelease(m)
+			err = in.End(nil)
+		}
+	case jkmsg.TypeReleased:
+		var m jkmsg.Released
+		if err = in.Decode(&m); err == nil {
+			d.home.Released(m)
 			err = in.End(nil)
 		}
 	case jkmsg.TypeCopyAppend:
@@ -133,6 +140,7 @@
 		HasLeft:      d.copySet.hasLeft,
 		IsEnded:      (&ownCheck{daemon: d}).isEnded,
 		Release:      d.release,
+		ReleaseMoved: d.releaseMoved,
 	}
 }
 
@@ -267,13 +275,54 @@
 		}
 	}
 	for host, ids := range byHost {
-		go d.sendRelease(host, program, ids)
+		go d.sendRelease(host, jkmsg.Release{Program: program, Endpoints: ids})
+	}
+}
+
+// releaseMoved asks the dispatcher of an endpoint to drop the cache of a program
+// that goes on elsewhere.
+func (d *Daemon) releaseMoved(program, endpoint string) {
+	m := jkmsg.Release{Program: program, Endpoints: []string{endpoint}, Moved: true}
+	host, local, ok := d.dispatcherOf(endpoint)
+	switch {
+	case !ok:
+	case local:
+		d.takeRelease(m)
+	default:
+		d.sendRelease(host, m)
+	}
+}
+
+func (d *Daemon) takeRelease(m jkmsg.Release) {
+	if !m.Moved {
+		d.dispatcher.Release(m.Program, m.Endpoints)
+		return
+	}
+	for _, id := range m.Endpoints {
+		d.dispatcher.ReleaseMoved(m.Program, id)
 	}
 }
 
-func (d *Daemon) sendRelease(host jkmember.Host, program string, endpoints []string) {
+// tellReleased passes the news of a dropped cache to the program's home.
+func (d *Daemon) tellReleased(home jktoken.Incarnation, r jkmsg.Released) {
+	addr, local := d.hostAddr(home.Host)
+	if local {
+		d.home.Released(r)
+		return
+	}
+	body, err := jkwire.Encode(&r)
+	if err != nil || addr == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().DeadAfter())
+	defer cancel()
+	// A home that misses this places one call by a cache that is gone.
+	_ = d.pool.Notify(ctx, addr, jkmsg.TypeReleased, body)
+}
+
+func (d *Daemon) sendRelease(host jkmember.Host, m jkmsg.Release) {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().DeadAfter())
 	defer cancel()
 	// A dispatcher that misses this finds the cache by its audit.
-	_ = d.pool.Call(ctx, host.Addr, jkmsg.TypeRelease, &jkmsg.Release{Program: program, Endpoints: endpoints}, nil)
+	_ = d.pool.Call(ctx, host.Addr, jkmsg.TypeRelease, &m, nil)
 }
--- a/core/jkdaemon/rules.go
+++ b/core/jkdaemon/rules.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"jasmineknot.example/core/jkconfig"
 	"jasmineknot.example/core/jkdispatch"
@@ -55,6 +56,7 @@
 		Model:      func(name string) bool { _, ok := r.document().Model(name); return ok },
 		Service:    r.service,
 		RetryRatio: r.retryRatio,
+		MaxWait:    func(model string) time.Duration { return r.document().Capacity(model).MaxWait() },
 	}
 }
 
@@ -129,6 +131,7 @@
 	}
 	d.gossip.Read(func(t *jkmember.Table) { t.SetDrained(drained) })
 	d.objectives.SetObjectives(doc.Objectives())
+	d.dispatcher.SetQueueOptions(d.queueOptions())
 	d.refreshEndpoints()
 	d.log.Part("config").Info("configuration is in force", "revision", doc.Revision())
 }
@@ -150,6 +153,9 @@
 	var names []string
 	for _, c := range doc.Endpoints() {
 		e := endpoint(c)
+		if limit := doc.Capacity(e.ID).MaxRunning(); limit > 0 {
+			e.Slots = min(e.Slots, limit)
+		}
 		known[e.ID] = true
 		all = append(all, e.Endpoint)
 		if e.Zone == zone {
--- a/core/jkdispatch/audit.go
+++ b/core/jkdispatch/audit.go
@@ -6,6 +6,7 @@
 
 	"jasmineknot.example/core/jkmsg"
 	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktoken"
 )
 
 // auditTimeout bounds the question for one engine's state.
@@ -67,7 +68,7 @@
 	if m.Call.Kind != jksched.KindModel {
 		return
 	}
-	u := use{last: d.options.Timer.Now(), hold: d.options.Queue.IdleHold, ends: m.Ends}
+	u := use{home: m.Home, last: d.options.Timer.Now(), hold: d.options.Queue.IdleHold, ends: m.Ends}
 	if m.IdleLimit > 0 {
 		u.hold = min(u.hold, m.IdleLimit)
 	}
@@ -76,6 +77,7 @@
 
 // use is what is known of a program's cache at one engine.
 type use struct {
+	home jktoken.Incarnation
 	last time.Time
 	// hold is how long the cache stays without a call; ends is the time by
 	// which the program has ended in any case, zero for none.
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -36,6 +36,8 @@
 	Client *jkendpoint.Client
 	Queue  jksched.Options
 	// Quarantined reports whether a content may not be run for a home.
+	// Released tells a home that an endpoint's cache of its program is dropped.
+	Released    func(home jktoken.Incarnation, r jkmsg.Released)
 	Quarantined func(fingerprint string, home jktoken.Incarnation) bool
 	// Crashes returns the known crashes of a content. Crashed reports that an
 	// endpoint died while it ran the content, with the crashes so far.
@@ -150,6 +152,23 @@
 	}
 }
 
+// ReleaseMoved drops the cache that a program left behind at an endpoint when it
+// went on elsewhere.
+func (d *Dispatcher) ReleaseMoved(program, endpoint string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.Release(d.options.Timer.Now(), program, endpoint)
+	d.tick()
+}
+
+// SetQueueOptions replaces the queue's settings.
+func (d *Dispatcher) SetQueueOptions(o jksched.Options) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.options.Queue = o
+	d.queue.SetOptions(o)
+}
+
 // Release drops a program's cache at the named endpoints and wherever the queue
 // knows of one. It is retried until the endpoint confirms it. The names matter
 // after a change of dispatcher, when the new one has never seen the program.
@@ -241,6 +260,7 @@
 func (d *Dispatcher) apply(c jksched.Command) {
 	if c.Kind == jksched.CommandReleaseCache {
 		d.startRelease(c.Call.Program, c.Endpoint)
+		d.tellHome(c.Call.Program, c.Endpoint)
 		return
 	}
 	j := d.jobs[jobKey{call: c.Call.ID, endpoint: c.Endpoint}]
@@ -249,7 +269,7 @@
 	}
 	switch c.Kind {
 	case jksched.CommandDispatch:
-		j.start(d.addrs[c.Endpoint])
+		j.start(d.addrs[c.Endpoint], c.EnginePriority)
 	case jksched.CommandRefuse, jksched.CommandMove:
 		d.end(j, *refused(c.Reason, c.RetryAfter))
 	case jksched.CommandSecondDispatch:
@@ -270,6 +290,15 @@
 	close(j.done)
 }
 
+// tellHome lets the home that last ran the program here know that its cache is
+// gone, so that it does not place the next call by it.
+func (d *Dispatcher) tellHome(program, endpoint string) {
+	u, ok := d.used[release{program: program, addr: d.addrs[endpoint]}]
+	if ok && !u.home.IsZero() {
+		go d.options.Released(u.home, jkmsg.Released{Program: program, Endpoint: endpoint})
+	}
+}
+
 func (d *Dispatcher) startRelease(program, endpoint string) {
 	addr := d.addrs[endpoint]
 	if addr == "" {
--- a/core/jkdispatch/job.go
+++ b/core/jkdispatch/job.go
@@ -26,6 +26,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	started    bool
+	// enginePriority is what the queue asks of engines that honour priorities.
+	enginePriority int
 	// crashes is the number of crashes of the content before this call.
 	crashes int
 	result  jkmsg.DispatchResult
@@ -51,7 +53,8 @@
 }
 
 // start runs the call at its endpoint. The caller holds the dispatcher's lock.
-func (j *job) start(addr string) {
+func (j *job) start(addr string, enginePriority int) {
+	j.enginePriority = enginePriority
 	j.started = true
 	j.dispatcher.noteUse(j.message, addr)
 	j.dispatcher.queue.Started(j.dispatcher.options.Timer.Now(), j.message.Call.ID, j.message.Endpoint)
@@ -101,7 +104,7 @@
 		Request:    request,
 		Program:    j.message.Call.Program,
 		RequestID:  j.message.Call.ID,
-		Priority:   j.message.Call.Priority,
+		Priority:   j.enginePriority,
 		Repeatable: j.message.Call.Repeatable,
 	}, j.pass)
 	if err != nil {
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -41,6 +41,9 @@
 	Model      func(name string) bool
 	Service    func(service, method, path string) ServiceRule
 	RetryRatio func() float64
+	// MaxWait is the predicted wait above which a call of a model is refused;
+	// zero means no limit.
+	MaxWait func(model string) time.Duration
 }
 
 // Transport reaches the other parts of the system.
@@ -69,6 +72,9 @@
 	HasLeft func(ctx context.Context, former, copyHost jktoken.Incarnation) (bool, error)
 	// Release asks the dispatchers of endpoints to drop a program's cache.
 	Release func(program string, endpoints []string)
+	// ReleaseMoved asks the dispatcher of an endpoint to drop the cache of a
+	// program that goes on elsewhere.
+	ReleaseMoved func(program, endpoint string)
 }
 
 // Options holds what a home needs.
@@ -176,6 +182,13 @@
 	}
 }
 
+// Released notes that an endpoint has dropped a program's cache.
+func (h *Home) Released(r jkmsg.Released) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.placer.Released(r.Program, r.Endpoint)
+}
+
 // SetLoad takes the digest of an endpoint.
 func (h *Home) SetLoad(l jksched.Load) {
 	h.mu.Lock()
--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -115,6 +115,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := h.options.Rules.MaxWait(m.Call.Model); limit > 0 && placement.PredictedWait > limit && x.placements == 0 {
+		return &jksched.RefusedError{Reason: jksched.ReasonQueueFull, RetryAfter: placement.PredictedWait - limit}
+	}
 	m.Endpoint = placement.Endpoint
 	m.Crashes = h.options.Crashes(x.run.plan.fingerprint)
 	m.Call.ID += "#" + strconv.Itoa(x.placements)
@@ -186,7 +189,10 @@
 	if a.result.Outcome == jkprogram.OutcomeCompleted {
 		m, err := h.dispatch(x.run.plan, x.info, x.run.deadline)
 		if err == nil {
-			h.placer.Finished(m.Call, a.endpoint, jksched.Result{Outcome: jksched.OutcomeCompleted})
+			stale := h.placer.Finished(m.Call, a.endpoint, jksched.Result{Outcome: jksched.OutcomeCompleted})
+			if stale != "" {
+				go h.options.Transport.ReleaseMoved(m.Call.Program, stale)
+			}
 		}
 	}
 	x.last = a
--- a/core/jkmsg/message.go
+++ b/core/jkmsg/message.go
@@ -23,6 +23,7 @@
 	TypeProgram     = "program"
 	TypeDispatch    = "dispatch"
 	TypeRelease     = "release"
+	TypeReleased    = "released"
 	TypeCopyAppend  = "copy_append"
 	TypeCopyRead    = "copy_read"
 	TypeHandover    = "handover"
@@ -252,6 +253,14 @@
 type Release struct {
 	Program   string   `msgpack:"program"`
 	Endpoints []string `msgpack:"endpoints"`
+	// Moved tells that the program goes on with its cache elsewhere.
+	Moved bool `msgpack:"moved,omitempty"`
+}
+
+// Released tells a program's home that an endpoint has dropped its cache.
+type Released struct {
+	Program  string `msgpack:"program"`
+	Endpoint string `msgpack:"endpoint"`
 }
 
 // CopyStatus is the result of a write to one copy.
--- a/core/jksched/queue.go
+++ b/core/jksched/queue.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// SetOptions replaces the settings; they count from the next decision on.
+func (q *Queue) SetOptions(opt Options) { q.opt = opt }
+
 // SetEndpoint adds an endpoint or changes its description or state.
 func (q *Queue) SetEndpoint(e Endpoint) {
 	if row, ok := q.endpoints[e.ID]; ok {
