--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -203,10 +203,10 @@
 	d.follower.OnChange(d.apply)
 }
 
-// queueOptions applies the document's knobs to the dispatcher's settings.
-func (d *Daemon) queueOptions() jksched.Options {
+// knobs applies the document's knobs to the dispatcher's settings.
+func (d *Daemon) knobs(doc *jkconfig.Document) jksched.Options {
 	o := d.queueDefaults
-	c := d.follower.Newest().Capacity("")
+	c := doc.Capacity("")
 	if ratio, set := c.SecondDispatchRatio(); set {
 		o.SecondShare = ratio
 	}
--- a/core/jkdaemon/rules.go
+++ b/core/jkdaemon/rules.go
@@ -131,7 +131,7 @@
 	}
 	d.gossip.Read(func(t *jkmember.Table) { t.SetDrained(drained) })
 	d.objectives.SetObjectives(doc.Objectives())
-	d.dispatcher.SetQueueOptions(d.queueOptions())
+	d.dispatcher.SetQueueOptions(d.knobs(doc))
 	d.refreshEndpoints()
 	d.log.Part("config").Info("configuration is in force", "revision", doc.Revision())
 }
@@ -153,8 +153,12 @@
 	var names []string
 	for _, c := range doc.Endpoints() {
 		e := endpoint(c)
-		if limit := doc.Capacity(e.ID).MaxRunning(); limit > 0 {
-			e.Slots = min(e.Slots, limit)
+		limits := doc.Capacity(e.ID)
+		if n := limits.MaxRunning(); n > 0 {
+			e.Slots = min(e.Slots, n)
+		}
+		if n, set := limits.MaxQueued(); set {
+			e.MaxQueued = max(1, n)
 		}
 		known[e.ID] = true
 		all = append(all, e.Endpoint)
--- a/core/jkdispatch/dispatch.go
+++ b/core/jkdispatch/dispatch.go
@@ -35,9 +35,9 @@
 	Log    jklog.Logger
 	Client *jkendpoint.Client
 	Queue  jksched.Options
-	// Quarantined reports whether a content may not be run for a home.
 	// Released tells a home that an endpoint's cache of its program is dropped.
-	Released    func(home jktoken.Incarnation, r jkmsg.Released)
+	Released func(home jktoken.Incarnation, r jkmsg.Released)
+	// Quarantined reports whether a content may not be run for a home.
 	Quarantined func(fingerprint string, home jktoken.Incarnation) bool
 	// Crashes returns the known crashes of a content. Crashed reports that an
 	// endpoint died while it ran the content, with the crashes so far.
--- a/core/jksched/admit.go
+++ b/core/jksched/admit.go
@@ -52,7 +52,7 @@
 		return &RefusedError{Reason: ReasonBreaker, RetryAfter: q.opt.BreakerPause}
 	case row.breaker == BreakerSlow && len(row.running) >= row.limit:
 		return &RefusedError{Reason: ReasonSlow, RetryAfter: wait}
-	case row.queued() >= q.opt.MaxQueued*max(row.endpoint.Slots, 1):
+	case row.queued() >= q.maxQueued(row):
 		return &RefusedError{Reason: ReasonQueueFull, RetryAfter: max(wait, row.service)}
 	}
 	if c.Deadline.IsZero() {
@@ -86,3 +86,11 @@
 func (q *Queue) output(c Call) int64 {
 	return q.outputs.expect(c, q.opt.OutputTokens)
 }
+
+// maxQueued returns the number of calls that may wait for an endpoint.
+func (q *Queue) maxQueued(row *queueRow) int {
+	if row.endpoint.MaxQueued > 0 {
+		return row.endpoint.MaxQueued
+	}
+	return q.opt.MaxQueued * max(row.endpoint.Slots, 1)
+}
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -67,12 +67,15 @@
 
 // Endpoint describes a back end.
 type Endpoint struct {
-	ID          string
-	Zone        string
-	Kind        Kind
-	Models      []string
-	Service     string
-	Slots       int
+	ID      string
+	Zone    string
+	Kind    Kind
+	Models  []string
+	Service string
+	Slots   int
+	// MaxQueued bounds the waiting calls; zero stands for the options' multiple
+	// of slots.
+	MaxQueued   int
 	CacheTokens int64
 	State       State
 }
