--- a/jasmineknotd/jkprocess/platform_test.go
+++ b/jasmineknotd/jkprocess/platform_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"jasmineknot.example/core/jkapi"
 	"jasmineknot.example/core/jksite"
 	"jasmineknot.example/core/jkstandin"
 )
@@ -248,3 +249,84 @@
 		}
 	}
 }
+
+// Guards against edits of several teams at once that overwrite each other, are
+// applied twice or are lost: the revisions rise by the accepted edits.
+func TestConcurrentEdits(t *testing.T) {
+	s := startSite(t, options{})
+	sections := s.desc.Sections()
+	accepted := make(chan string, 16)
+	var editors sync.WaitGroup
+	for i, name := range []string{"priorities", "priorities", "models", "payments"} {
+		editors.Add(1)
+		go func() {
+			defer editors.Done()
+			entries := sections[name].(map[string]any)
+			for n := range 3 {
+				changed := map[string]any{}
+				for id, e := range entries {
+					entry := map[string]any{}
+					for k, v := range e.(map[string]any) {
+						entry[k] = v
+					}
+					switch name {
+					case "priorities":
+						entry["weight"] = 20 + 10*i + n
+					case "models":
+						entry["replicas"] = 2 + n
+					case "payments":
+						entry["timeout"] = fmt.Sprintf("%ds", 11+n)
+					}
+					changed[id] = entry
+				}
+				err := jksite.WriteSection(context.Background(), s.client, s.hosts[i].ready.HTTP, name, changed, fmt.Sprintf("edit-%d-%d", i, n))
+				if err == nil {
+					accepted <- name
+				} else if name != "priorities" {
+					t.Errorf("edit of %s, which nobody else edits: %v", name, err)
+				}
+			}
+		}()
+	}
+	editors.Wait()
+	n := len(accepted)
+	s.within(4*time.Second, "all edits in force", func() error { return s.atRevision(uint64(6 + n)) })
+	t.Logf("%d of 12 edits were accepted", n)
+}
+
+// Guards against a deposit by Idempotency-Key that runs twice when it is sent
+// through two hosts, when the platform loses the claim's answer or its host dies,
+// and against one that runs without a claim.
+func TestClaims(t *testing.T) {
+	s := startSite(t, options{})
+	pay := func(n int, action string) (told, reply) {
+		p := &program{s: s, entry: n}
+		return p.payAs(action, map[string]string{jkapi.HeaderIdempotency: "key-" + action}, "", 6*time.Second)
+	}
+	for n := range s.hosts {
+		if word, r := pay(n, "plain"); word != toldCompleted {
+			t.Errorf("through host %d: %s", n, r)
+		}
+	}
+	s.setPlatform(map[string]any{"lose_answers": 1})
+	if word, r := pay(0, "lost"); word != toldCompleted {
+		t.Errorf("lost answer: %s", r)
+	}
+	s.setPlatform(map[string]any{"lose_answers": 0, "down": true})
+	if word, r := pay(1, "down"); word == toldCompleted {
+		t.Errorf("without the platform: %s", r)
+	}
+	if runs := s.account()["down"].Runs; runs != 0 {
+		t.Errorf("a deposit without a claim ran %d times", runs)
+	}
+	s.setPlatform(map[string]any{"down": false})
+	s.serviceFault(jkstandin.ServiceFault{Kind: jkstandin.ServiceCloseAfterRun, Times: 1})
+	if word, r := pay(2, "died"); word != toldUnknown {
+		t.Errorf("answer of the service lost: %s", r)
+	}
+	s.hosts[2].kill()
+	if word, r := pay(3, "died"); word != toldUnknown {
+		t.Errorf("host of the claim died: %s", r)
+	}
+	s.checkActions()
+}
