--- a/core/jkdaemon/rules_test.go
+++ b/core/jkdaemon/rules_test.go
@@ -40,8 +40,10 @@
 		Create: func(_ context.Context, key string, value []byte) (jkplatform.Record, error) {
 			return jkplatform.Record{Key: key, Value: value, Version: 1}, nil
 		},
-		List:  func(context.Context, string) ([]jkplatform.Record, error) { return nil, nil },
-		Watch: func(context.Context, string, uint64, time.Duration) ([]jkplatform.Record, uint64, error) { return nil, 0, nil },
+		List: func(context.Context, string) ([]jkplatform.Record, error) { return nil, nil },
+		Watch: func(context.Context, string, uint64, time.Duration) ([]jkplatform.Record, uint64, error) {
+			return nil, 0, nil
+		},
 	}
 }
 
