--- a/jasmineknotd/jkprocess/caller_test.go
+++ b/jasmineknotd/jkprocess/caller_test.go
@@ -119,6 +119,7 @@
 		Outcome jkprogram.Outcome `json:"outcome"`
 		Token   string            `json:"token"`
 		Length  int               `json:"length"`
+		Digest  string            `json:"digest"`
 		Problem jkproblem.Problem `json:"problem"`
 	}
 	for {
@@ -135,9 +136,7 @@
 			r.err = json.Unmarshal(e.Data, &final)
 		case string(e.Data) == jkchat.Done:
 			r.text, r.token, r.outcome = text.String(), final.Token, final.Outcome
-			if final.Length != text.Len() {
-				r.err = fmt.Errorf("stream has %d bytes, announced were %d", text.Len(), final.Length)
-			}
+			r.err = jkchat.Final{Length: final.Length, Digest: final.Digest}.Check(r.text)
 			return
 		default:
 			var c jkchat.Chunk
