program: keep superseded rows for the whole retention

Cause: a row's retention counted from its last call, so a program that had been idle longer was forgotten at the tick after it was superseded, with turns that only this host held. Ruled out: keeping such rows for ever, because the table is bounded. Before and after: TestSupersededRowIsKept fails before and passes after. Conclusion: the retention begins at the first tick that sees the row.

--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -100,7 +100,7 @@
 	}
 	p.superseded = true
 	p.running = nil
-	p.endedAt = p.lastActive
+	p.endedAt = time.Time{}
 }
 
 // Snapshot returns a record that brings a copy up to date that missed records.
@@ -224,6 +224,11 @@
 	var expired []Expired
 	for id, p := range c.programs {
 		if p.state.End != "" || p.superseded {
+			// A row that was superseded after a long pause still answers its
+			// successor for the whole retention.
+			if p.endedAt.IsZero() {
+				p.endedAt = now
+			}
 			if now.Sub(p.endedAt) > c.options.EndedRetention {
 				delete(c.programs, id)
 			}
