program, bench: take refused announcements back at the copies; join the stand-in commands

Cause: a deposit that was announced and then refused as not_run left its announcement at the copies, and a successor made an unknown turn of it, which used up the caller's token. The four stand-in commands repeated each other. Ruled out: not announcing before placement succeeds, because the dispatch may follow at once. Conclusion: without the record (copies unreachable) the outcome stays unknown, which is safe.

--- a/core/jkhome/call.go
+++ b/core/jkhome/call.go
@@ -155,7 +155,7 @@
 	info, _ := h.core.Info(id)
 	h.mu.Unlock()
 	if err := h.check(p, info.Template); err != nil {
-		h.refuse(id)
+		h.refuse(ctx, id)
 		return h.refusal(p.message, jkproblem.From(err), p.repeatable)
 	}
 	if err := h.store(ctx, id, a.Record); err != nil {
@@ -163,16 +163,19 @@
 	}
 	won, err := h.race(ctx, r, info)
 	if err != nil {
-		return h.fail(p, err)
+		return h.fail(ctx, p, err)
 	}
 	return h.complete(ctx, r, a, won)
 }
 
-// refuse gives up a call that was not dispatched.
-func (h *Home) refuse(id string) {
+// refuse gives up a call that was not dispatched, at the copies too.
+func (h *Home) refuse(ctx context.Context, id string) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.core.Refuse(id)
+	record := h.core.Refuse(id)
+	h.mu.Unlock()
+	if record != nil {
+		h.appendAll(context.WithoutCancel(ctx), *record)
+	}
 }
 
 // store writes a record that has to be at the copies before dispatch.
@@ -188,15 +191,15 @@
 
 // fail ends a call without a recorded turn: one that certainly did not run, or
 // a repeatable one that failed.
-func (h *Home) fail(p *plan, err error) jkmsg.CallResult {
+func (h *Home) fail(ctx context.Context, p *plan, err error) jkmsg.CallResult {
 	var ran *ranError
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	problem := jkproblem.From(err)
 	if !errors.As(err, &ran) {
-		h.core.Refuse(p.message.Program)
+		h.refuse(ctx, p.message.Program)
 		return h.refusal(p.message, problem.WithOutcome(jkprogram.OutcomeNotRun), p.repeatable)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.core.Abort(p.message.Program)
 	return h.refusal(p.message, problem, p.repeatable)
 }
@@ -212,7 +215,7 @@
 	result, err := h.turnOf(p, a, won)
 	result.Endpoint = winner.endpoint
 	if err != nil {
-		return h.fail(p, &ranError{problem: jkproblem.New(jkproblem.TypeEndpointFailed, err.Error())})
+		return h.fail(ctx, p, &ranError{problem: jkproblem.New(jkproblem.TypeEndpointFailed, err.Error())})
 	}
 	h.mu.Lock()
 	h.learn(p, won)
--- a/core/jkprogram/call.go
+++ b/core/jkprogram/call.go
@@ -259,17 +259,29 @@
 		return nil
 	}
 	needed := p.running.maxCost
-	c.Refuse(id)
+	p.refuse()
 	return eris.Wrap(p.budgetError(needed, true), "recorded")
 }
 
 // Refuse gives up a started call that was certainly not dispatched. The token
-// becomes free again. The id of a non-repeatable request is closed for good.
-func (c *Core) Refuse(id string) {
+// becomes free again. The id of a non-repeatable request is closed for good. If
+// the call was announced at the copies, the record takes that back; without it a
+// successor would have to call the outcome unknown.
+func (c *Core) Refuse(id string) *Record {
 	p := c.programs[id]
 	if p == nil || p.running == nil {
-		return
+		return nil
+	}
+	announced := p.state.Intent != nil
+	p.refuse()
+	if !announced {
+		return nil
 	}
+	r := p.record(RecordClosed)
+	return &r
+}
+
+func (p *program) refuse() {
 	p.state.Spent += p.running.charged
 	if !p.running.repeatable {
 		p.close(p.running.requestID)
--- a/core/jkprogram/life_test.go
+++ b/core/jkprogram/life_test.go
@@ -27,3 +27,32 @@
 		t.Fatal("the row is kept for ever")
 	}
 }
+
+// Guards against a deposit that was told not_run and whose outcome a successor
+// calls unknown, because its announcement is still at the copies.
+func TestRefusalIsTakenBackAtCopies(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: jktoken.Incarnation{Host: "a", Start: 1}, MaxPrograms: 2})
+	first, err := c.Create(now, Creation{Program: "p", Meta: Meta{Budget: 10}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stored State
+	claims, _ := c.Claims("p")
+	a, err := c.Submit(now, Submission{Program: "p", Token: &claims, RequestID: "pay", Kind: KindService})
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := c.Refuse("p")
+	if closed == nil {
+		t.Fatal("no record takes the announcement back")
+	}
+	for _, r := range []Record{first, *a.Record, *closed} {
+		if !stored.Apply(r) {
+			t.Fatalf("record %s does not apply", r.Kind)
+		}
+	}
+	if stored.Intent != nil {
+		t.Fatalf("the copies still announce %s", stored.Intent.RequestID)
+	}
+}
--- a/core/jkprogram/program.go
+++ b/core/jkprogram/program.go
@@ -89,6 +89,8 @@
 	RecordGrant    RecordKind = "grant"
 	RecordIntent   RecordKind = "intent"
 	RecordTurn     RecordKind = "turn"
+	// RecordClosed takes an announced call back that was not dispatched.
+	RecordClosed RecordKind = "closed"
 	RecordEnd      RecordKind = "end"
 )
 
@@ -172,6 +174,8 @@
 		s.Turns = append(s.Turns, *r.Turn)
 		s.Spent += r.Turn.Cost
 		s.Intent = nil
+	case RecordClosed:
+		s.Intent = nil
 	case RecordEnd:
 		s.End = r.End
 	case RecordGrant, RecordSnapshot:
--- a/core/jkprogram/script_test.go
+++ b/core/jkprogram/script_test.go
@@ -54,7 +54,9 @@
 		d.MaybeScanArgs(t, "result", &result)
 		return s.result(home, "p", home.Recorded("p", CopyResult(result)))
 	case "refuse":
-		home.Refuse("p")
+		if r := home.Refuse("p"); r != nil {
+			return fmt.Sprintf("record %s\n", r.Kind) + s.result(home, "p", nil)
+		}
 		return s.result(home, "p", nil)
 	case "complete":
 		outcome, cost := string(OutcomeCompleted), 0
--- a/jasmineknotbench/jkenginecmd/command.go
+++ b/jasmineknotbench/jkstandincmd/engine.go
@@ -1,37 +1,31 @@
-// Package jkenginecmd is the command that serves a stand-in model engine.
-package jkenginecmd
+package jkstandincmd
 
 import (
-	"os"
+	"net/http"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkstandin"
 	"jasmineknot.example/core/jktimer"
-	"jasmineknot.example/jasmineknotbench/jkserve"
 )
 
-// command holds the values of the flags.
-type command struct {
-	address       string
+// engine holds the values of the engine command's flags.
+type engine struct {
 	ignoreFencing bool
 	options       jkstandin.EngineOptions
 }
 
-// Register adds the command to an application.
-func Register(app *kingpin.Application) {
-	c := &command{options: jkstandin.DefaultEngineOptions()}
-	cmd := app.Command("standin-engine", "Serve a stand-in model engine.")
-	cmd.Flag("address", "Loopback address; port 0 picks a free port.").Default("127.0.0.1:0").StringVar(&c.address)
-	cmd.Flag("ignore-fencing", "Accept orders with an old fencing token.").BoolVar(&c.ignoreFencing)
-	c.addModelFlags(cmd)
-	c.addCacheFlags(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return c.run() })
+func registerEngine(app *kingpin.Application) {
+	e := &engine{options: jkstandin.DefaultEngineOptions()}
+	cmd := serve(app, "engine", "Serve a stand-in model engine.", e.handler)
+	cmd.Flag("ignore-fencing", "Accept orders with an old fencing token.").BoolVar(&e.ignoreFencing)
+	e.addModelFlags(cmd)
+	e.addCacheFlags(cmd)
 }
 
-func (c *command) addModelFlags(cmd *kingpin.CmdClause) {
-	o := &c.options
+func (e *engine) addModelFlags(cmd *kingpin.CmdClause) {
+	o := &e.options
 	cmd.Flag("time-scale", "Real seconds per modelled second.").Default("1").Float64Var(&o.TimeScale)
 	cmd.Flag("max-batch", "Sequences computed at once.").Default("16").IntVar(&o.MaxBatch)
 	cmd.Flag("step-base", "Modelled time of a step.").Default(o.StepBase.String()).DurationVar(&o.StepBase)
@@ -47,8 +41,8 @@
 	cmd.Flag("role", "Role at the start.").Default(o.Role).StringVar(&o.Role)
 }
 
-func (c *command) addCacheFlags(cmd *kingpin.CmdClause) {
-	o := &c.options
+func (e *engine) addCacheFlags(cmd *kingpin.CmdClause) {
+	o := &e.options
 	cmd.Flag("cache-tokens", "Capacity of the prefix cache.").Default("200000").IntVar(&o.CacheTokens)
 	cmd.Flag("cache-event-lag", "Modelled age at which a cache event is published.").
 		Default(o.CacheEventLag.String()).DurationVar(&o.CacheEventLag)
@@ -58,9 +52,7 @@
 		Default(o.ResumeWindow.String()).DurationVar(&o.ResumeWindow)
 }
 
-func (c *command) run() error {
-	timer := jktimer.New()
-	logger := jklog.New(os.Stderr, timer.Now)
-	c.options.CheckFencing = !c.ignoreFencing
-	return jkserve.Run(c.address, jkstandin.NewEngine(c.options, timer, logger), timer, logger.Part("engine"))
+func (e *engine) handler(timer *jktimer.Service, logger jklog.Logger) http.Handler {
+	e.options.CheckFencing = !e.ignoreFencing
+	return jkstandin.NewEngine(e.options, timer, logger)
 }
--- a/jasmineknotbench/main.go
+++ b/jasmineknotbench/main.go
@@ -8,24 +8,18 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"jasmineknot.example/jasmineknotbench/jkcapacity"
-	"jasmineknot.example/jasmineknotbench/jkenginecmd"
 	"jasmineknot.example/jasmineknotbench/jkfleet"
 	"jasmineknot.example/jasmineknotbench/jkload"
 	"jasmineknot.example/jasmineknotbench/jkpath"
-	"jasmineknot.example/jasmineknotbench/jkplatformcmd"
 	"jasmineknot.example/jasmineknotbench/jkpolicy"
-	"jasmineknot.example/jasmineknotbench/jkservicecmd"
-	"jasmineknot.example/jasmineknotbench/jktoolcmd"
+	"jasmineknot.example/jasmineknotbench/jkstandincmd"
 )
 
 func main() {
 	app := kingpin.New("jasmineknotbench", "Stand-ins, load and policy experiments for jasmineknot.")
 	app.HelpFlag.Short('h')
+	jkstandincmd.Register(app)
 	jkcapacity.Register(app)
-	jkenginecmd.Register(app)
-	jkplatformcmd.Register(app)
-	jkservicecmd.Register(app)
-	jktoolcmd.Register(app)
 	jkfleet.Register(app)
 	jkload.Register(app)
 	jkpolicy.Register(app)
