--- a/core/jkprogram/program.go
+++ b/core/jkprogram/program.go
@@ -91,7 +91,7 @@
 	RecordTurn     RecordKind = "turn"
 	// RecordClosed takes an announced call back that was not dispatched.
 	RecordClosed RecordKind = "closed"
-	RecordEnd      RecordKind = "end"
+	RecordEnd    RecordKind = "end"
 )
 
 // Intent announces a call that may not be repeated before its dispatch.
