--- a/core/jkapi/program.go
+++ b/core/jkapi/program.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 
 	"github.com/labstack/echo/v4"
 
+	"jasmineknot.example/core/jkchat"
 	"jasmineknot.example/core/jkmsg"
 	"jasmineknot.example/core/jkproblem"
 	"jasmineknot.example/core/jkprogram"
@@ -67,7 +69,10 @@
 	var r createRequest
 	decoder := json.NewDecoder(strings.NewReader(string(body)))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&r); err != nil {
+	var typed *json.UnmarshalTypeError
+	if err := decoder.Decode(&r); errors.As(err, &typed) {
+		return sendProblem(c, jkproblem.Newf(jkproblem.TypeBadRequest, "%s is a %s, allowed: %s", typed.Field, typed.Value, jkchat.AllowedType(typed)).WithField(typed.Field))
+	} else if err != nil {
 		return sendProblem(c, jkproblem.Newf(jkproblem.TypeBadRequest, "%v; allowed: workspace, template, parent_token, budget_tokens", err).WithField("body"))
 	}
 	if r.Template == "" {
--- a/core/jkchat/fields.go
+++ b/core/jkchat/fields.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"reflect"
 	"sort"
 )
 
@@ -38,7 +40,7 @@
 			continue
 		}
 		if err := json.Unmarshal(raw, known[name]); err != nil {
-			return nil, &FieldError{Field: name, Value: clip(raw), Allowed: err.Error()}
+			return nil, &FieldError{Field: name, Value: clip(raw), Allowed: allowedBy(err)}
 		}
 	}
 	if len(all) == 0 {
@@ -47,6 +49,36 @@
 	return all, nil
 }
 
+// AllowedType names the JSON type that a decoding error asks for.
+func AllowedType(e *json.UnmarshalTypeError) string {
+	switch e.Type.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		return "a whole number"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct, reflect.Map, reflect.Pointer:
+		return "an object"
+	default:
+		return e.Type.String()
+	}
+}
+
+func allowedBy(err error) string {
+	var field *FieldError
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &field):
+		return field.Field + ": " + field.Allowed
+	case errors.As(err, &typed):
+		return AllowedType(typed)
+	}
+	return err.Error()
+}
+
 // joinFields encodes a struct and appends extra fields in sorted order.
 func joinFields(known any, extra map[string]json.RawMessage) ([]byte, error) {
 	body, err := json.Marshal(known)
--- a/core/jksite/path_test.go
+++ b/core/jksite/path_test.go
@@ -37,6 +37,11 @@
 			req.Header.Set(k, v)
 		}
 	}
+	return receive(t, req)
+}
+
+func receive(t testing.TB, req *http.Request) answer {
+	t.Helper()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
