member, gossip: identify a zone's digest by its content

Cause: two hosts take turns at speaking for a zone and each counted its versions by itself, so the lower one looked stale after 1.5 s and every host pulled both digests again and again; a load digest had grown to 87 bytes and was counted as 75. Control traffic at 100 daemons was 6,683 B/s mean and 10,460 B/s max on an idle machine. Ruled out: a single speaker, because its death makes the zone unreachable for 3 s. Before and after: TestSpeakersOfOneZone replaces TestLowerVersionOfNewLeader: it keeps its two checks (another speaker's content is wanted, an old digest is not) and adds that equal digests are pulled once, which the counted versions fail. Conclusion: freshness decides between digests, the version only tells them apart.

--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -25,7 +25,7 @@
 	zoneLoadBytes   = 2000
 	digestLoadBytes = 800
 	// loadBytes is the typical size of one load digest.
-	loadBytes = 75
+	loadBytes = 90
 	// maxLoads bounds the digests in one message.
 	maxLoads = 64
 	// spacing is the least time between a host's heartbeats for each peer. At
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -5,10 +5,13 @@
 package jkmember
 
 import (
+	"fmt"
 	"maps"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jasmineknot.example/core/jktoken"
 )
 
@@ -49,8 +52,8 @@
 	Disk        bool                `msgpack:"disk"`
 }
 
-// ZoneDigest describes the hosts of a zone to the other zones. Version rises
-// with every change of the content.
+// ZoneDigest describes the hosts of a zone to the other zones. Version identifies
+// the content.
 type ZoneDigest struct {
 	Zone    string `msgpack:"zone"`
 	Version uint64 `msgpack:"version"`
@@ -172,13 +175,14 @@
 }
 
 // ObserveZone takes the digest of another zone, received age ago by the host
-// that passed it on. It reports whether the digest was new.
+// that passed it on. One that is older than the known one is ignored. It reports
+// whether the content changed.
 func (t *Table) ObserveZone(now time.Time, d ZoneDigest, age time.Duration) bool {
 	if d.Zone == t.options.Self.Zone {
 		return false
 	}
 	z := t.zones[d.Zone]
-	if z != nil && d.Version < z.digest.Version && !t.isStale(now, z) {
+	if z != nil && now.Add(-age).Before(z.seen) {
 		return false
 	}
 	changed := z == nil || d.Version != z.digest.Version
@@ -189,7 +193,7 @@
 	return changed
 }
 
-// RefreshZone notes that a zone was heard age ago with the known version.
+// RefreshZone notes that a zone was heard age ago with the known content.
 func (t *Table) RefreshZone(now time.Time, name string, s ZoneSeen) {
 	z := t.zones[name]
 	if z != nil && z.digest.Version == s.Version && now.Add(-s.Age).After(z.seen) {
@@ -197,23 +201,16 @@
 	}
 }
 
-// NeedsZone reports whether a peer knows a newer digest of a zone. A lower
-// version counts as newer if the known one is not heard any more: each leader
-// of a zone counts by itself, and the next one may have seen fewer changes.
+// NeedsZone reports whether a peer has heard a zone later than this host, with
+// another content.
 func (t *Table) NeedsZone(now time.Time, name string, s ZoneSeen) bool {
 	if name == t.options.Self.Zone {
 		return false
 	}
 	z := t.zones[name]
-	if z == nil || z.digest.Version < s.Version {
-		return true
-	}
-	return z.digest.Version != s.Version && t.isStale(now, z) && s.Age < t.options.Timeout/2
+	return z == nil || (z.digest.Version != s.Version && now.Add(-s.Age).After(z.seen))
 }
 
-// isStale reports whether a zone's digest has missed its refreshes.
-func (t *Table) isStale(now time.Time, z *zone) bool { return now.Sub(z.seen) > t.options.Timeout/2 }
-
 func (t *Table) applyZone(now time.Time, d ZoneDigest) {
 	t.version++
 	listed := map[string]bool{}
@@ -291,7 +288,7 @@
 	sort.Slice(changes, func(i, j int) bool {
 		return changes[i].Host.Incarnation.Host < changes[j].Host.Incarnation.Host
 	})
-	t.updateOwn(now)
+	t.updateOwn()
 	return changes
 }
 
@@ -335,19 +332,24 @@
 	return StatusDown
 }
 
-// updateOwn rebuilds the digest of the own zone and raises its version when the
-// content has changed.
-func (t *Table) updateOwn(now time.Time) {
+// updateOwn rebuilds the digest of the own zone.
+func (t *Table) updateOwn() {
 	hosts := t.Up(t.options.Self.Zone)
 	if sameHosts(hosts, t.own.Hosts) {
 		return
 	}
-	t.own = ZoneDigest{
-		Zone: t.options.Self.Zone,
-		// The clock makes versions of successive zone leaders rise.
-		Version: max(t.own.Version+1, uint64(now.UnixMilli())),
-		Hosts:   hosts,
+	t.own = ZoneDigest{Zone: t.options.Self.Zone, Version: contentVersion(hosts), Hosts: hosts}
+}
+
+// contentVersion identifies a list of hosts. Two hosts that speak for one zone
+// give the same version to the same content, so that nobody pulls it again.
+func contentVersion(hosts []Host) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, h := range hosts {
+		_, _ = fmt.Fprintf(&d, "%s %s %s %s %s %t\n", h.Incarnation, h.Zone, h.Addr, h.HTTP, h.State, h.Disk)
 	}
+	return d.Sum64()
 }
 
 func sameHosts(a, b []Host) bool {
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -146,25 +146,53 @@
 	}
 }
 
-// Guards against a zone that stays unreachable for ever because its new leader
-// counts lower versions than the former one.
-func TestLowerVersionOfNewLeader(t *testing.T) {
-	now := time.Unix(100, 0)
-	table := New(now, Options{Self: Host{Incarnation: jktoken.Incarnation{Host: "a", Start: 1}, Zone: "z1"}, Timeout: 3 * time.Second, Forget: time.Hour})
-	far := Host{Incarnation: jktoken.Incarnation{Host: "b", Start: 1}, Zone: "z2"}
-	table.ObserveZone(now, ZoneDigest{Zone: "z2", Version: 9, Hosts: []Host{far}}, 0)
-	low := ZoneSeen{Version: 7}
-	if table.NeedsZone(now.Add(time.Second), "z2", low) || table.ObserveZone(now.Add(time.Second), ZoneDigest{Zone: "z2", Version: 7}, 0) {
-		t.Fatal("a lower version replaced a digest that is still heard")
-	}
-	now = now.Add(4 * time.Second)
-	table.Tick(now)
-	if !table.NeedsZone(now, "z2", low) {
-		t.Fatal("the new leader's digest is not asked for")
-	}
-	table.ObserveZone(now, ZoneDigest{Zone: "z2", Version: 7, Hosts: []Host{far}}, 0)
-	table.Tick(now)
-	if _, status := table.Status("b"); status != StatusUp {
-		t.Fatalf("got %s, want up", status)
+// Guards against a zone that stays unreachable because another host speaks for it
+// now, against an old digest that comes back by way of a peer, and against two
+// speakers whose equal digests are pulled again and again.
+func TestSpeakersOfOneZone(t *testing.T) {
+	near := New(start, Options{Self: host("near", "z1", 1), Timeout: 3 * time.Second, Forget: time.Hour})
+	speakers := []*Table{}
+	for _, name := range []string{"x", "y"} {
+		s := New(start, Options{Self: host(name, "z2", 1), Timeout: 3 * time.Second, Forget: time.Hour})
+		for _, other := range []string{"x", "y"} {
+			s.Observe(start, host(other, "z2", 1))
+		}
+		s.Tick(start)
+		speakers = append(speakers, s)
+	}
+	now := start
+	pulls := 0
+	for round := range 6 {
+		now = now.Add(time.Second)
+		d, _ := speakers[round%2].Zone("z2")
+		seen := ZoneSeen{Version: d.Version}
+		if near.NeedsZone(now, "z2", seen) {
+			pulls++
+			near.ObserveZone(now, d, 0)
+		}
+		near.RefreshZone(now, "z2", seen)
+		near.Tick(now)
+		if _, status := near.Status("x"); status != StatusUp {
+			t.Fatalf("round %d: x is %s", round, status)
+		}
+	}
+	if pulls != 1 {
+		t.Errorf("equal digests were pulled %d times", pulls)
+	}
+	before, _ := near.Zone("z2")
+	// x dies; y speaks with another content from now on.
+	later := now.Add(4 * time.Second)
+	speakers[1].Tick(later)
+	d, _ := speakers[1].Zone("z2")
+	if d.Version == before.Version || !near.NeedsZone(later, "z2", ZoneSeen{Version: d.Version}) {
+		t.Fatal("the new content is not wanted")
+	}
+	near.ObserveZone(later, d, 0)
+	near.Tick(later)
+	if _, status := near.Status("x"); status != StatusDown {
+		t.Fatalf("x is %s", status)
+	}
+	if near.NeedsZone(later, "z2", ZoneSeen{Version: before.Version, Age: 2 * time.Second}) || near.ObserveZone(later, before, 2*time.Second) {
+		t.Fatal("an old digest came back by way of a peer")
 	}
 }
