--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -22,8 +22,8 @@
 	// zoneLoadBytes and digestLoadBytes are the bytes a second that load digests
 	// may use within the zone and between zones. The limit for all control
 	// traffic is 10 KB/s, and the hosts that speak for a zone need both.
-	zoneLoadBytes   = 2000
-	digestLoadBytes = 800
+	zoneLoadBytes   = 1000
+	digestLoadBytes = 400
 	// loadBytes is the typical size of one load digest.
 	loadBytes = 90
 	// maxLoads bounds the digests in one message.
--- a/jasmineknotbench/jkcapacity/model.go
+++ b/jasmineknotbench/jkcapacity/model.go
@@ -182,7 +182,15 @@
 		peers := zoneSize - 1
 		return math.Min(peers/heartbeat, 1/heartbeatPeer)
 	}
-	x := column(s.Idle, func(f Fleet) float64 { return beats(f.ZoneSize) })
+	// A zone of one host sends neither heartbeats nor load digests, so it does
+	// not lie on the line of the others.
+	var rows []Fleet
+	for _, f := range s.Idle {
+		if f.ZoneSize > 1 {
+			rows = append(rows, f)
+		}
+	}
+	x := column(rows, func(f Fleet) float64 { return beats(f.ZoneSize) })
 	for _, c := range []struct {
 		name string
 		read func(Fleet) float64
@@ -190,7 +198,7 @@
 		{"control traffic, mean", func(f Fleet) float64 { return f.Control }},
 		{"control traffic, busiest host", func(f Fleet) float64 { return f.ControlMax }},
 	} {
-		slope, start := fit(x, column(s.Idle, c.read))
+		slope, start := fit(x, column(rows, c.read))
 		n := beats(float64(daemons) / zones)
 		edits := s.ChangeBytes * changesPerDay / float64(secondsADay)
 		p.add(c.name, "bytes/s", start+slope*n+edits, controlLimit, "%.0f + %.0f B × %.1f heartbeats/s to %d peers + %.0f for edits", start, slope, n, daemons/zones, edits)
