member: relay only zones that this host has heard itself

Cause: every host repeated in its heartbeats what it had learned of other zones by heartbeat, so all eight zones stood in every one of them, 176 of about 260 bytes. TestOnlyHeardZonesAreRelayed fails before (the method is new) and passes after.

--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -87,6 +87,7 @@
 	seen := jkmember.ZoneSeen{Version: m.Version}
 	needed := s.table.NeedsZone(now, m.Zone, seen)
 	s.table.RefreshZone(now, m.Zone, seen)
+	s.table.HeardZone(now, m.Zone)
 	s.suspects.Merge(now, m.Suspects)
 	s.mu.Unlock()
 	s.takeLoads(m.Loads, true)
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -97,6 +97,8 @@
 	options Options
 	hosts   map[string]*row
 	zones   map[string]*zone
+	// heard holds when a zone's speaker last reached this host itself.
+	heard   map[string]time.Time
 	version uint64
 	own     ZoneDigest
 	// leaving holds the hosts that the platform's list names as leaving.
@@ -107,7 +109,7 @@
 
 // New returns a table that knows only its own host.
 func New(now time.Time, o Options) *Table {
-	t := &Table{options: o, hosts: map[string]*row{}, zones: map[string]*zone{}}
+	t := &Table{options: o, hosts: map[string]*row{}, zones: map[string]*zone{}, heard: map[string]time.Time{}}
 	t.hosts[o.Self.Incarnation.Host] = &row{host: o.Self, seen: now, status: StatusUp}
 	return t
 }
@@ -240,12 +242,16 @@
 	return z.digest, true
 }
 
-// Seen returns the freshness of the zones that were heard within a time, for a
-// heartbeat. Zones heard longer ago are left to the hosts that heard them.
+// HeardZone notes that a speaker of another zone has sent its digest to this host.
+func (t *Table) HeardZone(now time.Time, name string) { t.heard[name] = now }
+
+// Seen returns the freshness of the zones that this host itself has heard within
+// a time, for a heartbeat. Others are left to the hosts that heard them: if each
+// host repeated what it has from its peers, all zones would be in all heartbeats.
 func (t *Table) Seen(now time.Time, within time.Duration) map[string]ZoneSeen {
 	var seen map[string]ZoneSeen
 	for name, z := range t.zones {
-		if now.Sub(z.seen) > within {
+		if heard, ok := t.heard[name]; !ok || now.Sub(heard) > within {
 			continue
 		}
 		if seen == nil {
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -196,3 +196,19 @@
 		t.Fatal("an old digest came back by way of a peer")
 	}
 }
+
+// Guards against heartbeats that repeat what came by heartbeat, which would put all
+// zones into every one of them.
+func TestOnlyHeardZonesAreRelayed(t *testing.T) {
+	tab := table("a")
+	d := ZoneDigest{Zone: "z2", Version: 5, Hosts: []Host{host("x", "z2", 1)}}
+	tab.ObserveZone(start, d, 0)
+	tab.RefreshZone(start.Add(time.Second), "z2", ZoneSeen{Version: 5})
+	if seen := tab.Seen(start.Add(time.Second), time.Second); len(seen) != 0 {
+		t.Errorf("a zone known from a peer is relayed: %v", seen)
+	}
+	tab.HeardZone(start.Add(time.Second), "z2")
+	if seen := tab.Seen(start.Add(time.Second), time.Second); seen["z2"].Version != 5 {
+		t.Errorf("got %v, want the zone that was heard", seen)
+	}
+}
