program, home: keep the token of a running call when its extension is refused

Cause: a second dispatch whose larger grant the copies could not record went through Recorded, which gives the call up and frees its token while the first attempt still runs; another request could then start beside it and the order of calls was lost. Found while reading, not by a test: no random schedule extends a call. Ruled out: giving up second dispatches without copies, because a call within its grant needs none. Conclusion: an extension that is refused takes only its own charge back.

--- a/core/jkhome/race.go
+++ b/core/jkhome/race.go
@@ -280,7 +280,13 @@
 	if err != nil {
 		return err
 	}
-	return h.store(x.ctx, id, record)
+	if record == nil {
+		return nil
+	}
+	result := h.appendAll(x.ctx, *record)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Extended(id, result)
 }
 
 // secondDispatch starts a second attempt beside a slow one.
--- a/core/jkprogram/call.go
+++ b/core/jkprogram/call.go
@@ -300,7 +300,7 @@
 }
 
 // Retry charges a lost attempt in full and reserves another one. It returns a
-// record to store first when the grant has to grow.
+// record to store first when the grant has to grow; see Extended.
 func (c *Core) Retry(id string) (*Record, error) {
 	p := c.programs[id]
 	if p == nil || p.running == nil {
@@ -320,6 +320,30 @@
 	return &r, nil
 }
 
+// Extended continues a running call after the record of Retry went to the copies.
+// On an error no further attempt may begin; those under way go on and keep the
+// token.
+func (c *Core) Extended(id string, result CopyResult) error {
+	p := c.programs[id]
+	if p == nil || p.running == nil {
+		return eris.Wrap(&UnknownProgramError{Program: id}, "extended")
+	}
+	switch result {
+	case CopyFenced:
+		c.Supersede(id)
+		return eris.Wrap(&SupersededError{Program: id}, "extended")
+	case CopyRecorded:
+		p.state.Granted = max(p.state.Granted, p.running.granted)
+		return nil
+	case CopyUnreachable:
+	}
+	if p.committed() <= p.state.Granted {
+		return nil
+	}
+	p.running.charged -= p.running.maxCost
+	return eris.Wrap(p.budgetError(p.running.maxCost, true), "extended")
+}
+
 // Abort ends a repeatable call that failed. What its attempts may have cost is
 // charged; the token stays valid for another try.
 func (c *Core) Abort(id string) {
--- a/core/jkprogram/life_test.go
+++ b/core/jkprogram/life_test.go
@@ -56,3 +56,36 @@
 		t.Fatalf("the copies still announce %s", stored.Intent.RequestID)
 	}
 }
+
+// Guards against a token that is free again while its call still runs: a second
+// attempt that the copies can't grant must leave the first one as it is.
+func TestRefusedExtensionKeepsTheCall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: jktoken.Incarnation{Host: "a", Start: 1}, MaxPrograms: 2})
+	if _, err := c.Create(now, Creation{Program: "p", Meta: Meta{Budget: 160}}); err != nil {
+		t.Fatal(err)
+	}
+	claims, _ := c.Claims("p")
+	call := Submission{Program: "p", Token: &claims, RequestID: "first", Kind: KindService, Repeatable: true, MaxCost: 8}
+	if _, err := c.Submit(now, call); err != nil {
+		t.Fatal(err)
+	}
+	r, err := c.Retry("p")
+	if err != nil || r == nil {
+		t.Fatalf("got record %v (%v), want a larger grant", r, err)
+	}
+	if err := c.Extended("p", CopyUnreachable); err == nil {
+		t.Fatal("the attempt is allowed without a recorded grant")
+	}
+	other := call
+	other.RequestID = "other"
+	if _, err := c.Submit(now, other); err == nil {
+		t.Fatal("another request has started on the token of a running call")
+	}
+	if _, _, err := c.Complete(now, "p", Result{Outcome: OutcomeCompleted, Cost: 5}); err != nil {
+		t.Fatalf("the first attempt can't complete: %v", err)
+	}
+	if info, _ := c.Info("p"); info.Turn != 1 || info.Spent != 5 {
+		t.Fatalf("got turn %d and %d spent, want 1 and 5", info.Turn, info.Spent)
+	}
+}
