api: do not join the answers of two attempts in one stream

Cause: when the attempt that callers had seen failed and another one with a different text answered, the rest of the recorded answer was cut at the length already sent and appended, with a digest over the mixture and an end marker. Ruled out: the home's own comparison of attempts; it keeps pieces apart but accepts a different answer once no other attempt runs. The stand-in engines answer the same text each time, so no process test could show it. Conclusion: the stream ends with stream_broken and without the end marker; the same request id gets the whole recorded answer.

--- a/core/jkapi/chat.go
+++ b/core/jkapi/chat.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -184,7 +185,11 @@
 	if r.Problem != nil {
 		return s.send(jkchat.EventFinal, s.final(r))
 	}
-	if err := s.rest(r.Body); err != nil {
+	var diverged *divergedError
+	if err := s.rest(r.Body); errors.As(err, &diverged) {
+		r.Problem = jkproblem.New(jkproblem.TypeStreamBroken, err.Error()).WithOutcome(r.Outcome)
+		return s.send(jkchat.EventFinal, s.final(r))
+	} else if err != nil {
 		return err
 	}
 	if err := s.send(jkchat.EventFinal, s.final(r)); err != nil {
@@ -211,6 +216,17 @@
 	Problem *jkproblem.Problem `json:"problem,omitempty"`
 }
 
+// divergedError is returned when the recorded answer does not continue the text
+// already sent, which happens when another attempt than the streamed one answered.
+type divergedError struct {
+	// sent is the length of the text already sent in bytes.
+	sent int
+}
+
+func (e *divergedError) Error() string {
+	return fmt.Sprintf("the recorded answer differs from the %d bytes already sent; the same request gets it whole", e.sent)
+}
+
 // rest sends the part of the recorded answer that was not streamed: the text of
 // a replayed answer, tool calls, the finish reason and the usage.
 func (s *streamer) rest(body []byte) error {
@@ -223,6 +239,9 @@
 	}
 	choice := completion.Choices[0]
 	whole := choice.Message.Content.String()
+	if !strings.HasPrefix(whole, s.text.String()) {
+		return &divergedError{sent: s.text.Len()}
+	}
 	if len(whole) > s.text.Len() {
 		if err := s.write(whole[s.text.Len():]); err != nil {
 			return err
