--- /dev/null
+++ b/core/jkaccount/client.go
@@ -0,0 +1,326 @@
+// Package jkaccount keeps budgets and turns on several copies of the ledger. It
+// runs on the hosts that serve callers.
+package jkaccount
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// Copy is one copy of the ledger.
+type Copy struct {
+	Host string
+	Addr string
+	Zone string
+}
+
+// Options holds what a client needs.
+type Options struct {
+	Timer *jktimer.Service
+	Log   jklog.Logger
+	Pool  *jkwire.Pool
+	// Zone is the zone of the host.
+	Zone string
+	// Losses is the number of disks that may be lost at once.
+	Losses int
+	// Copies returns the known copies and Reachable whether one answers.
+	Copies    func() []Copy
+	Reachable func(host string) bool
+}
+
+// Client keeps budgets and turns.
+type Client struct{ Options }
+
+// NewClient returns a client.
+func NewClient(o Options) *Client { return &Client{Options: o} }
+
+// Account returns the functions that a handler calls.
+func (c *Client) Account() jkforward.Account {
+	return jkforward.Account{Reserve: c.Reserve, Settle: c.Settle, Chain: c.Chain, Keep: c.Keep}
+}
+
+// callTimeout bounds one exchange with a copy: some round trips between zones
+// and a slow sync, well within the time that a caller waits.
+const callTimeout = 300 * time.Millisecond
+
+// replicas returns the copies that hold a program: one in each zone, chosen by
+// rendezvous hash among the zone's copies, reachable ones first. The copy in the
+// own zone comes first.
+func (c *Client) replicas(program string) []Copy {
+	best := map[string]Copy{}
+	for _, candidate := range c.Copies() {
+		known, ok := best[candidate.Zone]
+		if !ok || c.beats(program, candidate, known) {
+			best[candidate.Zone] = candidate
+		}
+	}
+	out := make([]Copy, 0, len(best))
+	for _, b := range best {
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(a, b Copy) int {
+		if own := cmp.Compare(c.distance(a), c.distance(b)); own != 0 {
+			return own
+		}
+		return cmp.Compare(a.Zone, b.Zone)
+	})
+	return out
+}
+
+func (c *Client) distance(copy Copy) int {
+	switch {
+	case !c.Reachable(copy.Host):
+		return 2
+	case copy.Zone != c.Zone:
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) beats(program string, a, b Copy) bool {
+	if x, y := c.Reachable(a.Host), c.Reachable(b.Host); x != y {
+		return x
+	}
+	return xxhash.Sum64String(program+"\x00"+a.Host) > xxhash.Sum64String(program+"\x00"+b.Host)
+}
+
+// majority is the number of copies of which any two sets have one in common.
+func majority(copies int) int { return copies/2 + 1 }
+
+// durable is the number of disks that have to hold a turn.
+func (c *Client) durable(copies int) int { return min(c.Losses+1, max(copies, 1)) }
+
+// Reserve holds tokens at a majority of the copies and fails if the program's
+// budget doesn't hold them.
+func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
+	held := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention}
+	copies := c.replicas(r.Program)
+	needed := majority(len(copies))
+	answers := make(chan *jkledger.ReserveAnswer, len(copies))
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for _, target := range copies {
+		go func() {
+			var a jkledger.ReserveAnswer
+			if err := c.call(ctx, target, jkledger.TypeReserve, &jkledger.ReserveRequest{Spending: held}, &a); err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &a
+		}()
+	}
+	sum := spendings{}
+	certain := 0
+	for range copies {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		sum.merge(a.Spendings)
+		if a.Certain {
+			certain++
+		}
+		if certain >= needed {
+			break
+		}
+	}
+	total := sum.total()
+	switch {
+	case certain >= needed && total > r.Budget:
+		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
+	case certain < needed:
+		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		return &jkforward.UncertainError{Operation: "reserve", Answers: certain, Needed: needed}
+	}
+	return nil
+}
+
+// spendings are those of one program by request, merged from several copies.
+type spendings map[string]jkledger.Spending
+
+func (s spendings) merge(list []jkledger.Spending) {
+	for _, next := range list {
+		known, ok := s[next.Request]
+		if !ok || (!known.Settled && next.Settled) {
+			s[next.Request] = next
+		}
+	}
+}
+
+func (s spendings) total() int64 {
+	sum := int64(0)
+	for _, one := range s {
+		sum += one.Tokens
+	}
+	return sum
+}
+
+func (c *Client) call(ctx context.Context, target Copy, messageType string, request, answer any) error {
+	err := c.Pool.Call(ctx, target.Addr, messageType, request, answer)
+	if err != nil && ctx.Err() == nil {
+		c.Log.Warn("copy didn't answer", "host", target.Host, "type", messageType, "error", err)
+	}
+	return err
+}
+
+// settleTimeout bounds the delivery of a settlement. One that is lost leaves the
+// reservation as it is, so that the program is charged more than it used.
+const settleTimeout = 2 * time.Second
+
+// Settle replaces a reservation at all copies by what was used.
+func (c *Client) Settle(s jkforward.Settlement) {
+	record := jkledger.Record{Spending: &jkledger.Spending{
+		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
+	}}
+	for _, target := range c.replicas(s.Program) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+			defer cancel()
+			_ = c.call(ctx, target, jkledger.TypeWrite, &jkledger.WriteRequest{Records: []jkledger.Record{record}}, nil)
+		}()
+	}
+}
+
+// Keep writes a turn and its spending to all copies and returns once as many
+// disks hold it as may be lost, and one more.
+func (c *Client) Keep(ctx context.Context, t jkforward.Turn) error {
+	write := jkledger.WriteRequest{Sync: true, Records: []jkledger.Record{
+		{Spending: &jkledger.Spending{Program: t.Program, Request: t.Request, Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
+		{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
+	}}
+	copies := c.replicas(t.Program)
+	needed := c.durable(len(copies))
+	results := make(chan error, len(copies))
+	for _, target := range copies {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+			defer cancel()
+			results <- c.call(ctx, target, jkledger.TypeWrite, &write, nil)
+		}()
+	}
+	kept := 0
+	for range copies {
+		select {
+		case err := <-results:
+			if err == nil {
+				kept++
+			}
+		case <-ctx.Done():
+			return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
+		}
+		if kept >= needed {
+			return nil
+		}
+	}
+	return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
+}
+
+// Chain returns the inputs and outputs of a chain, the oldest turn first. It
+// asks the nearest of the program's copies and, where that lacks a turn, all
+// others.
+func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	w := &walk{client: c, turns: map[string]jkledger.Turn{}}
+	return w.run(ctx, program, request)
+}
+
+// walk collects the turns of one chain from several copies.
+type walk struct {
+	client *Client
+	mu     sync.Mutex
+	turns  map[string]jkledger.Turn
+}
+
+func (w *walk) run(ctx context.Context, program, request string) ([]byte, error) {
+	copies := w.client.replicas(program)
+	others := slices.DeleteFunc(slices.Clone(w.client.Copies()), func(o Copy) bool { return slices.Contains(copies, o) })
+	copies = append(copies, others...)
+	if len(copies) == 0 {
+		return nil, &jkforward.UncertainError{Operation: "chain", Needed: 1}
+	}
+	answers := w.ask(ctx, copies[:1], request)
+	missing := w.missing(request)
+	if missing != "" {
+		answers += w.ask(ctx, copies[1:], missing)
+		missing = w.missing(request)
+	}
+	if missing == "" {
+		return w.body(request), nil
+	}
+	// A turn is on Losses+1 disks, so that it is unknown only where all but
+	// Losses copies say so.
+	needed := max(len(copies)-w.client.Losses, 1)
+	if answers < needed || missing != request {
+		return nil, &jkforward.UncertainError{Operation: "chain", Answers: answers, Needed: needed}
+	}
+	return nil, &jkforward.UnknownTurnError{Request: request}
+}
+
+// ask returns the number of copies that answered and are certain.
+func (w *walk) ask(ctx context.Context, copies []Copy, request string) int {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var done sync.WaitGroup
+	certain := 0
+	for _, target := range copies {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			var a jkledger.ChainAnswer
+			if err := w.client.call(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a); err != nil {
+				return
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, t := range a.Turns {
+				w.turns[t.Request] = t
+			}
+			if a.Certain {
+				certain++
+			}
+		}()
+	}
+	done.Wait()
+	return certain
+}
+
+// missing names the newest turn of the chain that isn't known, or is empty.
+func (w *walk) missing(request string) string {
+	for request != "" {
+		t, ok := w.turns[request]
+		if !ok {
+			return request
+		}
+		request = t.Previous
+	}
+	return ""
+}
+
+func (w *walk) body(request string) []byte {
+	var chain []jkledger.Turn
+	size := 0
+	for request != "" {
+		t := w.turns[request]
+		chain = append(chain, t)
+		size += len(t.Input) + len(t.Output)
+		request = t.Previous
+	}
+	out := make([]byte, 0, size+size/4)
+	for _, t := range slices.Backward(chain) {
+		out = append(append(out, t.Input...), t.Output...)
+	}
+	return out
+}
--- /dev/null
+++ b/core/jkentry/entry.go
@@ -0,0 +1,350 @@
+package jkentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkaccount"
+	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkprobe"
+	"jasmineknot.example/core/jkruleset"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkupstream"
+	"jasmineknot.example/core/jkwire"
+)
+
+// Entry is the process that serves callers.
+type Entry struct {
+	settings Settings
+	platform Platform
+	timer    *jktimer.Service
+	log      jklog.Logger
+	metrics  *metrics.Set
+
+	rules   atomic.Pointer[jkruleset.Set]
+	leaving atomic.Bool
+	fleet   *jkforward.Fleet
+	pool    *jkupstream.Pool
+	peers   *jkwire.Pool
+	probes  *jkprobe.Prober
+	members *members
+	follow  []*jkfollow.Follower
+	counts  *jkforward.Metrics
+
+	mu        sync.Mutex
+	endpoints map[string]EndpointState
+	listed    map[string]bool
+
+	front  *http.Server
+	closed []func()
+}
+
+// NewEntry listens on all addresses of the settings.
+func NewEntry(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Entry, error) {
+	e := &Entry{
+		settings: s, platform: p, timer: timer, log: log, metrics: metrics.NewSet(),
+		members: newMembers(), endpoints: map[string]EndpointState{}, listed: map[string]bool{},
+	}
+	opt := jksched.DefaultDirectOptions()
+	opt.Zone = s.Zone
+	opt.Delay = delay
+	e.fleet = jkforward.NewFleet(opt, timer)
+	opened := e.metrics.NewCounter("jk_connections_opened_total")
+	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
+	e.peers = jkwire.NewPool(jkwire.PoolOptions{
+		Self:    jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion},
+		Control: func(string) bool { return true }, Counters: &jkwire.Counters{},
+	})
+	e.closed = append(e.closed, e.peers.Close)
+	probes, err := jkprobe.Listen(jkprobe.Options{
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Probes: true,
+		Zones: e.fleet.SetZoneReachable, Hosts: e.hostChanged,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e.probes = probes
+	e.closed = append(e.closed, probes.Close)
+	return e, e.listen()
+}
+
+// crossZone is the assumed one-way delay between two zones: the larger of the
+// users' published figures.
+const crossZone = 1400 * time.Microsecond
+
+func delay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	return crossZone
+}
+
+// hostChanged drops the connection to a lost host, whose bytes in flight would
+// hold up later calls.
+func (e *Entry) hostChanged(p jkprobe.Peer, reachable bool) {
+	if !reachable {
+		e.peers.Drop(p.Addr)
+	}
+}
+
+func (e *Entry) listen() error {
+	account := jkaccount.NewClient(jkaccount.Options{
+		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
+		Losses: e.settings.LostDisks, Copies: e.members.copies, Reachable: e.probes.Reachable,
+	})
+	e.counts = jkforward.NewMetrics(e.metrics)
+	handler := jkforward.NewHandler(jkforward.Options{
+		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
+		Dialect: e.platform.Dialect, Account: account.Account(), Fleet: e.fleet, Pool: e.pool,
+		Leaving: e.leaving.Load,
+	})
+	l, err := net.Listen("tcp", e.settings.Front)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	e.front = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: nil,
+	}
+	go e.serve(e.front, l)
+	if err := e.serveEcho(e.settings.Ready, e.operations()); err != nil {
+		return err
+	}
+	return e.serveEcho(e.settings.Metrics, e.operations())
+}
+
+// Bounds for callers until the rules name their own. The idle timeout exceeds
+// that of the rules, so that a caller never meets a close that it couldn't
+// expect.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	maxHeader     = 64 << 10
+)
+
+func (e *Entry) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		e.log.Error("callers can't be served", err, "addr", l.Addr().String())
+	}
+}
+
+func (e *Entry) serveEcho(addr string, handler http.Handler) error {
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	e.closed = append(e.closed, func() { _ = s.Close() })
+	go e.serve(s, l)
+	return nil
+}
+
+func (e *Entry) operations() http.Handler {
+	router := echo.New()
+	router.HideBanner, router.HidePort = true, true
+	router.GET("/v1/readyz", func(c echo.Context) error {
+		if e.Ready() {
+			return c.NoContent(http.StatusOK)
+		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, e.metrics) })
+	return router
+}
+
+func writeMetrics(c echo.Context, set *metrics.Set) error {
+	c.Response().Header().Set(echo.HeaderContentType, "text/plain; charset=utf-8")
+	c.Response().WriteHeader(http.StatusOK)
+	var out io.Writer = c.Response()
+	set.WritePrometheus(out)
+	metrics.WriteProcessMetrics(out)
+	return nil
+}
+
+// Ready reports whether the entry takes new connections.
+func (e *Entry) Ready() bool {
+	return !e.leaving.Load() && e.rules.Load() != nil && e.fleet.Endpoints() > 0
+}
+
+// Run serves until stop is closed, then lets running requests end.
+func (e *Entry) Run(stop <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, prefix := range e.platform.EntryPrefixes {
+		f := jkfollow.New(jkfollow.Options{
+			Timer: e.timer, Log: e.log.Part("follow"), Source: e.platform.Source, Prefix: prefix,
+			Apply: e.apply, Settled: func(bool) {},
+		})
+		e.follow = append(e.follow, f)
+		go f.Run(ctx)
+	}
+	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
+	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
+	<-stop
+	e.drain()
+	for _, end := range e.closed {
+		end()
+	}
+}
+
+// outOfRotation is how long the platform may go on to send new connections after
+// the entry said that it isn't ready: two checks, one a second, and the time of
+// one answer.
+const outOfRotation = 2500 * time.Millisecond
+
+// killMargin is kept free before the platform ends the process.
+const killMargin = 600 * time.Millisecond
+
+func (e *Entry) drain() {
+	e.leaving.Store(true)
+	e.log.Info("entry leaves", "in_flight", e.counts.InFlight())
+	e.timer.Wait(min(outOfRotation, e.settings.Grace/2), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Grace-outOfRotation-killMargin)
+	defer cancel()
+	if err := e.front.Shutdown(ctx); err != nil {
+		e.log.Warn("requests still running at the end", "in_flight", e.counts.InFlight(), "error", err)
+	}
+	e.log.Info("entry stopped")
+}
+
+// apply takes one change of the platform's store.
+func (e *Entry) apply(item jkfollow.Item) {
+	change, err := e.platform.Decode(item)
+	var unreadable *UnreadableError
+	switch {
+	case errors.As(err, &unreadable):
+		e.log.Info("entry of the store not used", "key", item.Key, "detail", unreadable.Detail)
+	case err != nil:
+		e.log.Warn("change of the store not decoded", "key", item.Key, "error", err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case change.Rules != nil:
+		e.setRules(change.Rules)
+	case change.Endpoint != nil:
+		e.setEndpoint(*change.Endpoint, item.Revision)
+	case change.EndpointID != "":
+		e.removeEndpoint(change.EndpointID, item.Revision)
+	case change.Host != nil:
+		e.members.set(*change.Host)
+		e.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, Always: change.Host.Ledger})
+	case change.HostName != "":
+		e.members.remove(change.HostName)
+		e.probes.RemovePeer(change.HostName)
+	}
+}
+
+// setRules puts a version into force unless a newer one is.
+func (e *Entry) setRules(next *jkruleset.Set) {
+	now := e.rules.Load()
+	if now != nil && next.Version() <= now.Version() {
+		e.log.Info("rules not newer", "version", next.Version(), "in_force", now.Version())
+		return
+	}
+	e.rules.Store(next)
+	e.log.Info("rules in force", "version", next.Version(), "routes", next.Routes())
+}
+
+func (e *Entry) setEndpoint(s EndpointState, revision int64) {
+	known, ok := e.endpoints[s.Endpoint.ID]
+	if ok && known.Born != s.Born {
+		// A new start holds nothing of before.
+		e.fleet.RemoveEndpoint(s.Endpoint.ID)
+	}
+	if !ok || known.Endpoint.State != s.Endpoint.State || known.Addr != s.Addr || known.Born != s.Born {
+		e.log.Info("endpoint changed", "endpoint", s.Endpoint.ID, "service", s.Endpoint.Service, "addr", s.Addr,
+			"state", s.Endpoint.State, "revision", revision)
+	}
+	e.endpoints[s.Endpoint.ID] = s
+	e.fleet.SetEndpoint(s.Endpoint, s.Addr)
+}
+
+func (e *Entry) removeEndpoint(id string, revision int64) {
+	known, ok := e.endpoints[id]
+	if !ok {
+		return
+	}
+	e.log.Info("endpoint removed", "endpoint", id, "revision", revision)
+	delete(e.endpoints, id)
+	e.fleet.RemoveEndpoint(id)
+	e.pool.Forget(known.Addr)
+}
+
+// members are the hosts that are known from the platform's store.
+type members struct {
+	mu    sync.Mutex
+	hosts map[string]HostEntry
+}
+
+func newMembers() *members { return &members{hosts: map[string]HostEntry{}} }
+
+func (m *members) set(h HostEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts[h.Host] = h
+}
+
+func (m *members) remove(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.hosts, host)
+}
+
+// copies returns the hosts with a copy of the ledger that stay.
+func (m *members) copies() []jkaccount.Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []jkaccount.Copy
+	for _, h := range m.hosts {
+		if h.Ledger && !h.Leaving {
+			out = append(out, jkaccount.Copy{Host: h.Host, Addr: h.Addr, Zone: h.Zone})
+		}
+	}
+	slices.SortFunc(out, func(a, b jkaccount.Copy) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// announcePause is the time between two tries to write the host's own entry.
+const announcePause = 400 * time.Millisecond
+
+// announceTimeout bounds one try.
+const announceTimeout = 2 * time.Second
+
+// announce writes the host's own entry until the store has taken it.
+func announce(ctx context.Context, timer *jktimer.Service, log jklog.Logger, p Platform, h HostEntry) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := p.PutHost(try, h)
+		cancel()
+		if err == nil {
+			log.Info("host announced", "host", h.Host, "addr", h.Addr, "ledger", h.Ledger, "leaving", h.Leaving)
+			return
+		}
+		log.Warn("host not announced", "host", h.Host, "error", err)
+		timer.Wait(announcePause, ctx.Done())
+	}
+}
--- /dev/null
+++ b/core/jkentry/storage.go
@@ -0,0 +1,202 @@
+package jkentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkprobe"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkvault"
+	"jasmineknot.example/core/jkwire"
+)
+
+// Storage is the process that keeps a copy of the ledger.
+type Storage struct {
+	settings Settings
+	platform Platform
+	timer    *jktimer.Service
+	log      jklog.Logger
+
+	vault   *jkvault.Vault
+	server  *jkwire.Server
+	peers   *jkwire.Pool
+	probes  *jkprobe.Prober
+	members *members
+
+	mu       sync.Mutex
+	retiring bool
+	listed   chan struct{}
+	once     sync.Once
+}
+
+// NewStorage opens the ledger and listens for entries.
+func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
+	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(), listed: make(chan struct{})}
+	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
+	control := func(string) bool { return true }
+	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: control, Counters: &jkwire.Counters{}})
+	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First})
+	if err != nil {
+		return nil, err
+	}
+	t.vault = vault
+	l, err := net.Listen("tcp", s.Inner)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for entries")
+	}
+	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: vault.Handle, Control: control, Counters: &jkwire.Counters{}})
+	t.probes, err = jkprobe.Listen(jkprobe.Options{Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner})
+	if err != nil {
+		return nil, err
+	}
+	return t, t.serveMetrics()
+}
+
+func (t *Storage) serveMetrics() error {
+	if t.settings.Metrics == "" {
+		return nil
+	}
+	set := metrics.NewSet()
+	set.NewGauge("jk_ledger_turns", func() float64 { _, n, _ := t.vault.Size(); return float64(n) })
+	set.NewGauge("jk_ledger_programs", func() float64 { n, _, _ := t.vault.Size(); return float64(n) })
+	set.NewGauge("jk_ledger_bytes", func() float64 { _, _, n := t.vault.Size(); return float64(n) })
+	router := echo.New()
+	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, set) })
+	l, err := net.Listen("tcp", t.settings.Metrics)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	s := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+// Run serves until stop is closed.
+func (t *Storage) Run(stop <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, prefix := range t.platform.StoragePrefixes {
+		go jkfollow.New(jkfollow.Options{
+			Timer: t.timer, Log: t.log.Part("follow"), Source: t.platform.Source, Prefix: prefix,
+			Apply: func(item jkfollow.Item) { t.apply(ctx, item) },
+			Settled: func(inTouch bool) {
+				if inTouch {
+					t.once.Do(func() { close(t.listed) })
+				}
+			},
+		}).Run(ctx)
+	}
+	go announce(ctx, t.timer, t.log, t.platform, t.entry(false))
+	go t.catchUp(ctx)
+	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
+	<-stop
+	t.log.Info("storage leaves")
+	t.server.Close()
+	t.probes.Close()
+	t.peers.Close()
+	if err := t.vault.Close(); err != nil {
+		t.log.Error("ledger not closed", err)
+	}
+	t.log.Info("storage stopped")
+}
+
+func (t *Storage) entry(leaving bool) HostEntry {
+	return HostEntry{Host: t.settings.Host, Zone: t.settings.Zone, Addr: t.settings.Inner, Ledger: true, Leaving: leaving}
+}
+
+// catchPause is the time between two tries to copy what other hosts have.
+const catchPause = 400 * time.Millisecond
+
+// catchUp copies the ledger of the other hosts, once they are known. A host that
+// has lost its disk repeats it until another copy has answered.
+func (t *Storage) catchUp(ctx context.Context) {
+	select {
+	case <-t.listed:
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		if t.vault.Catch(ctx, t.others()) || t.vault.Certain() {
+			return
+		}
+		t.timer.Wait(catchPause, ctx.Done())
+	}
+}
+
+func (t *Storage) others() []string {
+	var out []string
+	for _, c := range t.members.copies() {
+		if c.Host != t.settings.Host {
+			out = append(out, c.Addr)
+		}
+	}
+	return out
+}
+
+func (t *Storage) apply(ctx context.Context, item jkfollow.Item) {
+	change, err := t.platform.Decode(item)
+	if err != nil {
+		t.log.Warn("change of the store not decoded", "key", item.Key, "error", err)
+		return
+	}
+	switch {
+	case change.Host != nil:
+		t.members.set(*change.Host)
+	case change.HostName != "":
+		t.members.remove(change.HostName)
+	case change.Retire == t.settings.Host:
+		go t.retire(ctx, change.Within)
+	}
+}
+
+// retire hands all records over to the other copies and reports that the host
+// may be removed.
+func (t *Storage) retire(ctx context.Context, within time.Duration) {
+	t.mu.Lock()
+	again := t.retiring
+	t.retiring = true
+	t.mu.Unlock()
+	if again {
+		return
+	}
+	t.log.Info("host is being emptied", "within", within)
+	t.report(ctx, false)
+	announce(ctx, t.timer, t.log, t.platform, t.entry(true))
+	// Entries hear of the leaving host within the time of a watch.
+	t.timer.Wait(leavingHeard, ctx.Done())
+	for ctx.Err() == nil {
+		err := t.vault.HandOver(ctx, t.settings.Inner, t.others(), t.settings.LostDisks+1)
+		if err == nil {
+			break
+		}
+		t.log.Warn("host not emptied", "error", err)
+		t.timer.Wait(catchPause, ctx.Done())
+	}
+	t.report(ctx, true)
+}
+
+// leavingHeard is how long entries may go on to write to a host that is leaving.
+const leavingHeard = 500 * time.Millisecond
+
+func (t *Storage) report(ctx context.Context, completed bool) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := t.platform.PutRetire(try, t.settings.Host, completed)
+		cancel()
+		if err == nil {
+			t.log.Info("state of the emptying written", "completed", completed)
+			return
+		}
+		t.log.Warn("state of the emptying not written", "error", err)
+		t.timer.Wait(announcePause, ctx.Done())
+	}
+}
--- /dev/null
+++ b/core/jkforward/metrics.go
@@ -0,0 +1,42 @@
+package jkforward
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Metrics counts requests.
+type Metrics struct {
+	set      *metrics.Set
+	inFlight atomic.Int64
+}
+
+// NewMetrics registers the counters of requests in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	m := &Metrics{set: set}
+	set.NewGauge("jk_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
+	return m
+}
+
+// InFlight returns the number of requests under way.
+func (m *Metrics) InFlight() int64 { return m.inFlight.Load() }
+
+func (m *Metrics) observe(c *call, took time.Duration) {
+	kind := "none"
+	if c.route != nil {
+		kind = string(c.route.Kind())
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_requests_total{kind=%q,status="%d",reason=%q}`, kind, c.status, c.reason)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`jk_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+// attempt counts one exchange with an endpoint by its outcome.
+func (m *Metrics) attempt(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_attempts_total{outcome=%q}`, outcome)).Inc()
+}
+
+func hashOf(key string) uint64 { return xxhash.Sum64String(key) }
--- /dev/null
+++ b/core/jkforward/stream.go
@@ -0,0 +1,73 @@
+package jkforward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"jasmineknot.example/core/jkupstream"
+)
+
+// passStream gives the events of an answer to the caller as they arrive.
+func (h *Handler) passStream(c *call, resp *jkupstream.Response) verdict {
+	flusher := http.NewResponseController(c.writer)
+	if !c.started {
+		copyHeader(c.writer.Header(), resp.Header)
+		c.status = resp.Status
+		c.writer.WriteHeader(resp.Status)
+		if err := flusher.Flush(); err != nil {
+			return verdictLeft
+		}
+		c.started = true
+	}
+	events := newEventReader(resp)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return h.endStream(c, resp)
+		}
+		if err != nil {
+			return verdictBroken
+		}
+		if _, err := c.writer.Write(e.raw); err != nil {
+			return verdictLeft
+		}
+		if err := flusher.Flush(); err != nil {
+			return verdictLeft
+		}
+		c.took(e)
+	}
+}
+
+// took records an event that was handed to the caller.
+func (c *call) took(e event) {
+	c.events++
+	if e.id != "" {
+		c.lastEvent = e.id
+	}
+	if c.route.Retain() {
+		c.output = append(append(c.output, e.data...), '\n')
+	}
+}
+
+// endStream keeps the turn before the caller learns that it is complete.
+func (h *Handler) endStream(c *call, resp *jkupstream.Response) verdict {
+	if !resp.Framed() {
+		h.Log.Warn("stream ended with its connection", "request", c.facts.Request, "endpoint", c.lastEndpoint)
+	}
+	if !c.route.Retain() {
+		return verdictDone
+	}
+	err := h.Account.Keep(c.request.Context(), Turn{
+		Request: c.facts.Request, Previous: c.facts.Previous, Program: c.facts.Program,
+		Input: c.input, Output: c.output, Tokens: c.events * max(c.service.EventTokens(), 1),
+		Retention: c.route.Retention(),
+	})
+	if err != nil {
+		// A turn that isn't kept must not look complete.
+		h.Log.Warn("turn not kept", "request", c.facts.Request, "error", err)
+		return verdictUnkept
+	}
+	c.reserved = 0
+	return verdictDone
+}
--- /dev/null
+++ b/core/jksched/direct.go
@@ -0,0 +1,468 @@
+package jksched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DirectOptions hold the knobs of a Direct.
+type DirectOptions struct {
+	// Zone is the zone of the host.
+	Zone string
+	// Delay returns the one-way network delay between two zones; nil means none.
+	Delay func(from, to string) time.Duration
+	// TokenPace is the time per generated token on an engine that runs nothing
+	// else; TokenPacePerCall is added for each running call.
+	TokenPace        time.Duration
+	TokenPacePerCall time.Duration
+	// PrefillPace is the time per prompt token that isn't cached.
+	PrefillPace time.Duration
+	// OutputTokens is assumed for calls that don't name their length.
+	OutputTokens int64
+	// ServiceTime is assumed for a call of a plain service until measured.
+	ServiceTime time.Duration
+	// LoadAge is how long an endpoint's own report of its load counts.
+	LoadAge time.Duration
+	// BreakerFaults consecutive faults open the breaker for BreakerPause, which
+	// doubles up to BreakerMaxPause while probes fail.
+	BreakerFaults   int
+	BreakerPause    time.Duration
+	BreakerMaxPause time.Duration
+	// QueuePerSlot bounds the calls waiting at an endpoint, as a multiple of its
+	// slots, beyond which the call is refused here.
+	QueuePerSlot float64
+	// MaxParts bounds the prompt parts whose place is remembered.
+	MaxParts int
+}
+
+// DefaultDirectOptions returns the defaults. The caller sets Zone and Delay.
+// Paces are those that the users published for their engines.
+func DefaultDirectOptions() DirectOptions {
+	return DirectOptions{
+		TokenPace: 935 * time.Microsecond, TokenPacePerCall: 20 * time.Microsecond,
+		PrefillPace: 3 * time.Microsecond, OutputTokens: 260,
+		ServiceTime: 30 * time.Millisecond, LoadAge: 600 * time.Millisecond,
+		BreakerFaults: 2, BreakerPause: 400 * time.Millisecond, BreakerMaxPause: 3 * time.Second,
+		QueuePerSlot: 2.5, MaxParts: 20000,
+	}
+}
+
+// DirectLoad is an endpoint's own report, carried by one of its answers.
+type DirectLoad struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is the time that work takes relative to the usual; 1 means as usual
+	// and 0 unknown.
+	Pace float64
+}
+
+// Direct places calls for a host that sends to endpoints itself, without a
+// dispatcher between them. It knows its own running calls exactly and those of
+// other hosts by the endpoints' reports. It does no input or output and is not
+// safe for concurrent use.
+type Direct struct {
+	opt DirectOptions
+	// endpoints and services index the same rows.
+	endpoints map[string]*directRow
+	services  map[string][]*directRow
+	// parts remembers which endpoints hold a prompt part; partOrder is the
+	// order in which parts are forgotten.
+	parts     map[string][]*directRow
+	partOrder []string
+	// zonesDown are zones that this host can't reach at present.
+	zonesDown map[string]bool
+}
+
+// directRow is an endpoint as the host sees it.
+type directRow struct {
+	endpoint Endpoint
+	own      int
+	load     DirectLoad
+	loadAt   time.Time
+	// ownAtLoad is the number of own calls that the report includes.
+	ownAtLoad int
+	// service is the smoothed time of a call of a plain service.
+	service   time.Duration
+	faults    int
+	pause     time.Duration
+	openUntil time.Time
+	// probing is set while a call tests an endpoint whose breaker was open.
+	probing bool
+}
+
+// NewDirect returns a Direct without endpoints.
+func NewDirect(opt DirectOptions) *Direct {
+	return &Direct{
+		opt:       opt,
+		endpoints: map[string]*directRow{},
+		services:  map[string][]*directRow{},
+		parts:     map[string][]*directRow{},
+		zonesDown: map[string]bool{},
+	}
+}
+
+// SetEndpoint adds an endpoint or changes its description.
+func (d *Direct) SetEndpoint(e Endpoint) {
+	row, ok := d.endpoints[e.ID]
+	if !ok {
+		row = &directRow{pause: d.opt.BreakerPause}
+		d.endpoints[e.ID] = row
+	} else if row.endpoint.Service != e.Service {
+		d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
+		ok = false
+	}
+	row.endpoint = e
+	if !ok {
+		d.services[e.Service] = append(d.services[e.Service], row)
+		slices.SortFunc(d.services[e.Service], func(a, b *directRow) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+	}
+}
+
+// RemoveEndpoint forgets an endpoint.
+func (d *Direct) RemoveEndpoint(id string) {
+	row, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	row.endpoint.State = StateDown
+	delete(d.endpoints, id)
+	d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
+}
+
+func withoutRow(rows []*directRow, row *directRow) []*directRow {
+	if i := slices.Index(rows, row); i >= 0 {
+		return slices.Delete(slices.Clone(rows), i, i+1)
+	}
+	return rows
+}
+
+// Endpoint returns the description of an endpoint.
+func (d *Direct) Endpoint(id string) (Endpoint, bool) {
+	row, ok := d.endpoints[id]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return row.endpoint, true
+}
+
+// Endpoints returns the number of known endpoints.
+func (d *Direct) Endpoints() int { return len(d.endpoints) }
+
+// Live returns the number of endpoints of a service that may get work.
+func (d *Direct) Live(service string) int {
+	n := 0
+	for _, row := range d.services[service] {
+		if row.endpoint.State == StateLive {
+			n++
+		}
+	}
+	return n
+}
+
+// SetZoneReachable records whether this host can reach a zone.
+func (d *Direct) SetZoneReachable(zone string, reachable bool) {
+	if reachable {
+		delete(d.zonesDown, zone)
+		return
+	}
+	d.zonesDown[zone] = true
+}
+
+// Place chooses the endpoint with the least predicted latency and counts the
+// call there until Done. Excluded endpoints are not chosen. The error is a
+// *RefusedError.
+func (d *Direct) Place(now time.Time, c Call, exclude []string) (Placement, error) {
+	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
+	fallback, fallbackCost := (*directRow)(nil), time.Duration(math.MaxInt64)
+	soonest := time.Duration(math.MaxInt64)
+	live := 0
+	for _, row := range d.services[c.Service] {
+		if row.endpoint.State != StateLive || slices.Contains(exclude, row.endpoint.ID) {
+			continue
+		}
+		live++
+		predicted := d.cost(now, c, row)
+		if !d.available(now, row) {
+			if predicted < fallbackCost && !d.zonesDown[row.endpoint.Zone] {
+				fallback, fallbackCost = row, predicted
+			}
+			continue
+		}
+		if free := d.overflow(now, row); free > 0 {
+			soonest = min(soonest, free)
+			continue
+		}
+		if predicted < cost {
+			best, cost = row, predicted
+		}
+	}
+	if best == nil && soonest == time.Duration(math.MaxInt64) {
+		// A breaker is a guess: with no better endpoint left, the call itself
+		// is the probe.
+		best, cost = fallback, fallbackCost
+	}
+	if best == nil {
+		return Placement{}, d.refusal(c, live, soonest)
+	}
+	if !c.Deadline.IsZero() && now.Add(d.wait(now, c, best)).After(c.Deadline) {
+		return Placement{}, &RefusedError{Reason: ReasonDeadline, RetryAfter: d.wait(now, c, best)}
+	}
+	best.own++
+	if best.faults > 0 {
+		best.probing = true
+	}
+	d.remember(c, best)
+	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.wait(now, c, best)}, nil
+}
+
+func (d *Direct) refusal(c Call, live int, soonest time.Duration) error {
+	if live > 0 && soonest != time.Duration(math.MaxInt64) {
+		return &RefusedError{Reason: ReasonQueueFull, RetryAfter: soonest}
+	}
+	return &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: d.opt.BreakerPause}
+}
+
+// available reports whether the breaker and the network let a call through.
+func (d *Direct) available(now time.Time, row *directRow) bool {
+	if d.zonesDown[row.endpoint.Zone] {
+		return false
+	}
+	if row.faults < d.opt.BreakerFaults {
+		return true
+	}
+	return !now.Before(row.openUntil) && !row.probing
+}
+
+// occupied estimates the calls at the endpoint, waiting ones included.
+func (d *Direct) occupied(now time.Time, row *directRow) int {
+	age := now.Sub(row.loadAt)
+	if row.loadAt.IsZero() || age > d.opt.LoadAge {
+		return row.own
+	}
+	reported := row.load.Running + row.load.Waiting
+	// What other hosts have there fades as the report ages.
+	others := float64(max(reported-row.ownAtLoad, 0)) * (1 - 0.5*float64(age)/float64(d.opt.LoadAge))
+	return row.own + int(others+0.5)
+}
+
+func (d *Direct) slots(row *directRow) int {
+	if row.load.Slots > 0 {
+		return row.load.Slots
+	}
+	return max(row.endpoint.Slots, 1)
+}
+
+func (d *Direct) pace(now time.Time, row *directRow) float64 {
+	if row.load.Pace <= 0 {
+		return 1
+	}
+	// The reported pace changes many times a second, so that an older one says
+	// little.
+	age := float64(now.Sub(row.loadAt)) / float64(d.opt.LoadAge)
+	return 1 + (row.load.Pace-1)*max(0, 1-age)
+}
+
+// work is the time that the call runs on the endpoint once it has a slot.
+func (d *Direct) work(now time.Time, c Call, row *directRow) time.Duration {
+	if c.Kind == KindService {
+		return time.Duration(float64(d.serviceTime(row)) * d.pace(now, row))
+	}
+	running := min(d.occupied(now, row), d.slots(row))
+	output := c.MaxTokens
+	if output <= 0 {
+		output = d.opt.OutputTokens
+	}
+	token := d.opt.TokenPace + time.Duration(running)*d.opt.TokenPacePerCall
+	work := time.Duration(output)*token + time.Duration(d.uncached(c, row))*d.opt.PrefillPace
+	return time.Duration(float64(work) * d.pace(now, row))
+}
+
+func (d *Direct) serviceTime(row *directRow) time.Duration {
+	if row.service > 0 {
+		return row.service
+	}
+	return d.opt.ServiceTime
+}
+
+// wait is the predicted time until a slot is free.
+func (d *Direct) wait(now time.Time, c Call, row *directRow) time.Duration {
+	over := d.occupied(now, row) - d.slots(row) + 1
+	if over <= 0 {
+		return 0
+	}
+	return d.work(now, c, row) * time.Duration(over) / time.Duration(d.slots(row))
+}
+
+// overflow returns the time until the endpoint's queue is short enough, or 0.
+func (d *Direct) overflow(now time.Time, row *directRow) time.Duration {
+	slots := d.slots(row)
+	over := d.occupied(now, row) - int(float64(slots)*(1+d.opt.QueuePerSlot))
+	if over < 0 {
+		return 0
+	}
+	mean := d.serviceTime(row)
+	if row.endpoint.Kind == KindModel {
+		mean = time.Duration(d.opt.OutputTokens) * d.opt.TokenPace
+	}
+	return mean * time.Duration(over+slots) / time.Duration(slots)
+}
+
+// cost predicts the latency of the call, plus the time that its prefill takes
+// from the calls running there.
+func (d *Direct) cost(now time.Time, c Call, row *directRow) time.Duration {
+	cost := d.wait(now, c, row) + d.work(now, c, row)
+	occupied := d.occupied(now, row)
+	if c.Kind == KindModel {
+		cost += time.Duration(d.uncached(c, row)) * d.opt.PrefillPace * time.Duration(occupied) / 2
+		// Each running call is slowed by this one's tokens.
+		cost += time.Duration(c.MaxTokens) * d.opt.TokenPacePerCall * time.Duration(occupied)
+	} else {
+		// Among endpoints with free slots the one with the most is taken, since
+		// other hosts choose at the same time.
+		cost += d.serviceTime(row) * time.Duration(occupied) / time.Duration(4*d.slots(row))
+	}
+	if d.opt.Delay != nil {
+		cost += 2 * d.opt.Delay(d.opt.Zone, row.endpoint.Zone)
+	}
+	if row.faults > 0 {
+		cost += time.Duration(row.faults) * 50 * time.Millisecond
+	}
+	return cost + d.jitter(c, row)
+}
+
+// jitter orders equal endpoints by a hash of the call's key, so that hosts
+// without a memory of a session agree on its endpoint.
+func (d *Direct) jitter(c Call, row *directRow) time.Duration {
+	const span = 2 * time.Millisecond
+	h := xxhash.Sum64String(c.Program + "\x00" + row.endpoint.ID)
+	return time.Duration(h%1024) * span / 1024
+}
+
+// uncached estimates the prompt tokens that the endpoint has to read. Parts
+// count as cached only while all parts before them are.
+func (d *Direct) uncached(c Call, row *directRow) int64 {
+	left := c.PromptTokens
+	for _, part := range c.Prefix {
+		if !slices.Contains(d.parts[part.Hash], row) {
+			break
+		}
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
+// maxHolders bounds the endpoints remembered for one prompt part.
+const maxHolders = 16
+
+func (d *Direct) remember(c Call, row *directRow) {
+	for _, part := range c.Prefix {
+		holders, known := d.parts[part.Hash]
+		if slices.Contains(holders, row) {
+			continue
+		}
+		if !known {
+			d.partOrder = append(d.partOrder, part.Hash)
+		}
+		if len(holders) >= maxHolders {
+			holders = holders[1:]
+		}
+		d.parts[part.Hash] = append(holders, row)
+	}
+	for len(d.partOrder) > d.opt.MaxParts {
+		delete(d.parts, d.partOrder[0])
+		d.partOrder = d.partOrder[1:]
+	}
+}
+
+// Report takes an endpoint's own load from an answer.
+func (d *Direct) Report(now time.Time, id string, l DirectLoad) {
+	row, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	row.load, row.loadAt, row.ownAtLoad = l, now, row.own
+}
+
+// DirectOutcome tells what a run says about its endpoint.
+type DirectOutcome string
+
+// Outcomes of a run. A fault is a failure of the endpoint, a refusal a
+// statement that it had no room, and abandoned says nothing about it.
+const (
+	DirectServed    DirectOutcome = "served"
+	DirectFault     DirectOutcome = "fault"
+	DirectRefused   DirectOutcome = "refused"
+	DirectAbandoned DirectOutcome = "abandoned"
+)
+
+// Done ends a call that Place counted; took is the time until its answer.
+func (d *Direct) Done(now time.Time, id string, outcome DirectOutcome, took time.Duration) {
+	row, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	row.own = max(row.own-1, 0)
+	row.probing = false
+	switch outcome {
+	case DirectServed:
+		row.faults, row.pause = 0, d.opt.BreakerPause
+		row.learn(took)
+	case DirectFault:
+		d.fault(now, row)
+	case DirectRefused:
+		// The queue is full: count it as such until the next report.
+		row.load.Running, row.load.Slots = d.slots(row), d.slots(row)
+		row.load.Waiting = int(float64(d.slots(row))*d.opt.QueuePerSlot) + 1
+		row.loadAt, row.ownAtLoad = now, 0
+	case DirectAbandoned:
+	}
+}
+
+func (d *Direct) fault(now time.Time, row *directRow) {
+	row.faults++
+	if row.faults < d.opt.BreakerFaults {
+		return
+	}
+	row.openUntil = now.Add(row.pause)
+	row.pause = min(2*row.pause, d.opt.BreakerMaxPause)
+}
+
+// Unreachable opens the breaker of an endpoint that didn't accept a connection.
+func (d *Direct) Unreachable(now time.Time, id string) {
+	row, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	row.faults = max(row.faults, d.opt.BreakerFaults-1)
+	d.fault(now, row)
+}
+
+func (r *directRow) learn(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if r.service == 0 {
+		r.service = took
+		return
+	}
+	r.service += (took - r.service) / 8
+}
+
+// Add counts a call at an endpoint that the caller chose itself.
+func (d *Direct) Add(id string) {
+	if row, ok := d.endpoints[id]; ok {
+		row.own++
+	}
+}
+
+// Fault counts a failure of an endpoint whose call has been taken off before.
+func (d *Direct) Fault(now time.Time, id string) {
+	if row, ok := d.endpoints[id]; ok {
+		d.fault(now, row)
+	}
+}
--- /dev/null
+++ b/core/jkupstream/errors.go
@@ -0,0 +1,53 @@
+package jkupstream
+
+import "fmt"
+
+// Reason tells why a request was not sent.
+type Reason string
+
+// Reasons of a NotSentError.
+const (
+	ReasonUnreachable     Reason = "unreachable"
+	ReasonConnectionLimit Reason = "connection_limit"
+	ReasonCancelled       Reason = "cancelled"
+)
+
+// NotSentError is returned for a request of which no byte was sent.
+type NotSentError struct {
+	Addr   string
+	Reason Reason
+	Cause  error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("request to %s not sent: %s: %v", e.Addr, e.Reason, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// BrokenError is returned for a request that was sent, at least in part, and
+// has no whole answer. The request may have run.
+type BrokenError struct {
+	Addr string
+	// Stage is what was being done: write, header or body.
+	Stage Stage
+	Cause error
+}
+
+// Stage is a part of an exchange.
+type Stage string
+
+// Stages of an exchange.
+const (
+	StageWrite  Stage = "write"
+	StageHeader Stage = "header"
+	StageBody   Stage = "body"
+)
+
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("exchange with %s broke off in %s: %v", e.Addr, e.Stage, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/core/jkvault/vault.go
@@ -0,0 +1,353 @@
+// Package jkvault is a copy of the ledger on a host with a disk.
+package jkvault
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// Options holds what a vault needs.
+type Options struct {
+	Timer  *jktimer.Service
+	Log    jklog.Logger
+	Folder string
+	Pool   *jkwire.Pool
+	// First is set where the whole system starts for the first time, so that an
+	// empty folder is all there is.
+	First bool
+}
+
+// Vault serves one copy of the ledger.
+type Vault struct {
+	Options
+
+	certain atomic.Bool
+
+	mu      sync.Mutex
+	ledger  *jkledger.Ledger
+	log     *jkledger.Log
+	waiting []chan error
+	wake    chan struct{}
+	stopped chan struct{}
+	failed  error
+	written int64
+}
+
+// expireEvery is the interval at which old records are forgotten.
+const expireEvery = 5 * time.Second
+
+// Open reads the folder and starts the vault.
+func Open(o Options) (*Vault, error) {
+	v := &Vault{Options: o, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	records := 0
+	log, err := jkledger.OpenLog(o.Folder, func(r jkledger.Record) {
+		records++
+		v.ledger.Apply(o.Timer.Now(), r)
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.log = log
+	v.certain.Store(o.First || records > 0)
+	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load())
+	o.Timer.Every(expireEvery, v.expire)
+	go v.commit()
+	return v, nil
+}
+
+// Certain reports whether the copy has all that it ever acknowledged.
+func (v *Vault) Certain() bool { return v.certain.Load() }
+
+// Size returns the number of programs, turns and bytes of turns.
+func (v *Vault) Size() (programs, turns int, bytes int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ledger.Programs(), v.ledger.Turns(), v.ledger.Bytes()
+}
+
+func (v *Vault) expire() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ledger.Expire(v.Timer.Now())
+}
+
+// add applies records. The returned channel gets the result of the sync; it is
+// nil if no record changed the ledger and none waits for the disk.
+func (v *Vault) add(records []jkledger.Record) (chan error, error) {
+	now := v.Timer.Now()
+	for _, r := range records {
+		if !v.ledger.Apply(now, r) {
+			continue
+		}
+		if err := v.log.Append(r); err != nil {
+			return nil, err
+		}
+	}
+	done := make(chan error, 1)
+	v.waiting = append(v.waiting, done)
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
+	return done, nil
+}
+
+// commit writes what has been added since the last write with one sync.
+func (v *Vault) commit() {
+	defer close(v.stopped)
+	for range v.wake {
+		v.mu.Lock()
+		data, waiting := v.log.Take(), v.waiting
+		v.waiting = nil
+		v.mu.Unlock()
+		err := v.write(data)
+		for _, done := range waiting {
+			done <- err
+		}
+	}
+}
+
+// compactAfter is the number of bytes written after which the log is replaced by
+// what is still kept.
+const compactAfter = 64 << 20
+
+func (v *Vault) write(data []byte) error {
+	if v.failed != nil {
+		return v.failed
+	}
+	if err := v.log.Write(data); err != nil {
+		// Whether the bytes are on disk isn't known, so that nothing more is
+		// acknowledged until a restart has read the log again.
+		v.failed = err
+		v.Log.Error("ledger can't be written", err)
+		return err
+	}
+	v.written += int64(len(data))
+	if v.written < compactAfter {
+		return nil
+	}
+	v.written = 0
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	pending := v.log.Take()
+	if err := v.log.Write(pending); err != nil {
+		v.failed = err
+		return err
+	}
+	if err := v.log.Compact(v.ledger.Records()); err != nil {
+		v.failed = err
+		v.Log.Error("ledger can't be compacted", err)
+	}
+	return nil
+}
+
+// Handle answers one message of another host.
+func (v *Vault) Handle(ctx context.Context, s *jkwire.Incoming) {
+	var err error
+	switch s.Type() {
+	case jkledger.TypeReserve:
+		err = v.reserve(s)
+	case jkledger.TypeWrite:
+		err = v.put(s)
+	case jkledger.TypeChain:
+		err = v.chain(s)
+	case jkledger.TypeSync:
+		err = v.sync(s)
+	case jkledger.TypeAdopt:
+		err = v.adopt(ctx, s)
+	default:
+		err = s.Fail("unknown_type", "the message type is not known")
+	}
+	if err != nil {
+		v.Log.Warn("message not answered", "type", s.Type(), "host", s.Peer().Host, "error", err)
+		_ = s.Fail("failed", err.Error())
+	}
+}
+
+func (v *Vault) reserve(s *jkwire.Incoming) error {
+	var m jkledger.ReserveRequest
+	if err := s.Decode(&m); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	done, err := v.add([]jkledger.Record{{Spending: &m.Spending}})
+	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: v.certain.Load()}
+	v.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := <-done; err != nil {
+		return err
+	}
+	return s.End(&answer)
+}
+
+func (v *Vault) put(s *jkwire.Incoming) error {
+	var m jkledger.WriteRequest
+	if err := s.Decode(&m); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	done, err := v.add(m.Records)
+	v.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if m.Sync {
+		if err := <-done; err != nil {
+			return err
+		}
+	}
+	return s.End(&jkledger.WriteAnswer{})
+}
+
+func (v *Vault) chain(s *jkwire.Incoming) error {
+	var m jkledger.ChainRequest
+	if err := s.Decode(&m); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	turns, _, missing := v.ledger.Chain(m.Request)
+	v.mu.Unlock()
+	return s.End(&jkledger.ChainAnswer{Turns: turns, Missing: missing, Certain: v.certain.Load()})
+}
+
+// partRecords and partBytes bound one message of a sync.
+const (
+	partRecords = 500
+	partBytes   = 512 << 10
+)
+
+func (v *Vault) sync(s *jkwire.Incoming) error {
+	v.mu.Lock()
+	records := v.ledger.Records()
+	v.mu.Unlock()
+	certain := v.certain.Load()
+	part, size := 0, 0
+	for i, r := range records {
+		if r.Turn != nil {
+			size += len(r.Turn.Input) + len(r.Turn.Output)
+		}
+		if i-part < partRecords && size < partBytes {
+			continue
+		}
+		if err := s.Send(&jkledger.SyncPart{Records: records[part:i], Certain: certain}); err != nil {
+			return err
+		}
+		part, size = i, 0
+	}
+	return s.End(&jkledger.SyncPart{Records: records[part:], Certain: certain})
+}
+
+func (v *Vault) adopt(ctx context.Context, s *jkwire.Incoming) error {
+	var m jkledger.AdoptRequest
+	if err := s.Decode(&m); err != nil {
+		return err
+	}
+	n, _, err := v.pull(ctx, m.Addr)
+	if err != nil {
+		return err
+	}
+	return s.End(&jkledger.AdoptAnswer{Records: n})
+}
+
+// pull takes all records of another copy and reports whether that copy was
+// certain of having all of its own.
+func (v *Vault) pull(ctx context.Context, addr string) (records int, certain bool, err error) {
+	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, &jkledger.SyncRequest{})
+	if err != nil {
+		return 0, false, err
+	}
+	defer stream.Close()
+	for {
+		m, err := stream.Receive(ctx)
+		if err != nil {
+			return records, false, err
+		}
+		var part jkledger.SyncPart
+		if err := m.Decode(&part); err != nil {
+			return records, false, err
+		}
+		v.mu.Lock()
+		done, err := v.add(part.Records)
+		v.mu.Unlock()
+		if err != nil {
+			return records, false, err
+		}
+		if err := <-done; err != nil {
+			return records, false, err
+		}
+		records += len(part.Records)
+		if m.Last {
+			return records, part.Certain, nil
+		}
+	}
+}
+
+// pullTimeout bounds the copying from one other vault: the largest ledger of
+// today takes two seconds over a 130 Mbit/s link.
+const pullTimeout = 6 * time.Second
+
+// Catch copies what the vaults at the addresses have and reports whether one of
+// them was certain.
+func (v *Vault) Catch(ctx context.Context, addrs []string) bool {
+	any := false
+	for _, addr := range addrs {
+		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		n, certain, err := v.pull(ctx, addr)
+		cancel()
+		if err != nil {
+			v.Log.Warn("ledger not copied", "from", addr, "error", err)
+			continue
+		}
+		any = any || certain
+		v.Log.Info("ledger copied", "from", addr, "records", n, "certain", certain)
+	}
+	if any {
+		v.certain.Store(true)
+	}
+	return any
+}
+
+// errNoTaker is returned where too few other vaults could take the records.
+var errNoTaker = errors.New("too few other copies took the records")
+
+// HandOver has other vaults copy this one and returns once enough of them have.
+func (v *Vault) HandOver(ctx context.Context, self string, addrs []string, needed int) error {
+	taken := 0
+	for _, addr := range addrs {
+		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		var answer jkledger.AdoptAnswer
+		err := v.Pool.Call(ctx, addr, jkledger.TypeAdopt, &jkledger.AdoptRequest{Addr: self}, &answer)
+		cancel()
+		if err != nil {
+			v.Log.Warn("records not handed over", "to", addr, "error", err)
+			continue
+		}
+		taken++
+		v.Log.Info("records handed over", "to", addr, "records", answer.Records)
+	}
+	if taken < needed {
+		return eris.Wrapf(errNoTaker, "%d of %d", taken, needed)
+	}
+	return nil
+}
+
+// Close writes what was added and stops the vault.
+func (v *Vault) Close() error {
+	v.mu.Lock()
+	close(v.wake)
+	v.mu.Unlock()
+	<-v.stopped
+	return v.log.Close()
+}
