account: admit turns in a part of the fleet that has no majority

Ruled out: a slow disk, a copy under load. Change: without a majority, or with a zone out of reach, each part spends up to half of the budget and one turn, so that both together stay within what may be handed out. Copies out of reach get their records later; a copy that returns copies what the others took.

--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -37,6 +37,8 @@
 	// Copies returns the known copies and Reachable whether one answers.
 	Copies    func() []Copy
 	Reachable func(host string) bool
+	// ZoneReachable reports whether any host of a zone answers.
+	ZoneReachable func(zone string) bool
 }
 
 // Client keeps budgets and turns.
@@ -95,22 +97,32 @@
 	return xxhash.Sum64String(program+"\x00"+a.Host) > xxhash.Sum64String(program+"\x00"+b.Host)
 }
 
-// majority is the number of copies of which any two sets have one in common.
-func majority(copies int) int { return copies/2 + 1 }
-
-// durable is the number of disks that have to hold a turn.
-func (c *Client) durable(copies int) int { return min(c.Losses+1, max(copies, 1)) }
-
-// Reserve holds tokens at a majority of the copies and fails if the program's
-// budget doesn't hold them.
+// Reserve holds tokens at the program's copies and fails if its budget doesn't
+// hold them.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
 	held := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention}
-	copies := c.replicas(r.Program)
-	needed := majority(len(copies))
-	answers := make(chan *jkledger.ReserveAnswer, len(copies))
+	q := c.ask(ctx, c.replicas(r.Program), held)
+	err := q.decide(r)
+	if err != nil {
+		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+	}
+	return err
+}
+
+// ask sends a spending to the copies. It waits for all that can be reached, but
+// not much longer than for a majority.
+func (c *Client) ask(ctx context.Context, copies []Copy, held jkledger.Spending) *quorum {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	q := &quorum{spendings: spendings{}, copies: len(copies), whole: true}
+	answers := make(chan *jkledger.ReserveAnswer, len(copies))
+	awaited := 0
 	for _, target := range copies {
+		if !c.Reachable(target.Host) {
+			q.whole = q.whole && c.ZoneReachable(target.Zone)
+			continue
+		}
+		awaited++
 		go func() {
 			var a jkledger.ReserveAnswer
 			if err := c.call(ctx, target, jkledger.TypeReserve, &jkledger.ReserveRequest{Spending: held}, &a); err != nil {
@@ -120,52 +132,23 @@
 			answers <- &a
 		}()
 	}
-	sum := spendings{}
-	certain := 0
-	for range copies {
+	for range awaited {
 		a := <-answers
 		if a == nil {
 			continue
 		}
-		sum.merge(a.Spendings)
-		if a.Certain {
-			certain++
-		}
-		if certain >= needed {
-			break
-		}
-	}
-	total := sum.total()
-	switch {
-	case certain >= needed && total > r.Budget:
-		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
-		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
-	case certain < needed:
-		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
-		return &jkforward.UncertainError{Operation: "reserve", Answers: certain, Needed: needed}
-	}
-	return nil
-}
-
-// spendings are those of one program by request, merged from several copies.
-type spendings map[string]jkledger.Spending
-
-func (s spendings) merge(list []jkledger.Spending) {
-	for _, next := range list {
-		known, ok := s[next.Request]
-		if !ok || (!known.Settled && next.Settled) {
-			s[next.Request] = next
+		q.add(a)
+		if q.hasMajority() {
+			// What is missing by then is not waited for much longer.
+			c.Timer.After(laggardWait, cancel)
 		}
 	}
+	return q
 }
 
-func (s spendings) total() int64 {
-	sum := int64(0)
-	for _, one := range s {
-		sum += one.Tokens
-	}
-	return sum
-}
+// laggardWait is how much longer than for a majority the other copies are waited
+// for: a round trip between zones and a sync.
+const laggardWait = 8 * time.Millisecond
 
 func (c *Client) call(ctx context.Context, target Copy, messageType string, request, answer any) error {
 	err := c.Pool.Call(ctx, target.Addr, messageType, request, answer)
@@ -175,21 +158,15 @@
 	return err
 }
 
-// settleTimeout bounds the delivery of a settlement. One that is lost leaves the
-// reservation as it is, so that the program is charged more than it used.
-const settleTimeout = 2 * time.Second
-
-// Settle replaces a reservation at all copies by what was used.
+// Settle replaces a reservation at all copies by what was used. A settlement
+// that is lost leaves the reservation as it is, so that the program is charged
+// more than it used.
 func (c *Client) Settle(s jkforward.Settlement) {
-	record := jkledger.Record{Spending: &jkledger.Spending{
+	write := &jkledger.WriteRequest{Records: []jkledger.Record{{Spending: &jkledger.Spending{
 		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
-	}}
+	}}}}
 	for _, target := range c.replicas(s.Program) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-			defer cancel()
-			_ = c.call(ctx, target, jkledger.TypeWrite, &jkledger.WriteRequest{Records: []jkledger.Record{record}}, nil)
-		}()
+		go c.deliver(target, write)
 	}
 }
 
@@ -201,20 +178,16 @@
 		{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
 	}}
 	copies := c.replicas(t.Program)
-	needed := c.durable(len(copies))
-	results := make(chan error, len(copies))
+	needed := c.needed(copies)
+	results := make(chan bool, len(copies))
 	for _, target := range copies {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-			defer cancel()
-			results <- c.call(ctx, target, jkledger.TypeWrite, &write, nil)
-		}()
+		go func() { results <- c.deliver(target, &write) }()
 	}
 	kept := 0
 	for range copies {
 		select {
-		case err := <-results:
-			if err == nil {
+		case ok := <-results:
+			if ok {
 				kept++
 			}
 		case <-ctx.Done():
@@ -227,6 +200,54 @@
 	return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
 }
 
+// needed is the number of disks that have to hold a turn before it counts. A
+// zone that is cut off has fewer in reach; its turns then count with those, and
+// this host goes on to deliver them to the others.
+func (c *Client) needed(copies []Copy) int {
+	reachable := 0
+	for _, target := range copies {
+		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+			reachable++
+		}
+	}
+	return max(min(c.Losses+1, len(copies), reachable), 1)
+}
+
+// deliverFor is how long a write is repeated for a copy that doesn't answer: a
+// cut between zones lasts some seconds.
+const deliverFor = 20 * time.Second
+
+// deliverPause is the time between two tries.
+const deliverPause = 300 * time.Millisecond
+
+// deliver writes records to a copy and reports whether it took them. A copy that
+// doesn't answer at once gets them later, in the background.
+func (c *Client) deliver(target Copy, write *jkledger.WriteRequest) bool {
+	if c.Reachable(target.Host) && c.try(target, write) {
+		return true
+	}
+	go func() {
+		end := c.Timer.Now().Add(deliverFor)
+		for c.Timer.Now().Before(end) {
+			c.Timer.Wait(deliverPause, nil)
+			if c.Reachable(target.Host) && c.try(target, write) {
+				return
+			}
+		}
+		c.Log.Warn("records not delivered", "host", target.Host, "records", len(write.Records))
+	}()
+	return false
+}
+
+func (c *Client) try(target Copy, write *jkledger.WriteRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	return c.call(ctx, target, jkledger.TypeWrite, write, nil) == nil
+}
+
+// writeTimeout bounds one write to a copy.
+const writeTimeout = time.Second
+
 // Chain returns the inputs and outputs of a chain, the oldest turn first. It
 // asks the nearest of the program's copies and, where that lacks a turn, all
 // others.
--- /dev/null
+++ b/core/jkaccount/quorum.go
@@ -0,0 +1,73 @@
+package jkaccount
+
+import (
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
+)
+
+// quorum collects the answers of a program's copies to one reservation.
+type quorum struct {
+	spendings spendings
+	copies    int
+	// certain counts the answers of copies that have lost nothing.
+	certain int
+	// whole is false while a zone with a copy can't be reached, whose entries may
+	// admit turns of the program by themselves.
+	whole bool
+}
+
+func (q *quorum) add(a *jkledger.ReserveAnswer) {
+	q.spendings.merge(a.Spendings)
+	if a.Certain {
+		q.certain++
+	}
+}
+
+// majority is the number of copies of which any two sets have one in common.
+func majority(copies int) int { return copies/2 + 1 }
+
+func (q *quorum) hasMajority() bool { return q.certain >= majority(q.copies) }
+
+// decide tells whether the budget holds the reservation. With a majority of the
+// copies and all zones in reach the whole budget may be spent. Else another part
+// of the fleet may admit turns of the same program at the same time; each part
+// then stays under half of what may be handed out at most, which is the budget
+// and one more turn. Programs ask for about twice of what they use, so that
+// half is enough for nearly all of them.
+func (q *quorum) decide(r jkforward.Reservation) error {
+	total := q.spendings.total()
+	uncertain := &jkforward.UncertainError{Operation: "reserve", Answers: q.certain, Needed: majority(q.copies)}
+	if q.certain == 0 {
+		return uncertain
+	}
+	if total > r.Budget {
+		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
+	}
+	if q.hasMajority() && q.whole {
+		return nil
+	}
+	if total <= (r.Budget+r.Tokens)/2 {
+		return nil
+	}
+	return uncertain
+}
+
+// spendings are those of one program by request, merged from several copies.
+type spendings map[string]jkledger.Spending
+
+func (s spendings) merge(list []jkledger.Spending) {
+	for _, next := range list {
+		known, ok := s[next.Request]
+		if !ok || (!known.Settled && next.Settled) {
+			s[next.Request] = next
+		}
+	}
+}
+
+func (s spendings) total() int64 {
+	sum := int64(0)
+	for _, one := range s {
+		sum += one.Tokens
+	}
+	return sum
+}
--- /dev/null
+++ b/core/jkaccount/quorum_test.go
@@ -0,0 +1,56 @@
+package jkaccount
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
+)
+
+func TestQuorum(t *testing.T) {
+	datadriven.RunTest(t, "testdata/quorum", func(t *testing.T, d *datadriven.TestData) string {
+		var copies, budget, tokens int
+		d.ScanArgs(t, "copies", &copies)
+		d.ScanArgs(t, "budget", &budget)
+		d.ScanArgs(t, "tokens", &tokens)
+		q := &quorum{spendings: spendings{}, copies: copies, whole: !d.HasArg("part")}
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			if line != "" {
+				q.add(parseAnswer(t, line))
+			}
+		}
+		err := q.decide(jkforward.Reservation{Budget: int64(budget), Tokens: int64(tokens)})
+		var spent *jkforward.BudgetSpentError
+		var uncertain *jkforward.UncertainError
+		switch {
+		case err == nil:
+			return "admitted\n"
+		case errors.As(err, &spent):
+			return fmt.Sprintf("spent %d of %d\n", spent.Spent, spent.Budget)
+		case errors.As(err, &uncertain):
+			return fmt.Sprintf("uncertain: %d of %d\n", uncertain.Answers, uncertain.Needed)
+		}
+		return err.Error() + "\n"
+	})
+}
+
+func parseAnswer(t *testing.T, line string) *jkledger.ReserveAnswer {
+	t.Helper()
+	fields := strings.Fields(line)
+	a := &jkledger.ReserveAnswer{Certain: fields[0] == "certain"}
+	for _, f := range fields[1:] {
+		name, value, _ := strings.Cut(f, "=")
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Spendings = append(a.Spendings, jkledger.Spending{Request: name, Tokens: n})
+	}
+	return a
+}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -104,6 +104,7 @@
 	account := jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Losses: e.settings.LostDisks, Copies: e.members.copies, Reachable: e.probes.Reachable,
+		ZoneReachable: e.probes.ZoneReachable,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	handler := jkforward.NewHandler(jkforward.Options{
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -54,7 +54,10 @@
 		return nil, eris.Wrap(err, "listen for entries")
 	}
 	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: vault.Handle, Control: control, Counters: &jkwire.Counters{}})
-	t.probes, err = jkprobe.Listen(jkprobe.Options{Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner})
+	t.probes, err = jkprobe.Listen(jkprobe.Options{
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner,
+		Probes: true, Zones: func(string, bool) {}, Hosts: t.hostChanged,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -149,13 +152,28 @@
 	switch {
 	case change.Host != nil:
 		t.members.set(*change.Host)
+		if change.Host.Ledger {
+			t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, Always: true})
+		}
 	case change.HostName != "":
 		t.members.remove(change.HostName)
+		t.probes.RemovePeer(change.HostName)
 	case change.Retire == t.settings.Host:
 		go t.retire(ctx, change.Within)
 	}
 }
 
+// hostChanged copies what another copy has taken while it was out of reach. A
+// lost host's connection is dropped, since its bytes in flight would hold up
+// later calls.
+func (t *Storage) hostChanged(p jkprobe.Peer, reachable bool) {
+	if !reachable {
+		t.peers.Drop(p.Addr)
+		return
+	}
+	go t.vault.Catch(context.Background(), []string{p.Addr})
+}
+
 // retire hands all records over to the other copies and reports that the host
 // may be removed.
 func (t *Storage) retire(ctx context.Context, within time.Duration) {
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -161,6 +161,15 @@
 	return row == nil || !row.lost
 }
 
+// ZoneReachable reports whether a host of the zone has answered lately. The own
+// zone and one without probed hosts count as reachable.
+func (p *Prober) ZoneReachable(zone string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reachable, known := p.zones[zone]
+	return !known || reachable
+}
+
 func (p *Prober) tick() {
 	type change struct {
 		peer      Peer
