--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -37,8 +37,13 @@
 	// Copies returns the known copies and Reachable whether one answers.
 	Copies    func() []Copy
 	Reachable func(host string) bool
-	// ZoneReachable reports whether any host of a zone answers.
+	// ZoneReachable reports whether any host of a zone answers, and ZoneSettled
+	// whether it has done so for some seconds.
 	ZoneReachable func(zone string) bool
+	ZoneSettled   func(zone string) bool
+	// Relays returns the addresses of hosts that may reach copies that this one
+	// doesn't.
+	Relays func() []string
 }
 
 // Client keeps budgets and turns.
@@ -100,8 +105,7 @@
 // Reserve holds tokens at the program's copies and fails if its budget doesn't
 // hold them.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
-	held := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention}
-	q := c.ask(ctx, c.replicas(r.Program), held)
+	q := c.ask(ctx, r)
 	err := q.decide(r)
 	if err != nil {
 		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
@@ -109,48 +113,62 @@
 	return err
 }
 
-// ask sends a spending to the copies. It waits for all that can be reached, but
-// not much longer than for a majority.
-func (c *Client) ask(ctx context.Context, copies []Copy, held jkledger.Spending) *quorum {
+// ask sends a reservation to the program's copies and collects their answers
+// until they are enough.
+func (c *Client) ask(ctx context.Context, r jkforward.Reservation) *quorum {
+	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
+		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
+	}}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	q := &quorum{spendings: spendings{}, copies: len(copies), whole: true}
+	copies := c.replicas(r.Program)
+	q := &quorum{spendings: spendings{}, copies: len(copies)}
 	answers := make(chan *jkledger.ReserveAnswer, len(copies))
-	awaited := 0
 	for _, target := range copies {
-		if !c.Reachable(target.Host) {
-			q.whole = q.whole && c.ZoneReachable(target.Zone)
-			continue
-		}
-		awaited++
 		go func() {
 			var a jkledger.ReserveAnswer
-			if err := c.call(ctx, target, jkledger.TypeReserve, &jkledger.ReserveRequest{Spending: held}, &a); err != nil {
+			if err := c.call(ctx, target, jkledger.TypeReserve, request, &a); err != nil {
 				answers <- nil
 				return
 			}
 			answers <- &a
 		}()
 	}
-	for range awaited {
+	missing := len(copies)
+	for range copies {
 		a := <-answers
 		if a == nil {
 			continue
 		}
+		missing--
 		q.add(a)
-		if q.hasMajority() {
-			// What is missing by then is not waited for much longer.
-			c.Timer.After(laggardWait, cancel)
+		if q.isEnough(r) {
+			// The reservation is still written to the copies that are late.
+			c.Timer.After(callTimeout, cancel)
+			return q
 		}
 	}
+	cancel()
+	q.whole = missing == 0 || missing <= c.down(copies)
 	return q
 }
 
-// laggardWait is how much longer than for a majority the other copies are waited
-// for: a round trip between zones and a sync.
-const laggardWait = 8 * time.Millisecond
+// down counts the copies whose host is lost while their zone has been in reach
+// for long enough that no entry there acts by itself.
+func (c *Client) down(copies []Copy) int {
+	n := 0
+	for _, target := range copies {
+		if !c.Reachable(target.Host) && c.ZoneSettled(target.Zone) {
+			n++
+		}
+	}
+	return n
+}
 
+// call sends a message to a copy, through another host if it isn't in reach.
 func (c *Client) call(ctx context.Context, target Copy, messageType string, request, answer any) error {
+	if !c.Reachable(target.Host) {
+		return c.relay(ctx, target, messageType, request, answer)
+	}
 	err := c.Pool.Call(ctx, target.Addr, messageType, request, answer)
 	if err != nil && ctx.Err() == nil {
 		c.Log.Warn("copy didn't answer", "host", target.Host, "type", messageType, "error", err)
@@ -223,14 +241,14 @@
 // deliver writes records to a copy and reports whether it took them. A copy that
 // doesn't answer at once gets them later, in the background.
 func (c *Client) deliver(target Copy, write *jkledger.WriteRequest) bool {
-	if c.Reachable(target.Host) && c.try(target, write) {
+	if c.try(target, write) {
 		return true
 	}
 	go func() {
 		end := c.Timer.Now().Add(deliverFor)
 		for c.Timer.Now().Before(end) {
 			c.Timer.Wait(deliverPause, nil)
-			if c.Reachable(target.Host) && c.try(target, write) {
+			if c.try(target, write) {
 				return
 			}
 		}
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -11,8 +11,8 @@
 	copies    int
 	// certain counts the answers of copies that have lost nothing.
 	certain int
-	// whole is false while a zone with a copy can't be reached, whose entries may
-	// admit turns of the program by themselves.
+	// whole is set once no other part of the fleet can admit turns of the program
+	// by itself: each copy has answered, or is down in a zone that is in reach.
 	whole bool
 }
 
@@ -28,25 +28,29 @@
 
 func (q *quorum) hasMajority() bool { return q.certain >= majority(q.copies) }
 
-// decide tells whether the budget holds the reservation. With a majority of the
-// copies and all zones in reach the whole budget may be spent. Else another part
-// of the fleet may admit turns of the same program at the same time; each part
-// then stays under half of what may be handed out at most, which is the budget
-// and one more turn. Programs ask for about twice of what they use, so that
-// half is enough for nearly all of them.
+// half is what one part of the fleet may hand out while another part may admit
+// turns of the same program: half of what may be handed out at most, which is
+// the budget and one more turn. Programs ask for about twice of what they use,
+// so that half is enough for nearly all of them.
+func half(r jkforward.Reservation) int64 { return (r.Budget + r.Tokens) / 2 }
+
+// isEnough reports whether the answers so far admit the turn, so that the other
+// copies needn't be waited for.
+func (q *quorum) isEnough(r jkforward.Reservation) bool {
+	return q.hasMajority() && q.spendings.total() <= min(half(r), r.Budget)
+}
+
+// decide tells whether the budget holds the reservation, after all copies that
+// can be reached were asked.
 func (q *quorum) decide(r jkforward.Reservation) error {
 	total := q.spendings.total()
 	uncertain := &jkforward.UncertainError{Operation: "reserve", Answers: q.certain, Needed: majority(q.copies)}
-	if q.certain == 0 {
+	switch {
+	case q.certain == 0:
 		return uncertain
-	}
-	if total > r.Budget {
+	case total > r.Budget:
 		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
-	}
-	if q.hasMajority() && q.whole {
-		return nil
-	}
-	if total <= (r.Budget+r.Tokens)/2 {
+	case q.hasMajority() && q.whole, total <= half(r):
 		return nil
 	}
 	return uncertain
--- a/core/jkaccount/quorum_test.go
+++ b/core/jkaccount/quorum_test.go
@@ -19,7 +19,7 @@
 		d.ScanArgs(t, "copies", &copies)
 		d.ScanArgs(t, "budget", &budget)
 		d.ScanArgs(t, "tokens", &tokens)
-		q := &quorum{spendings: spendings{}, copies: copies, whole: !d.HasArg("part")}
+		q := &quorum{spendings: spendings{}, copies: copies, whole: d.HasArg("whole")}
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			if line != "" {
 				q.add(parseAnswer(t, line))
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -64,10 +64,7 @@
 	e.fleet = jkforward.NewFleet(opt, timer)
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
-	e.peers = jkwire.NewPool(jkwire.PoolOptions{
-		Self:    jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion},
-		Control: func(string) bool { return true }, Counters: &jkwire.Counters{},
-	})
+	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), Control: isControl, Counters: &jkwire.Counters{}})
 	e.closed = append(e.closed, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Probes: true,
@@ -81,6 +78,14 @@
 	return e, e.listen()
 }
 
+func (e *Entry) self() jkwire.Hello {
+	return jkwire.Hello{Host: e.settings.Host, Zone: e.settings.Zone, Version: jkwire.ProtocolVersion}
+}
+
+// isControl counts all messages between hosts as control traffic: requests
+// themselves don't pass between hosts.
+func isControl(string) bool { return true }
+
 // crossZone is the assumed one-way delay between two zones: the larger of the
 // users' published figures.
 const crossZone = 1400 * time.Microsecond
@@ -104,7 +109,7 @@
 	account := jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Losses: e.settings.LostDisks, Copies: e.members.copies, Reachable: e.probes.Reachable,
-		ZoneReachable: e.probes.ZoneReachable,
+		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	handler := jkforward.NewHandler(jkforward.Options{
@@ -112,6 +117,14 @@
 		Dialect: e.platform.Dialect, Account: account.Account(), Fleet: e.fleet, Pool: e.pool,
 		Leaving: e.leaving.Load,
 	})
+	inner, err := net.Listen("tcp", e.settings.Inner)
+	if err != nil {
+		return eris.Wrap(err, "listen for other hosts")
+	}
+	server := jkwire.NewServer(inner, jkwire.ServerOptions{
+		Self: e.self(), Handle: account.Handle, Control: isControl, Counters: &jkwire.Counters{},
+	})
+	e.closed = append(e.closed, server.Close)
 	l, err := net.Listen("tcp", e.settings.Front)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -42,8 +42,7 @@
 func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
 	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(), listed: make(chan struct{})}
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
-	control := func(string) bool { return true }
-	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: control, Counters: &jkwire.Counters{}})
+	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: isControl, Counters: &jkwire.Counters{}})
 	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First})
 	if err != nil {
 		return nil, err
@@ -53,7 +52,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for entries")
 	}
-	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: vault.Handle, Control: control, Counters: &jkwire.Counters{}})
+	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: vault.Handle, Control: isControl, Counters: &jkwire.Counters{}})
 	t.probes, err = jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner,
 		Probes: true, Zones: func(string, bool) {}, Hosts: t.hostChanged,
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -37,6 +37,9 @@
 	events    int64
 	output    []byte
 
+	// watchdog watches the exchange of a repeatable request; nil for others.
+	watchdog *watchdog
+
 	// reserved is the number of tokens held in the program's budget.
 	reserved int64
 	status   int
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -113,7 +114,7 @@
 // choose places the request. Once all endpoints that a route allows were used,
 // it stays at the last one, which may be asked again.
 func (h *Handler) choose(c *call) (id, addr string, err error) {
-	if c.attempts >= max(c.route.MaxAttempts(), 1) {
+	if c.attempts >= max(c.route.MaxAttempts(), 1) && !slices.Contains(c.exclude, c.lastEndpoint) {
 		if addr, ok := h.Fleet.again(c.lastEndpoint); ok {
 			return c.lastEndpoint, addr, nil
 		}
@@ -138,6 +139,8 @@
 	if c.route.Repeatable() {
 		h.Fleet.track(id, c, cancel)
 		defer h.Fleet.untrack(id, c)
+		c.watchdog = newWatchdog(h.Timer, c.firstStall(), cancel)
+		defer c.watchdog.stop()
 	}
 	header := c.forwarded(h.Dialect)
 	h.Dialect.Prepare(header, Outgoing{Endpoint: id, Left: left, Urgency: urgency(c), LastEvent: c.lastEvent})
@@ -179,6 +182,14 @@
 	return jksched.DirectFault
 }
 
+// firstStall is how long the first byte of an answer may take.
+func (c *call) firstStall() time.Duration {
+	if c.isStream() {
+		return stallFirst
+	}
+	return stallCall
+}
+
 // failed judges an exchange without an answer.
 func (h *Handler) failed(c *call, ctx context.Context, id string, err error) verdict {
 	var notSent *jkupstream.NotSentError
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"jasmineknot.example/core/jkupstream"
 )
@@ -22,6 +23,9 @@
 	}
 	events := newEventReader(resp)
 	for {
+		if c.watchdog != nil {
+			c.watchdog.progress(c.nextStall())
+		}
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return h.endStream(c, resp)
@@ -39,6 +43,15 @@
 	}
 }
 
+// nextStall is how long the next event may take. The header of a stream may come
+// well before its first event.
+func (c *call) nextStall() time.Duration {
+	if c.events == 0 {
+		return stallFirst
+	}
+	return stallNext
+}
+
 // took records an event that was handed to the caller.
 func (c *call) took(e event) {
 	c.events++
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -63,6 +63,8 @@
 	mu    sync.Mutex
 	peers map[string]*peerRow
 	zones map[string]bool
+	// since is when a zone was reached again after it was lost.
+	since map[string]time.Time
 }
 
 type peerRow struct {
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for probes")
 	}
-	p := &Prober{Options: o, conn: conn, peers: map[string]*peerRow{}, zones: map[string]bool{}, stop: func() {}}
+	p := &Prober{Options: o, conn: conn, peers: map[string]*peerRow{}, zones: map[string]bool{}, since: map[string]time.Time{}, stop: func() {}}
 	go p.receive()
 	if o.Probes {
 		p.stop = o.Timer.Every(probeEvery, p.tick)
@@ -131,12 +133,12 @@
 }
 
 // choose selects the hosts to probe: those that are always probed and a few
-// witnesses of each other zone. Another hash on each host spreads the probes.
+// witnesses of each zone. Another hash on each host spreads the probes.
 func (p *Prober) choose() {
 	byZone := map[string][]*peerRow{}
 	for _, row := range p.peers {
 		row.chosen = row.peer.Always
-		if !row.peer.Always && row.peer.Zone != p.Zone {
+		if !row.peer.Always {
 			byZone[row.peer.Zone] = append(byZone[row.peer.Zone], row)
 		}
 	}
@@ -170,6 +172,35 @@
 	return !known || reachable
 }
 
+// settleTime is how long after a cut the copies on both sides may take to learn
+// what the other side has admitted.
+const settleTime = 4 * time.Second
+
+// ZoneSettled reports whether a zone is in reach and has been so for some time.
+func (p *Prober) ZoneSettled(zone string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if zone == p.Zone {
+		return true
+	}
+	reachable, known := p.zones[zone]
+	return known && reachable && p.Timer.Now().Sub(p.since[zone]) >= settleTime
+}
+
+// Answering returns the addresses of probed hosts that answer, other than those
+// that are always probed.
+func (p *Prober) Answering() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, row := range p.peers {
+		if row.chosen && !row.peer.Always && !row.lost && !row.heard.IsZero() {
+			out = append(out, row.peer.Addr)
+		}
+	}
+	return out
+}
+
 func (p *Prober) tick() {
 	type change struct {
 		peer      Peer
@@ -225,6 +256,7 @@
 	for zone, reachable := range heard {
 		if was, known := p.zones[zone]; (known || !reachable) && was != reachable {
 			changed[zone] = reachable
+			p.since[zone] = p.Timer.Now()
 		}
 		p.zones[zone] = reachable
 	}
