sched: place by the pace that engines show, prefer the own zone

Ruled out: overhead of the ledger (about 10 ms a turn), priorities (slots are rarely full). Change: each event of a stream tells its engine's pace of the moment, many events its usual one. A call to another zone costs 6 ms more, for the prompt. Test: TestSlowerEngineGetsLess, red without the pace.

--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -118,6 +118,12 @@
 	f.direct.Report(f.timer.Now(), id, l)
 }
 
+func (f *Fleet) progress(id string, tokens int64, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.direct.Progress(f.timer.Now(), id, tokens, took)
+}
+
 func (f *Fleet) done(id string, outcome jksched.DirectOutcome, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -22,6 +22,7 @@
 		c.started = true
 	}
 	events := newEventReader(resp)
+	last := time.Time{}
 	for {
 		if c.watchdog != nil {
 			c.watchdog.progress(c.nextStall())
@@ -33,6 +34,11 @@
 		if err != nil {
 			return verdictBroken
 		}
+		now := h.Timer.Now()
+		if !last.IsZero() {
+			h.Fleet.progress(c.lastEndpoint, c.service.EventTokens(), now.Sub(last))
+		}
+		last = now
 		if _, err := c.writer.Write(e.raw); err != nil {
 			return verdictLeft
 		}
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -25,8 +25,13 @@
 	OutputTokens int64
 	// ServiceTime is assumed for a call of a plain service until measured.
 	ServiceTime time.Duration
-	// LoadAge is how long an endpoint's own report of its load counts.
+	// LoadAge is how long an endpoint's own report of its load counts, and
+	// PaceAge how long its pace of a moment does.
 	LoadAge time.Duration
+	PaceAge time.Duration
+	// CrossZone is what a call to another zone costs beyond its delay, for the
+	// prompt that it moves.
+	CrossZone time.Duration
 	// BreakerFaults consecutive faults open the breaker for BreakerPause, which
 	// doubles up to BreakerMaxPause while probes fail.
 	BreakerFaults   int
@@ -46,6 +51,7 @@
 		TokenPace: 935 * time.Microsecond, TokenPacePerCall: 20 * time.Microsecond,
 		PrefillPace: 3 * time.Microsecond, OutputTokens: 260,
 		ServiceTime: 30 * time.Millisecond, LoadAge: 600 * time.Millisecond,
+		PaceAge: 500 * time.Millisecond, CrossZone: 6 * time.Millisecond,
 		BreakerFaults: 2, BreakerPause: 400 * time.Millisecond, BreakerMaxPause: 3 * time.Second,
 		QueuePerSlot: 2.5, MaxParts: 20000,
 	}
@@ -87,7 +93,12 @@
 	// ownAtLoad is the number of own calls that the report includes.
 	ownAtLoad int
 	// service is the smoothed time of a call of a plain service.
-	service   time.Duration
+	service time.Duration
+	// usual is the endpoint's time per token relative to the options', smoothed
+	// over many calls; current is the same over the last few events.
+	usual     float64
+	current   float64
+	currentAt time.Time
 	faults    int
 	pause     time.Duration
 	openUntil time.Time
@@ -257,16 +268,56 @@
 	return max(row.endpoint.Slots, 1)
 }
 
+// pace is the predicted time of work on the endpoint relative to the options'.
+// What was seen or reported last fades into the usual, since neighbours come and
+// go within a second.
 func (d *Direct) pace(now time.Time, row *directRow) float64 {
-	if row.load.Pace <= 0 {
-		return 1
+	usual := row.usual
+	if usual == 0 {
+		usual = 1
 	}
-	// The reported pace changes many times a second, so that an older one says
-	// little.
-	age := float64(now.Sub(row.loadAt)) / float64(d.opt.LoadAge)
-	return 1 + (row.load.Pace-1)*max(0, 1-age)
+	pace, at := row.current, row.currentAt
+	if row.load.Pace > 0 && row.loadAt.After(at) {
+		pace, at = usual*row.load.Pace, row.loadAt
+	}
+	if pace == 0 {
+		return usual
+	}
+	fresh := max(0, 1-float64(now.Sub(at))/float64(d.opt.PaceAge))
+	return usual + (pace-usual)*fresh
 }
 
+// Weights of one observation in the smoothed paces.
+const (
+	usualWeight   = 0.02
+	currentWeight = 0.4
+)
+
+// Progress takes the time that a running call of an engine needed for some
+// tokens.
+func (d *Direct) Progress(now time.Time, id string, tokens int64, took time.Duration) {
+	row, ok := d.endpoints[id]
+	if !ok || tokens <= 0 || took <= 0 {
+		return
+	}
+	running := min(d.occupied(now, row), d.slots(row))
+	expected := time.Duration(tokens) * (d.opt.TokenPace + time.Duration(running)*d.opt.TokenPacePerCall)
+	// A gap far beyond the usual is a preemption or a lost connection.
+	ratio := min(float64(took)/float64(expected), maxPace)
+	if row.usual == 0 {
+		row.usual = 1
+	}
+	row.usual += (ratio - row.usual) * usualWeight
+	if row.current == 0 || now.Sub(row.currentAt) > d.opt.PaceAge {
+		row.current = row.usual
+	}
+	row.current += (ratio - row.current) * currentWeight
+	row.currentAt = now
+}
+
+// maxPace bounds one observation of an endpoint's pace.
+const maxPace = 6
+
 // work is the time that the call runs on the endpoint once it has a slot.
 func (d *Direct) work(now time.Time, c Call, row *directRow) time.Duration {
 	if c.Kind == KindService {
@@ -329,6 +380,9 @@
 	if d.opt.Delay != nil {
 		cost += 2 * d.opt.Delay(d.opt.Zone, row.endpoint.Zone)
 	}
+	if c.Kind == KindModel && row.endpoint.Zone != d.opt.Zone {
+		cost += d.opt.CrossZone
+	}
 	if row.faults > 0 {
 		cost += time.Duration(row.faults) * 50 * time.Millisecond
 	}
--- /dev/null
+++ b/core/jksched/direct_test.go
@@ -0,0 +1,160 @@
+package jksched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// directFleet is a Direct with n engines of 16 slots in zone a.
+func directFleet(n int) *Direct {
+	opt := DefaultDirectOptions()
+	opt.Zone = "a"
+	d := NewDirect(opt)
+	for i := range n {
+		d.SetEndpoint(Endpoint{ID: fmt.Sprintf("e%d", i), Zone: "a", Kind: KindModel, Service: "llm", Slots: 16, State: StateLive})
+	}
+	return d
+}
+
+func turn(program string) Call {
+	return Call{Program: program, Kind: KindModel, Service: "llm", MaxTokens: 260, PromptTokens: 14000,
+		Prefix: []Segment{{Hash: "shared", Tokens: 12600}, {Hash: program, Tokens: 1400}}}
+}
+
+// replay plays a load in virtual time: a turn each gap, on engines whose work
+// takes slow[i] times as long. It returns the number of turns and the mean time
+// of a turn on each engine.
+func replay(d *Direct, gap time.Duration, turns int, slow []float64) (counts []int, mean time.Duration) {
+	type run struct {
+		id    string
+		ends  time.Time
+		event time.Duration
+		next  time.Time
+		took  time.Duration
+	}
+	now := time.Unix(0, 0)
+	var running []*run
+	counts = make([]int, len(slow))
+	sum := time.Duration(0)
+	const events = 9
+	finish := func() {
+		for i := 0; i < len(running); i++ {
+			r := running[i]
+			for !r.next.After(now) && r.next.Before(r.ends) {
+				d.Progress(r.next, r.id, 29, r.event)
+				r.next = r.next.Add(r.event)
+			}
+			if !r.ends.After(now) {
+				d.Done(now, r.id, DirectServed, r.took)
+				running = append(running[:i], running[i+1:]...)
+				i--
+			}
+		}
+	}
+	for i := range turns {
+		now = now.Add(gap)
+		finish()
+		p, err := d.Place(now, turn(fmt.Sprint(i)), nil)
+		if err != nil {
+			continue
+		}
+		var n int
+		fmt.Sscanf(p.Endpoint, "e%d", &n)
+		counts[n]++
+		beside := 0
+		for _, r := range running {
+			if r.id == p.Endpoint {
+				beside++
+			}
+		}
+		token := time.Duration(float64(935+20*beside) * slow[n] * float64(time.Microsecond))
+		event := 29 * token
+		took := events * event
+		sum += took
+		running = append(running, &run{id: p.Endpoint, ends: now.Add(took), event: event, next: now.Add(event), took: took})
+	}
+	return counts, sum / time.Duration(turns)
+}
+
+// Guards against an engine on a slower machine that gets the same share of the
+// load as its faster peers.
+func TestSlowerEngineGetsLess(t *testing.T) {
+	counts, _ := replay(directFleet(3), 12*time.Millisecond, 2000, []float64{1, 1, 1.6})
+	if counts[2]*3 > counts[0]*2 {
+		t.Errorf("turns by engine are %v, want the slow one below two thirds of another", counts)
+	}
+	if counts[2] == 0 {
+		t.Errorf("turns by engine are %v, want some on each", counts)
+	}
+}
+
+// Guards against a crest that piles up on one engine while others have room.
+func TestCrestIsSpread(t *testing.T) {
+	counts, _ := replay(directFleet(9), 4*time.Millisecond, 3000, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1})
+	for _, n := range counts {
+		if n < 200 || n > 470 {
+			t.Errorf("turns by engine are %v, want each within 40%% of 333", counts)
+			break
+		}
+	}
+}
+
+// Guards against a refusal while an endpoint has room, and against one without a
+// time to come back where all are full.
+func TestRefusalOnlyWithoutRoom(t *testing.T) {
+	d := directFleet(1)
+	now := time.Unix(0, 0)
+	placed := 0
+	for {
+		_, err := d.Place(now, turn(fmt.Sprint(placed)), nil)
+		if err == nil {
+			placed++
+			continue
+		}
+		refused, ok := err.(*RefusedError)
+		if !ok || refused.RetryAfter <= 0 {
+			t.Fatalf("error is %v, want a refusal with a time", err)
+		}
+		break
+	}
+	if placed < 16 {
+		t.Errorf("refused after %d calls, want at least the 16 slots", placed)
+	}
+}
+
+// Guards against an endpoint that failed twice and is asked by every call at
+// once when its breaker's pause ends.
+func TestBreakerLetsOneProbeThrough(t *testing.T) {
+	d := directFleet(2)
+	now := time.Unix(0, 0)
+	for range 2 {
+		d.Add("e0")
+		d.Done(now, "e0", DirectFault, 0)
+	}
+	now = now.Add(d.opt.BreakerPause + time.Millisecond)
+	counts := map[string]int{}
+	for i := range 30 {
+		p, err := d.Place(now, turn(fmt.Sprint(i)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[p.Endpoint]++
+	}
+	if counts["e0"] > 1 {
+		t.Errorf("%d calls on the failed endpoint, want one probe", counts["e0"])
+	}
+}
+
+// Guards against calls into a zone that can't be reached.
+func TestLostZoneGetsNothing(t *testing.T) {
+	d := directFleet(1)
+	d.SetEndpoint(Endpoint{ID: "far", Zone: "b", Kind: KindModel, Service: "llm", Slots: 16, State: StateLive})
+	d.SetZoneReachable("b", false)
+	for i := range 10 {
+		p, err := d.Place(time.Unix(0, 0), turn(fmt.Sprint(i)), nil)
+		if err != nil || p.Endpoint == "far" {
+			t.Fatalf("placed on %q, %v", p.Endpoint, err)
+		}
+	}
+}
