--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -42,6 +42,7 @@
 	peers   *jkwire.Pool
 	probes  *jkprobe.Prober
 	members *members
+	shared  *jkfollow.Shared
 	counts  *jkforward.Metrics
 
 	mu        sync.Mutex
@@ -75,6 +76,10 @@
 	}
 	e.probes = probes
 	e.closed = append(e.closed, probes.Close)
+	e.shared = jkfollow.NewShared(jkfollow.SharedOptions{
+		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: e.peers,
+		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) },
+	})
 	return e, e.listen()
 }
 
@@ -86,6 +91,17 @@
 // themselves don't pass between hosts.
 func isControl(string) bool { return true }
 
+// handle answers one message of another host.
+func (e *Entry) handle(ctx context.Context, s *jkwire.Incoming, account *jkaccount.Client) {
+	if s.Type() != jkfollow.TypeWatch {
+		account.Handle(ctx, s)
+		return
+	}
+	if err := e.shared.Handle(ctx, s); err != nil {
+		e.log.Info("follower not answered", "host", s.Peer().Host, "error", err)
+	}
+}
+
 // crossZone is the assumed one-way delay between two zones: the larger of the
 // users' published figures.
 const crossZone = 1400 * time.Microsecond
@@ -122,7 +138,7 @@
 		return eris.Wrap(err, "listen for other hosts")
 	}
 	server := jkwire.NewServer(inner, jkwire.ServerOptions{
-		Self: e.self(), Handle: account.Handle, Control: isControl, Counters: &jkwire.Counters{},
+		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.Incoming) { e.handle(ctx, s, account) }, Control: isControl, Counters: &jkwire.Counters{},
 	})
 	e.closed = append(e.closed, server.Close)
 	l, err := net.Listen("tcp", e.settings.Front)
@@ -191,9 +207,11 @@
 	return nil
 }
 
-// Ready reports whether the entry takes new connections.
+// Ready reports whether the entry takes new connections. An entry that is cut
+// off from all endpoints of a service leaves callers to entries of other zones.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.rules.Load() != nil && e.fleet.Endpoints() > 0
+	rules := e.rules.Load()
+	return !e.leaving.Load() && rules != nil && e.fleet.Endpoints() > 0 && !e.fleet.CutOff(rules.Services())
 }
 
 // Run serves until stop is closed, then lets running requests end.
@@ -202,7 +220,7 @@
 	defer cancel()
 	// One watch over all keys costs a third of the calls of one for each kind.
 	go jkfollow.New(jkfollow.Options{
-		Timer: e.timer, Log: e.log.Part("follow"), Source: e.platform.Source,
+		Timer: e.timer, Log: e.log.Part("follow"), Source: e.shared.ThroughPeers(),
 		Apply: e.apply, Settled: func(bool) {},
 	}).Run(ctx)
 	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
@@ -338,6 +356,19 @@
 	return out
 }
 
+// watchers returns the entries that may watch the store for others.
+func (m *members) watchers(reachable func(host string) bool) []jkfollow.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []jkfollow.Peer
+	for _, h := range m.hosts {
+		if !h.Ledger && !h.Leaving && reachable(h.Host) {
+			out = append(out, jkfollow.Peer{Host: h.Host, Addr: h.Addr})
+		}
+	}
+	return out
+}
+
 // announcePause is the time between two tries to write the host's own entry.
 const announcePause = 400 * time.Millisecond
 
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -86,8 +86,12 @@
 func (t *Storage) Run(stop <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	shared := jkfollow.NewShared(jkfollow.SharedOptions{
+		Timer: t.timer, Log: t.log.Part("follow"), Host: t.settings.Host, Source: t.platform.Source, Pool: t.peers,
+		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
+	})
 	go jkfollow.New(jkfollow.Options{
-		Timer: t.timer, Log: t.log.Part("follow"), Source: t.platform.Source,
+		Timer: t.timer, Log: t.log.Part("follow"), Source: shared.ThroughPeers(),
 		Apply: func(item jkfollow.Item) { t.apply(ctx, item) },
 		Settled: func(inTouch bool) {
 			if inTouch {
--- /dev/null
+++ b/core/jkfollow/shared_test.go
@@ -0,0 +1,113 @@
+package jkfollow
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// storeStub is a store with one key whose changes a test sends.
+type storeStub struct {
+	calls   atomic.Int64
+	changes chan Item
+	down    atomic.Bool
+}
+
+func (s *storeStub) source() Source {
+	return Source{
+		List: func(context.Context, string) (Page, error) {
+			s.calls.Add(1)
+			return Page{Items: []Item{{Key: "op/config", Revision: 1}}, Revision: 1}, nil
+		},
+		Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+			s.calls.Add(1)
+			if s.down.Load() {
+				<-ctx.Done()
+				return Page{}, ctx.Err()
+			}
+			select {
+			case i := <-s.changes:
+				return Page{Items: []Item{i}, Revision: i.Revision}, nil
+			case <-time.After(wait):
+				return Page{Revision: after}, nil
+			case <-ctx.Done():
+				return Page{}, ctx.Err()
+			}
+		},
+	}
+}
+
+// watcher starts a host that watches the store and answers followers.
+func watcher(t *testing.T, store *storeStub) (*Shared, Peer) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := Peer{Host: "watcher", Addr: l.Addr().String()}
+	s := NewShared(SharedOptions{
+		Timer: jktimer.New(), Log: jklog.Discard(), Host: peer.Host, Source: store.source(),
+		Peers: func() []Peer { return []Peer{peer} },
+	})
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: peer.Host, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
+		Control: func(string) bool { return true },
+		Handle: func(ctx context.Context, in *jkwire.Incoming) {
+			if err := s.Handle(ctx, in); err != nil && ctx.Err() == nil {
+				t.Errorf("follower not answered: %v", err)
+			}
+		},
+	})
+	t.Cleanup(server.Close)
+	run(t, s.ThroughPeers())
+	return s, peer
+}
+
+func follower(t *testing.T, peer Peer, store *storeStub) <-chan Item {
+	t.Helper()
+	pool := jkwire.NewPool(jkwire.PoolOptions{
+		Self: jkwire.Hello{Host: "f", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, Control: func(string) bool { return true },
+	})
+	t.Cleanup(pool.Close)
+	return run(t, NewShared(SharedOptions{
+		Timer: jktimer.New(), Log: jklog.Discard(), Host: "f", Source: store.source(), Pool: pool,
+		Peers: func() []Peer { return []Peer{peer} },
+	}).ThroughPeers())
+}
+
+// Guards against calls to the store that grow with the hosts.
+func TestFollowerHearsThroughItsPeer(t *testing.T) {
+	store := &storeStub{changes: make(chan Item, 1)}
+	_, peer := watcher(t, store)
+	own := &storeStub{}
+	items := follower(t, peer, own)
+	next(t, items, time.Second)
+	store.changes <- Item{Key: "op/config", Revision: 2}
+	if got := next(t, items, applyBound); got.Revision != 2 {
+		t.Errorf("revision %d, want 2", got.Revision)
+	}
+	if n := own.calls.Load(); n != 1 {
+		t.Errorf("%d calls to the store, want the list only", n)
+	}
+}
+
+// Guards against a configuration that is in force too late on a host whose peer
+// has lost the store.
+func TestFollowerLeavesAPeerWithoutTheStore(t *testing.T) {
+	store := &storeStub{changes: make(chan Item, 1)}
+	_, peer := watcher(t, store)
+	own := &storeStub{changes: make(chan Item, 1)}
+	items := follower(t, peer, own)
+	next(t, items, time.Second)
+	store.down.Store(true)
+	own.changes <- Item{Key: "op/config", Revision: 2}
+	if got := next(t, items, 2*applyBound); got.Revision != 2 {
+		t.Errorf("revision %d, want 2", got.Revision)
+	}
+}
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// CutOff reports whether all live endpoints of one of the services are in zones
+// that this host has lost.
+func (f *Fleet) CutOff(services []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range services {
+		if live, reachable := f.direct.Live(name); live > 0 && reachable == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // zoneReachable reports whether the endpoint's zone can be reached.
 func (f *Fleet) zoneReachable(id string) bool {
 	f.mu.Lock()
--- a/core/jkruleset/ruleset.go
+++ b/core/jkruleset/ruleset.go
@@ -188,6 +188,7 @@
 	// byHost lists a host's routes, the longest prefix first.
 	byHost map[string][]*Route
 	routes int
+	used   []string
 }
 
 // NewSet builds a version of the rules.
@@ -205,6 +206,11 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host())
 		s.byHost[host] = append(s.byHost[host], r)
+		for _, name := range r.Services() {
+			if !slices.Contains(s.used, name) {
+				s.used = append(s.used, name)
+			}
+		}
 	}
 	for _, list := range s.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.config.Prefix) - len(a.config.Prefix) })
@@ -221,6 +227,9 @@
 // Routes returns the number of routes.
 func (s *Set) Routes() int { return s.routes }
 
+// Services returns the names of the services that routes send to.
+func (s *Set) Services() []string { return s.used }
+
 // Service returns a service by its name, or nil.
 func (s *Set) Service(name string) *Service { return s.services[name] }
 
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -164,15 +164,19 @@
 // Endpoints returns the number of known endpoints.
 func (d *Direct) Endpoints() int { return len(d.endpoints) }
 
-// Live returns the number of endpoints of a service that may get work.
-func (d *Direct) Live(service string) int {
-	n := 0
+// Live returns the number of endpoints of a service that may get work, and how
+// many of them are in zones that can be reached.
+func (d *Direct) Live(service string) (live, reachable int) {
 	for _, row := range d.services[service] {
-		if row.endpoint.State == StateLive {
-			n++
+		if row.endpoint.State != StateLive {
+			continue
+		}
+		live++
+		if !d.zonesDown[row.endpoint.Zone] {
+			reachable++
 		}
 	}
-	return n
+	return live, reachable
 }
 
 // SetZoneReachable records whether this host can reach a zone.
