--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -22,6 +22,10 @@
 
 	began    time.Time
 	deadline time.Time
+	// sent is when the request was first sent to an endpoint, and first when the
+	// first event or the answer arrived.
+	sent  time.Time
+	first time.Time
 
 	// attempts counts the endpoints that may have run the request.
 	attempts int
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -199,7 +199,7 @@
 	took := h.Timer.Now().Sub(c.began)
 	h.Metrics.observe(c, took)
 	if c.status >= 200 && c.status < 300 {
-		h.Log.Debug("request served", c.fields(took)...)
+		h.Log.Info("request served", c.fields(took)...)
 		return
 	}
 	h.Log.Info("request not served", c.fields(took)...)
@@ -213,6 +213,16 @@
 	return []any{
 		"request", c.facts.Request, "program", c.facts.Program, "route", route, "status", c.status,
 		"reason", c.reason, "endpoint", c.lastEndpoint, "attempts", c.attempts, "events", c.events,
-		"may_have_run", c.mayHaveRun, "took_ms", took.Milliseconds(),
+		"may_have_run", c.mayHaveRun, "sent_ms", millisSince(c.began, c.sent), "first_ms", millisSince(c.began, c.first),
+		"took_ms", took.Milliseconds(),
 	}
 }
+
+// millisSince returns the milliseconds from one time to another, or -1 if there
+// is no other.
+func millisSince(from, to time.Time) int64 {
+	if to.IsZero() {
+		return -1
+	}
+	return to.Sub(from).Milliseconds()
+}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -145,6 +145,9 @@
 	header := c.forwarded(h.Dialect)
 	h.Dialect.Prepare(header, Outgoing{Endpoint: id, Left: left, Urgency: urgency(c), LastEvent: c.lastEvent})
 	began := h.Timer.Now()
+	if c.sent.IsZero() {
+		c.sent = began
+	}
 	resp, err := h.Pool.Send(ctx, jkupstream.Request{
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, Repeatable: c.route.Repeatable(),
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -35,6 +35,9 @@
 			return verdictBroken
 		}
 		now := h.Timer.Now()
+		if c.first.IsZero() {
+			c.first = now
+		}
 		if !last.IsZero() {
 			h.Fleet.progress(c.lastEndpoint, c.service.EventTokens(), now.Sub(last))
 		}
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -373,7 +373,7 @@
 	cost := d.wait(now, c, row) + d.work(now, c, row)
 	occupied := d.occupied(now, row)
 	if c.Kind == KindModel {
-		cost += time.Duration(d.uncached(c, row)) * d.opt.PrefillPace * time.Duration(occupied) / 2
+		cost += time.Duration(d.uncached(c, row)) * d.opt.PrefillPace * time.Duration(occupied)
 		// Each running call is slowed by this one's tokens.
 		cost += time.Duration(c.MaxTokens) * d.opt.TokenPacePerCall * time.Duration(occupied)
 	} else {
