--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -47,10 +47,18 @@
 }
 
 // Client keeps budgets and turns.
-type Client struct{ Options }
+type Client struct {
+	Options
+	outbox *outbox
+	relays *relays
+}
 
 // NewClient returns a client.
-func NewClient(o Options) *Client { return &Client{Options: o} }
+func NewClient(o Options) *Client {
+	c := &Client{Options: o, relays: newRelays()}
+	c.outbox = newOutbox(c)
+	return c
+}
 
 // Account returns the functions that a handler calls.
 func (c *Client) Account() jkforward.Account {
@@ -180,26 +188,26 @@
 // that is lost leaves the reservation as it is, so that the program is charged
 // more than it used.
 func (c *Client) Settle(s jkforward.Settlement) {
-	write := &jkledger.WriteRequest{Records: []jkledger.Record{{Spending: &jkledger.Spending{
+	records := []jkledger.Record{{Spending: &jkledger.Spending{
 		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
-	}}}}
+	}}}
 	for _, target := range c.replicas(s.Program) {
-		go c.deliver(target, write)
+		c.outbox.send(target, records, nil)
 	}
 }
 
 // Keep writes a turn and its spending to all copies and returns once as many
 // disks hold it as may be lost, and one more.
 func (c *Client) Keep(ctx context.Context, t jkforward.Turn) error {
-	write := jkledger.WriteRequest{Sync: true, Records: []jkledger.Record{
+	records := []jkledger.Record{
 		{Spending: &jkledger.Spending{Program: t.Program, Request: t.Request, Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
 		{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
-	}}
+	}
 	copies := c.replicas(t.Program)
 	needed := c.needed(copies)
 	results := make(chan bool, len(copies))
 	for _, target := range copies {
-		go func() { results <- c.deliver(target, &write) }()
+		c.outbox.send(target, records, results)
 	}
 	kept := 0
 	for range copies {
@@ -231,41 +239,6 @@
 	return max(min(c.Losses+1, len(copies), reachable), 1)
 }
 
-// deliverFor is how long a write is repeated for a copy that doesn't answer: a
-// cut between zones lasts some seconds.
-const deliverFor = 20 * time.Second
-
-// deliverPause is the time between two tries.
-const deliverPause = 300 * time.Millisecond
-
-// deliver writes records to a copy and reports whether it took them. A copy that
-// doesn't answer at once gets them later, in the background.
-func (c *Client) deliver(target Copy, write *jkledger.WriteRequest) bool {
-	if c.try(target, write) {
-		return true
-	}
-	go func() {
-		end := c.Timer.Now().Add(deliverFor)
-		for c.Timer.Now().Before(end) {
-			c.Timer.Wait(deliverPause, nil)
-			if c.try(target, write) {
-				return
-			}
-		}
-		c.Log.Warn("records not delivered", "host", target.Host, "records", len(write.Records))
-	}()
-	return false
-}
-
-func (c *Client) try(target Copy, write *jkledger.WriteRequest) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	return c.call(ctx, target, jkledger.TypeWrite, write, nil) == nil
-}
-
-// writeTimeout bounds one write to a copy.
-const writeTimeout = time.Second
-
 // Chain returns the inputs and outputs of a chain, the oldest turn first. It
 // asks the nearest of the program's copies and, where that lacks a turn, all
 // others.
--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -28,9 +30,37 @@
 // maxRelays bounds the hosts that are asked to pass one message on.
 const maxRelays = 2
 
+// hopelessFor is how long no message is passed on to a copy that the asked hosts
+// couldn't reach either. A copy that is down would otherwise cost messages to
+// other hosts for each turn.
+const hopelessFor = time.Second
+
+// relays remembers the copies that can't be reached through other hosts.
+type relays struct {
+	mu       sync.Mutex
+	hopeless map[string]time.Time
+}
+
+func newRelays() *relays { return &relays{hopeless: map[string]time.Time{}} }
+
+func (r *relays) isHopeless(host string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.hopeless[host])
+}
+
+func (r *relays) setHopeless(host string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hopeless[host] = until
+}
+
 // relay passes a message to a copy through another host. A single host that is
 // cut off from the copies serves on in this way.
 func (c *Client) relay(ctx context.Context, target Copy, messageType string, request, answer any) error {
+	if c.relays.isHopeless(target.Host, c.Timer.Now()) {
+		return &UnreachableError{Host: target.Host}
+	}
 	body, err := jkwire.Encode(request)
 	if err != nil {
 		return err
@@ -39,17 +69,18 @@
 	relays := c.Relays()
 	for _, addr := range relays[:min(len(relays), maxRelays)] {
 		err = c.Pool.Call(ctx, addr, TypeRelay, &RelayRequest{Host: target.Host, Type: messageType, Body: body}, answer)
-		if err == nil || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
 		}
 	}
+	c.relays.setHopeless(target.Host, c.Timer.Now().Add(hopelessFor))
 	return err
 }
 
 // Handle passes a message of another host on to a copy that this one can reach.
 func (c *Client) Handle(ctx context.Context, s *jkwire.Incoming) {
 	if err := c.pass(ctx, s); err != nil {
-		c.Log.Info("message not passed on", "from", s.Peer().Host, "type", s.Type(), "error", err)
+		c.Log.Debug("message not passed on", "from", s.Peer().Host, "type", s.Type(), "error", err)
 		if err := s.Fail("not_passed_on", err.Error()); err != nil {
 			c.Log.Info("peer left", "host", s.Peer().Host, "error", err)
 		}
