forward: test answers and streams from scripts

Each case brings about the failure that a rule is about: truncated, unsigned, encoded, foreign, extra and lost answers, refusals, cut streams, unkept turns, budgets.

--- /dev/null
+++ b/core/jkforward/forward_test.go
@@ -0,0 +1,354 @@
+package jkforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/datadriven"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkruleset"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkupstream"
+)
+
+// Headers of the dialect that the tests speak.
+const (
+	testRequest  = "Test-Request"
+	testSigned   = "Test-Signed"
+	testNotRun   = "Test-Not-Run"
+	testEndpoint = "Test-Endpoint"
+	testLast     = "Test-Last-Event"
+	testProgram  = "Test-Program"
+	testPrevious = "Test-Previous"
+	testSecret   = "Test-System-Only"
+)
+
+func testDialect() Dialect {
+	return Dialect{
+		Read: func(h http.Header) Facts {
+			f := Facts{Request: h.Get(testRequest), LastEvent: h.Get(testLast), Program: h.Get(testProgram), Previous: h.Get(testPrevious), Wait: 3 * time.Second}
+			if f.Program != "" {
+				f.Budget, f.MaxTokens = 100, 10
+			}
+			return f
+		},
+		Forwardable: func(name string) bool { return name != testSecret },
+		Prepare: func(h http.Header, o Outgoing) {
+			h.Set(testEndpoint, o.Endpoint)
+			if o.LastEvent != "" {
+				h.Set(testLast, o.LastEvent)
+			}
+		},
+		Answer: func(h http.Header) AnswerFacts {
+			return AnswerFacts{Request: h.Get(testRequest), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != ""}
+		},
+	}
+}
+
+// endpoint plays one step of its script for each request.
+type endpoint struct {
+	listener net.Listener
+
+	mu    sync.Mutex
+	steps []string
+	// seen describes the requests in order.
+	seen []string
+}
+
+func newEndpoint(t *testing.T) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		step := e.take(req, body)
+		if !e.play(c, req.Header.Get(testRequest), step) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) take(req *http.Request, body []byte) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := fmt.Sprintf("%s %s %q", req.Method, req.RequestURI, body)
+	if last := req.Header.Get(testLast); last != "" {
+		seen += " after " + last
+	}
+	if req.Header.Get(testSecret) != "" {
+		seen += " with the caller's system header"
+	}
+	e.seen = append(e.seen, seen)
+	if len(e.steps) == 0 {
+		return "ok default"
+	}
+	step := e.steps[0]
+	e.steps = e.steps[1:]
+	return step
+}
+
+// play answers and reports whether the connection goes on.
+func (e *endpoint) play(c net.Conn, id, step string) bool {
+	kind, arg, _ := strings.Cut(step, " ")
+	answer := func(status int, header, body string) {
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, testRequest, id, header, len(body), body)
+	}
+	signed := testSigned + ": 1\r\n"
+	switch kind {
+	case "ok":
+		answer(200, signed, arg)
+	case "unsigned":
+		answer(200, "", arg)
+	case "encoded":
+		answer(200, signed+"Content-Encoding: br\r\n", arg)
+	case "fail":
+		answer(500, signed, arg)
+	case "refuse":
+		answer(503, testNotRun+": 1\r\n", "")
+	case "foreign":
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: other\r\n%sContent-Length: 7\r\n\r\nforeign", testRequest, signed)
+		answer(200, signed, arg)
+	case "extra":
+		answer(200, signed, arg)
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Length: 5\r\n\r\nextra", testRequest, id, signed)
+	case "garbage":
+		fmt.Fprintf(c, "\x00\x01 no answer at all\r\n\r\n")
+		return false
+	case "short":
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", testRequest, id, signed, len(arg)+10, arg)
+		return false
+	case "cut":
+		return false
+	case "hang":
+		time.Sleep(2 * time.Second)
+		return false
+	case "events", "events-cut":
+		e.stream(c, id, arg, kind == "events")
+		return kind == "events"
+	}
+	return true
+}
+
+func (e *endpoint) stream(c net.Conn, id, arg string, whole bool) {
+	fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testRequest, id, testSigned)
+	for _, n := range strings.Split(arg, ",") {
+		piece := fmt.Sprintf("id: %s\ndata: piece %s\n\n", n, n)
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	if whole {
+		fmt.Fprint(c, "0\r\n\r\n")
+		return
+	}
+	fmt.Fprint(c, "8\r\nid: 99\nd\r\n")
+}
+
+// ledger is an account in memory.
+type ledger struct {
+	mu      sync.Mutex
+	spent   error
+	settled []string
+	kept    []string
+	unkept  bool
+}
+
+func (l *ledger) account() Account {
+	return Account{
+		Reserve: func(context.Context, Reservation) error { return l.spent },
+		Settle: func(s Settlement) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.settled = append(l.settled, strconv.FormatInt(s.Tokens, 10))
+		},
+		Chain: func(_ context.Context, _, request string) ([]byte, error) {
+			if request == "known" {
+				return []byte("earlier "), nil
+			}
+			return nil, &UnknownTurnError{Request: request}
+		},
+		Keep: func(_ context.Context, t Turn) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if l.unkept {
+				return &UncertainError{Operation: "keep", Needed: 2}
+			}
+			l.kept = append(l.kept, fmt.Sprintf("%q -> %q", t.Input, t.Output))
+			return nil
+		},
+	}
+}
+
+// bed is a handler before two endpoints of each service.
+type bed struct {
+	front     *httptest.Server
+	endpoints map[string]*endpoint
+	ledger    *ledger
+}
+
+// routes of the tests; their prefixes name what may be repeated.
+func testRules() *jkruleset.Set {
+	route := func(name string, kind jkruleset.Kind, attempts int, resumable, retain bool) *jkruleset.Route {
+		return jkruleset.NewRoute(jkruleset.RouteConfig{
+			Name: name, Host: "site.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second,
+			MaxAttempts: attempts, Resumable: resumable, Retain: retain, Shares: []jkruleset.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	return jkruleset.NewSet(1, jkruleset.Limits{MaxBodyBytes: 1000}, []*jkruleset.Service{
+		jkruleset.NewService(jkruleset.ServiceConfig{Name: "s", EventTokens: 5}),
+	}, []*jkruleset.Route{
+		route("safe", jkruleset.KindIdempotent, 2, false, false),
+		route("once", jkruleset.KindNonIdempotent, 2, false, false),
+		route("stream", jkruleset.KindStream, 2, true, false),
+		route("chat", jkruleset.KindStream, 2, false, true),
+	})
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	timer := jktimer.New()
+	opt := jksched.DefaultDirectOptions()
+	opt.Zone = "a"
+	// Both endpoints are equal, so that the first in order is chosen.
+	fleet := NewFleet(opt, timer)
+	b := &bed{endpoints: map[string]*endpoint{}, ledger: &ledger{}}
+	for _, id := range []string{"e1", "e2"} {
+		e := newEndpoint(t)
+		b.endpoints[id] = e
+		zone := map[string]string{"e1": "a", "e2": "b"}[id]
+		fleet.SetEndpoint(jksched.Endpoint{ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, e.listener.Addr().String())
+	}
+	opened := 0
+	h := NewHandler(Options{
+		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(metrics.NewSet()), Rules: testRules,
+		Dialect: testDialect(), Account: b.ledger.account(), Fleet: fleet,
+		Pool:    jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() { opened++ }),
+		Leaving: func() bool { return false },
+	})
+	b.front = httptest.NewServer(h)
+	t.Cleanup(b.front.Close)
+	return b
+}
+
+// send performs the request that a case describes.
+func (b *bed) send(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	var method, path, body string
+	d.ScanArgs(t, "method", &method)
+	d.ScanArgs(t, "path", &path)
+	if d.HasArg("body") {
+		d.ScanArgs(t, "body", &body)
+	}
+	req, err := http.NewRequest(method, b.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "site.example"
+	req.Header.Set(testRequest, "r1")
+	req.Header.Set(testSecret, "forged")
+	for arg, name := range map[string]string{"program": testProgram, "previous": testPrevious, "last": testLast} {
+		if d.HasArg(arg) {
+			var v string
+			d.ScanArgs(t, arg, &v)
+			req.Header.Set(name, v)
+		}
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return "connection closed\n"
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	out := fmt.Sprintf("%d %q", resp.StatusCode, data)
+	if err != nil {
+		out += " broken off"
+	}
+	if resp.Header.Get("Retry-After") != "" {
+		out += " with a time to come back"
+	}
+	return out + "\n"
+}
+
+func TestForward(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var b *bed
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "fleet" {
+				b = newBed(t)
+				for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+					id, step, _ := strings.Cut(line, ": ")
+					for name, e := range b.endpoints {
+						if name == id || id == "each" {
+							e.steps = append(e.steps, step)
+						}
+					}
+				}
+				b.ledger.unkept = d.HasArg("unkept")
+				if d.HasArg("spent") {
+					b.ledger.spent = &BudgetSpentError{Program: "p"}
+				}
+				if d.HasArg("uncertain") {
+					b.ledger.spent = &UncertainError{Operation: "reserve", Needed: 2}
+				}
+				return "ready\n"
+			}
+			out := b.send(t, d)
+			for _, id := range []string{"e1", "e2"} {
+				e := b.endpoints[id]
+				e.mu.Lock()
+				for _, seen := range e.seen {
+					out += id + " " + seen + "\n"
+				}
+				e.seen = nil
+				e.mu.Unlock()
+			}
+			b.ledger.mu.Lock()
+			defer b.ledger.mu.Unlock()
+			for _, k := range b.ledger.kept {
+				out += "kept " + k + "\n"
+			}
+			for _, s := range b.ledger.settled {
+				out += "settled " + s + "\n"
+			}
+			b.ledger.kept, b.ledger.settled = nil, nil
+			return out
+		})
+	})
+}
