--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -93,11 +93,11 @@
 	return out
 }
 
-func (c *Client) distance(copy Copy) int {
+func (c *Client) distance(target Copy) int {
 	switch {
-	case !c.Reachable(copy.Host):
+	case !c.Reachable(target.Host):
 		return 2
-	case copy.Zone != c.Zone:
+	case target.Zone != c.Zone:
 		return 1
 	}
 	return 0
--- a/core/jkfollow/shared.go
+++ b/core/jkfollow/shared.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	var answer WatchAnswer
 	err := s.Pool.Call(ctx, p.Addr, TypeWatch, &WatchRequest{After: after, Wait: wait}, &answer)
-	return Page{Items: answer.Items, Revision: answer.Revision}, err
+	return Page(answer), err
 }
 
 // record keeps changes for this host's own followers.
--- a/core/jkforward/events.go
+++ b/core/jkforward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -35,7 +36,7 @@
 	for {
 		line, err := r.lines.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
-		if err == bufio.ErrBufferFull && len(e.raw) < maxEventBytes {
+		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes {
 			rest, err := r.lines.ReadBytes('\n')
 			e.raw = append(e.raw, rest...)
 			line = append(bytes.Clone(line), rest...)
@@ -57,7 +58,7 @@
 }
 
 func unfinished(raw []byte, err error) error {
-	if err == io.EOF && len(bytes.TrimSpace(raw)) > 0 {
+	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(raw)) > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -141,7 +142,7 @@
 		h.Log.Warn("turn not continued", "request", c.facts.Request, "previous", c.facts.Previous, "error", err)
 		return refusalOf(err)
 	}
-	c.body = append(before, c.input...)
+	c.body = slices.Concat(before, c.input)
 	return nil
 }
 
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -219,10 +219,10 @@
 	if best == nil && soonest == time.Duration(math.MaxInt64) {
 		// A breaker is a guess: with no better endpoint left, the call itself
 		// is the probe.
-		best, cost = fallback, fallbackCost
+		best = fallback
 	}
 	if best == nil {
-		return Placement{}, d.refusal(c, live, soonest)
+		return Placement{}, d.refusal(live, soonest)
 	}
 	if !c.Deadline.IsZero() && now.Add(d.wait(now, c, best)).After(c.Deadline) {
 		return Placement{}, &RefusedError{Reason: ReasonDeadline, RetryAfter: d.wait(now, c, best)}
@@ -235,7 +235,7 @@
 	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.wait(now, c, best)}, nil
 }
 
-func (d *Direct) refusal(c Call, live int, soonest time.Duration) error {
+func (d *Direct) refusal(live int, soonest time.Duration) error {
 	if live > 0 && soonest != time.Duration(math.MaxInt64) {
 		return &RefusedError{Reason: ReasonQueueFull, RetryAfter: soonest}
 	}
--- a/core/jksched/direct_test.go
+++ b/core/jksched/direct_test.go
@@ -1,6 +1,7 @@
 package jksched
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -18,8 +19,10 @@
 }
 
 func turn(program string) Call {
-	return Call{Program: program, Kind: KindModel, Service: "llm", MaxTokens: 260, PromptTokens: 14000,
-		Prefix: []Segment{{Hash: "shared", Tokens: 12600}, {Hash: program, Tokens: 1400}}}
+	return Call{
+		Program: program, Kind: KindModel, Service: "llm", MaxTokens: 260, PromptTokens: 14000,
+		Prefix: []Segment{{Hash: "shared", Tokens: 12600}, {Hash: program, Tokens: 1400}},
+	}
 }
 
 // replay plays a load in virtual time: a turn each gap, on engines whose work
@@ -60,7 +63,9 @@
 			continue
 		}
 		var n int
-		fmt.Sscanf(p.Endpoint, "e%d", &n)
+		if _, err := fmt.Sscanf(p.Endpoint, "e%d", &n); err != nil {
+			continue
+		}
 		counts[n]++
 		beside := 0
 		for _, r := range running {
@@ -112,8 +117,8 @@
 			placed++
 			continue
 		}
-		refused, ok := err.(*RefusedError)
-		if !ok || refused.RetryAfter <= 0 {
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
 			t.Fatalf("error is %v, want a refusal with a time", err)
 		}
 		break
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -71,7 +71,7 @@
 	}
 	release := context.AfterFunc(ctx, func() { p.discard(c) })
 	w := c.write(&r)
-	resp, foreign, err := c.readHeader(&r)
+	resp, foreign, err := c.readHeader(&r) //nolint:bodyclose // Response.Close ends the exchange.
 	if err != nil {
 		release()
 		p.discard(c)
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -301,7 +301,7 @@
 // Catch copies what the vaults at the addresses have and reports whether one of
 // them was certain.
 func (v *Vault) Catch(ctx context.Context, addrs []string) bool {
-	any := false
+	found := false
 	for _, addr := range addrs {
 		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		n, certain, err := v.pull(ctx, addr)
@@ -310,13 +310,13 @@
 			v.Log.Warn("ledger not copied", "from", addr, "error", err)
 			continue
 		}
-		any = any || certain
+		found = found || certain
 		v.Log.Info("ledger copied", "from", addr, "records", n, "certain", certain)
 	}
-	if any {
+	if found {
 		v.certain.Store(true)
 	}
-	return any
+	return found
 }
 
 // errNoTaker is returned where too few other vaults could take the records.
