vault: mark a copy as certain on its disk

Cause: a copy counted as certain after a restart if its log held any record. Found by reading: after all processes were killed before the first record no copy was certain any more, and one that was killed while it copied what it had lost was. Tests: TestEmptyLedgerStaysCertainOverARestart, TestCopyThatWasNotCertainIsNotAfterARestart, both red before.

--- /dev/null
+++ b/core/jkledger/ledger_test.go
@@ -0,0 +1,175 @@
+package jkledger
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against copies that end with different content because records reached
+// them in another order, or twice.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var records []Record
+		for i := range rapid.IntRange(1, 12).Draw(t, "spendings") {
+			request := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "request"))
+			// What a request has used is known once, what it holds as well.
+			held := Spending{Program: "p", Request: request, Tokens: 100}
+			if i%2 == 0 {
+				held.Tokens, held.Settled = int64(len(request)*10), true
+			}
+			records = append(records, Record{Spending: &held})
+		}
+		a, b := New(), New()
+		for _, r := range records {
+			a.Apply(now, r)
+		}
+		for _, i := range rapid.Permutation(indexes(len(records))).Draw(t, "order") {
+			b.Apply(now, records[i])
+			b.Apply(now, records[i])
+		}
+		if a.Total("p") != b.Total("p") {
+			t.Fatalf("totals %d and %d", a.Total("p"), b.Total("p"))
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// Guards against turns that are forgotten while a later turn of their chain is
+// still kept.
+func TestChainIsKeptTogether(t *testing.T) {
+	l := New()
+	start := time.Unix(0, 0)
+	keep := func(at time.Duration, request, previous string) {
+		l.Apply(start.Add(at), Record{Turn: &Turn{Request: request, Previous: previous, Retention: time.Minute}})
+	}
+	keep(0, "1", "")
+	keep(50*time.Second, "2", "1")
+	l.Expire(start.Add(90 * time.Second))
+	if _, whole, missing := l.Chain("2"); !whole {
+		t.Errorf("chain lacks %q, want it whole within its retention", missing)
+	}
+	l.Expire(start.Add(130 * time.Second))
+	if l.Turns() != 0 {
+		t.Errorf("%d turns left after their retention", l.Turns())
+	}
+}
+
+func record(i int) Record {
+	return Record{Turn: &Turn{Request: fmt.Sprint(i), Input: []byte("input"), Retention: time.Minute}}
+}
+
+func readAll(t *testing.T, folder string) []string {
+	t.Helper()
+	var out []string
+	l, err := OpenLog(folder, func(r Record) { out = append(out, r.Turn.Request) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func write(t *testing.T, folder string, n int) {
+	t.Helper()
+	l, err := OpenLog(folder, func(Record) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		if err := l.Append(record(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Write(l.Take()); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a log that loses what was synced because a later write was torn
+// by a power loss, and against a torn record that is read as a whole one.
+func TestTornWriteEndsTheSegment(t *testing.T) {
+	for _, damage := range []struct {
+		name string
+		do   func(data []byte) []byte
+	}{
+		{"cut in the head", func(d []byte) []byte { return append(d, 0, 0, 0) }},
+		{"cut in the body", func(d []byte) []byte { return append(d, d[:len(d)/4]...) }},
+		{"zeros", func(d []byte) []byte { return append(d, make([]byte, 64)...) }},
+		{"changed byte", func(d []byte) []byte {
+			torn := append([]byte(nil), d[:len(d)/3]...)
+			torn[len(torn)-1] ^= 1
+			return append(d, torn...)
+		}},
+	} {
+		t.Run(damage.name, func(t *testing.T) {
+			folder := t.TempDir()
+			write(t, folder, 3)
+			path := filepath.Join(folder, "1.ledger")
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, damage.do(data), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			write(t, folder, 1)
+			if got := readAll(t, folder); len(got) != 4 {
+				t.Errorf("records %v, want the three before and the one after", got)
+			}
+		})
+	}
+}
+
+// Guards against records that are lost, or segments that stay, when the log is
+// replaced by what is still kept.
+func TestCompactKeepsWhatIsGiven(t *testing.T) {
+	folder := t.TempDir()
+	write(t, folder, 5)
+	l, err := OpenLog(folder, func(Record) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Compact([]Record{record(7)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := readAll(t, folder); len(got) != 1 || got[0] != "7" {
+		t.Errorf("records %v, want only 7", got)
+	}
+}
+
+// Guards against a crash on damaged files.
+func FuzzReadRecord(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := t.TempDir()
+		if err := os.WriteFile(filepath.Join(folder, "1.ledger"), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		l, err := OpenLog(folder, func(Record) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+	})
+}
--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -206,5 +206,18 @@
 	return l.syncFolder()
 }
 
+// Mark writes an empty file into the folder that outlives a power loss.
+func (l *Log) Mark(name string) error {
+	file, err := os.OpenFile(filepath.Join(l.folder, name), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "create marker")
+	}
+	defer file.Close()
+	if err := file.Sync(); err != nil {
+		return eris.Wrap(err, "sync marker")
+	}
+	return l.syncFolder()
+}
+
 // Close closes the file.
 func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close ledger") }
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,13 +60,32 @@
 		return nil, err
 	}
 	v.log = log
-	v.certain.Store(o.First || records > 0)
+	if o.First || v.isMarked() {
+		v.setCertain()
+	}
 	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load())
 	o.Timer.Every(expireEvery, v.expire)
 	go v.commit()
 	return v, nil
 }
 
+// marker is the file that tells after a restart that the folder holds all that
+// the copy ever acknowledged. A lost disk has lost it as well.
+const marker = "certain"
+
+func (v *Vault) isMarked() bool {
+	_, err := os.Stat(filepath.Join(v.Folder, marker))
+	return err == nil
+}
+
+func (v *Vault) setCertain() {
+	v.certain.Store(true)
+	if err := v.log.Mark(marker); err != nil {
+		// The copy asks the others again after its next start.
+		v.Log.Error("marker not written", err)
+	}
+}
+
 // Certain reports whether the copy has all that it ever acknowledged.
 func (v *Vault) Certain() bool { return v.certain.Load() }
 
@@ -313,8 +334,8 @@
 		found = found || certain
 		v.Log.Info("ledger copied", "from", addr, "records", n, "certain", certain)
 	}
-	if found {
-		v.certain.Store(true)
+	if found && !v.certain.Load() {
+		v.setCertain()
 	}
 	return found
 }
--- /dev/null
+++ b/core/jkvault/vault_test.go
@@ -0,0 +1,141 @@
+package jkvault
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// node is a vault that others can reach.
+type node struct {
+	vault  *Vault
+	addr   string
+	folder string
+	stop   func()
+}
+
+func start(t *testing.T, folder string, first bool) *node {
+	t.Helper()
+	self := jkwire.Hello{Host: folder, Version: jkwire.ProtocolVersion}
+	control := func(string) bool { return true }
+	pool := jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: control, Counters: &jkwire.Counters{}})
+	v, err := Open(Options{Timer: jktimer.New(), Log: jklog.Discard(), Folder: folder, Pool: pool, First: first})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: v.Handle, Control: control, Counters: &jkwire.Counters{}})
+	n := &node{vault: v, addr: l.Addr().String(), folder: folder}
+	stopped := false
+	n.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		pool.Close()
+		server.Close()
+		if err := v.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) put(t *testing.T, from *node, requests ...string) {
+	t.Helper()
+	m := jkledger.WriteRequest{Sync: true}
+	for _, r := range requests {
+		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: r, Input: []byte(r), Retention: time.Minute}})
+	}
+	if err := from.vault.Pool.Call(context.Background(), n.addr, jkledger.TypeWrite, &m, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (n *node) turns() int {
+	_, turns, _ := n.vault.Size()
+	return turns
+}
+
+// Guards against acknowledged turns that a restart forgets.
+func TestTurnsOutliveARestart(t *testing.T) {
+	a, other := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a.put(t, other, "1", "2")
+	a.stop()
+	again := start(t, a.folder, false)
+	if !again.vault.Certain() || again.turns() != 2 {
+		t.Errorf("certain %t with %d turns, want true with 2", again.vault.Certain(), again.turns())
+	}
+}
+
+// Guards against a copy that answers for records that it has lost with its disk
+// (LOST): it isn't certain until another copy has given it its own.
+func TestLostDiskIsCopiedBeforeItCounts(t *testing.T) {
+	a := start(t, t.TempDir(), true)
+	wiped := start(t, t.TempDir(), false)
+	a.put(t, wiped, "1", "2", "3")
+	if wiped.vault.Certain() {
+		t.Fatal("a copy with an empty disk is certain")
+	}
+	if !wiped.vault.Catch(context.Background(), []string{a.addr}) {
+		t.Fatal("nothing was copied")
+	}
+	if !wiped.vault.Certain() || wiped.turns() != 3 {
+		t.Errorf("certain %t with %d turns, want true with 3", wiped.vault.Certain(), wiped.turns())
+	}
+}
+
+// Guards against copies that wait for each other for ever after all processes
+// were killed before the first record.
+func TestEmptyLedgerStaysCertainOverARestart(t *testing.T) {
+	a := start(t, t.TempDir(), true)
+	a.stop()
+	if !start(t, a.folder, false).vault.Certain() {
+		t.Error("the copy isn't certain after a restart without records")
+	}
+}
+
+// Guards against a copy that counts after a restart although it was still
+// copying when it was killed.
+func TestCopyThatWasNotCertainIsNotAfterARestart(t *testing.T) {
+	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), true)
+	a.put(t, b, "1")
+	a.stop()
+	if start(t, a.folder, false).vault.Certain() {
+		t.Error("the copy is certain after a restart, with one of the lost records")
+	}
+}
+
+// Guards against two copies with empty disks that vouch for each other.
+func TestEmptyCopiesDoNotVouchForEachOther(t *testing.T) {
+	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	if a.vault.Catch(context.Background(), []string{b.addr}) || a.vault.Certain() {
+		t.Error("a copy is certain after it asked one that isn't")
+	}
+}
+
+// Guards against a host that is removed before enough others have its records.
+func TestHandOverNeedsEnoughTakers(t *testing.T) {
+	leaving, taker := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	leaving.put(t, taker, "1")
+	ctx := context.Background()
+	if err := leaving.vault.HandOver(ctx, leaving.addr, []string{taker.addr}, 2); err == nil {
+		t.Error("one taker of two was enough")
+	}
+	if taker.turns() != 1 {
+		t.Errorf("taker has %d turns, want 1", taker.turns())
+	}
+	if err := leaving.vault.HandOver(ctx, leaving.addr, []string{taker.addr}, 1); err != nil {
+		t.Error(err)
+	}
+}
