--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -3,7 +3,11 @@
 // several copies merge in any order to the same content.
 package jkledger
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Spending is the part of a program's budget that one request holds or has
 // used. A settled spending replaces a held one of the same request.
@@ -153,16 +157,45 @@
 	return turns, true, ""
 }
 
-// Records returns all records, for a copy that has lost its own.
-func (l *Ledger) Records() []Record {
+// Key identifies a record among those of all copies. A held and a settled
+// spending of one request have different keys.
+func (r Record) Key() uint64 {
+	if r.Turn != nil {
+		return xxhash.Sum64String("turn\x00" + r.Turn.Request)
+	}
+	kind := "held"
+	if r.Spending.Settled {
+		kind = "settled"
+	}
+	return xxhash.Sum64String(kind + "\x00" + r.Spending.Program + "\x00" + r.Spending.Request)
+}
+
+// Keys returns the keys of all records.
+func (l *Ledger) Keys() []uint64 {
+	records := l.Records(nil)
+	out := make([]uint64, len(records))
+	for i, r := range records {
+		out[i] = r.Key()
+	}
+	return out
+}
+
+// Records returns all records but those with the given keys, for a copy that
+// lacks some.
+func (l *Ledger) Records(except map[uint64]bool) []Record {
 	out := make([]Record, 0, len(l.turns)+len(l.programs))
+	add := func(r Record) {
+		if len(except) == 0 || !except[r.Key()] {
+			out = append(out, r)
+		}
+	}
 	for _, row := range l.programs {
 		for _, s := range row.spendings {
-			out = append(out, Record{Spending: &s})
+			add(Record{Spending: &s})
 		}
 	}
 	for _, row := range l.turns {
-		out = append(out, Record{Turn: &row.turn})
+		add(Record{Turn: &row.turn})
 	}
 	return out
 }
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -46,10 +46,14 @@
 	Certain bool   `msgpack:"certain"`
 }
 
-// SyncRequest asks for all records. The answer is a series of SyncPart.
-type SyncRequest struct{}
+// SyncRequest asks for the records that the asking copy lacks. The answer is a
+// series of SyncPart.
+type SyncRequest struct {
+	// Have holds the keys of the records that the asking copy has.
+	Have []uint64 `msgpack:"have"`
+}
 
-// SyncPart is one part of all records.
+// SyncPart is one part of the records.
 type SyncPart struct {
 	Records []Record `msgpack:"records"`
 	Certain bool     `msgpack:"certain"`
--- a/core/jkupstream/pool.go
+++ b/core/jkupstream/pool.go
@@ -33,7 +33,7 @@
 	return Options{
 		DialTimeout: 350 * time.Millisecond,
 		IdleTimeout: 4 * time.Second,
-		FreshIdle:   300 * time.Millisecond,
+		FreshIdle:   700 * time.Millisecond,
 		// The endpoints' own limits divide among all hosts; 48 leaves room for a
 		// few hosts that get most of the traffic.
 		MaxPerAddress: 48,
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -165,7 +165,7 @@
 		v.failed = err
 		return err
 	}
-	if err := v.log.Compact(v.ledger.Records()); err != nil {
+	if err := v.log.Compact(v.ledger.Records(nil)); err != nil {
 		v.failed = err
 		v.Log.Error("ledger can't be compacted", err)
 	}
@@ -250,8 +250,16 @@
 )
 
 func (v *Vault) sync(s *jkwire.Incoming) error {
+	var m jkledger.SyncRequest
+	if err := s.Decode(&m); err != nil {
+		return err
+	}
+	have := make(map[uint64]bool, len(m.Have))
+	for _, key := range m.Have {
+		have[key] = true
+	}
 	v.mu.Lock()
-	records := v.ledger.Records()
+	records := v.ledger.Records(have)
 	v.mu.Unlock()
 	certain := v.certain.Load()
 	part, size := 0, 0
@@ -282,10 +290,13 @@
 	return s.End(&jkledger.AdoptAnswer{Records: n})
 }
 
-// pull takes all records of another copy and reports whether that copy was
+// pull takes the records of another copy that this one lacks and reports whether that copy was
 // certain of having all of its own.
 func (v *Vault) pull(ctx context.Context, addr string) (records int, certain bool, err error) {
-	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, &jkledger.SyncRequest{})
+	v.mu.Lock()
+	have := v.ledger.Keys()
+	v.mu.Unlock()
+	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, &jkledger.SyncRequest{Have: have})
 	if err != nil {
 		return 0, false, err
 	}
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// Guards against copying everything again after each cut: only what is missing
+// crosses the network.
+func TestOnlyMissingRecordsAreCopied(t *testing.T) {
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a.put(t, b, "1", "2", "3")
+	b.put(t, a, "1", "2")
+	n, _, err := b.vault.pull(context.Background(), a.addr)
+	if err != nil || n != 1 || b.turns() != 3 {
+		t.Errorf("%d records copied, %d turns, %v; want 1 and 3", n, b.turns(), err)
+	}
+}
+
 // Guards against two copies with empty disks that vouch for each other.
 func TestEmptyCopiesDoNotVouchForEachOther(t *testing.T) {
 	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
