--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -69,7 +69,7 @@
 	e.closed = append(e.closed, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Probes: true,
-		Zones: e.fleet.SetZoneReachable, Hosts: e.hostChanged,
+		Zones: e.fleet.SetZoneReachable, Hosts: e.hostChanged, Digest: e.hearDigest,
 	})
 	if err != nil {
 		return nil, err
@@ -113,6 +113,27 @@
 	return crossZone
 }
 
+// digestEvery is the interval at which entries tell each other the loads that
+// endpoints have reported: a third of the time for which a report counts.
+const digestEvery = 200 * time.Millisecond
+
+func (e *Entry) sendDigest() {
+	data, err := e.fleet.TakeDigest()
+	if err != nil {
+		e.log.Warn("loads not sent", "error", err)
+		return
+	}
+	if data != nil {
+		e.probes.SendDigest(data)
+	}
+}
+
+func (e *Entry) hearDigest(data []byte) {
+	if err := e.fleet.HearDigest(data); err != nil {
+		e.log.Warn("loads not understood", "error", err)
+	}
+}
+
 // hostChanged drops the connection to a lost host, whose bytes in flight would
 // hold up later calls.
 func (e *Entry) hostChanged(p jkprobe.Peer, reachable bool) {
@@ -223,6 +244,7 @@
 		Timer: e.timer, Log: e.log.Part("follow"), Source: e.shared.ThroughPeers(),
 		Apply: e.apply, Settled: func(bool) {},
 	}).Run(ctx)
+	defer e.timer.Every(digestEvery, e.sendDigest)()
 	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -25,6 +25,14 @@
 	// running are the cancel functions of repeatable calls by endpoint.
 	running map[string]map[*call]context.CancelCauseFunc
 	down    map[string]bool
+	// told are the loads that endpoints reported to this host since the last
+	// digest.
+	told map[string]reportedLoad
+}
+
+type reportedLoad struct {
+	load jksched.DirectLoad
+	at   time.Time
 }
 
 // NewFleet returns a fleet without endpoints.
@@ -32,6 +40,7 @@
 	return &Fleet{
 		timer: timer, direct: jksched.NewDirect(opt), addrs: map[string]string{},
 		running: map[string]map[*call]context.CancelCauseFunc{}, down: map[string]bool{},
+		told: map[string]reportedLoad{},
 	}
 }
 
@@ -128,7 +137,15 @@
 func (f *Fleet) report(id string, l jksched.DirectLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.direct.Report(f.timer.Now(), id, l)
+	now := f.timer.Now()
+	f.direct.Report(now, id, l)
+	f.told[id] = reportedLoad{load: l, at: now}
+}
+
+func (f *Fleet) isCrowded(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.direct.IsCrowded(f.timer.Now(), id)
 }
 
 func (f *Fleet) progress(id string, tokens int64, took time.Duration) {
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -139,7 +139,7 @@
 	if c.route.Repeatable() {
 		h.Fleet.track(id, c, cancel)
 		defer h.Fleet.untrack(id, c)
-		c.watchdog = newWatchdog(h.Timer, c.firstStall(), cancel)
+		c.watchdog = newWatchdog(h.Timer, c.firstStall(), cancel, func() bool { return c.events == 0 && h.Fleet.isCrowded(id) })
 		defer c.watchdog.stop()
 	}
 	header := c.forwarded(h.Dialect)
--- a/core/jkforward/stall.go
+++ b/core/jkforward/stall.go
@@ -22,6 +22,9 @@
 	stallNext  = 600 * time.Millisecond
 )
 
+// patience is the time between two looks at a crowded endpoint.
+const patience = 200 * time.Millisecond
+
 // watchdog cancels an exchange in which nothing arrives.
 type watchdog struct {
 	timer  *jktimer.Service
@@ -32,10 +35,12 @@
 	limit   atomic.Int64
 	last    atomic.Int64
 	stopped atomic.Bool
+	// patient tells that a first byte may take longer, as the endpoint is crowded.
+	patient func() bool
 }
 
-func newWatchdog(timer *jktimer.Service, limit time.Duration, cancel func(error)) *watchdog {
-	w := &watchdog{timer: timer, cancel: cancel, began: timer.Now()}
+func newWatchdog(timer *jktimer.Service, limit time.Duration, cancel func(error), patient func() bool) *watchdog {
+	w := &watchdog{timer: timer, cancel: cancel, began: timer.Now(), patient: patient}
 	w.progress(limit)
 	w.arm(limit)
 	return w
@@ -57,6 +62,11 @@
 		}
 		silent := int64(w.timer.Now().Sub(w.began)) - w.last.Load()
 		left := time.Duration(w.limit.Load() - silent)
+		if left <= 0 && w.patient() {
+			// A request that is sent again loses its place in the queue, and the
+			// endpoint its time.
+			left = patience
+		}
 		if left <= 0 {
 			w.cancel(errStalled)
 			return
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -38,6 +38,8 @@
 	Addr string
 	// Probes is false on a host that only answers.
 	Probes bool
+	// Digest takes a digest of another host; nil drops it.
+	Digest func(data []byte)
 	// Zones is called when a zone is lost or reached again.
 	Zones func(zone string, reachable bool)
 	// Hosts is called when a host is lost or reached again.
@@ -80,6 +82,7 @@
 const (
 	kindProbe  = 1
 	kindAnswer = 2
+	kindDigest = 3
 )
 
 // datagramSize is one byte of kind and eight of a hash of the probed host's name.
@@ -275,6 +278,36 @@
 	return changed
 }
 
+// maxDigestPeers bounds the hosts that get a digest.
+const maxDigestPeers = 16
+
+// SendDigest sends data to other hosts that aren't always probed: those of the
+// own zone first, then some of other zones.
+func (p *Prober) SendDigest(data []byte) {
+	p.mu.Lock()
+	var rows []*peerRow
+	for _, row := range p.peers {
+		if !row.peer.Always && !row.lost {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *peerRow) int {
+		if x, y := a.peer.Zone == p.Zone, b.peer.Zone == p.Zone; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(p.rank(a), p.rank(b))
+	})
+	p.mu.Unlock()
+	packet := append([]byte{kindDigest}, data...)
+	for _, row := range rows[:min(len(rows), maxDigestPeers)] {
+		// A datagram that can't be sent is like one that is lost.
+		_, _ = p.conn.WriteToUDPAddrPort(packet, row.addr)
+	}
+}
+
 func hostKey(host string) uint64 { return xxhash.Sum64String(host) }
 
 func (p *Prober) send(kind byte, key uint64, to netip.AddrPort) {
@@ -286,13 +319,17 @@
 }
 
 func (p *Prober) receive() {
-	var b [64]byte
+	var b [2048]byte
 	self := hostKey(p.Host)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b[:])
 		if eris.Is(err, net.ErrClosed) {
 			return
 		}
+		if err == nil && n > 1 && b[0] == kindDigest && p.Digest != nil {
+			p.Digest(b[1:n])
+			continue
+		}
 		if err != nil || n != datagramSize {
 			continue
 		}
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -82,6 +82,9 @@
 	partOrder []string
 	// zonesDown are zones that this host can't reach at present.
 	zonesDown map[string]bool
+	// others is the mean number of calls that other hosts have on an endpoint, by
+	// service.
+	others map[string]float64
 }
 
 // directRow is an endpoint as the host sees it.
@@ -114,6 +117,7 @@
 		services:  map[string][]*directRow{},
 		parts:     map[string][]*directRow{},
 		zonesDown: map[string]bool{},
+		others:    map[string]float64{},
 	}
 }
 
@@ -192,6 +196,7 @@
 // call there until Done. Excluded endpoints are not chosen. The error is a
 // *RefusedError.
 func (d *Direct) Place(now time.Time, c Call, exclude []string) (Placement, error) {
+	d.updateOthers(now, c.Service)
 	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
 	fallback, fallbackCost := (*directRow)(nil), time.Duration(math.MaxInt64)
 	soonest := time.Duration(math.MaxInt64)
@@ -253,18 +258,46 @@
 	return !now.Before(row.openUntil) && !row.probing
 }
 
-// occupied estimates the calls at the endpoint, waiting ones included.
+// occupied estimates the calls at the endpoint, waiting ones included. What other
+// hosts have there is reported; as the report ages it fades into the mean of the
+// service, since an endpoint that isn't heard of is hardly idle.
 func (d *Direct) occupied(now time.Time, row *directRow) int {
-	age := now.Sub(row.loadAt)
-	if row.loadAt.IsZero() || age > d.opt.LoadAge {
-		return row.own
+	others := d.others[row.endpoint.Service]
+	if age := now.Sub(row.loadAt); !row.loadAt.IsZero() && age < d.opt.LoadAge {
+		fresh := 1 - float64(age)/float64(d.opt.LoadAge)
+		others += (reportedOthers(row) - others) * fresh
 	}
-	reported := row.load.Running + row.load.Waiting
-	// What other hosts have there fades as the report ages.
-	others := float64(max(reported-row.ownAtLoad, 0)) * (1 - 0.5*float64(age)/float64(d.opt.LoadAge))
 	return row.own + int(others+0.5)
 }
 
+func reportedOthers(row *directRow) float64 {
+	return float64(max(row.load.Running+row.load.Waiting-row.ownAtLoad, 0))
+}
+
+// updateOthers computes the mean number of calls of other hosts on the endpoints
+// of a service that have reported lately.
+func (d *Direct) updateOthers(now time.Time, service string) {
+	sum, n := 0.0, 0
+	for _, row := range d.services[service] {
+		if !row.loadAt.IsZero() && now.Sub(row.loadAt) < d.opt.LoadAge {
+			// An endpoint that is full says little about the others.
+			sum += min(reportedOthers(row), float64(d.slots(row)))
+			n++
+		}
+	}
+	if n == 0 {
+		delete(d.others, service)
+		return
+	}
+	d.others[service] = sum / float64(n)
+}
+
+// IsCrowded reports whether the endpoint has more calls than slots.
+func (d *Direct) IsCrowded(now time.Time, id string) bool {
+	row, ok := d.endpoints[id]
+	return ok && d.occupied(now, row) > d.slots(row)
+}
+
 func (d *Direct) slots(row *directRow) int {
 	if row.load.Slots > 0 {
 		return row.load.Slots
@@ -446,6 +479,16 @@
 	row.load, row.loadAt, row.ownAtLoad = l, now, row.own
 }
 
+// Hear takes a load that another host was told some time ago.
+func (d *Direct) Hear(now time.Time, id string, l DirectLoad, age time.Duration) {
+	row, ok := d.endpoints[id]
+	at := now.Add(-age)
+	if !ok || !at.After(row.loadAt) {
+		return
+	}
+	row.load, row.loadAt, row.ownAtLoad = l, at, row.own
+}
+
 // DirectOutcome tells what a run says about its endpoint.
 type DirectOutcome string
 
--- a/core/jksched/direct_test.go
+++ b/core/jksched/direct_test.go
@@ -163,3 +163,41 @@
 		}
 	}
 }
+
+// Guards against all hosts sending to the endpoints of a zone that was cut off,
+// because they haven't heard of them for a while (grown trouble-1 of
+// miza-orders: 12 engines flooded for 5 s after the cut).
+func TestUnheardEndpointIsNotTakenForIdle(t *testing.T) {
+	d := directFleet(4)
+	now := time.Unix(100, 0)
+	for i := range 3 {
+		d.Report(now, fmt.Sprintf("e%d", i), DirectLoad{Running: 6, Slots: 16, Pace: 1})
+	}
+	counts := map[string]int{}
+	for i := range 40 {
+		p, err := d.Place(now, turn(fmt.Sprint(i)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[p.Endpoint]++
+	}
+	if counts["e3"] > 16 {
+		t.Errorf("calls by endpoint are %v, want e3 near a quarter", counts)
+	}
+}
+
+// Guards against a load that another host was told earlier and that replaces a
+// newer one.
+func TestOlderLoadOfAnotherHostIsIgnored(t *testing.T) {
+	d := directFleet(1)
+	now := time.Unix(100, 0)
+	d.Report(now, "e0", DirectLoad{Running: 20, Slots: 16})
+	d.Hear(now.Add(100*time.Millisecond), "e0", DirectLoad{Running: 1, Slots: 16}, 200*time.Millisecond)
+	if !d.IsCrowded(now, "e0") {
+		t.Error("an older load replaced a newer one")
+	}
+	d.Hear(now.Add(300*time.Millisecond), "e0", DirectLoad{Running: 1, Slots: 16}, 50*time.Millisecond)
+	if d.IsCrowded(now.Add(300*time.Millisecond), "e0") {
+		t.Error("a newer load wasn't taken")
+	}
+}
