vault, sched: copy only a host's own programs, expect shared parts on the same engines

Change: a copy is given only the programs that it keeps; a shared part that a host knows nothing of is expected on the same quarter of the engines (3 at least) by all hosts. Tests: TestOnlyOwnProgramsAreCopied, TestHostsAgreeOnTheEnginesOfASharedPart.

--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -118,9 +118,35 @@
 	if x, y := c.isSettled(a), c.isSettled(b); x != y {
 		return x
 	}
+	return ranksBefore(program, a, b)
+}
+
+func ranksBefore(program string, a, b Copy) bool {
 	return xxhash.Sum64String(program+"\x00"+a.Host) > xxhash.Sum64String(program+"\x00"+b.Host)
 }
 
+// Holds reports whether a host may be asked for a program: no other copy of its
+// zone comes before it, but for those that are passed over.
+func Holds(program, host string, copies []Copy, lost func(host string) bool) bool {
+	var self *Copy
+	for i := range copies {
+		if copies[i].Host == host {
+			self = &copies[i]
+		}
+	}
+	if self == nil {
+		// A host that isn't listed here gets everything.
+		return true
+	}
+	for _, other := range copies {
+		passedOver := other.New || lost(other.Host)
+		if other.Zone == self.Zone && other.Host != host && !passedOver && ranksBefore(program, other, *self) {
+			return false
+		}
+	}
+	return true
+}
+
 // Reserve holds tokens at the program's copies and fails if its budget doesn't
 // hold them.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
@@ -43,7 +44,7 @@
 	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), listed: make(chan struct{})}
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: isControl, Counters: &jkwire.Counters{}})
-	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First})
+	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds})
 	if err != nil {
 		return nil, err
 	}
@@ -180,6 +181,11 @@
 	}
 }
 
+// holds reports whether another host keeps a program's records.
+func (t *Storage) holds(program, host string) bool {
+	return jkaccount.Holds(program, host, t.members.copies(), t.probes.Lost)
+}
+
 // hostChanged copies what another copy has taken while it was out of reach. A
 // lost host's connection is dropped, since its bytes in flight would hold up
 // later calls.
--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -157,6 +157,14 @@
 	return turns, true, ""
 }
 
+// Program returns the program that the record is about.
+func (r Record) Program() string {
+	if r.Turn != nil {
+		return r.Turn.Program
+	}
+	return r.Spending.Program
+}
+
 // Key identifies a record among those of all copies. A held and a settled
 // spending of one request have different keys.
 func (r Record) Key() uint64 {
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -85,6 +85,9 @@
 	// others is the mean number of calls that other hosts have on an endpoint, by
 	// service.
 	others map[string]float64
+	// homes are the endpoints on which a shared part is expected; they are chosen
+	// anew when an endpoint changes.
+	homes map[string][]*directRow
 }
 
 // directRow is an endpoint as the host sees it.
@@ -118,11 +121,13 @@
 		parts:     map[string][]*directRow{},
 		zonesDown: map[string]bool{},
 		others:    map[string]float64{},
+		homes:     map[string][]*directRow{},
 	}
 }
 
 // SetEndpoint adds an endpoint or changes its description.
 func (d *Direct) SetEndpoint(e Endpoint) {
+	clear(d.homes)
 	row, ok := d.endpoints[e.ID]
 	if !ok {
 		row = &directRow{pause: d.opt.BreakerPause}
@@ -144,6 +149,7 @@
 	if !ok {
 		return
 	}
+	clear(d.homes)
 	row.endpoint.State = StateDown
 	delete(d.endpoints, id)
 	d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
@@ -438,8 +444,10 @@
 // count as cached only while all parts before them are.
 func (d *Direct) uncached(c Call, row *directRow) int64 {
 	left := c.PromptTokens
-	for _, part := range c.Prefix {
-		if !slices.Contains(d.parts[part.Hash], row) {
+	for i, part := range c.Prefix {
+		// A part that many requests share is where other hosts send it as well.
+		shared := i == 0 && len(c.Prefix) > 1 && d.isHome(c, part.Hash, row)
+		if !shared && !slices.Contains(d.parts[part.Hash], row) {
 			break
 		}
 		left -= part.Tokens
@@ -447,6 +455,51 @@
 	return max(left, 0)
 }
 
+// minHomes and homeShare give the number of endpoints on which a shared part is
+// expected: that share of the service's endpoints, as memory doesn't hold all
+// parts on all of them.
+const (
+	minHomes  = 3
+	homeShare = 4
+)
+
+// maxHomeParts bounds the shared parts whose endpoints are remembered.
+const maxHomeParts = 512
+
+// isHome reports whether the endpoint is among those on which all hosts expect a
+// shared part.
+func (d *Direct) isHome(c Call, part string, row *directRow) bool {
+	homes, known := d.homes[part]
+	if !known {
+		if len(d.homes) >= maxHomeParts {
+			clear(d.homes)
+		}
+		homes = d.chooseHomes(c.Service, part)
+		d.homes[part] = homes
+	}
+	return slices.Contains(homes, row)
+}
+
+// chooseHomes chooses live endpoints of a service by rendezvous hash.
+func (d *Direct) chooseHomes(service, part string) []*directRow {
+	type ranked struct {
+		row  *directRow
+		rank uint64
+	}
+	var all []ranked
+	for _, row := range d.services[service] {
+		if row.endpoint.State == StateLive {
+			all = append(all, ranked{row, xxhash.Sum64String(part + "\x00" + row.endpoint.ID)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	homes := make([]*directRow, 0, len(all))
+	for _, r := range all[:min(len(all), max(minHomes, len(all)/homeShare))] {
+		homes = append(homes, r.row)
+	}
+	return homes
+}
+
 // maxHolders bounds the endpoints remembered for one prompt part.
 const maxHolders = 16
 
--- a/core/jksched/direct_test.go
+++ b/core/jksched/direct_test.go
@@ -201,3 +201,22 @@
 		t.Error("a newer load wasn't taken")
 	}
 }
+
+// Guards against hosts that spread each shared prompt over all engines, whose
+// memory doesn't hold them all (grown bulles-pull: 81 M tokens of shared parts
+// read again).
+func TestHostsAgreeOnTheEnginesOfASharedPart(t *testing.T) {
+	used := map[string]bool{}
+	for host := range 20 {
+		d := directFleet(48)
+		c := turn(fmt.Sprint(host))
+		p, err := d.Place(time.Unix(0, 0), c, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[p.Endpoint] = true
+	}
+	if len(used) > 12 {
+		t.Errorf("20 hosts used %d engines, want at most a quarter of 48", len(used))
+	}
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	Log    jklog.Logger
 	Folder string
 	Pool   *jkwire.Pool
+	// Holds reports whether another host keeps a program's records; nil means
+	// that it keeps all.
+	Holds func(program, host string) bool
 	// First is set where the whole system starts for the first time, so that an
 	// empty folder is all there is.
 	First bool
@@ -261,6 +265,9 @@
 	v.mu.Lock()
 	records := v.ledger.Records(have)
 	v.mu.Unlock()
+	if v.Holds != nil {
+		records = slices.DeleteFunc(records, func(r jkledger.Record) bool { return !v.Holds(r.Program(), s.Peer().Host) })
+	}
 	certain := v.certain.Load()
 	part, size := 0, 0
 	for i, r := range records {
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -128,6 +128,23 @@
 	}
 }
 
+// Guards against a copy that fills its memory with the records of all others
+// (grown scale-1 of bulles-pull: killed over 314 MB).
+func TestOnlyOwnProgramsAreCopied(t *testing.T) {
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	m := jkledger.WriteRequest{Sync: true}
+	for _, p := range []string{"mine", "other"} {
+		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: p, Program: p, Retention: time.Minute}})
+	}
+	if err := b.vault.Pool.Call(context.Background(), a.addr, jkledger.TypeWrite, &m, nil); err != nil {
+		t.Fatal(err)
+	}
+	a.vault.Holds = func(program, _ string) bool { return program == "mine" }
+	if n, _, err := b.vault.pull(context.Background(), a.addr); err != nil || n != 1 {
+		t.Errorf("%d records copied, %v; want 1", n, err)
+	}
+}
+
 // Guards against two copies with empty disks that vouch for each other.
 func TestEmptyCopiesDoNotVouchForEachOther(t *testing.T) {
 	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
