record, sched, adapter: share the framing of log records, split placement, flush the log at the end

The prediction of Direct moves to a file of its own. The last lines of a process were lost at its end.

--- a/core/jkcopy/log.go
+++ b/core/jkcopy/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"errors"
 	"io"
 	"os"
@@ -11,18 +10,14 @@
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jkrecord"
 	"jasmineknot.example/core/jktoken"
 )
 
-// headerSize is the length of an entry's header: four bytes of length and
-// eight bytes of xxhash64 over the content.
-const headerSize = 12
-
 // maxEntry bounds one entry in bytes; a longer length field is damage.
 const maxEntry = 64 << 20
 
@@ -105,34 +100,17 @@
 	}
 }
 
-// errDamaged marks an entry that is cut short or fails its checksum.
-var errDamaged = errors.New("log entry is damaged")
-
 // readEntry returns io.EOF only at the end of a whole entry.
 func readEntry(r *bufio.Reader) (entry, int, error) {
-	var head [headerSize]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		if errors.Is(err, io.EOF) {
-			return entry{}, 0, io.EOF
-		}
-		return entry{}, 0, errDamaged
-	}
-	size := binary.BigEndian.Uint32(head[:4])
-	if size > maxEntry {
-		return entry{}, 0, errDamaged
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return entry{}, 0, errDamaged
-	}
-	if xxhash.Sum64(data) != binary.BigEndian.Uint64(head[4:]) {
-		return entry{}, 0, errDamaged
+	data, err := jkrecord.Read(r, maxEntry)
+	if err != nil {
+		return entry{}, 0, err
 	}
 	var e entry
 	if err := msgpack.Unmarshal(data, &e); err != nil {
-		return entry{}, 0, errDamaged
+		return entry{}, 0, jkrecord.ErrDamaged
 	}
-	return e, headerSize + int(size), nil
+	return e, jkrecord.HeadSize + len(data), nil
 }
 
 // append writes one entry at the end of the segment.
@@ -141,10 +119,7 @@
 	if err != nil {
 		return location{}, eris.Wrap(err, "encode log entry")
 	}
-	buf := make([]byte, headerSize, headerSize+len(data))
-	binary.BigEndian.PutUint32(buf, uint32(len(data)))
-	binary.BigEndian.PutUint64(buf[4:], xxhash.Sum64(data))
-	buf = append(buf, data...)
+	buf := jkrecord.Append(make([]byte, 0, jkrecord.HeadSize+len(data)), data)
 	if _, err := s.file.WriteAt(buf, s.size); err != nil {
 		// A partial entry stays beyond the size and is overwritten by the
 		// next one.
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -47,7 +47,6 @@
 
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
-	listed    map[string]bool
 
 	front  *http.Server
 	closed []func()
@@ -57,7 +56,7 @@
 func NewEntry(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Entry, error) {
 	e := &Entry{
 		settings: s, platform: p, timer: timer, log: log, metrics: metrics.NewSet(),
-		members: newMembers(timer), endpoints: map[string]EndpointState{}, listed: map[string]bool{},
+		members: newMembers(timer), endpoints: map[string]EndpointState{},
 	}
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = s.Zone
--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
-	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -11,13 +9,11 @@
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
-)
 
-// headSize is four bytes of length and eight bytes of xxhash64.
-const headSize = 12
+	"jasmineknot.example/core/jkrecord"
+)
 
 // maxRecord bounds one record in bytes; a longer length field is damage.
 const maxRecord = 16 << 20
@@ -95,27 +91,14 @@
 	}
 }
 
-var errDamaged = errors.New("ledger record is damaged")
-
 func readRecord(r io.Reader) (Record, error) {
-	var head [headSize]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return Record{}, errDamaged
-	}
-	size := binary.BigEndian.Uint32(head[:4])
-	if size > maxRecord {
-		return Record{}, errDamaged
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return Record{}, errDamaged
-	}
-	if xxhash.Sum64(data) != binary.BigEndian.Uint64(head[4:]) {
-		return Record{}, errDamaged
+	data, err := jkrecord.Read(r, maxRecord)
+	if err != nil {
+		return Record{}, err
 	}
 	var out Record
 	if err := msgpack.Unmarshal(data, &out); err != nil {
-		return Record{}, errDamaged
+		return Record{}, jkrecord.ErrDamaged
 	}
 	return out, nil
 }
@@ -126,10 +109,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode ledger record")
 	}
-	var head [headSize]byte
-	binary.BigEndian.PutUint32(head[:4], uint32(len(data)))
-	binary.BigEndian.PutUint64(head[4:], xxhash.Sum64(data))
-	l.buffer = append(append(l.buffer, head[:]...), data...)
+	l.buffer = jkrecord.Append(l.buffer, data)
 	return nil
 }
 
--- a/core/jklog/bounded.go
+++ b/core/jklog/bounded.go
@@ -30,11 +30,15 @@
 	maxBuffered   = 512 << 10
 )
 
-// NewBounded returns a logger that never blocks its callers on the output.
-func NewBounded(out io.Writer, timer *jktimer.Service) Logger {
+// NewBounded returns a logger that never blocks its callers on the output, and a
+// function that writes the last lines and ends it.
+func NewBounded(out io.Writer, timer *jktimer.Service) (l Logger, stop func()) {
 	w := &boundedWriter{out: out}
-	timer.Every(flushEvery, w.flush)
-	return New(w, timer.Now)
+	cancel := timer.Every(flushEvery, w.flush)
+	return New(w, timer.Now), func() {
+		cancel()
+		w.flush()
+	}
 }
 
 // Write implements io.Writer; each call is one line.
--- /dev/null
+++ b/core/jksched/predict.go
@@ -0,0 +1,279 @@
+package jksched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// available reports whether the breaker and the network let a call through.
+func (d *Direct) available(now time.Time, row *directRow) bool {
+	if d.zonesDown[row.endpoint.Zone] {
+		return false
+	}
+	if row.faults < d.opt.BreakerFaults {
+		return true
+	}
+	return !now.Before(row.openUntil) && !row.probing
+}
+
+// occupied estimates the calls at the endpoint, waiting ones included. What other
+// hosts have there is reported; as the report ages it fades into the mean of the
+// service, since an endpoint that isn't heard of is hardly idle.
+func (d *Direct) occupied(now time.Time, row *directRow) int {
+	others := d.others[row.endpoint.Service]
+	if age := now.Sub(row.loadAt); !row.loadAt.IsZero() && age < d.opt.LoadAge {
+		fresh := 1 - float64(age)/float64(d.opt.LoadAge)
+		others += (reportedOthers(row) - others) * fresh
+	}
+	return row.own + int(others+0.5)
+}
+
+func reportedOthers(row *directRow) float64 {
+	return float64(max(row.load.Running+row.load.Waiting-row.ownAtLoad, 0))
+}
+
+// updateOthers computes the mean number of calls of other hosts on the endpoints
+// of a service that have reported lately.
+func (d *Direct) updateOthers(now time.Time, service string) {
+	sum, n := 0.0, 0
+	for _, row := range d.services[service] {
+		if !row.loadAt.IsZero() && now.Sub(row.loadAt) < d.opt.LoadAge {
+			// An endpoint that is full says little about the others.
+			sum += min(reportedOthers(row), float64(d.slots(row)))
+			n++
+		}
+	}
+	if n == 0 {
+		delete(d.others, service)
+		return
+	}
+	d.others[service] = sum / float64(n)
+}
+
+// IsCrowded reports whether the endpoint has more calls than slots.
+func (d *Direct) IsCrowded(now time.Time, id string) bool {
+	row, ok := d.endpoints[id]
+	return ok && d.occupied(now, row) > d.slots(row)
+}
+
+func (d *Direct) slots(row *directRow) int {
+	if row.load.Slots > 0 {
+		return row.load.Slots
+	}
+	return max(row.endpoint.Slots, 1)
+}
+
+// pace is the predicted time of work on the endpoint relative to the options'.
+// What was seen or reported last fades into the usual, since neighbours come and
+// go within a second.
+func (d *Direct) pace(now time.Time, row *directRow) float64 {
+	usual := row.usual
+	if usual == 0 {
+		usual = 1
+	}
+	pace, at := row.current, row.currentAt
+	if row.load.Pace > 0 && row.loadAt.After(at) {
+		pace, at = usual*row.load.Pace, row.loadAt
+	}
+	if pace == 0 {
+		return usual
+	}
+	fresh := max(0, 1-float64(now.Sub(at))/float64(d.opt.PaceAge))
+	return usual + (pace-usual)*fresh
+}
+
+// Weights of one observation in the smoothed paces.
+const (
+	usualWeight   = 0.02
+	currentWeight = 0.4
+)
+
+// Progress takes the time that a running call of an engine needed for some
+// tokens.
+func (d *Direct) Progress(now time.Time, id string, tokens int64, took time.Duration) {
+	row, ok := d.endpoints[id]
+	if !ok || tokens <= 0 || took <= 0 {
+		return
+	}
+	running := min(d.occupied(now, row), d.slots(row))
+	expected := time.Duration(tokens) * (d.opt.TokenPace + time.Duration(running)*d.opt.TokenPacePerCall)
+	// A gap far beyond the usual is a preemption or a lost connection.
+	ratio := min(float64(took)/float64(expected), maxPace)
+	if row.usual == 0 {
+		row.usual = 1
+	}
+	row.usual += (ratio - row.usual) * usualWeight
+	if row.current == 0 || now.Sub(row.currentAt) > d.opt.PaceAge {
+		row.current = row.usual
+	}
+	row.current += (ratio - row.current) * currentWeight
+	row.currentAt = now
+}
+
+// maxPace bounds one observation of an endpoint's pace.
+const maxPace = 6
+
+// work is the time that the call runs on the endpoint once it has a slot.
+func (d *Direct) work(now time.Time, c Call, row *directRow) time.Duration {
+	if c.Kind == KindService {
+		return time.Duration(float64(d.serviceTime(row)) * d.pace(now, row))
+	}
+	running := min(d.occupied(now, row), d.slots(row))
+	output := c.MaxTokens
+	if output <= 0 {
+		output = d.opt.OutputTokens
+	}
+	token := d.opt.TokenPace + time.Duration(running)*d.opt.TokenPacePerCall
+	work := time.Duration(output)*token + time.Duration(d.uncached(c, row))*d.opt.PrefillPace
+	return time.Duration(float64(work) * d.pace(now, row))
+}
+
+func (d *Direct) serviceTime(row *directRow) time.Duration {
+	if row.service > 0 {
+		return row.service
+	}
+	return d.opt.ServiceTime
+}
+
+// wait is the predicted time until a slot is free.
+func (d *Direct) wait(now time.Time, c Call, row *directRow) time.Duration {
+	over := d.occupied(now, row) - d.slots(row) + 1
+	if over <= 0 {
+		return 0
+	}
+	return d.work(now, c, row) * time.Duration(over) / time.Duration(d.slots(row))
+}
+
+// overflow returns the time until the endpoint's queue is short enough, or 0.
+func (d *Direct) overflow(now time.Time, row *directRow) time.Duration {
+	slots := d.slots(row)
+	over := d.occupied(now, row) - int(float64(slots)*(1+d.opt.QueuePerSlot))
+	if over < 0 {
+		return 0
+	}
+	mean := d.serviceTime(row)
+	if row.endpoint.Kind == KindModel {
+		mean = time.Duration(d.opt.OutputTokens) * d.opt.TokenPace
+	}
+	return mean * time.Duration(over+slots) / time.Duration(slots)
+}
+
+// cost predicts the latency of the call, plus the time that its prefill takes
+// from the calls running there.
+func (d *Direct) cost(now time.Time, c Call, row *directRow) time.Duration {
+	cost := d.wait(now, c, row) + d.work(now, c, row)
+	occupied := d.occupied(now, row)
+	if c.Kind == KindModel {
+		cost += time.Duration(d.uncached(c, row)) * d.opt.PrefillPace * time.Duration(occupied)
+		// Each running call is slowed by this one's tokens.
+		cost += time.Duration(c.MaxTokens) * d.opt.TokenPacePerCall * time.Duration(occupied)
+	} else {
+		// Among endpoints with free slots the one with the most is taken, since
+		// other hosts choose at the same time.
+		cost += d.serviceTime(row) * time.Duration(occupied) / time.Duration(4*d.slots(row))
+	}
+	if d.opt.Delay != nil {
+		cost += 2 * d.opt.Delay(d.opt.Zone, row.endpoint.Zone)
+	}
+	if c.Kind == KindModel && row.endpoint.Zone != d.opt.Zone {
+		cost += d.opt.CrossZone
+	}
+	if row.faults > 0 {
+		cost += time.Duration(row.faults) * 50 * time.Millisecond
+	}
+	return cost + d.jitter(c, row)
+}
+
+// jitter orders equal endpoints by a hash of the call's key, so that hosts
+// without a memory of a session agree on its endpoint.
+func (d *Direct) jitter(c Call, row *directRow) time.Duration {
+	const span = 2 * time.Millisecond
+	h := xxhash.Sum64String(c.Program + "\x00" + row.endpoint.ID)
+	return time.Duration(h%1024) * span / 1024
+}
+
+// uncached estimates the prompt tokens that the endpoint has to read. Parts
+// count as cached only while all parts before them are.
+func (d *Direct) uncached(c Call, row *directRow) int64 {
+	left := c.PromptTokens
+	for i, part := range c.Prefix {
+		// A part that many requests share is where other hosts send it as well.
+		shared := i == 0 && len(c.Prefix) > 1 && d.isHome(c, part.Hash, row)
+		if !shared && !slices.Contains(d.parts[part.Hash], row) {
+			break
+		}
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
+// minHomes and homeShare give the number of endpoints on which a shared part is
+// expected: that share of the service's endpoints, as memory doesn't hold all
+// parts on all of them.
+const (
+	minHomes  = 3
+	homeShare = 4
+)
+
+// maxHomeParts bounds the shared parts whose endpoints are remembered.
+const maxHomeParts = 512
+
+// isHome reports whether the endpoint is among those on which all hosts expect a
+// shared part.
+func (d *Direct) isHome(c Call, part string, row *directRow) bool {
+	homes, known := d.homes[part]
+	if !known {
+		if len(d.homes) >= maxHomeParts {
+			clear(d.homes)
+		}
+		homes = d.chooseHomes(c.Service, part)
+		d.homes[part] = homes
+	}
+	return slices.Contains(homes, row)
+}
+
+// chooseHomes chooses live endpoints of a service by rendezvous hash.
+func (d *Direct) chooseHomes(service, part string) []*directRow {
+	type ranked struct {
+		row  *directRow
+		rank uint64
+	}
+	var all []ranked
+	for _, row := range d.services[service] {
+		if row.endpoint.State == StateLive {
+			all = append(all, ranked{row, xxhash.Sum64String(part + "\x00" + row.endpoint.ID)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	homes := make([]*directRow, 0, len(all))
+	for _, r := range all[:min(len(all), max(minHomes, len(all)/homeShare))] {
+		homes = append(homes, r.row)
+	}
+	return homes
+}
+
+// maxHolders bounds the endpoints remembered for one prompt part.
+const maxHolders = 16
+
+func (d *Direct) remember(c Call, row *directRow) {
+	for _, part := range c.Prefix {
+		holders, known := d.parts[part.Hash]
+		if slices.Contains(holders, row) {
+			continue
+		}
+		if !known {
+			d.partOrder = append(d.partOrder, part.Hash)
+		}
+		if len(holders) >= maxHolders {
+			holders = holders[1:]
+		}
+		d.parts[part.Hash] = append(holders, row)
+	}
+	for len(d.partOrder) > d.opt.MaxParts {
+		delete(d.parts, d.partOrder[0])
+		d.partOrder = d.partOrder[1:]
+	}
+}
