--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -263,8 +263,8 @@
 	}
 }
 
-// urgency ranks the request at a model engine: routes of a higher priority
-// first, and behind the usual rank what has missed its program's deadline.
+// urgency ranks the request at a model engine: the route of the highest priority
+// comes one rank before requests that don't say theirs.
 func urgency(c *call) int {
 	const usual = 5
 	return min(usual-1+c.route.Priority(), 9)
