sched: spread the calls of hosts over busy endpoints

At 15 s the 53 engines in use had between 5 and 31 turns for 8 slots, and 5 in 100 first tokens took more than 850 ms while the median was 117 ms.

Change: a part of the cost depends on the call's key and the endpoint, and grows with the load up to 1.2 times a usual call; shared prompt parts are expected on a third of the engines instead of a quarter.

--- a/core/jksched/predict.go
+++ b/core/jksched/predict.go
@@ -184,13 +184,29 @@
 	if row.faults > 0 {
 		cost += time.Duration(row.faults) * 50 * time.Millisecond
 	}
-	return cost + d.jitter(c, row)
+	return cost + d.spread(c, row)
 }
 
-// jitter orders equal endpoints by a hash of the call's key, so that hosts
-// without a memory of a session agree on its endpoint.
-func (d *Direct) jitter(c Call, row *directRow) time.Duration {
-	const span = 2 * time.Millisecond
+// minSpread orders endpoints that are alike. spreadShare is the spread on full
+// endpoints, as a share of a call's usual time; TestCrestOfGrownFleet replays the
+// load that it is for.
+const (
+	minSpread   = 2 * time.Millisecond
+	spreadShare = 1.2
+)
+
+// spread is a share of the call's time that depends on its key and the endpoint.
+// Hosts learn of each other's choices late, so that all of them would take the
+// endpoint that was the least loaded; the busier the endpoints are, the further
+// their choices are spread. Calls of one session keep the same preference on all
+// hosts.
+func (d *Direct) spread(c Call, row *directRow) time.Duration {
+	usual := d.opt.ServiceTime
+	if c.Kind == KindModel {
+		usual = time.Duration(d.opt.OutputTokens) * d.opt.TokenPace
+	}
+	busy := min(d.others[c.Service]/float64(d.slots(row)), 1)
+	span := minSpread + time.Duration(float64(usual)*busy*spreadShare)
 	h := xxhash.Sum64String(c.Program + "\x00" + row.endpoint.ID)
 	return time.Duration(h%1024) * span / 1024
 }
@@ -215,7 +231,7 @@
 // parts on all of them.
 const (
 	minHomes  = 3
-	homeShare = 4
+	homeShare = 3
 )
 
 // maxHomeParts bounds the shared parts whose endpoints are remembered.
