follow: wait 200 ms after a change before the store is called again

Ruled out: the two hosts that watch for all (about 130 watches and 250 changes each), hosts of the cut zone (102 took to watching for 4 s), lists (123).

Test: TestSeriesOfChangesIsFollowedInFewCalls (100 calls before, at most 10 now).

--- a/core/jkfollow/shared.go
+++ b/core/jkfollow/shared.go
@@ -43,6 +43,11 @@
 // followed has failed.
 const directFor = 4 * time.Second
 
+// collectPause is the time between a change that the store reported and the next
+// call. Changes often come in series: when a fleet starts, each host writes its
+// entry, and a call for each change would be the square of the hosts.
+const collectPause = 200 * time.Millisecond
+
 // maxHistory bounds the changes that a host keeps for its followers. One
 // configuration may hold some hundred kilobytes.
 const maxHistory = 64
@@ -70,6 +75,8 @@
 	inTouch  bool
 	changed  chan struct{}
 	direct   time.Time
+	// collectUntil is when the store may be called again after a change.
+	collectUntil time.Time
 }
 
 // NewShared returns a Shared without history.
@@ -110,12 +117,23 @@
 		s.direct = s.Timer.Now().Add(directFor)
 		s.mu.Unlock()
 	}
+	s.mu.Lock()
+	pause := s.collectUntil.Sub(s.Timer.Now())
+	s.mu.Unlock()
+	if pause > 0 {
+		s.Timer.Wait(pause, ctx.Done())
+	}
 	page, err := s.Source.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		s.setTouch(false)
 		return page, err
 	}
 	s.record(page)
+	if len(page.Items) > 0 {
+		s.mu.Lock()
+		s.collectUntil = s.Timer.Now().Add(collectPause)
+		s.mu.Unlock()
+	}
 	return page, nil
 }
 
--- a/core/jkfollow/shared_test.go
+++ b/core/jkfollow/shared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -111,3 +112,39 @@
 		t.Errorf("revision %d, want 2", got.Revision)
 	}
 }
+
+// Guards against a call to the store for each of many changes (grown bulles-pull:
+// 90 hosts that all watch until they know each other, and 90 entries written).
+func TestSeriesOfChangesIsFollowedInFewCalls(t *testing.T) {
+	const changes, every = 100, 10 * time.Millisecond
+	began := time.Now()
+	var calls atomic.Int64
+	written := func() int64 { return min(int64(time.Since(began)/every)+1, changes) }
+	source := Source{
+		List: func(context.Context, string) (Page, error) { return Page{}, nil },
+		Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+			calls.Add(1)
+			for written() <= after {
+				select {
+				case <-time.After(every):
+				case <-ctx.Done():
+					return Page{}, ctx.Err()
+				}
+			}
+			page := Page{Revision: written()}
+			for i := after + 1; i <= page.Revision; i++ {
+				page.Items = append(page.Items, Item{Key: fmt.Sprint("host/", i), Revision: i})
+			}
+			return page, nil
+		},
+	}
+	items := run(t, NewShared(SharedOptions{
+		Timer: jktimer.New(), Log: jklog.Discard(), Host: "h", Source: source, Peers: func() []Peer { return nil },
+	}).ThroughPeers())
+	for range changes {
+		next(t, items, applyBound)
+	}
+	if n := calls.Load(); n > 10 {
+		t.Errorf("%d calls for %d changes in a second, want at most 10", n, changes)
+	}
+}
