follow: ask the other watcher before the store

A watch has a time of its own, so that the host that was asked second could be given up too early.

Change: a host that answers that it has lost the store isn't passed over, and the other watcher is asked first; each call to the store is one, not 4 s of them. A host that doesn't answer is passed over for 4 s as before.

Tests: TestFollowerAsksTheOtherPeerFirst (fails before: no change within 2 s).

--- a/core/jkfollow/shared.go
+++ b/core/jkfollow/shared.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -39,9 +40,10 @@
 // follow one of them, so that the calls to the store don't grow with the hosts.
 const watchers = 2
 
-// directFor is how long a host watches the store itself after the host that it
-// followed has failed.
-const directFor = 4 * time.Second
+// avoidFor is how long a host isn't followed after it didn't answer. One that
+// answers that it has lost the store is asked again each time, which costs less than
+// a call to the store.
+const avoidFor = 4 * time.Second
 
 // collectPause is the time between a change that the store reported and the next
 // call. Changes often come in series: when a fleet starts, each host writes its
@@ -74,7 +76,8 @@
 	revision int64
 	inTouch  bool
 	changed  chan struct{}
-	direct   time.Time
+	// avoided holds hosts that aren't followed until a time.
+	avoided map[string]time.Time
 	// collectUntil is when the store may be called again after a change.
 	collectUntil time.Time
 }
@@ -106,16 +109,19 @@
 }
 
 func (s *Shared) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
-	if peer, ok := s.peer(); ok {
+	for _, peer := range s.candidates() {
 		page, err := s.follow(ctx, peer, after, wait)
 		if err == nil {
 			s.record(page)
 			return page, nil
 		}
-		s.Log.Info("store watched directly", "peer", peer.Host, "error", err)
-		s.mu.Lock()
-		s.direct = s.Timer.Now().Add(directFor)
-		s.mu.Unlock()
+		s.Log.Info("peer not followed", "peer", peer.Host, "error", err)
+		var answered *jkwire.RemoteError
+		if !errors.As(err, &answered) {
+			s.avoid(peer)
+			// The time for this call is over.
+			return Page{}, err
+		}
 	}
 	s.mu.Lock()
 	pause := s.collectUntil.Sub(s.Timer.Now())
@@ -137,29 +143,44 @@
 	return page, nil
 }
 
-// peer returns the host to follow, unless this host watches the store itself.
-func (s *Shared) peer() (Peer, bool) {
-	s.mu.Lock()
-	direct := s.Timer.Now().Before(s.direct)
-	s.mu.Unlock()
-	if direct {
-		return Peer{}, false
-	}
+// candidates returns the hosts to follow, the preferred one first. It is empty on a
+// host that watches the store itself.
+func (s *Shared) candidates() []Peer {
 	peers := s.Peers()
 	slices.SortFunc(peers, func(a, b Peer) int {
 		return cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host))
 	})
 	peers = peers[:min(len(peers), watchers)]
 	if len(peers) == 0 || slices.ContainsFunc(peers, func(p Peer) bool { return p.Host == s.Host }) {
-		return Peer{}, false
+		return nil
+	}
+	first := int(xxhash.Sum64String(s.Host) % uint64(len(peers)))
+	peers = slices.Concat(peers[first:], peers[:first])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Timer.Now()
+	return slices.DeleteFunc(peers, func(p Peer) bool { return now.Before(s.avoided[p.Host]) })
+}
+
+// avoid passes a host over for a while that didn't answer.
+func (s *Shared) avoid(p Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.avoided == nil {
+		s.avoided = map[string]time.Time{}
 	}
-	return peers[xxhash.Sum64String(s.Host)%uint64(len(peers))], true
+	s.avoided[p.Host] = s.Timer.Now().Add(avoidFor)
 }
 
 // followSlack is added to the wait before a followed host is given up.
 const followSlack = 300 * time.Millisecond
 
+// follow asks a host for changes. The wait ends early enough for an answer within
+// the context's time, so that a missing one is the host's fault.
 func (s *Shared) follow(ctx context.Context, p Peer, after int64, wait time.Duration) (Page, error) {
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, max(0, time.Until(end)-followSlack))
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
 	var answer WatchAnswer
--- a/core/jkfollow/shared_test.go
+++ b/core/jkfollow/shared_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,12 +47,16 @@
 
 // watcher starts a host that watches the store and answers followers.
 func watcher(t *testing.T, store *storeStub) (*Shared, Peer) {
+	return watcherNamed(t, "watcher", store)
+}
+
+func watcherNamed(t *testing.T, name string, store *storeStub) (*Shared, Peer) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	peer := Peer{Host: "watcher", Addr: l.Addr().String()}
+	peer := Peer{Host: name, Addr: l.Addr().String()}
 	s := NewShared(SharedOptions{
 		Timer: jktimer.New(), Log: jklog.Discard(), Host: peer.Host, Source: store.source(),
 		Peers: func() []Peer { return []Peer{peer} },
@@ -70,7 +75,7 @@
 	return s, peer
 }
 
-func follower(t *testing.T, peer Peer, store *storeStub) <-chan Item {
+func follower(t *testing.T, store *storeStub, peers ...Peer) <-chan Item {
 	t.Helper()
 	pool := jkwire.NewPool(jkwire.PoolOptions{
 		Self: jkwire.Hello{Host: "f", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, Control: func(string) bool { return true },
@@ -78,7 +83,7 @@
 	t.Cleanup(pool.Close)
 	return run(t, NewShared(SharedOptions{
 		Timer: jktimer.New(), Log: jklog.Discard(), Host: "f", Source: store.source(), Pool: pool,
-		Peers: func() []Peer { return []Peer{peer} },
+		Peers: func() []Peer { return slices.Clone(peers) },
 	}).ThroughPeers())
 }
 
@@ -87,7 +92,7 @@
 	store := &storeStub{changes: make(chan Item, 1)}
 	_, peer := watcher(t, store)
 	own := &storeStub{}
-	items := follower(t, peer, own)
+	items := follower(t, own, peer)
 	next(t, items, time.Second)
 	store.changes <- Item{Key: "op/config", Revision: 2}
 	if got := next(t, items, applyBound); got.Revision != 2 {
@@ -104,7 +109,7 @@
 	store := &storeStub{changes: make(chan Item, 1)}
 	_, peer := watcher(t, store)
 	own := &storeStub{changes: make(chan Item, 1)}
-	items := follower(t, peer, own)
+	items := follower(t, own, peer)
 	next(t, items, time.Second)
 	store.down.Store(true)
 	own.changes <- Item{Key: "op/config", Revision: 2}
@@ -113,6 +118,32 @@
 	}
 }
 
+// Guards against all hosts calling the store because the one that they follow was
+// turned away (grown bulles-pull: 102 hosts watched for 4 s each).
+func TestFollowerAsksTheOtherPeerFirst(t *testing.T) {
+	stores := []*storeStub{{changes: make(chan Item, 1)}, {changes: make(chan Item, 1)}}
+	_, one := watcherNamed(t, "one", stores[0])
+	_, two := watcherNamed(t, "two", stores[1])
+	own := &storeStub{}
+	items := follower(t, own, one, two)
+	next(t, items, time.Second)
+	for i, store := range stores {
+		store.down.Store(true)
+		other := stores[1-i]
+		time.Sleep(2 * (watchWait + watchSlack))
+		revision := int64(2 + i)
+		other.changes <- Item{Key: "op/config", Revision: revision}
+		if got := next(t, items, applyBound); got.Revision != revision {
+			t.Errorf("revision %d, want %d", got.Revision, revision)
+		}
+		store.down.Store(false)
+		time.Sleep(2 * (watchWait + watchSlack))
+	}
+	if n := own.calls.Load(); n != 1 {
+		t.Errorf("%d calls to the store, want the list only", n)
+	}
+}
+
 // Guards against a call to the store for each of many changes (grown bulles-pull:
 // 90 hosts that all watch until they know each other, and 90 entries written).
 func TestSeriesOfChangesIsFollowedInFewCalls(t *testing.T) {
