--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -122,29 +123,33 @@
 }
 
 func ranksBefore(program string, a, b Copy) bool {
-	return xxhash.Sum64String(program+"\x00"+a.Host) > xxhash.Sum64String(program+"\x00"+b.Host)
+	return rank(program, a.Host) > rank(program, b.Host)
 }
 
-// Holds reports whether a host may be asked for a program: no other copy of its
-// zone comes before it, but for those that are passed over.
-func Holds(program, host string, copies []Copy, lost func(host string) bool) bool {
-	var self *Copy
-	for i := range copies {
-		if copies[i].Host == host {
-			self = &copies[i]
-		}
-	}
-	if self == nil {
+func rank(program, host string) uint64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], xxhash.Sum64String(program))
+	binary.LittleEndian.PutUint64(key[8:], xxhash.Sum64String(host))
+	return xxhash.Sum64(key[:])
+}
+
+// Holder returns a function that reports whether a host may be asked for a program:
+// no other copy of its zone comes before it, but for those that are passed over.
+func Holder(host string, copies []Copy, lost func(host string) bool) func(program string) bool {
+	self := slices.IndexFunc(copies, func(c Copy) bool { return c.Host == host })
+	if self < 0 {
 		// A host that isn't listed here gets everything.
-		return true
+		return func(string) bool { return true }
 	}
+	var rivals []Copy
 	for _, other := range copies {
-		passedOver := other.New || lost(other.Host)
-		if other.Zone == self.Zone && other.Host != host && !passedOver && ranksBefore(program, other, *self) {
-			return false
+		if other.Zone == copies[self].Zone && other.Host != host && !other.New && !lost(other.Host) {
+			rivals = append(rivals, other)
 		}
 	}
-	return true
+	return func(program string) bool {
+		return !slices.ContainsFunc(rivals, func(r Copy) bool { return ranksBefore(program, r, copies[self]) })
+	}
 }
 
 // Reserve holds tokens at the program's copies and fails if its budget doesn't
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -121,12 +121,9 @@
 // catchPause is the time between two tries to copy what other hosts have.
 const catchPause = 400 * time.Millisecond
 
-// catchAgain is the time between two rounds of copying after a start, and
-// catchRounds their number: by then all entries write to this host.
-const (
-	catchAgain  = 5 * time.Second
-	catchRounds = 3
-)
+// catchAgain is the time after which a started host copies once more: by then all
+// entries write to it, and what they couldn't write before is tried again by them.
+const catchAgain = 5 * time.Second
 
 // catchMargin is added to the time for which a host was out of reach: a write that
 // was under way then is tried again for a second, and some times more.
@@ -146,11 +143,8 @@
 		}
 		t.timer.Wait(catchPause, ctx.Done())
 	}
-	for range catchRounds {
-		t.timer.Wait(catchAgain, ctx.Done())
-		if ctx.Err() != nil {
-			return
-		}
+	t.timer.Wait(catchAgain, ctx.Done())
+	if ctx.Err() == nil {
 		t.vault.Catch(ctx, t.others(), catchAgain+catchMargin)
 	}
 }
@@ -185,9 +179,10 @@
 	}
 }
 
-// holds reports whether another host keeps a program's records.
-func (t *Storage) holds(program, host string) bool {
-	return jkaccount.Holds(program, host, t.members.copies(), t.probes.Lost)
+// holds returns a function that reports whether another host keeps a program's
+// records.
+func (t *Storage) holds(host string) func(program string) bool {
+	return jkaccount.Holder(host, t.members.copies(), t.probes.Lost)
 }
 
 // hostChanged copies what another copy has taken while it was out of reach. A
--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -35,12 +35,14 @@
 	Retention time.Duration
 }
 
-// Record is one change of a ledger; exactly one field is set.
+// Record is one change of a ledger, or a time in its log; exactly one field is set.
 type Record struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Spending *Spending
 	Turn     *Turn
+	// Time is a Unix time in milliseconds. It is never sent to other copies.
+	Time int64
 }
 
 // Ledger holds spendings by program and turns by request. It does no input or
--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -30,15 +30,27 @@
 	number int
 	size   int64
 	buffer []byte
-	// written is when the last record found by OpenLog was written, by the host's
-	// clock of then.
+	// written is the last time found by OpenLog, and stamped the last one appended.
 	written time.Time
+	stamped time.Time
 }
 
-// Written returns when the last record was written before the log was opened, or the
-// zero time for an empty log. The host's clock may have been set since.
+// Written returns when the log was last in use before it was opened, to a second, or
+// the zero time for an empty log. The host's clock may have been set since.
 func (l *Log) Written() time.Time { return l.written }
 
+// stampEvery is the time between two times in the log.
+const stampEvery = time.Second
+
+// Stamp appends the time, unless that was done within the last second.
+func (l *Log) Stamp(now time.Time) error {
+	if now.Sub(l.stamped) < stampEvery && !now.Before(l.stamped) {
+		return nil
+	}
+	l.stamped = now
+	return l.Append(Record{Time: now.UnixMilli()})
+}
+
 // OpenLog reads all segments, hands each record to apply and begins a new
 // segment.
 func OpenLog(folder string, apply func(Record)) (*Log, error) {
@@ -51,21 +63,25 @@
 	}
 	l := &Log{folder: folder}
 	for _, n := range numbers {
-		if err := readSegment(l.path(n), apply); err != nil {
+		if err := readSegment(l.path(n), l.take(apply)); err != nil {
 			return nil, err
 		}
-		info, err := os.Stat(l.path(n))
-		if err != nil {
-			return nil, eris.Wrap(err, "look at ledger segment")
-		}
-		if info.Size() > 0 {
-			l.written = info.ModTime()
-		}
 		l.number = n
 	}
 	return l, l.roll()
 }
 
+// take passes records on and keeps the times.
+func (l *Log) take(apply func(Record)) func(Record) {
+	return func(r Record) {
+		if r.Time != 0 {
+			l.written = time.UnixMilli(r.Time)
+			return
+		}
+		apply(r)
+	}
+}
+
 func segments(folder string) ([]int, error) {
 	files, err := os.ReadDir(folder)
 	if err != nil {
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -25,9 +25,9 @@
 	Log    jklog.Logger
 	Folder string
 	Pool   *jkwire.Pool
-	// Holds reports whether another host keeps a program's records; nil means
-	// that it keeps all.
-	Holds func(program, host string) bool
+	// Holds returns a function that reports whether another host keeps a program's
+	// records; nil means that it keeps all.
+	Holds func(host string) func(program string) bool
 	// First is set where the whole system starts for the first time, so that an
 	// empty folder is all there is.
 	First bool
@@ -106,8 +106,8 @@
 // Certain reports whether the copy has all that it ever acknowledged.
 func (v *Vault) Certain() bool { return v.certain.Load() }
 
-// missedMargin is added to the time since the last record was written, for clocks
-// that were set back and for writes that were under way.
+// missedMargin is added to the time since the log was last in use, for clocks that
+// were set back and for writes that were under way.
 const missedMargin = 10 * time.Second
 
 // Missed returns the time for which other copies may have added records that this one
@@ -138,6 +138,9 @@
 // nil if no record changed the ledger and none waits for the disk.
 func (v *Vault) add(records []jkledger.Record) (chan error, error) {
 	now := v.Timer.Now()
+	if err := v.log.Stamp(now); err != nil {
+		return nil, err
+	}
 	for _, r := range records {
 		if !v.ledger.Apply(now, r) {
 			continue
@@ -294,7 +297,7 @@
 	records := v.ledger.Records(v.since(m.Within), have)
 	v.mu.Unlock()
 	if v.Holds != nil {
-		records = slices.DeleteFunc(records, func(r jkledger.Record) bool { return !v.Holds(r.Program(), s.Peer().Host) })
+		records = held(records, v.Holds(s.Peer().Host))
 	}
 	certain := v.certain.Load()
 	part, size := 0, 0
@@ -313,6 +316,21 @@
 	return s.End(&jkledger.SyncPart{Records: records[part:], Certain: certain})
 }
 
+// held returns the records whose programs a host keeps. Each program is looked up
+// once, as it has several records.
+func held(records []jkledger.Record, holds func(program string) bool) []jkledger.Record {
+	known := map[string]bool{}
+	return slices.DeleteFunc(records, func(r jkledger.Record) bool {
+		program := r.Program()
+		keeps, ok := known[program]
+		if !ok {
+			keeps = holds(program)
+			known[program] = keeps
+		}
+		return !keeps
+	})
+}
+
 func (v *Vault) adopt(ctx context.Context, s *jkwire.Incoming) error {
 	var m jkledger.AdoptRequest
 	if err := s.Decode(&m); err != nil {
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -142,7 +142,7 @@
 	if err := b.vault.Pool.Call(context.Background(), a.addr, jkledger.TypeWrite, &m, nil); err != nil {
 		t.Fatal(err)
 	}
-	a.vault.Holds = func(program, _ string) bool { return program == "mine" }
+	a.vault.Holds = func(string) func(string) bool { return func(program string) bool { return program == "mine" } }
 	if n, _, err := b.vault.pull(context.Background(), a.addr, 0); err != nil || n != 1 {
 		t.Errorf("%d records copied, %v; want 1", n, err)
 	}
@@ -244,3 +244,28 @@
 		t.Errorf("a copy without its disk missed %s, want everything", wiped.vault.Missed())
 	}
 }
+
+// Guards against a copy that looks up the hosts of a program for each of its records
+// (grown bulles-pull, scale-1 at 12 s: half a second for each exchange of a host that
+// had been killed, and 286 ms for a reservation).
+func TestHoldersAreLookedUpOnceForAProgram(t *testing.T) {
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	m := jkledger.WriteRequest{Sync: true}
+	for i := range 100 {
+		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: fmt.Sprint(i), Program: "p", Retention: time.Minute}})
+	}
+	if err := b.vault.Pool.Call(context.Background(), a.addr, jkledger.TypeWrite, &m, nil); err != nil {
+		t.Fatal(err)
+	}
+	hosts, programs := 0, 0
+	a.vault.Holds = func(string) func(string) bool {
+		hosts++
+		return func(string) bool { programs++; return true }
+	}
+	if n, _, err := b.vault.pull(context.Background(), a.addr, 0); err != nil || n != 100 {
+		t.Errorf("%d records copied, %v; want 100", n, err)
+	}
+	if hosts != 1 || programs != 1 {
+		t.Errorf("the holders were looked up %d times and %d programs, want one each", hosts, programs)
+	}
+}
