--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -21,6 +21,8 @@
 	copies []Copy
 	lost   map[string]bool
 	cut    map[string]bool
+	// starting is set while the host may not know all copies.
+	starting bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -53,13 +55,14 @@
 	})
 	t.Cleanup(pool.Close)
 	f.client = NewClient(Options{
-		Timer: timer, Log: jklog.Discard(), Pool: pool, Zone: "a", Losses: 1,
-		Copies:        func() []Copy { return f.copies },
-		Reachable:     func(host string) bool { return !f.lost[host] && !f.cut[host] },
-		Lost:          func(string) bool { return false },
-		ZoneReachable: func(zone string) bool { return !f.cut[zone] },
-		ZoneSettled:   func(zone string) bool { return !f.cut[zone] },
-		Relays:        func() []string { return nil },
+		Timer: timer, Log: jklog.Discard(), Pool: pool, Zone: "a", Losses: 1, Zones: 3,
+		MembersSettled: func() bool { return !f.starting },
+		Copies:         func() []Copy { return f.copies },
+		Reachable:      func(host string) bool { return !f.lost[host] && !f.cut[host] },
+		Lost:           func(string) bool { return false },
+		ZoneReachable:  func(zone string) bool { return !f.cut[zone] },
+		ZoneSettled:    func(zone string) bool { return !f.cut[zone] },
+		Relays:         func() []string { return nil },
 	})
 	return f
 }
@@ -167,3 +170,29 @@
 		t.Error("a copy that is out of reach for a moment doesn't count")
 	}
 }
+
+// Guards against a host that has listed one copy before the others were there, and
+// was then cut off from the store (soak, seed 125): it answered 404 for turns that it
+// couldn't know, and would count turns on one disk.
+func TestHostThatKnowsFewCopiesIsNotCertain(t *testing.T) {
+	f := newFixture(t)
+	f.keep(t, jkforward.Turn{Request: "1"})
+	all := f.copies
+	f.starting = true
+	ctx := context.Background()
+	for known := 1; known <= len(all); known++ {
+		f.copies = all[len(all)-known:]
+		_, unknown := f.client.Chain(ctx, "p", "2")
+		errs := map[string]error{"chain": unknown}
+		if known <= f.client.Losses {
+			errs["keep"] = f.client.Keep(ctx, jkforward.Turn{Request: "3", Program: "p", Retention: time.Minute})
+			errs["reserve"] = f.client.Reserve(ctx, jkforward.Reservation{Program: "p", Request: "4", Tokens: 1, Budget: 10, Retention: time.Minute})
+		}
+		for operation, err := range errs {
+			var uncertain *jkforward.UncertainError
+			if !errors.As(err, &uncertain) {
+				t.Errorf("%s with %d of %d copies known gives %v, want uncertain", operation, known, len(all), err)
+			}
+		}
+	}
+}
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -37,6 +37,11 @@
 	Zone string
 	// Losses is the number of disks that may be lost at once.
 	Losses int
+	// Zones is the number of zones in which there may be copies.
+	Zones int
+	// MembersSettled reports whether all copies are likely to be known. A host that
+	// has just started may have listed some of them before the others were there.
+	MembersSettled func() bool
 	// Copies returns the known copies, Reachable whether one answers and Lost
 	// whether it hasn't for so long that all hosts have noticed.
 	Copies    func() []Copy
@@ -152,9 +157,22 @@
 	}
 }
 
+// tooFew returns an *UncertainError if fewer copies are known than have to hold a
+// record. Another host that knows them all would miss it.
+func (c *Client) tooFew(operation string, copies []Copy) error {
+	wanted := min(c.Losses+1, c.Zones)
+	if len(copies) >= wanted || c.MembersSettled() {
+		return nil
+	}
+	return &jkforward.UncertainError{Operation: operation, Answers: len(copies), Needed: wanted}
+}
+
 // Reserve holds tokens at the program's copies and fails if its budget doesn't
 // hold them.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
+	if err := c.tooFew("reserve", c.replicas(r.Program)); err != nil {
+		return err
+	}
 	q := c.ask(ctx, r)
 	err := q.decide(r)
 	if err != nil {
@@ -246,6 +264,9 @@
 		{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
 	}
 	copies := c.replicas(t.Program)
+	if err := c.tooFew("keep", copies); err != nil {
+		return err
+	}
 	needed := c.needed(copies)
 	results := make(chan bool, len(copies))
 	for _, target := range copies {
@@ -315,9 +336,10 @@
 		return w.body(request), nil
 	}
 	// A zone that is cut off keeps its turns on one disk for a while, so that a
-	// turn is unknown only where every copy says so that isn't down.
+	// turn is unknown only where every copy says so that isn't down, and all copies
+	// are known.
 	needed := max(len(copies)-min(w.client.down(copies), w.client.Losses), 1)
-	if answers < needed || missing != request {
+	if answers < needed || missing != request || !w.client.MembersSettled() {
 		return nil, &jkforward.UncertainError{Operation: "chain", Answers: answers, Needed: needed}
 	}
 	return nil, &jkforward.UnknownTurnError{Request: request}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -35,14 +35,17 @@
 	log      jklog.Logger
 	metrics  *metrics.Set
 
-	rules   atomic.Pointer[jkruleset.Set]
-	leaving atomic.Bool
-	fleet   *jkforward.Fleet
-	pool    *jkupstream.Pool
-	peers   *jkwire.Pool
-	probes  *jkprobe.Prober
-	members *members
-	shared  *jkfollow.Shared
+	rules    atomic.Pointer[jkruleset.Set]
+	leaving  atomic.Bool
+	fleet    *jkforward.Fleet
+	pool     *jkupstream.Pool
+	peers    *jkwire.Pool
+	probes   *jkprobe.Prober
+	members  *members
+	shared   *jkfollow.Shared
+	follower *jkfollow.Follower
+	// settled is set once all hosts are likely to be known.
+	settled atomic.Bool
 	counts  *jkforward.Metrics
 
 	mu        sync.Mutex
@@ -79,9 +82,28 @@
 		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: e.peers,
 		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) },
 	})
+	// One watch over all keys costs a third of the calls of one for each kind.
+	e.follower = jkfollow.New(jkfollow.Options{
+		Timer: timer, Log: log.Part("follow"), Source: e.shared.ThroughPeers(),
+		Apply: e.apply, Settled: func(bool) {},
+	})
 	return e, e.listen()
 }
 
+// membersSettled reports whether all hosts are likely to be known: the store was in
+// reach once all hosts that started with this one had the time to enter themselves.
+func (e *Entry) membersSettled() bool {
+	if e.settled.Load() {
+		return true
+	}
+	if !e.follower.InTouch() || e.timer.Now().Sub(e.members.began) < newFor {
+		return false
+	}
+	e.settled.Store(true)
+	e.log.Info("hosts settled", "copies", len(e.members.copies()))
+	return true
+}
+
 func (e *Entry) self() jkwire.Hello {
 	return jkwire.Hello{Host: e.settings.Host, Zone: e.settings.Zone, Version: jkwire.ProtocolVersion}
 }
@@ -144,7 +166,7 @@
 func (e *Entry) listen() error {
 	account := jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
-		Losses: e.settings.LostDisks, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost,
+		Losses: e.settings.LostDisks, Zones: len(e.settings.Zones), MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost,
 		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
@@ -238,11 +260,7 @@
 func (e *Entry) Run(stop <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	// One watch over all keys costs a third of the calls of one for each kind.
-	go jkfollow.New(jkfollow.Options{
-		Timer: e.timer, Log: e.log.Part("follow"), Source: e.shared.ThroughPeers(),
-		Apply: e.apply, Settled: func(bool) {},
-	}).Run(ctx)
+	go e.follower.Run(ctx)
 	defer e.timer.Every(digestEvery, e.sendDigest)()
 	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
