--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -64,9 +64,9 @@
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = s.Zone
 	opt.Delay = delay
+	e.fleet = jkforward.NewFleet(opt, timer)
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
-	e.fleet = jkforward.NewFleet(opt, timer, e.pool.HasFresh)
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), Control: isControl, Counters: &jkwire.Counters{}})
 	e.closed = append(e.closed, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -37,18 +37,13 @@
 	at   time.Time
 }
 
-// NewFleet returns a fleet without endpoints. The function connected reports whether
-// a connection to an address is open and free.
-func NewFleet(opt jksched.DirectOptions, timer *jktimer.Service, connected func(addr string) bool) *Fleet {
-	f := &Fleet{
-		timer: timer, addrs: map[string]string{},
+// NewFleet returns a fleet without endpoints.
+func NewFleet(opt jksched.DirectOptions, timer *jktimer.Service) *Fleet {
+	return &Fleet{
+		timer: timer, direct: jksched.NewDirect(opt), addrs: map[string]string{},
 		running: map[string]map[*call]context.CancelCauseFunc{}, down: map[string]bool{},
 		told: map[string]reportedLoad{},
 	}
-	// It is asked while the fleet is locked.
-	opt.Connected = func(id string) bool { return connected(f.addrs[id]) }
-	f.direct = jksched.NewDirect(opt)
-	return f
 }
 
 // SetEndpoint adds an endpoint at an address or changes it.
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -29,10 +29,6 @@
 	// PaceAge how long its pace of a moment does.
 	LoadAge time.Duration
 	PaceAge time.Duration
-	// Connected reports whether a connection to an endpoint is open and free; nil
-	// means that it isn't known. NewConnection is what opening one costs a call.
-	Connected     func(id string) bool
-	NewConnection time.Duration
 	// CrossZone is what a call to another zone costs beyond its delay, for the
 	// prompt that it moves.
 	CrossZone time.Duration
@@ -49,15 +45,13 @@
 }
 
 // DefaultDirectOptions returns the defaults. The caller sets Zone and Delay.
-// Paces are those that the users published for their engines, and a new connection
-// takes an endpoint 1 ms and the way there and back.
+// Paces are those that the users published for their engines.
 func DefaultDirectOptions() DirectOptions {
 	return DirectOptions{
 		TokenPace: 935 * time.Microsecond, TokenPacePerCall: 20 * time.Microsecond,
 		PrefillPace: 3 * time.Microsecond, OutputTokens: 260,
 		ServiceTime: 30 * time.Millisecond, LoadAge: 450 * time.Millisecond,
 		PaceAge: 500 * time.Millisecond, CrossZone: 6 * time.Millisecond,
-		NewConnection: 4 * time.Millisecond,
 		BreakerFaults: 2, BreakerPause: 400 * time.Millisecond, BreakerMaxPause: 3 * time.Second,
 		QueuePerSlot: 2.5, MaxParts: 20000,
 	}
--- a/core/jksched/predict.go
+++ b/core/jksched/predict.go
@@ -189,9 +189,6 @@
 	if d.opt.Delay != nil {
 		cost += 2 * d.opt.Delay(d.opt.Zone, row.endpoint.Zone)
 	}
-	if c.Kind == KindService && d.opt.Connected != nil && !d.opt.Connected(row.endpoint.ID) {
-		cost += d.opt.NewConnection
-	}
 	if c.Kind == KindModel && row.endpoint.Zone != d.opt.Zone {
 		cost += d.opt.CrossZone
 	}
--- a/core/jkupstream/pool.go
+++ b/core/jkupstream/pool.go
@@ -85,19 +85,6 @@
 	}
 }
 
-// HasFresh reports whether a connection is kept that may carry any request.
-func (p *Pool) HasFresh(addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return false
-	}
-	c := list[len(list)-1]
-	idle := p.timer.Now().Sub(c.idleSince)
-	return idle < c.keep && idle < p.opt.FreshIdle
-}
-
 // take removes the most recently used connection of the address.
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
