--- a/core/jksched/fleet_test.go
+++ b/core/jksched/fleet_test.go
@@ -28,13 +28,16 @@
 
 	// waits are the times from a turn's start to its first token.
 	waits    []time.Duration
-	refused  int
-	onTime   float64
-	owed     float64
-	reread   int64
-	read     int64
 	turns    int
+	refused  int
 	programs int
+	// onTime and owed are the worth of programs that ended in time, and of all.
+	onTime float64
+	owed   float64
+	// read counts the prompt tokens that engines read, and reread those of shared
+	// parts among them.
+	read   int64
+	reread int64
 }
 
 type modelHost struct {
@@ -42,6 +45,7 @@
 	direct *Direct
 	told   map[string]DirectLoad
 	toldAt map[string]time.Time
+	// placed are the endpoint and the part of each turn since the last digest.
 	placed [][2]string
 }
 
@@ -60,10 +64,11 @@
 	began  time.Time
 	rank   int
 	events int
-	ends   time.Time
 	first  time.Time
-	done   func()
-	moved  int
+	ends   time.Time
+	// moved counts how often ends was changed.
+	moved int
+	done  func()
 }
 
 type action struct {
@@ -95,25 +100,51 @@
 	heap.Push(&m.pending, action{at: m.now.Add(d), seq: m.seq, do: do})
 }
 
-// Figures of the grown fleets on the users' sheets.
+// Figures of the grown fleets on the users' sheets: counts, tokens and times.
+const (
+	modelZones   = 4
+	modelHosts   = 76
+	modelEngines = 48
+	modelSlots   = 8
+	modelQueue   = 24
+	// modelMemory is an engine's memory in tokens, modelEvents the mean number of
+	// events of a turn and modelStep the tokens in each.
+	modelMemory = 239634
+	modelEvents = 6
+	modelStep   = 42
+	// modelShared is the mean length of a shared part in tokens. Each kind of program
+	// has modelThings of them, of which some are wanted more often (modelSkew).
+	modelShared   = 12600
+	modelThings   = 8
+	modelSkew     = 0.84
+	modelDelay    = 900 * time.Microsecond
+	modelPrefill  = time.Millisecond / 328
+	modelPatience = 3 * time.Second
+)
+
+// Figures taken from played days of bulles-pull-grown: the time per token on an idle
+// engine and for each further call, the time between two turns, the memory that a
+// running call needs beside its shared part, and the spread of lengths.
+const (
+	modelTokenPace   = 1050 * time.Microsecond
+	modelPacePerCall = 25 * time.Microsecond
+	modelPause       = 80 * time.Millisecond
+	modelRunMemory   = 1500
+	modelEventSpread = 0.8
+	modelInputSpread = 0.7
+)
+
+// Figures of the entries: the interval of digests and how many hosts get one.
 const (
-	modelZones     = 4
-	modelHosts     = 76
-	modelEngines   = 48
-	modelSlots     = 8
-	modelQueue     = 24
-	modelMemory    = 239634
-	modelEvents    = 6
-	modelStep      = 42
-	modelShared    = 12600
-	modelDelay     = 900 * time.Microsecond
-	modelPrefill   = time.Millisecond / 328
 	modelDigest    = 200 * time.Millisecond
-	modelThings    = 8
-	modelSkew      = 0.84
 	modelDigestMax = 16
 )
 
+// spreadAround draws from a log-normal distribution with a mean.
+func spreadAround(random *rand.Rand, mean, spread float64) float64 {
+	return mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
+}
+
 func newFleetModel(seed uint64) *fleetModel {
 	m := &fleetModel{now: time.Unix(1000, 0), seed: seed, rand: rand.New(rand.NewPCG(seed, 1))}
 	for i := range modelEngines {
@@ -201,7 +232,7 @@
 	m.programs++
 	id := fmt.Sprint("p", m.programs)
 	random := rand.New(rand.NewPCG(uint64(m.programs), m.seed))
-	turns, credit, input, kind, urgency := 4, 3.0, int64(1680*math.Exp(0.7*random.NormFloat64()-0.245)), "pull", 5
+	turns, credit, input, kind, urgency := 4, 3.0, int64(spreadAround(random, 1680, modelInputSpread)), "pull", 5
 	if random.Float64() < 0.39 {
 		turns, credit, input, kind, urgency = 7, 10.0, 840, "series", 4
 	}
@@ -236,13 +267,13 @@
 		length += input
 		call := Call{
 			Program: id, Kind: KindModel, Service: "llm", MaxTokens: modelEvents * modelStep,
-			PromptTokens: modelShared + length, Deadline: m.now.Add(3 * time.Second),
+			PromptTokens: modelShared + length, Deadline: m.now.Add(modelPatience),
 			Prefix: []Segment{shared, {Hash: id, Tokens: length}},
 		}
-		events := min(14, max(1, int(modelEvents*math.Exp(0.8*random.NormFloat64()-0.32))))
+		events := min(14, max(1, int(spreadAround(random, modelEvents, modelEventSpread))))
 		m.send(h, call, urgency, events, func() {
 			length += modelEvents * modelStep
-			m.after(80*time.Millisecond, func() { turn(n+1, 0) })
+			m.after(modelPause, func() { turn(n+1, 0) })
 		}, func(retry time.Duration) {
 			length -= input
 			m.refused++
@@ -300,7 +331,7 @@
 			m.end(e, o, o.ends.Add(prefill))
 		}
 		e.running = append(e.running, r)
-		step := 1050*time.Microsecond + time.Duration(len(e.running))*25*time.Microsecond
+		step := modelTokenPace + time.Duration(len(e.running))*modelPacePerCall
 		work := prefill + time.Duration(r.events*modelStep)*step
 		r.first = m.now.Add(prefill + modelStep*step)
 		m.waits = append(m.waits, r.first.Sub(r.began))
@@ -344,7 +375,7 @@
 		}
 		e.cache = append(e.cache, p)
 	}
-	sum := int64(len(e.running)+1) * 1500
+	sum := int64(len(e.running)+1) * modelRunMemory
 	for _, c := range e.cache {
 		sum += c.Tokens
 	}
