account: name the copies of a turn that isn't kept, and count why

The new line names each copy that was asked, what became of the turn there and what the host believes of the copy, with the time of its silence. Counters tell the results of turns and of writes apart, a histogram the time. No decision is changed.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jktimer"
@@ -56,6 +58,8 @@
 	t.Cleanup(pool.Close)
 	f.client = NewClient(Options{
 		Timer: timer, Log: jklog.Discard(), Pool: pool, Zone: "a", Losses: 1, Zones: 3,
+		Metrics:        NewMetrics(metrics.NewSet()),
+		Silent:         func(string) time.Duration { return 0 },
 		MembersSettled: func() bool { return !f.starting },
 		Copies:         func() []Copy { return f.copies },
 		Reachable:      func(host string) bool { return !f.lost[host] && !f.cut[host] },
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -26,6 +26,8 @@
 	Timer *jktimer.Service
 	Log   jklog.Logger
 	Pool  *jkwire.Pool
+	// Metrics counts how turns are kept.
+	Metrics *Metrics
 	// Zone is the zone of the host.
 	Zone string
 	// Losses is the number of disks that may be lost at once.
@@ -40,6 +42,9 @@
 	Copies    func() []Copy
 	Reachable func(host string) bool
 	Lost      func(host string) bool
+	// Silent returns for how long nothing was heard of a host that is out of reach,
+	// and zero for one that answers.
+	Silent func(host string) time.Duration
 	// ZoneReachable reports whether any host of a zone answers, and ZoneSettled
 	// whether it has done so for some seconds.
 	ZoneReachable func(zone string) bool
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -31,7 +32,7 @@
 	records []jkledger.Record
 	since   time.Time
 	// done gets the result of the first try; it is nil where nobody waits.
-	done chan<- bool
+	done chan<- delivery
 }
 
 // Bounds of a queue: how long a parcel is kept for a copy that doesn't answer,
@@ -53,7 +54,7 @@
 
 // send queues records for a copy. The channel, if there is one, gets the result
 // of the first try.
-func (o *outbox) send(target Copy, records []jkledger.Record, done chan<- bool) {
+func (o *outbox) send(target Copy, records []jkledger.Record, done chan<- delivery) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q := o.queues[target.Host]
@@ -63,7 +64,7 @@
 	}
 	q.target = target
 	if q.failing && done != nil {
-		done <- false
+		done <- delivery{target.Host, outcomeBehind}
 		done = nil
 	}
 	q.pending = append(q.pending, parcel{records: records, since: o.client.Timer.Now(), done: done})
@@ -89,16 +90,17 @@
 		if len(batch) == 0 {
 			return
 		}
-		ok := o.write(target, batch)
+		result := outcomeOf(o.write(target, batch))
+		o.client.Metrics.written(result)
 		for _, p := range batch {
 			if p.done != nil {
-				p.done <- ok
+				p.done <- delivery{target.Host, result}
 			}
 		}
 		o.mu.Lock()
-		q.failing = !ok
+		q.failing = result != outcomeWritten
 		o.mu.Unlock()
-		if ok {
+		if result == outcomeWritten {
 			continue
 		}
 		o.keep(q, batch)
@@ -134,7 +136,7 @@
 	q.pending = append(kept, q.pending...)
 }
 
-func (o *outbox) write(target Copy, batch []parcel) bool {
+func (o *outbox) write(target Copy, batch []parcel) error {
 	request := &jkledger.WriteRequest{}
 	for _, p := range batch {
 		request.Records = append(request.Records, p.records...)
@@ -142,5 +144,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	return o.client.call(ctx, target, jkledger.TypeWrite, request, nil) == nil
+	return o.client.call(ctx, target, jkledger.TypeWrite, request, nil)
+}
+
+func outcomeOf(err error) outcome {
+	var unreachable *UnreachableError
+	switch {
+	case err == nil:
+		return outcomeWritten
+	case errors.As(err, &unreachable):
+		return outcomeUnreachable
+	}
+	return outcomeFailed
 }
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -166,7 +166,8 @@
 func (e *Entry) listen() error {
 	account := jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
-		Losses: e.settings.LostDisks, Zones: len(e.settings.Zones), MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost,
+		Metrics: jkaccount.NewMetrics(e.metrics), Losses: e.settings.LostDisks, Zones: len(e.settings.Zones),
+		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost, Silent: e.probes.Silent,
 		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -181,6 +181,18 @@
 	return row != nil && row.lost && p.Timer.Now().Sub(later(row.heard, row.added)) > longLost
 }
 
+// Silent returns for how long nothing was heard of a host that is out of reach. A
+// host that was never heard counts from when this process learned of it.
+func (p *Prober) Silent(host string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.peers[host]
+	if row == nil || !row.lost {
+		return 0
+	}
+	return p.Timer.Now().Sub(later(row.heard, row.added))
+}
+
 // ZoneReachable reports whether a host of the zone has answered lately. The own
 // zone and one without probed hosts count as reachable.
 func (p *Prober) ZoneReachable(zone string) bool {
