--- /dev/null
+++ b/core/jkaccount/keep_test.go
@@ -0,0 +1,131 @@
+package jkaccount
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkforward"
+)
+
+// keepWithin keeps a turn of a program whose caller waits for a time.
+func (f *fixture) keepWithin(t *testing.T, program string, wait time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return f.client.Keep(ctx, jkforward.Turn{Request: "1", Program: program, Input: []byte("in "), Output: []byte("out\n"), Retention: time.Minute})
+}
+
+// addGone adds a host to a zone that is gone but still known.
+func (f *fixture) addGone(host, zone string) {
+	f.copies = append(f.copies, Copy{Host: host, Addr: "127.0.0.1:1", Zone: zone})
+	f.lost[host] = true
+}
+
+// programOf returns a program whose copies are on the hosts.
+func (f *fixture) programOf(t *testing.T, hosts ...string) string {
+	t.Helper()
+	for i := range 1000 {
+		program := fmt.Sprintf("p%d", i)
+		chosen := f.client.replicas(program)
+		if !slices.ContainsFunc(hosts, func(host string) bool {
+			return !slices.ContainsFunc(chosen, func(c Copy) bool { return c.Host == host })
+		}) {
+			return program
+		}
+	}
+	t.Fatalf("no program has its copies on %v", hosts)
+	return ""
+}
+
+// Guards against a whole answer that is broken off because an entry which has just
+// started counts removed hosts of two zones as copies of the program.
+func TestTurnIsKeptWhileRemovedHostsAreCounted(t *testing.T) {
+	f := newFixture(t)
+	f.addGone("gone-b", "b")
+	f.addGone("gone-c", "c")
+	program := f.programOf(t, "gone-b", "gone-c")
+	if err := f.keepWithin(t, program, 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	got, err := f.client.Chain(context.Background(), program, "1")
+	if err != nil || string(got) != "in out\n" {
+		t.Errorf("chain is %q, %v", got, err)
+	}
+}
+
+// Guards against a turn that counts as kept on two disks of one zone.
+func TestTurnIsKeptInAsManyZonesAsDisks(t *testing.T) {
+	f := newFixture(t)
+	f.copies = append(f.copies, f.copies[0])
+	f.copies[3].Host = "a-2"
+	f.lost["b"], f.lost["c"] = true, true
+	if err := f.keepWithin(t, "p", 300*time.Millisecond); err == nil {
+		t.Error("a turn counts that only one zone holds")
+	}
+}
+
+// Guards against a whole answer that is broken off because two copies are restarted
+// while the turn is written, though the caller would wait.
+func TestTurnIsKeptOnceItsCopiesAreBack(t *testing.T) {
+	f := newFixture(t)
+	addrs := []string{f.copies[1].Addr, f.copies[2].Addr}
+	var back atomic.Bool
+	f.copies[1].Addr, f.copies[2].Addr = "127.0.0.1:1", "127.0.0.1:1"
+	copies := f.client.Copies
+	f.client.Copies = func() []Copy {
+		out := slices.Clone(copies())
+		if back.Load() {
+			out[1].Addr, out[2].Addr = addrs[0], addrs[1]
+		}
+		return out
+	}
+	time.AfterFunc(500*time.Millisecond, func() { back.Store(true) })
+	if err := f.keepWithin(t, "p", 3*time.Second); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a whole answer that is broken off in the moment in which a zone is cut
+// off, before the entry knows of the cut.
+func TestTurnIsKeptOnceACutIsNoticed(t *testing.T) {
+	f := newFixture(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	f.copies[1].Addr, f.copies[2].Addr = silent.Addr().String(), silent.Addr().String()
+	var noticed atomic.Bool
+	f.client.Reachable = func(host string) bool { return host == "a" || !noticed.Load() }
+	f.client.ZoneReachable = func(zone string) bool { return zone == "a" || !noticed.Load() }
+	time.AfterFunc(800*time.Millisecond, func() { noticed.Store(true) })
+	if err := f.keepWithin(t, "p", 3*time.Second); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against records that never reach a copy because those that wait for it don't
+// fit into one message.
+func TestBacklogLargerThanAMessageIsDelivered(t *testing.T) {
+	f := newFixture(t)
+	var back atomic.Bool
+	f.client.Reachable = func(host string) bool { return host == "a" && !back.Load() || host == "c" && back.Load() }
+	f.client.ZoneReachable = func(zone string) bool { return zone == "a" || back.Load() }
+	const turns = 20
+	for i := range turns {
+		f.keep(t, jkforward.Turn{Request: fmt.Sprint(i), Input: make([]byte, 512<<10)})
+	}
+	back.Store(true)
+	last := fmt.Sprint(turns - 1)
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if got, err := f.client.Chain(t.Context(), "p", last); err == nil && len(got) == 512<<10 {
+			return
+		}
+	}
+	t.Error("the copy never got the last turn")
+}
