account: keep a turn on live copies, for as long as its caller waits

Cause: a turn counted as lost for its caller as soon as the first try at each chosen copy was over. The chosen copies may be hosts that are gone: their entries stay in the store, all entries choose alike, and one that has just started passes a silent host over only after 7 s. With the removed hosts of two zones chosen, one of two needed copies was left, though both zones had a live one. The records themselves were tried again in the background for 20 s.

Now a turn is kept once as many zones hold it as are needed, whichever of their copies does: a copy that is out of reach or fails is replaced by the zone's next one in reach. Turns are looked for at all copies, so that only budgets need the same choice on all hosts. Tries go on until the request's time is used up, and the number of zones is judged anew as cuts are noticed. A queue no longer answers for a copy without a try.

TestTurnNeedsMoreDisksThanMayBeLost passed a context without end, which Keep now waits for; it gets one second and demands the same error.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -117,7 +117,7 @@
 func TestTurnNeedsMoreDisksThanMayBeLost(t *testing.T) {
 	f := newFixture(t)
 	f.lost["b"], f.lost["c"] = true, true
-	err := f.client.Keep(context.Background(), jkforward.Turn{Request: "1", Program: "p", Retention: time.Minute})
+	err := f.keepWithin(t, "p", time.Second)
 	var uncertain *jkforward.UncertainError
 	if !errors.As(err, &uncertain) {
 		t.Errorf("error is %v, want uncertain", err)
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -17,33 +18,34 @@
 const (
 	outcomeWaiting outcome = "waiting"
 	outcomeWritten outcome = "written"
-	// No host in reach can reach the copy.
+	// No host in reach can reach the copy. The records are tried again.
 	outcomeUnreachable outcome = "unreachable"
-	// The copy was asked and gave no answer or an error.
+	// The copy was asked and gave no answer or an error. The records are tried again.
 	outcomeFailed outcome = "failed"
-	// An earlier write to the copy failed and hasn't been repeated yet.
-	outcomeBehind outcome = "behind_failed_write"
+	// The records were given up.
+	outcomeDropped outcome = "dropped"
 )
 
-// delivery is the outcome of a parcel at one copy.
-type delivery struct {
-	host    string
-	outcome outcome
-}
+// recheckEvery is how often a turn that waits for its copies looks for others, and for
+// zones that were cut off meanwhile.
+const recheckEvery = 100 * time.Millisecond
 
 // keeping is one turn on its way to its copies.
 type keeping struct {
 	client  *Client
 	turn    jkforward.Turn
 	records []jkledger.Record
-	results chan delivery
+	// changed holds a token after an outcome has changed.
+	changed chan struct{}
 	asked   []Copy
-	// outcomes are the last known ones by host.
+
+	mu       sync.Mutex
 	outcomes map[string]outcome
 }
 
-// Keep writes a turn and its spending to all copies and returns once as many
-// disks hold it as may be lost, and one more.
+// Keep writes a turn and its spending to its copies and returns once as many zones
+// hold it as disks may be lost, and one more. It goes on trying until the context
+// ends; a copy that is out of reach is replaced by another one of its zone.
 func (c *Client) Keep(ctx context.Context, t jkforward.Turn) error {
 	began := c.Timer.Now()
 	k := c.newKeeping(t)
@@ -61,7 +63,7 @@
 	switch {
 	case err == nil:
 		return keepDone
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return keepExpired
 	case ctx.Err() != nil:
 		return keepLeft
@@ -71,7 +73,7 @@
 
 func (c *Client) newKeeping(t jkforward.Turn) *keeping {
 	return &keeping{
-		client: c, turn: t, outcomes: map[string]outcome{},
+		client: c, turn: t, changed: make(chan struct{}, 1), outcomes: map[string]outcome{},
 		records: []jkledger.Record{
 			{Spending: &jkledger.Spending{Program: t.Program, Request: t.Request, Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
 			{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
@@ -81,32 +83,114 @@
 
 func (k *keeping) run(ctx context.Context) error {
 	c := k.client
-	k.asked = c.replicas(k.turn.Program)
-	if err := c.tooFew("keep", k.asked); err != nil {
+	chosen := c.replicas(k.turn.Program)
+	if err := c.tooFew("keep", chosen); err != nil {
 		return err
 	}
-	needed := c.needed(k.asked)
-	k.results = make(chan delivery, len(k.asked))
-	for _, target := range k.asked {
-		k.outcomes[target.Host] = outcomeWaiting
-		c.outbox.send(target, k.records, k.results)
+	for _, target := range chosen {
+		k.ask(target)
 	}
-	kept := 0
-	for range k.asked {
+	recheck := make(chan struct{}, 1)
+	stop := c.Timer.Every(recheckEvery, func() { notify(recheck) })
+	defer stop()
+	for {
+		k.askSubstitutes()
+		kept, needed := k.kept(), c.neededZones()
+		if kept >= needed {
+			return nil
+		}
+		if k.isGivenUp() {
+			return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
+		}
 		select {
-		case d := <-k.results:
-			k.outcomes[d.host] = d.outcome
-			if d.outcome == outcomeWritten {
-				kept++
-			}
+		case <-k.changed:
+		case <-recheck:
 		case <-ctx.Done():
 			return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
 		}
-		if kept >= needed {
-			return nil
+	}
+}
+
+func notify(changed chan<- struct{}) {
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+}
+
+func (k *keeping) ask(target Copy) {
+	k.asked = append(k.asked, target)
+	k.set(target.Host, outcomeWaiting)
+	k.client.outbox.send(target, k.records, func(o outcome) {
+		k.set(target.Host, o)
+		notify(k.changed)
+	})
+}
+
+func (k *keeping) set(host string, o outcome) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.outcomes[host] = o
+}
+
+func (k *keeping) outcome(host string) outcome {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.outcomes[host]
+}
+
+// kept returns the number of zones that hold the turn.
+func (k *keeping) kept() int {
+	zones := map[string]bool{}
+	for _, target := range k.asked {
+		if k.outcome(target.Host) == outcomeWritten {
+			zones[target.Zone] = true
+		}
+	}
+	return len(zones)
+}
+
+// isGivenUp reports whether no copy is tried any more.
+func (k *keeping) isGivenUp() bool {
+	for _, target := range k.asked {
+		if o := k.outcome(target.Host); o != outcomeWritten && o != outcomeDropped {
+			return false
+		}
+	}
+	return true
+}
+
+// askSubstitutes sends the turn to another copy of each zone whose copies so far don't
+// answer. A turn is looked for at all copies, so that any of them may hold it.
+func (k *keeping) askSubstitutes() {
+	answering := map[string]bool{}
+	for _, target := range k.asked {
+		answering[target.Zone] = answering[target.Zone] || k.mayAnswer(target)
+	}
+	best := map[string]Copy{}
+	for _, candidate := range k.client.Copies() {
+		if answering[candidate.Zone] || !k.client.Reachable(candidate.Host) || k.outcome(candidate.Host) != "" {
+			continue
+		}
+		known, ok := best[candidate.Zone]
+		if !ok || ranksBefore(k.turn.Program, candidate, known) {
+			best[candidate.Zone] = candidate
 		}
 	}
-	return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
+	for _, target := range best {
+		k.ask(target)
+	}
+}
+
+// mayAnswer reports whether a copy has the turn or is likely to take it.
+func (k *keeping) mayAnswer(target Copy) bool {
+	switch k.outcome(target.Host) {
+	case outcomeWritten:
+		return true
+	case outcomeWaiting:
+		return k.client.Reachable(target.Host)
+	}
+	return false
 }
 
 // describe names each copy that was asked, what became of the turn there and what
@@ -114,7 +198,7 @@
 func (k *keeping) describe() string {
 	var out []string
 	for _, target := range k.asked {
-		state := fmt.Sprintf("%s=%s", target.Host, k.outcomes[target.Host])
+		state := fmt.Sprintf("%s=%s", target.Host, k.outcome(target.Host))
 		if silent := k.client.Silent(target.Host); silent > 0 {
 			state += fmt.Sprintf(" silent=%s", silent.Round(time.Millisecond))
 		}
@@ -129,15 +213,19 @@
 	return strings.Join(out, ", ")
 }
 
-// needed is the number of disks that have to hold a turn before it counts. A
-// zone that is cut off has fewer in reach; its turns then count with those, and
-// this host goes on to deliver them to the others.
-func (c *Client) needed(copies []Copy) int {
-	reachable := 0
-	for _, target := range copies {
-		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
-			reachable++
+// neededZones is the number of zones that have to hold a turn before it counts: one
+// more than disks may be lost. A zone that is cut off has fewer in reach; its turns
+// then count with those, and this host goes on to deliver them to the others.
+func (c *Client) neededZones() int {
+	reachable := map[string]bool{}
+	for _, target := range c.Copies() {
+		reachable[target.Zone] = reachable[target.Zone] || c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
+	}
+	zones := 0
+	for _, isReachable := range reachable {
+		if isReachable {
+			zones++
 		}
 	}
-	return max(min(c.Losses+1, len(copies), reachable), 1)
+	return max(min(c.Losses+1, zones), 1)
 }
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -9,8 +9,8 @@
 	"jasmineknot.example/core/jkledger"
 )
 
-// outbox delivers records to copies: one sender for each copy takes all that
-// waits for it. A copy that doesn't answer gets its records later.
+// outbox delivers records to copies: one sender for each copy takes what waits for it.
+// A copy that doesn't answer gets its records later.
 type outbox struct {
 	client *Client
 
@@ -23,24 +23,28 @@
 	target  Copy
 	pending []parcel
 	running bool
-	// failing is set while the copy doesn't take records.
-	failing bool
 }
 
 // parcel is a set of records that is delivered as a whole.
 type parcel struct {
 	records []jkledger.Record
 	since   time.Time
-	// done gets the result of the first try; it is nil where nobody waits.
-	done chan<- delivery
+	// report is called with the outcome of each try; it is nil where nobody waits.
+	report func(outcome)
 }
 
 // Bounds of a queue: how long a parcel is kept for a copy that doesn't answer,
 // which covers a cut between zones, and how many wait at most.
 const (
-	deliverFor   = 20 * time.Second
-	maxWaiting   = 20000
+	deliverFor = 20 * time.Second
+	maxWaiting = 20000
+)
+
+// Pauses after a failed write. Callers wait for the records of their turns, so that
+// these are tried again sooner.
+const (
 	deliverPause = 300 * time.Millisecond
+	waitedPause  = 100 * time.Millisecond
 )
 
 // settleDelay is how long a settlement waits for others to the same copy. It is
@@ -52,32 +56,28 @@
 
 func newOutbox(c *Client) *outbox { return &outbox{client: c, queues: map[string]*queue{}} }
 
-// send queues records for a copy. The channel, if there is one, gets the result
-// of the first try.
-func (o *outbox) send(target Copy, records []jkledger.Record, done chan<- delivery) {
+// send queues records for a copy. The function report, if there is one, is called with
+// the outcome of each try until they are written or dropped.
+func (o *outbox) send(target Copy, records []jkledger.Record, report func(outcome)) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	q := o.queues[target.Host]
 	if q == nil {
 		q = &queue{}
 		o.queues[target.Host] = q
 	}
 	q.target = target
-	if q.failing && done != nil {
-		done <- delivery{target.Host, outcomeBehind}
-		done = nil
-	}
-	q.pending = append(q.pending, parcel{records: records, since: o.client.Timer.Now(), done: done})
-	if over := len(q.pending) - maxWaiting; over > 0 {
-		o.client.Log.Warn("records dropped", "host", target.Host, "parcels", over)
-		q.pending = q.pending[over:]
-	}
-	if q.running {
+	q.pending = append(q.pending, parcel{records: records, since: o.client.Timer.Now(), report: report})
+	over := q.pending[:max(0, len(q.pending)-maxWaiting)]
+	q.pending = q.pending[len(over):]
+	idle := !q.running
+	q.running = true
+	o.mu.Unlock()
+	o.drop(target, over)
+	if !idle {
 		return
 	}
-	q.running = true
 	delay := settleDelay
-	if done != nil {
+	if report != nil {
 		delay = 0
 	}
 	o.client.Timer.After(delay, func() { o.run(q) })
@@ -92,22 +92,37 @@
 		}
 		result := outcomeOf(o.write(target, batch))
 		o.client.Metrics.written(result)
-		for _, p := range batch {
-			if p.done != nil {
-				p.done <- delivery{target.Host, result}
-			}
-		}
-		o.mu.Lock()
-		q.failing = result != outcomeWritten
-		o.mu.Unlock()
+		report(batch, result)
 		if result == outcomeWritten {
 			continue
 		}
 		o.keep(q, batch)
-		o.client.Timer.Wait(deliverPause, nil)
+		pause := deliverPause
+		if isWaitedFor(batch) {
+			pause = waitedPause
+		}
+		o.client.Timer.Wait(pause, nil)
+		o.refresh(q)
+	}
+}
+
+func report(batch []parcel, result outcome) {
+	for _, p := range batch {
+		if p.report != nil {
+			p.report(result)
+		}
 	}
 }
 
+func isWaitedFor(batch []parcel) bool {
+	for _, p := range batch {
+		if p.report != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // take removes all parcels. Without any, the sender ends.
 func (o *outbox) take(q *queue) (Copy, []parcel) {
 	o.mu.Lock()
@@ -121,26 +136,45 @@
 // keep puts parcels back that are young enough to be tried again.
 func (o *outbox) keep(q *queue, batch []parcel) {
 	now := o.client.Timer.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	kept := batch[:0]
+	var young, old []parcel
 	for _, p := range batch {
 		if now.Sub(p.since) < deliverFor {
-			p.done = nil
-			kept = append(kept, p)
+			young = append(young, p)
+			continue
+		}
+		old = append(old, p)
+	}
+	o.mu.Lock()
+	q.pending = append(young, q.pending...)
+	target := q.target
+	o.mu.Unlock()
+	o.drop(target, old)
+}
+
+// refresh takes over the address at which the copy is known by now.
+func (o *outbox) refresh(q *queue) {
+	copies := o.client.Copies()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, known := range copies {
+		if known.Host == q.target.Host {
+			q.target = known
 		}
 	}
-	if old := len(batch) - len(kept); old > 0 {
-		o.client.Log.Warn("records not delivered", "host", q.target.Host, "parcels", old)
+}
+
+func (o *outbox) drop(target Copy, batch []parcel) {
+	if len(batch) == 0 {
+		return
 	}
-	q.pending = append(kept, q.pending...)
+	o.client.Log.Warn("records not delivered", "host", target.Host, "parcels", len(batch))
+	report(batch, outcomeDropped)
 }
 
 func (o *outbox) write(target Copy, batch []parcel) error {
-	request := &jkledger.WriteRequest{}
+	request := &jkledger.WriteRequest{Sync: isWaitedFor(batch)}
 	for _, p := range batch {
 		request.Records = append(request.Records, p.records...)
-		request.Sync = request.Sync || p.done != nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -46,8 +46,8 @@
 	// which usually belongs to the program. It fails with an *UnknownTurnError or
 	// an *UncertainError.
 	Chain func(ctx context.Context, program, request string) ([]byte, error)
-	// Keep returns once the turn outlives the losses that have to be borne. It
-	// settles the turn's reservation as well.
+	// Keep returns once the turn outlives the losses that have to be borne, and goes
+	// on trying until the context ends. It settles the turn's reservation as well.
 	Keep func(ctx context.Context, t Turn) error
 }
 
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -188,6 +188,8 @@
 	settled []string
 	kept    []string
 	unkept  bool
+	// keep, if set, decides in place of unkept.
+	keep func(ctx context.Context) error
 }
 
 func (l *ledger) account() Account {
@@ -204,7 +206,10 @@
 			}
 			return nil, &UnknownTurnError{Request: request}
 		},
-		Keep: func(_ context.Context, t Turn) error {
+		Keep: func(ctx context.Context, t Turn) error {
+			if l.keep != nil {
+				return l.keep(ctx)
+			}
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			if l.unkept {
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -1,6 +1,7 @@
 package jkforward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -80,16 +81,36 @@
 	if !c.route.Retain() {
 		return verdictDone
 	}
-	err := h.Account.Keep(c.request.Context(), Turn{
+	ctx, cancel := h.timeLeft(c)
+	defer cancel()
+	err := h.Account.Keep(ctx, Turn{
 		Request: c.facts.Request, Previous: c.facts.Previous, Program: c.facts.Program,
 		Input: c.input, Output: c.output, Tokens: c.events * max(c.service.EventTokens(), 1),
 		Retention: c.route.Retention(),
 	})
-	if err != nil {
-		// A turn that isn't kept must not look complete.
-		h.Log.Warn("turn not kept", "request", c.facts.Request, "error", err)
-		return verdictUnkept
+	switch {
+	case err == nil:
+		c.reserved = 0
+		return verdictDone
+	case c.request.Context().Err() != nil:
+		return verdictLeft
+	}
+	// A turn that isn't kept must not look complete.
+	h.Log.Warn("turn not kept", "request", c.facts.Request, "error", err)
+	return verdictUnkept
+}
+
+// keepLeast is the least time in which a turn is written whose answer ended at the end
+// of the request's time: some round trips between zones and a sync.
+const keepLeast = 100 * time.Millisecond
+
+// timeLeft returns a context that ends with the request's time, or with its caller.
+func (h *Handler) timeLeft(c *call) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(c.request.Context())
+	left := max(c.deadline.Sub(h.Timer.Now()), keepLeast)
+	stop := h.Timer.After(left, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
 	}
-	c.reserved = 0
-	return verdictDone
 }
