account: send what waits for a copy in writes of a bounded size

A copy that was out of reach under load never got what was written meanwhile: all that waits for it went into one message, and a message of more than 8 MB is refused by its sender. Each try failed until the records were dropped after 20 s, and the queue grew on.

One write now takes the oldest records up to 1 MB.

--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -54,6 +54,11 @@
 // writeTimeout bounds one write to a copy.
 const writeTimeout = time.Second
 
+// maxWrite bounds the bytes of the turns in one write, unless one parcel alone is
+// larger. It is well under the largest message, and a link of 130 Mbit/s carries it
+// in a small part of writeTimeout.
+const maxWrite = 1 << 20
+
 func newOutbox(c *Client) *outbox { return &outbox{client: c, queues: map[string]*queue{}} }
 
 // send queues records for a copy. The function report, if there is one, is called with
@@ -123,16 +128,39 @@
 	return false
 }
 
-// take removes all parcels. Without any, the sender ends.
+// take removes the oldest parcels that fit into one write. Without any, the sender
+// ends.
 func (o *outbox) take(q *queue) (Copy, []parcel) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch := q.pending
-	q.pending = nil
-	q.running = len(batch) > 0
+	size, n := 0, 0
+	for n < len(q.pending) {
+		size += q.pending[n].size()
+		if n > 0 && size > maxWrite {
+			break
+		}
+		n++
+	}
+	batch := q.pending[:n:n]
+	q.pending = q.pending[n:]
+	if len(q.pending) == 0 {
+		q.pending = nil
+	}
+	q.running = n > 0
 	return q.target, batch
 }
 
+// size returns the number of bytes in the parcel's turns.
+func (p parcel) size() int {
+	size := 0
+	for _, r := range p.records {
+		if r.Turn != nil {
+			size += len(r.Turn.Input) + len(r.Turn.Output)
+		}
+	}
+	return size
+}
+
 // keep puts parcels back that are young enough to be tried again.
 func (o *outbox) keep(q *queue, batch []parcel) {
 	now := o.client.Timer.Now()
