wire: replace a connection between hosts that went silent

A connection may go silent for good without being closed, while new ones work. All calls of a host to a copy of the ledger share one connection, and each of them ended with its own time limit, again and again on the same connection: the copy was out of reach for this host until the process ended, though it answered probes.

A call whose time is over while nothing at all was received on its connection since it was sent now counts towards a silence; after 1 s the connection is closed and the next call opens one. It is off by default, since daemons have calls on which nothing has to arrive for long.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -67,7 +67,7 @@
 	e.fleet = jkforward.NewFleet(opt, timer)
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
-	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), Control: isControl, Counters: &jkwire.Counters{}})
+	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), Control: isControl, Counters: &jkwire.Counters{}, SilentAfter: silentAfter, Timer: timer})
 	e.closed = append(e.closed, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Probes: true,
@@ -108,6 +108,10 @@
 	return jkwire.Hello{Host: e.settings.Host, Zone: e.settings.Zone, Version: jkwire.ProtocolVersion}
 }
 
+// silentAfter is how long another host may take to send anything on a connection on
+// which a call got no answer: as long as the longest call to a copy of the ledger.
+const silentAfter = time.Second
+
 // isControl counts all messages between hosts as control traffic: requests
 // themselves don't pass between hosts.
 func isControl(string) bool { return true }
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -43,7 +43,7 @@
 func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
 	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), listed: make(chan struct{})}
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
-	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: isControl, Counters: &jkwire.Counters{}})
+	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: isControl, Counters: &jkwire.Counters{}, SilentAfter: silentAfter, Timer: timer})
 	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds})
 	if err != nil {
 		return nil, err
--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"jasmineknot.example/core/jktimer"
 )
 
 // dialTimeout bounds the connection set-up, the hello exchange included.
@@ -25,6 +27,9 @@
 	counters *Counters
 	faults   *Faults
 	dial     func(ctx context.Context, addr string) (net.Conn, error)
+	timer    *jktimer.Service
+	// silentAfter is zero where silence is no reason to close a connection.
+	silentAfter time.Duration
 
 	mu     sync.Mutex
 	conns  map[string]*clientConn
@@ -37,6 +42,12 @@
 	Control  func(messageType string) bool
 	Counters *Counters
 	Faults   *Faults
+	// SilentAfter is how long a peer may take to send anything on a connection on which
+	// a stream's time ended without an answer; then the connection is closed, as it may
+	// be silent for good while a new one works. Zero is for pools with streams on which
+	// nothing has to arrive for long. It needs a Timer.
+	SilentAfter time.Duration
+	Timer       *jktimer.Service
 }
 
 // NewPool returns a pool without connections.
@@ -50,7 +61,9 @@
 		dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", addr)
 		},
-		conns: map[string]*clientConn{},
+		timer:       o.Timer,
+		silentAfter: o.SilentAfter,
+		conns:       map[string]*clientConn{},
 	}
 }
 
@@ -169,6 +182,11 @@
 	next    uint64
 	streams map[uint64]*Stream
 	failure error
+	// silentSince is when the first stream was opened that ended without an answer
+	// since something was last received; it is zero if there is none.
+	silentSince time.Time
+	// received counts the frames received.
+	received uint64
 }
 
 func (c *clientConn) connect() {
@@ -243,6 +261,10 @@
 			c.fail(err)
 			return
 		}
+		c.mu.Lock()
+		c.silentSince = time.Time{}
+		c.received++
+		c.mu.Unlock()
 		c.deliver(f)
 	}
 }
@@ -282,7 +304,10 @@
 		return nil, eris.Wrap(&LostError{Addr: c.addr, Cause: err}, "open stream")
 	}
 	c.next++
-	s := &Stream{conn: c, id: c.next, control: c.pool.control(messageType), arrived: make(chan struct{}, 1), failed: make(chan struct{})}
+	s := &Stream{conn: c, id: c.next, control: c.pool.control(messageType), arrived: make(chan struct{}, 1), failed: make(chan struct{}), receivedBefore: c.received}
+	if c.pool.silentAfter > 0 {
+		s.opened = c.pool.timer.Now()
+	}
 	c.streams[s.id] = s
 	c.mu.Unlock()
 	err = c.link.write(&Frame{Stream: s.id, Kind: KindOpen, Type: messageType, Body: body}, s.control)
@@ -325,6 +350,29 @@
 	}
 }
 
+var errSilent = errors.New("nothing was received")
+
+// suspect closes the connection if nothing has arrived on it for long since a stream
+// was opened whose time is over now.
+func (c *clientConn) suspect(s *Stream) {
+	if c.pool.silentAfter == 0 {
+		return
+	}
+	c.mu.Lock()
+	if c.received != s.receivedBefore {
+		c.mu.Unlock()
+		return
+	}
+	if c.silentSince.IsZero() {
+		c.silentSince = s.opened
+	}
+	silent := c.pool.timer.Now().Sub(c.silentSince)
+	c.mu.Unlock()
+	if silent >= c.pool.silentAfter {
+		c.fail(errSilent)
+	}
+}
+
 // Message is one message of an answer.
 type Message struct {
 	// Last marks the end of the answer.
@@ -350,6 +398,10 @@
 	conn    *clientConn
 	id      uint64
 	control bool
+	// opened is set where the pool closes silent connections, and receivedBefore is
+	// the number of frames that the connection had received then.
+	opened         time.Time
+	receivedBefore uint64
 
 	mu       sync.Mutex
 	messages []Message
@@ -409,6 +461,9 @@
 			}
 			return Message{}, s.failure
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				s.conn.suspect(s)
+			}
 			return Message{}, eris.Wrap(ctx.Err(), "receive")
 		}
 	}
