account, entry: deliver waiting records before an entry ends

A stopping entry closed its connections as soon as its last request was over. Records that still waited for a copy were lost: the third copy of a last turn, and settlements, which wait 30 ms for others, so that programs were charged the most that a turn of theirs could have used.

The entry now waits for copies in reach, 0.3 s at most.

TestSettlementsAreDeliveredBeforeAStop failed without the wait ("has spent 100 of 150 tokens") and passes.

--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -22,6 +22,7 @@
 type queue struct {
 	target  Copy
 	pending []parcel
+	// running is set while a sender is at work or about to begin.
 	running bool
 }
 
@@ -88,6 +89,30 @@
 	o.client.Timer.After(delay, func() { o.run(q) })
 }
 
+// flushEvery is how often Flush looks whether all is delivered.
+const flushEvery = 20 * time.Millisecond
+
+// Flush waits until all records are delivered, or for a time. It is called before the
+// process ends, since records that still wait are lost with it.
+func (c *Client) Flush(within time.Duration) {
+	end := c.Timer.Now().Add(within)
+	for c.outbox.isBusy() && c.Timer.Now().Before(end) {
+		c.Timer.Wait(flushEvery, nil)
+	}
+}
+
+// isBusy reports whether a copy in reach is still to get records.
+func (o *outbox) isBusy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for host, q := range o.queues {
+		if q.running && o.client.Reachable(host) {
+			return true
+		}
+	}
+	return false
+}
+
 // run delivers until nothing waits.
 func (o *outbox) run(q *queue) {
 	for {
--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -47,3 +47,32 @@
 	}
 	t.Error("the copy that came back never got the turn")
 }
+
+// Guards against settlements that are lost when an entry is stopped, so that a program
+// is charged more than it used.
+func TestSettlementsAreDeliveredBeforeAStop(t *testing.T) {
+	f := newFixture(t)
+	reserve := func(request string) error {
+		return f.client.Reserve(t.Context(), jkforward.Reservation{Program: "p", Request: request, Tokens: 100, Budget: 150, Retention: time.Minute})
+	}
+	if err := reserve("1"); err != nil {
+		t.Fatal(err)
+	}
+	f.client.Settle(jkforward.Settlement{Program: "p", Request: "1", Tokens: 10, Retention: time.Minute})
+	f.client.Flush(time.Second)
+	if err := reserve("2"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a stop that waits for a copy which is gone.
+func TestStopDoesNotWaitForAGoneCopy(t *testing.T) {
+	f := newFixture(t)
+	f.lost["c"] = true
+	f.client.Settle(jkforward.Settlement{Program: "p", Request: "1", Tokens: 10, Retention: time.Minute})
+	began := time.Now()
+	f.client.Flush(5 * time.Second)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the stop took %s", took)
+	}
+}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -47,6 +47,7 @@
 	// settled is set once all hosts are likely to be known.
 	settled atomic.Bool
 	counts  *jkforward.Metrics
+	account *jkaccount.Client
 
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
@@ -117,9 +118,9 @@
 func isControl(string) bool { return true }
 
 // handle answers one message of another host.
-func (e *Entry) handle(ctx context.Context, s *jkwire.Incoming, account *jkaccount.Client) {
+func (e *Entry) handle(ctx context.Context, s *jkwire.Incoming) {
 	if s.Type() != jkfollow.TypeWatch {
-		account.Handle(ctx, s)
+		e.account.Handle(ctx, s)
 		return
 	}
 	if err := e.shared.Handle(ctx, s); err != nil {
@@ -168,7 +169,7 @@
 }
 
 func (e *Entry) listen() error {
-	account := jkaccount.NewClient(jkaccount.Options{
+	e.account = jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Metrics: jkaccount.NewMetrics(e.metrics), Losses: e.settings.LostDisks, Zones: len(e.settings.Zones),
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost, Silent: e.probes.Silent,
@@ -177,7 +178,7 @@
 	e.counts = jkforward.NewMetrics(e.metrics)
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
-		Dialect: e.platform.Dialect, Account: account.Account(), Fleet: e.fleet, Pool: e.pool,
+		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
 		Leaving: e.leaving.Load,
 	})
 	inner, err := net.Listen("tcp", e.settings.Inner)
@@ -185,7 +186,7 @@
 		return eris.Wrap(err, "listen for other hosts")
 	}
 	server := jkwire.NewServer(inner, jkwire.ServerOptions{
-		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.Incoming) { e.handle(ctx, s, account) }, Control: isControl, Counters: &jkwire.Counters{},
+		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.Incoming) { e.handle(ctx, s) }, Control: isControl, Counters: &jkwire.Counters{},
 	})
 	e.closed = append(e.closed, server.Close)
 	l, err := net.Listen("tcp", e.settings.Front)
@@ -284,6 +285,9 @@
 // killMargin is kept free before the platform ends the process.
 const killMargin = 600 * time.Millisecond
 
+// flushTime is how long a stopping entry goes on to deliver records to copies in reach.
+const flushTime = killMargin / 2
+
 func (e *Entry) drain() {
 	e.leaving.Store(true)
 	e.log.Info("entry leaves", "in_flight", e.counts.InFlight())
@@ -293,6 +297,7 @@
 	if err := e.front.Shutdown(ctx); err != nil {
 		e.log.Warn("requests still running at the end", "in_flight", e.counts.InFlight(), "error", err)
 	}
+	e.account.Flush(flushTime)
 	e.log.Info("entry stopped")
 }
 
