upstream: bound the head, the other answers and the body of an answer

Callers of an endpoint that sent without end got nothing until their time limit, and the host's memory grew meanwhile: 232 MB in 2 s for header lines, on hosts that have 112 MB.

Cause: an answer's head was read from the connection with no bound, any number of 1xx answers was skipped, and answers to other requests were discarded whatever their size. The time limit was the only end. Chunk extensions and trailers are ruled out: net/http bounds both to a few kilobytes, and the test shows it.

Bounds: 64 KiB for a head together with the 1xx answers before it, as for callers; five 1xx answers, as in net/http's client; the request's MaxBody for the body and for an answer to another request. A part beyond its bound gives a *TooLongError within the *BrokenError that a broken exchange gives already, so that a request which can't be repeated isn't sent again, and the connection is closed at once.

After, all 13 pass with less than 24 MB written, which includes the buffers of both sockets.

--- a/core/jkupstream/conn.go
+++ b/core/jkupstream/conn.go
@@ -15,6 +15,7 @@
 	pool   *Pool
 	addr   string
 	nc     net.Conn
+	in     *inflow
 	reader *bufio.Reader
 	// keep is how long the connection may be idle.
 	keep      time.Duration
@@ -25,7 +26,8 @@
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
-	return &conn{pool: p, addr: addr, nc: nc, reader: bufio.NewReaderSize(nc, 4<<10), keep: p.opt.IdleTimeout}
+	in := &inflow{conn: nc, addr: addr}
+	return &conn{pool: p, addr: addr, nc: nc, in: in, reader: bufio.NewReaderSize(in, 4<<10), keep: p.opt.IdleTimeout}
 }
 
 // close reports whether this call closed the connection.
--- /dev/null
+++ b/core/jkupstream/endless_test.go
@@ -0,0 +1,204 @@
+package jkupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jktimer"
+)
+
+// endless is an endpoint that repeats a piece of its answer until its connection
+// is closed.
+type endless struct {
+	listener net.Listener
+	start    string
+	piece    string
+	requests atomic.Int64
+	written  atomic.Int64
+	closed   chan struct{}
+}
+
+func newEndless(t *testing.T, start, piece string) *endless {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endless{listener: l, start: start, piece: piece, closed: make(chan struct{}, 8)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *endless) serve(c net.Conn) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	e.requests.Add(1)
+	if _, err := io.WriteString(c, e.start); err != nil {
+		return
+	}
+	block := []byte(strings.Repeat(e.piece, 1+(16<<10)/len(e.piece)))
+	for {
+		n, err := c.Write(block)
+		e.written.Add(int64(n))
+		if err != nil {
+			e.closed <- struct{}{}
+			return
+		}
+	}
+}
+
+const (
+	ownHead   = "HTTP/1.1 200 X\r\nId: own\r\n"
+	otherHead = "HTTP/1.1 200 X\r\nId: other\r\n"
+)
+
+// endlessAnswers are the parts of an answer that an endpoint can repeat.
+var endlessAnswers = []struct {
+	name  string
+	start string
+	piece string
+	part  Part
+}{
+	{"head lines", ownHead, "A: b\r\n", PartHead},
+	{"head line", ownHead + "A: ", "b", PartHead},
+	{"status line", "HTTP/1.1 200 ", "X", PartHead},
+	{"informational answers", "", "HTTP/1.1 103 X\r\nLink: a\r\n\r\n", PartInformational},
+	{"large informational answers", "HTTP/1.1 103 X\r\n", "Link: a\r\n", PartHead},
+	{"body without length", ownHead + "\r\n", "b", PartBody},
+	{"chunks", ownHead + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n", PartBody},
+	{"one chunk", ownHead + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffff\r\n", "b", PartBody},
+	{"body of a huge length", ownHead + "Content-Length: 9000000000000000\r\n\r\n", "b", PartBody},
+	{"huge answer to another request", otherHead + "Content-Length: 9000000000000000\r\n\r\n", "b", PartOtherAnswer},
+	{"chunks for another request", otherHead + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n", PartOtherAnswer},
+	// net/http bounds these to a few kilobytes.
+	{"chunk extension", ownHead + "Transfer-Encoding: chunked\r\n\r\n5;", "x", ""},
+	{"trailer", ownHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", ""},
+}
+
+// maxWritten is what an endpoint can write before it notices the close: a bound
+// of an answer and the buffers of both sockets.
+const maxWritten = 24 << 20
+
+// Guards against an endpoint that fills the memory, or takes a caller's whole
+// time, with an answer that doesn't end.
+func TestEndlessAnswer(t *testing.T) {
+	timer := jktimer.New()
+	for _, tc := range endlessAnswers {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newEndless(t, tc.start, tc.piece)
+			pool := NewPool(DefaultOptions(), timer, func() {})
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			began := time.Now()
+			err := exchange(ctx, pool, e.listener.Addr().String())
+			took := time.Since(began)
+			var broken *BrokenError
+			if !errors.As(err, &broken) {
+				t.Errorf("error is %v, want a broken exchange", err)
+			}
+			var long *TooLongError
+			if tc.part != "" && (!errors.As(err, &long) || long.Part != tc.part || long.Addr == "") {
+				t.Errorf("error is %v, want %s too long", err, tc.part)
+			}
+			select {
+			case <-e.closed:
+			case <-ctx.Done():
+				t.Error("the connection stays open")
+			}
+			if took > time.Second {
+				t.Errorf("gave up after %s, want under 1s", took)
+			}
+			if n := e.written.Load(); n > maxWritten {
+				t.Errorf("the endpoint wrote %d bytes, want at most %d", n, maxWritten)
+			}
+			if n := e.requests.Load(); n != 1 {
+				t.Errorf("sent %d times, want once", n)
+			}
+		})
+	}
+}
+
+func exchange(ctx context.Context, pool *Pool, addr string) error {
+	resp, err := pool.Send(ctx, Request{
+		Addr: addr, Method: http.MethodGet, Target: "/", Host: "h", MaxBody: 1 << 20,
+		Accept: func(h http.Header) bool { return h.Get("Id") == "own" },
+	})
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	_, err = io.Copy(io.Discard, resp)
+	return err
+}
+
+// Guards against a bound that cuts whole answers short.
+func TestAnswerUpToItsBound(t *testing.T) {
+	const size = 1000
+	answers := map[string]string{
+		"length": "HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
+		"chunks": "HTTP/1.1 200 X\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", size) + "0\r\n\r\n",
+		"after five informational answers": strings.Repeat("HTTP/1.1 103 X\r\n\r\n", maxInformational) +
+			"HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
+		"after an answer to another request": "HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("o", size) +
+			"HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
+		"large head": "HTTP/1.1 200 X\r\nId: own\r\nA: " + strings.Repeat("a", maxHeadBytes/2) + "\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			body, err := bounded(t, answer, size)
+			if err != nil || body != strings.Repeat("b", size) {
+				t.Errorf("body has %d bytes and error %v, want %d", len(body), err, size)
+			}
+		})
+	}
+}
+
+// bounded sends a request with a bound to an endpoint that gives one answer.
+func bounded(t *testing.T, answer string, limit int64) (string, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	pool := NewPool(DefaultOptions(), jktimer.New(), func() {})
+	resp, err := pool.Send(context.Background(), Request{
+		Addr: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", MaxBody: limit,
+		Accept: func(h http.Header) bool { return h.Get("Id") == "own" },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -21,6 +21,8 @@
 	Body   []byte
 	// Repeatable requests may use any kept connection.
 	Repeatable bool
+	// MaxBody bounds the body of the answer in bytes; zero means DefaultMaxBody.
+	MaxBody int64
 	// Accept tells whether an answer's header belongs to this request.
 	Accept func(h http.Header) bool
 }
@@ -35,6 +37,9 @@
 
 	conn *conn
 	body io.ReadCloser
+	// limit bounds the body and read is what was read of it, in bytes.
+	limit int64
+	read  int64
 	// framed is false where the body ends with the connection.
 	framed   bool
 	reusable bool
@@ -65,6 +70,9 @@
 // the context closes the connection, which tells the endpoint to stop. The
 // error is a *NotSentError or a *BrokenError.
 func (p *Pool) Send(ctx context.Context, r Request) (*Response, error) {
+	if r.MaxBody <= 0 {
+		r.MaxBody = DefaultMaxBody
+	}
 	c, err := p.get(ctx, r.Addr, r.Repeatable)
 	if err != nil {
 		return nil, err
@@ -79,7 +87,7 @@
 	}
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		conn: c, body: resp.Body, written: w, release: release,
+		conn: c, body: resp.Body, limit: r.MaxBody, written: w, release: release,
 		framed: resp.ContentLength >= 0 || isChunked(resp),
 	}
 	out.reusable = out.framed && !resp.Close && foreign == 0
@@ -141,30 +149,57 @@
 // readHeader returns the header of the request's own answer and the number of
 // answers to other requests that came before it.
 func (c *conn) readHeader(r *Request) (*http.Response, int, error) {
-	for foreign := 0; ; foreign++ {
+	informational := 0
+	c.in.expect(PartHead, maxHeadBytes)
+	for foreign := 0; ; {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, foreign, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			foreign--
+			informational++
+			if informational > maxInformational {
+				return nil, foreign, &TooLongError{Addr: c.addr, Part: PartInformational, Limit: maxInformational}
+			}
 			continue
 		}
 		if r.Accept(resp.Header) {
+			c.in.expectBody()
 			return resp, foreign, nil
 		}
 		if foreign == maxForeign || resp.ContentLength < 0 && !isChunked(resp) {
 			return nil, foreign, errForeignAnswer
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, foreign, errForeignAnswer
+		if err := c.skip(resp, r.MaxBody); err != nil {
+			return nil, foreign, err
 		}
+		foreign++
+	}
+}
+
+// skip reads the body of an answer to another request, which is bounded as the
+// own one is.
+func (c *conn) skip(resp *http.Response, limit int64) error {
+	if resp.ContentLength > limit {
+		return &TooLongError{Addr: c.addr, Part: PartOtherAnswer, Limit: limit}
+	}
+	c.in.expect(PartOtherAnswer, limit)
+	_, err := io.Copy(io.Discard, resp.Body)
+	c.in.expect(PartHead, maxHeadBytes)
+	var long *TooLongError
+	if err != nil && !errors.As(err, &long) {
+		return errForeignAnswer
 	}
+	return err
 }
 
 // Read reads the body. It returns io.EOF only at the end of a whole body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	r.read += int64(n)
+	if n > 0 && max(r.read, r.Length) > r.limit {
+		return 0, r.TooLong(PartBody, r.limit)
+	}
 	if err == io.EOF {
 		r.ended = true
 		return n, err
@@ -175,6 +210,12 @@
 	return n, nil
 }
 
+// TooLong returns the error for a part of the body that exceeds its bound.
+func (r *Response) TooLong(part Part, limit int64) error {
+	cause := &TooLongError{Addr: r.conn.addr, Part: part, Limit: limit}
+	return &BrokenError{Addr: r.conn.addr, Stage: StageBody, Cause: cause}
+}
+
 // Framed reports whether the end of the body is marked, so that a body that
 // ends with its connection can be told from one that broke off.
 func (r *Response) Framed() bool { return r.framed }
