forward: bound bodies, events and turns, and count answers that are too long

Callers of an endpoint that sent without end waited until their time limit, and those of a turn were handed events for all that time: 3.7 million tokens settled for a turn of ten at most. Events without end on a stream that may be resumed went on at a second endpoint; with the bound of the connection alone the caller got such a stream as a complete one.

Cause: a whole body was read into memory; the size of an event was checked once, before the rest was read up to the next line break; blank lines grew the event without a check; comments counted as events, so that they kept the watchdog quiet and were settled as tokens; and nothing bounded the number of events.

A stream beyond its events is broken off for good, since the caller has too many already. All else counts as a broken exchange: a fault of the endpoint, another endpoint if the request may be repeated, 502 or a broken stream if not. Comments are passed on, but neither count as events nor as progress.

Ruled out: a stream without a watchdog ends at its time limit also while comments trickle; the last but one case shows it, before and after.

--- a/core/jkforward/events.go
+++ b/core/jkforward/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"jasmineknot.example/core/jkupstream"
 )
 
 // event is one whole event of a stream as the endpoint sent it.
@@ -13,47 +15,68 @@
 	id  string
 	// data is the content of the event's data lines.
 	data []byte
+	// hasField is false for a block of comment lines only.
+	hasField bool
 }
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, the blank and comment lines before
+// it included. Events carry a few tokens of at most maxTokenBytes each.
+const maxEventBytes = 256 << 10
 
 // eventReader splits a stream into whole events. An endpoint may stop in the
 // middle of an event; such a rest is never passed on.
-type eventReader struct{ lines *bufio.Reader }
+type eventReader struct {
+	lines *bufio.Reader
+	// tooLong returns the error for an event beyond the bound.
+	tooLong func(part jkupstream.Part, limit int64) error
+}
 
 // eventBuffer holds a few events of ordinary size.
 const eventBuffer = 2 << 10
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, eventBuffer)}
+func newEventReader(resp *jkupstream.Response) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(resp, eventBuffer), tooLong: resp.TooLong}
 }
 
-// next returns the next event, or io.EOF after the last one. A rest that is not
-// a whole event gives io.ErrUnexpectedEOF.
+// next returns the next event or block of comments, or io.EOF after the last one.
+// A rest that is not a whole event gives io.ErrUnexpectedEOF.
 func (r *eventReader) next() (event, error) {
 	var e event
+	blank := true
 	for {
-		line, err := r.lines.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes {
-			rest, err := r.lines.ReadBytes('\n')
-			e.raw = append(e.raw, rest...)
-			line = append(bytes.Clone(line), rest...)
-			if err != nil {
-				return event{}, unfinished(e.raw, err)
-			}
-		} else if err != nil {
+		line, err := r.line(&e)
+		if err != nil {
 			return event{}, unfinished(e.raw, err)
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			if len(bytes.TrimSpace(e.raw)) == 0 {
-				continue
-			}
+		if len(line) > 0 {
+			blank = blank && len(bytes.TrimSpace(line)) == 0
+			e.field(line)
+			continue
+		}
+		if !blank {
 			return e, nil
 		}
-		e.field(line)
+	}
+}
+
+// isBehind reports whether more of the stream has arrived already.
+func (r *eventReader) isBehind() bool { return r.lines.Buffered() > 0 }
+
+// line adds the next line to the event and returns it without its line break.
+func (r *eventReader) line(e *event) ([]byte, error) {
+	start := len(e.raw)
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return nil, r.tooLong(jkupstream.PartEvent, maxEventBytes)
+		}
+		if err == nil {
+			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
 	}
 }
 
@@ -66,6 +89,7 @@
 
 func (e *event) field(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	e.hasField = e.hasField || len(bytes.TrimSpace(name)) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +63,7 @@
 // endpoint plays one step of its script for each request.
 type endpoint struct {
 	listener net.Listener
+	flood    flood
 
 	mu    sync.Mutex
 	steps []string
@@ -74,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &endpoint{listener: l}
+	e := &endpoint{listener: l, flood: flood{ended: make(chan struct{}, 16)}}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -156,6 +159,9 @@
 	case "short":
 		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", testRequest, id, signed, len(arg)+10, arg)
 		return false
+	case "endless":
+		e.flood.play(c, id, arg)
+		return false
 	case "cut":
 		return false
 	case "hang":
@@ -221,6 +227,7 @@
 	front     *httptest.Server
 	endpoints map[string]*endpoint
 	ledger    *ledger
+	metrics   *metrics.Set
 }
 
 // routes of the tests; their prefixes name what may be repeated.
@@ -248,7 +255,7 @@
 	opt.Zone = "a"
 	// Both endpoints are equal, so that the first in order is chosen.
 	fleet := NewFleet(opt, timer)
-	b := &bed{endpoints: map[string]*endpoint{}, ledger: &ledger{}}
+	b := &bed{endpoints: map[string]*endpoint{}, ledger: &ledger{}, metrics: metrics.NewSet()}
 	for _, id := range []string{"e1", "e2"} {
 		e := newEndpoint(t)
 		b.endpoints[id] = e
@@ -257,7 +264,7 @@
 	}
 	opened := 0
 	h := NewHandler(Options{
-		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(metrics.NewSet()), Rules: testRules,
+		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(b.metrics), Rules: testRules,
 		Dialect: testDialect(), Account: b.ledger.account(), Fleet: fleet,
 		Pool:    jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() { opened++ }),
 		Leaving: func() bool { return false },
@@ -267,6 +274,19 @@
 	return b
 }
 
+// tooLong returns the counters of answers that were given up for their size.
+func (b *bed) tooLong() string {
+	var all bytes.Buffer
+	b.metrics.WritePrometheus(&all)
+	out := ""
+	for _, line := range strings.Split(all.String(), "\n") {
+		if strings.HasPrefix(line, "jk_answers_too_long_total") {
+			out += line + "\n"
+		}
+	}
+	return out
+}
+
 // send performs the request that a case describes.
 func (b *bed) send(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
@@ -296,7 +316,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	out := fmt.Sprintf("%d %q", resp.StatusCode, data)
+	out := fmt.Sprintf("%d %s", resp.StatusCode, shorten(data))
 	if err != nil {
 		out += " broken off"
 	}
@@ -306,6 +326,24 @@
 	return out + "\n"
 }
 
+// testComments matches the comments of endless streams; the last may be cut.
+var testComments = regexp.MustCompile(`:\n\n|:\n?$`)
+
+// shorten quotes a body without its comments and counts the events of a long one.
+func shorten(body []byte) string {
+	const longBody = 200
+	if events := testComments.ReplaceAll(body, nil); len(events) < len(body) {
+		return "comments and " + shorten(events)
+	}
+	if len(body) <= longBody {
+		return fmt.Sprintf("%q", body)
+	}
+	if n := strings.Count(string(body), "data: "); n < longBody {
+		return fmt.Sprintf("%d events", n)
+	}
+	return "many bytes"
+}
+
 func TestForward(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var b *bed
@@ -338,6 +376,7 @@
 				}
 				e.seen = nil
 				e.mu.Unlock()
+				out += e.flood.report(id)
 			}
 			b.ledger.mu.Lock()
 			defer b.ledger.mu.Unlock()
@@ -348,6 +387,7 @@
 				out += "settled " + s + "\n"
 			}
 			b.ledger.kept, b.ledger.settled = nil, nil
+			out += b.tooLong()
 			return out
 		})
 	})
--- a/core/jkforward/metrics.go
+++ b/core/jkforward/metrics.go
@@ -39,4 +39,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// tooLong counts an answer that was given up by the part that exceeds its bound.
+func (m *Metrics) tooLong(part string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_answers_too_long_total{part=%q}`, part)).Inc()
+}
+
 func hashOf(key string) uint64 { return xxhash.Sum64String(key) }
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -25,6 +25,9 @@
 	verdictLeft    verdict = "caller_left"
 	// The answer is whole, but the turn isn't kept.
 	verdictUnkept verdict = "unkept"
+	// The stream has more events than the turn can generate, and the caller has
+	// too many of them already.
+	verdictTooLong verdict = "too_long"
 )
 
 // maxRefusals bounds the endpoints that are asked for room: after a few
@@ -61,6 +64,9 @@
 		case verdictUnkept:
 			c.status, c.reason = statusAborted, "turn_not_kept"
 			panic(http.ErrAbortHandler)
+		case verdictTooLong:
+			c.status, c.reason = statusAborted, "turn_too_long"
+			panic(http.ErrAbortHandler)
 		case verdictRefused:
 			refusals++
 			if refusals >= maxRefusals {
@@ -150,7 +156,7 @@
 	}
 	resp, err := h.Pool.Send(ctx, jkupstream.Request{
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
-		Header: header, Body: c.body, Repeatable: c.route.Repeatable(),
+		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), MaxBody: h.maxAnswer(c),
 		Accept: func(a http.Header) bool { return h.Dialect.Answer(a).Request == c.facts.Request },
 	})
 	if err != nil {
@@ -217,6 +223,7 @@
 	if !errors.Is(context.Cause(ctx), errEndpointLost) {
 		h.Fleet.fault(id)
 	}
+	h.noteTooLong(c, err)
 	h.Log.Info("exchange broke off", "request", c.facts.Request, "endpoint", id, "error", err)
 	return verdictBroken
 }
@@ -242,6 +249,7 @@
 	}
 	body, err := io.ReadAll(resp)
 	if err != nil {
+		h.noteTooLong(c, err)
 		return verdictBroken
 	}
 	copyHeader(c.writer.Header(), resp.Header)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -23,32 +23,68 @@
 	}
 	events := newEventReader(resp)
 	last := time.Time{}
+	limit := c.maxEvents()
+	// comments is the number of bytes in blocks of comments since the last event.
+	comments := 0
+	c.noteProgress()
 	for {
-		if c.watchdog != nil {
-			c.watchdog.progress(c.nextStall())
-		}
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return h.endStream(c, resp)
 		}
 		if err != nil {
+			h.noteTooLong(c, err)
 			return verdictBroken
 		}
-		now := h.Timer.Now()
-		if c.first.IsZero() {
-			c.first = now
-		}
-		if !last.IsZero() {
-			h.Fleet.progress(c.lastEndpoint, c.service.EventTokens(), now.Sub(last))
+		if !e.hasField {
+			// Comments may come without end, so they are no progress.
+			if comments += len(e.raw); comments > maxEventBytes {
+				h.noteTooLong(c, resp.TooLong(jkupstream.PartEvent, maxEventBytes))
+				return verdictBroken
+			}
+			if !c.hand(flusher, e, !events.isBehind()) {
+				return verdictLeft
+			}
+			continue
 		}
-		last = now
-		if _, err := c.writer.Write(e.raw); err != nil {
-			return verdictLeft
+		if c.events >= limit {
+			h.noteTooLong(c, resp.TooLong(jkupstream.PartEvents, limit))
+			return verdictTooLong
 		}
-		if err := flusher.Flush(); err != nil {
+		last = h.notePace(c, last)
+		if !c.hand(flusher, e, true) {
 			return verdictLeft
 		}
+		comments = 0
 		c.took(e)
+		c.noteProgress()
+	}
+}
+
+// notePace records that an event arrived after another, and returns when.
+func (h *Handler) notePace(c *call, last time.Time) time.Time {
+	now := h.Timer.Now()
+	if c.first.IsZero() {
+		c.first = now
+	}
+	if !last.IsZero() {
+		h.Fleet.progress(c.lastEndpoint, c.service.EventTokens(), now.Sub(last))
+	}
+	return now
+}
+
+// hand gives the caller an event and reports whether the caller is still there.
+func (c *call) hand(flusher *http.ResponseController, e event, flush bool) bool {
+	if _, err := c.writer.Write(e.raw); err != nil {
+		return false
+	}
+	return !flush || flusher.Flush() == nil
+}
+
+// noteProgress tells the watchdog that an event arrived, or the header.
+func (c *call) noteProgress() {
+	if c.watchdog != nil {
+		c.watchdog.progress(c.nextStall())
 	}
 }
 
