upstream: read at most four large bodies at once

Each of many endless answers stops at its bound, but together they still exceed the memory of an entry host: 48 connections to one endpoint, 4 MiB each, and more while a growing body is copied.

Cause: whole bodies were read by io.ReadAll, any number at a time. A common budget of bytes was ruled out, because an answer of a sound endpoint that meets a spent budget would fail and count as a fault. Bodies up to 64 KiB are read as before; a larger one waits until fewer than four are being read, or its request ends. A body of known length is read into one piece of that size.

TestAnswerUpToItsBound has bodies on both sides of 64 KiB now.

--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -167,7 +166,7 @@
 	if answer.HasLoad {
 		h.Fleet.report(id, answer.Load)
 	}
-	v := h.pass(c, resp, answer)
+	v := h.pass(ctx, c, resp, answer)
 	h.Fleet.done(id, h.outcomeOf(c, ctx, v), h.Timer.Now().Sub(began))
 	if v == verdictRefused {
 		c.exclude = append(c.exclude, id)
@@ -229,7 +228,7 @@
 }
 
 // pass gives an endpoint's answer to the caller, if it is one.
-func (h *Handler) pass(c *call, resp *jkupstream.Response, a AnswerFacts) verdict {
+func (h *Handler) pass(ctx context.Context, c *call, resp *jkupstream.Response, a AnswerFacts) verdict {
 	if a.NotRun {
 		return verdictRefused
 	}
@@ -247,7 +246,7 @@
 		// A stream can't end with another answer.
 		return verdictBroken
 	}
-	body, err := io.ReadAll(resp)
+	body, err := resp.ReadAll(ctx)
 	if err != nil {
 		h.noteTooLong(c, err)
 		return verdictBroken
--- a/core/jkupstream/endless_test.go
+++ b/core/jkupstream/endless_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,6 +23,8 @@
 	listener net.Listener
 	start    string
 	piece    string
+	// pause is between two writes.
+	pause    time.Duration
 	requests atomic.Int64
 	written  atomic.Int64
 	closed   chan struct{}
@@ -32,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &endless{listener: l, start: start, piece: piece, closed: make(chan struct{}, 8)}
+	e := &endless{listener: l, start: start, piece: piece, closed: make(chan struct{}, 64)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -63,6 +67,7 @@
 			e.closed <- struct{}{}
 			return
 		}
+		time.Sleep(e.pause)
 	}
 }
 
@@ -152,23 +157,24 @@
 
 // Guards against a bound that cuts whole answers short.
 func TestAnswerUpToItsBound(t *testing.T) {
-	const size = 1000
-	answers := map[string]string{
-		"length": "HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
-		"chunks": "HTTP/1.1 200 X\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", size) + "0\r\n\r\n",
-		"after five informational answers": strings.Repeat("HTTP/1.1 103 X\r\n\r\n", maxInformational) +
-			"HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
-		"after an answer to another request": "HTTP/1.1 200 X\r\nId: other\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("o", size) +
-			"HTTP/1.1 200 X\r\nId: own\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
-		"large head": "HTTP/1.1 200 X\r\nId: own\r\nA: " + strings.Repeat("a", maxHeadBytes/2) + "\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("b", size),
-	}
-	for name, answer := range answers {
-		t.Run(name, func(t *testing.T) {
-			body, err := bounded(t, answer, size)
-			if err != nil || body != strings.Repeat("b", size) {
-				t.Errorf("body has %d bytes and error %v, want %d", len(body), err, size)
-			}
-		})
+	for _, size := range []int{0, 1000, smallBody, 5 * smallBody} {
+		body := strings.Repeat("b", size)
+		sized := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body)
+		for name, answer := range map[string]string{
+			"length":                             ownHead + sized,
+			"connection":                         ownHead + "\r\n" + body,
+			"chunks":                             ownHead + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", size) + "0\r\n\r\n",
+			"after five informational answers":   strings.Repeat("HTTP/1.1 103 X\r\n\r\n", maxInformational) + ownHead + sized,
+			"after an answer to another request": otherHead + sized + ownHead + sized,
+			"large head":                         ownHead + "A: " + strings.Repeat("a", maxHeadBytes/2) + "\r\n" + sized,
+		} {
+			t.Run(fmt.Sprintf("%s %d", name, size), func(t *testing.T) {
+				got, err := bounded(t, answer, int64(size))
+				if err != nil || got != body {
+					t.Errorf("body has %d bytes and error %v, want %d", len(got), err, size)
+				}
+			})
+		}
 	}
 }
 
@@ -199,6 +205,56 @@
 		return "", err
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(resp)
+	body, err := resp.ReadAll(context.Background())
 	return string(body), err
 }
+
+// Guards against many endless bodies at once that fill the memory together.
+func TestManyEndlessBodies(t *testing.T) {
+	const (
+		requests = 40
+		maxHeap  = 96 << 20
+	)
+	e := newEndless(t, ownHead+"\r\n", "b")
+	// All bodies grow at the same time.
+	e.pause = time.Millisecond
+	pool := NewPool(DefaultOptions(), jktimer.New(), func() {})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	done := make(chan error, requests)
+	for range requests {
+		go func() { done <- readAll(ctx, pool, e.listener.Addr().String()) }()
+	}
+	peak, left := uint64(0), requests
+	for left > 0 {
+		select {
+		case err := <-done:
+			left--
+			var long *TooLongError
+			if !errors.As(err, &long) {
+				t.Errorf("error is %v, want a body too long", err)
+			}
+		case <-time.After(time.Millisecond):
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapAlloc)
+		}
+	}
+	if peak > maxHeap {
+		t.Errorf("the heap took %d bytes, want at most %d", peak, maxHeap)
+	}
+	t.Logf("the heap took at most %d bytes", peak)
+}
+
+func readAll(ctx context.Context, pool *Pool, addr string) error {
+	resp, err := pool.Send(ctx, Request{
+		Addr: addr, Method: http.MethodGet, Target: "/", Host: "h",
+		Accept: func(h http.Header) bool { return h.Get("Id") == "own" },
+	})
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	_, err = resp.ReadAll(ctx)
+	return err
+}
--- a/core/jkupstream/pool.go
+++ b/core/jkupstream/pool.go
@@ -47,6 +47,8 @@
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	// opened counts the connections opened so far.
 	opened func()
+	// large holds a token for each large body that is being read.
+	large chan struct{}
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -62,7 +64,7 @@
 		dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", addr)
 		},
-		idle: map[string][]*conn{}, count: map[string]int{},
+		large: make(chan struct{}, maxLargeBodies), idle: map[string][]*conn{}, count: map[string]int{},
 	}
 	timer.Every(time.Second, p.sweep)
 	return p
