wire: take memory for a frame as its bytes arrive

A peer that sends the prefix of a frame and nothing more made the host set aside 8 MiB for each connection, also before the peer has said who it is.

Cause: the frame's memory was taken in full from the size that its prefix names. The size itself was bounded already, and bytes of another protocol close the connection at their first frame, on both sides; TestForeignBytesCloseTheConnection passed before as well. Frames up to 64 KiB are read in one piece as before, larger ones in pieces that double.

Before, TestFrameTakesMemoryAsItArrives took 8396448 bytes for a frame of which four arrived; after, it stays under its bound of 1 MiB.

--- a/core/jkwire/frame.go
+++ b/core/jkwire/frame.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -106,8 +107,8 @@
 	if size > MaxFrame {
 		return nil, 0, eris.Wrap(&FrameTooLargeError{Size: size}, "read frame")
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := readData(r, size)
+	if err != nil {
 		return nil, 0, eris.Wrap(err, "read frame")
 	}
 	var f Frame
@@ -116,3 +117,21 @@
 	}
 	return &f, len(head) + size, nil
 }
+
+// frameStep is the size up to which a frame is read in one piece.
+const frameStep = 64 << 10
+
+// readData reads a frame of the size that its prefix names. It takes memory as
+// the bytes arrive, since a peer may name a size and send nothing.
+func readData(r io.Reader, size int) ([]byte, error) {
+	data := make([]byte, 0, min(size, frameStep))
+	for len(data) < size {
+		from := len(data)
+		n := min(size-from, max(from, frameStep))
+		data = slices.Grow(data, n)[:from+n]
+		if _, err := io.ReadFull(r, data[from:]); err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/core/jkwire/frame_test.go
@@ -0,0 +1,101 @@
+package jkwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against frames of a peer that fill the memory by their prefix alone.
+func TestFrameTakesMemoryAsItArrives(t *testing.T) {
+	const maxTaken = 1 << 20
+	prefix := binary.BigEndian.AppendUint32(nil, MaxFrame)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(append(prefix, "rest"...))))
+	runtime.ReadMemStats(&after)
+	if err == nil {
+		t.Error("a frame without its rest was read")
+	}
+	if n := after.TotalAlloc - before.TotalAlloc; n > maxTaken {
+		t.Errorf("took %d bytes for a frame of which 4 arrived, want at most %d", n, maxTaken)
+	}
+}
+
+// Guards against large frames that are put together wrongly, and a frame beyond
+// the bound.
+func TestFramesOfAllSizes(t *testing.T) {
+	for _, size := range []int{0, 1, frameStep - 100, frameStep, 3*frameStep + 7, MaxFrame - 100} {
+		body, err := Encode(strings.Repeat("b", size))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := encodeFrame(&Frame{Stream: 7, Kind: KindData, Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, n, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil || n != len(data) || f.Stream != 7 || !bytes.Equal(f.Body, body) {
+			t.Errorf("frame with a body of %d bytes was read with error %v", size, err)
+		}
+	}
+	prefix := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(prefix)))
+	var large *FrameTooLargeError
+	if !errors.As(err, &large) || large.Size != MaxFrame+1 {
+		t.Errorf("error is %v, want a frame too large", err)
+	}
+}
+
+// Guards against a program at a peer's address that sends something else without
+// end, to the dialling side and to the accepting one.
+func TestForeignBytesCloseTheConnection(t *testing.T) {
+	flood := func(c net.Conn) error {
+		block := bytes.Repeat([]byte("HTTP/1.1 200 OK\r\n"), 1000)
+		for {
+			if _, err := c.Write(block); err != nil {
+				return err
+			}
+		}
+	}
+	pool, addr := start(t, nil, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan error, 2)
+	go func() {
+		c, err := l.Accept()
+		_ = l.Close()
+		if err != nil {
+			closed <- err
+			return
+		}
+		closed <- flood(c)
+	}()
+	var lost *LostError
+	if err := pool.Call(testContext(t), l.Addr().String(), "run", nil, nil); !errors.As(err, &lost) {
+		t.Errorf("error is %v, want a lost connection", err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { closed <- flood(c) }()
+	for range 2 {
+		select {
+		case err := <-closed:
+			if err == nil {
+				t.Error("the flood ended by itself")
+			}
+		case <-time.After(time.Second):
+			t.Fatal("a connection stays open")
+		}
+	}
+}
