--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +24,9 @@
 	verdictLeft    verdict = "caller_left"
 	// The answer is whole, but the turn isn't kept.
 	verdictUnkept verdict = "unkept"
+	// The stream has more events than the turn can generate, and the caller has
+	// too many of them already.
+	verdictTooLong verdict = "too_long"
 )
 
 // maxRefusals bounds the endpoints that are asked for room: after a few
@@ -61,6 +63,9 @@
 		case verdictUnkept:
 			c.status, c.reason = statusAborted, "turn_not_kept"
 			panic(http.ErrAbortHandler)
+		case verdictTooLong:
+			c.status, c.reason = statusAborted, "turn_too_long"
+			panic(http.ErrAbortHandler)
 		case verdictRefused:
 			refusals++
 			if refusals >= maxRefusals {
@@ -150,7 +155,7 @@
 	}
 	resp, err := h.Pool.Send(ctx, jkupstream.Request{
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
-		Header: header, Body: c.body, Repeatable: c.route.Repeatable(),
+		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), MaxBody: h.maxAnswer(c),
 		Accept: func(a http.Header) bool { return h.Dialect.Answer(a).Request == c.facts.Request },
 	})
 	if err != nil {
@@ -161,7 +166,7 @@
 	if answer.HasLoad {
 		h.Fleet.report(id, answer.Load)
 	}
-	v := h.pass(c, resp, answer)
+	v := h.pass(ctx, c, resp, answer)
 	h.Fleet.done(id, h.outcomeOf(c, ctx, v), h.Timer.Now().Sub(began))
 	if v == verdictRefused {
 		c.exclude = append(c.exclude, id)
@@ -217,12 +222,13 @@
 	if !errors.Is(context.Cause(ctx), errEndpointLost) {
 		h.Fleet.fault(id)
 	}
+	h.noteTooLong(c, err)
 	h.Log.Info("exchange broke off", "request", c.facts.Request, "endpoint", id, "error", err)
 	return verdictBroken
 }
 
 // pass gives an endpoint's answer to the caller, if it is one.
-func (h *Handler) pass(c *call, resp *jkupstream.Response, a AnswerFacts) verdict {
+func (h *Handler) pass(ctx context.Context, c *call, resp *jkupstream.Response, a AnswerFacts) verdict {
 	if a.NotRun {
 		return verdictRefused
 	}
@@ -240,8 +246,9 @@
 		// A stream can't end with another answer.
 		return verdictBroken
 	}
-	body, err := io.ReadAll(resp)
+	body, err := resp.ReadAll(ctx)
 	if err != nil {
+		h.noteTooLong(c, err)
 		return verdictBroken
 	}
 	copyHeader(c.writer.Header(), resp.Header)
