forward: log why a started stream broke off

A stream that broke off after its header had no line with its cause: only an exchange without an answer had one.

--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -35,6 +35,7 @@
 		}
 		if err != nil {
 			h.noteTooLong(c, err)
+			h.Log.Info("stream broke off", "request", c.facts.Request, "endpoint", c.lastEndpoint, "events", c.events, "error", err)
 			return verdictBroken
 		}
 		if !e.hasField {
