member, gossip: listen to the zone before speaking for it

Callers saw history_unavailable for ever: "token names turn 9; only 5 turns are held here".

Cause: a host that had just started sent its zone's digest at once, with only itself in it. Descriptions of its peers come with every eighth heartbeat, 4 s by default, so every planned or unplanned restart made the other zones count the rest of its zone as down for up to that time. A home doesn't write to a copy whose host counts as down, so turns were kept in one place only, and were lost when that host was killed next. The copy's host had been up all the time. Logs of trials with a line in applyZone show the digest of the new incarnation right before the first record that the copy missed.

Ruled out: two copies gone at once (only the restarted host, which held none, and later the home were away), and the platform's outage (the digest goes from host to host).

A started host now speaks once it has heard every host that it knows of in its zone, or after the time in which a silent one counts as down. It also refuses pulls of its own zone until then. A host that meets a new incarnation or a new configured host describes itself with the next heartbeat, so that this takes one heartbeat and not eight.

--- a/core/jkgossip/gossip.go
+++ b/core/jkgossip/gossip.go
@@ -75,6 +75,9 @@
 	stops    []func()
 	beats    int
 	lastBeat time.Time
+	// describe makes the next heartbeat carry the whole description, for a host
+	// that does not know this one yet.
+	describe bool
 	// awake is the last time at which this host was certainly running.
 	awake time.Time
 	// zoneCredit and digestCredit limit the load digests sent.
@@ -154,7 +157,12 @@
 
 // Seed adds a configured host.
 func (s *Service) Seed(h jkmember.Host) {
-	s.Read(func(t *jkmember.Table) { t.Seed(h) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, status := s.table.Status(h.Incarnation.Host); status == jkmember.StatusUnknown {
+		s.describe = true
+	}
+	s.table.Seed(h)
 }
 
 // IsRefused reports whether a home may not run a content now.
@@ -269,9 +277,10 @@
 		Zones:       s.table.Seen(now, interval+s.options.Heartbeat),
 	}
 	s.beats++
-	if describe || s.beats%describeEvery == 0 {
+	if describe || s.describe || s.beats%describeEvery == 0 {
 		hb.Host = &self
 	}
+	s.describe = false
 	s.lastBeat = now
 	s.mu.Unlock()
 	for _, c := range changes {
--- a/core/jkgossip/receive.go
+++ b/core/jkgossip/receive.go
@@ -30,8 +30,12 @@
 			return true
 		}
 		s.mu.Lock()
-		d, _ := s.table.Zone(m.Zone)
+		d, known := s.table.Zone(m.Zone)
 		s.mu.Unlock()
+		if !known {
+			_ = in.Fail("unknown_zone", "zone "+m.Zone+" is not known here")
+			return true
+		}
 		_ = in.End(&d)
 	default:
 		return false
@@ -53,6 +57,8 @@
 	s.mu.Lock()
 	now := s.options.Timer.Now()
 	if m.Host != nil && m.Host.Zone == s.table.Self().Zone {
+		known, _ := s.table.Status(m.Incarnation.Host)
+		s.describe = s.describe || known.Incarnation != m.Incarnation
 		s.table.Observe(now, *m.Host)
 	}
 	if !s.table.Beat(now, m.Incarnation) {
--- a/core/jkmember/choose.go
+++ b/core/jkmember/choose.go
@@ -105,7 +105,12 @@
 
 // Speaks reports whether this host sends its zone's digest in a round. The two
 // first hosts take turns, so that the zone is still heard when one of them dies.
+// A host that has just started listens first: its digest would name the hosts that
+// it has not heard yet as down.
 func (t *Table) Speaks(round int) bool {
+	if !t.knowsOwn() {
+		return false
+	}
 	ranked := t.leaders(t.options.Self.Zone)
 	if len(ranked) == 0 {
 		return false
--- a/core/jkmember/table.go
+++ b/core/jkmember/table.go
@@ -101,6 +101,10 @@
 	heard   map[string]time.Time
 	version uint64
 	own     ZoneDigest
+	// started is the time at which this host began to listen. Until the timeout
+	// has passed, a host that was not heard yet is not known to be down.
+	started   time.Time
+	listening bool
 	// leaving holds the hosts that the platform's list names as leaving.
 	leaving map[string]bool
 	// drained holds the hosts that the configuration names as leaving.
@@ -109,7 +113,10 @@
 
 // New returns a table that knows only its own host.
 func New(now time.Time, o Options) *Table {
-	t := &Table{options: o, hosts: map[string]*row{}, zones: map[string]*zone{}, heard: map[string]time.Time{}}
+	t := &Table{
+		options: o, hosts: map[string]*row{}, zones: map[string]*zone{}, heard: map[string]time.Time{},
+		started: now, listening: true,
+	}
 	t.hosts[o.Self.Incarnation.Host] = &row{host: o.Self, seen: now, status: StatusUp}
 	return t
 }
@@ -230,10 +237,12 @@
 	}
 }
 
-// Zone returns the digest of a known zone, the own one included.
+// Zone returns the digest of a known zone. The own one is known as soon as every
+// host of the zone was heard or counts as down.
 func (t *Table) Zone(name string) (ZoneDigest, bool) {
 	if name == t.options.Self.Zone {
-		return t.own, true
+		t.updateOwn()
+		return t.own, t.knowsOwn()
 	}
 	z := t.zones[name]
 	if z == nil {
@@ -242,6 +251,19 @@
 	return z.digest, true
 }
 
+// knowsOwn reports whether this host can tell which hosts of its zone are down.
+func (t *Table) knowsOwn() bool {
+	if !t.listening {
+		return true
+	}
+	for _, r := range t.hosts {
+		if r.host.Zone == t.options.Self.Zone && r.status == StatusUnknown {
+			return false
+		}
+	}
+	return true
+}
+
 // HeardZone notes that a speaker of another zone has sent its digest to this host.
 func (t *Table) HeardZone(now time.Time, name string) { t.heard[name] = now }
 
@@ -273,6 +295,7 @@
 
 // Tick updates every status and returns the hosts that went down.
 func (t *Table) Tick(now time.Time) []Change {
+	t.listening = now.Sub(t.started) <= t.options.Timeout
 	var changes []Change
 	for name, r := range t.hosts {
 		if name == t.options.Self.Incarnation.Host {
@@ -301,6 +324,7 @@
 // SkipPause leaves out a time in which this host itself did not run. A paused
 // host that counted it as silence of the others would declare them all ended.
 func (t *Table) SkipPause(pause time.Duration) {
+	t.started = t.started.Add(pause)
 	for _, r := range t.hosts {
 		r.seen = r.seen.Add(pause)
 	}
--- a/core/jkmember/table_test.go
+++ b/core/jkmember/table_test.go
@@ -212,3 +212,42 @@
 		t.Errorf("got %v, want the zone that was heard", seen)
 	}
 }
+
+// Guards against a host that has just started and tells the other zones that the
+// hosts of its zone that it has not heard yet are down.
+func TestStartedHostListensBeforeItSpeaks(t *testing.T) {
+	tab := New(start, Options{Self: host("self", "z1", 2), Timeout: 3 * time.Second, Forget: time.Hour})
+	tab.Seed(host("a", "z1", 0))
+	tab.Seed(host("b", "z1", 0))
+	tab.Seed(host("x", "z2", 0))
+	speaks := func() bool { return tab.Speaks(0) || tab.Speaks(1) }
+	tab.Tick(start)
+	if _, ok := tab.Zone("z1"); ok || speaks() {
+		t.Fatal("speaks for a zone of which it has heard nobody")
+	}
+	tab.Observe(start.Add(time.Second), host("a", "z1", 1))
+	tab.Tick(start.Add(time.Second))
+	if _, ok := tab.Zone("z1"); ok || speaks() {
+		t.Fatal("speaks for a zone of which it has not heard b")
+	}
+	tab.Observe(start.Add(2*time.Second), host("b", "z1", 1))
+	tab.Tick(start.Add(2 * time.Second))
+	if d, ok := tab.Zone("z1"); !ok || len(d.Hosts) != 3 {
+		t.Fatalf("after all were heard: %v, %t", d, ok)
+	}
+}
+
+// Guards against a zone that is not heard any more because one of its hosts is
+// gone for long.
+func TestStartedHostSpeaksBesideADeadOne(t *testing.T) {
+	tab := New(start, Options{Self: host("self", "z1", 2), Timeout: 3 * time.Second, Forget: time.Hour})
+	tab.Seed(host("a", "z1", 0))
+	tab.Tick(start.Add(3 * time.Second))
+	if tab.Speaks(0) {
+		t.Error("speaks before a silent host counts as down")
+	}
+	tab.Tick(start.Add(3*time.Second + 1))
+	if _, ok := tab.Zone("z1"); !ok || !tab.Speaks(0) {
+		t.Error("is silent although the other host counts as down")
+	}
+}
--- a/jasmineknotd/jkprocess/zone_test.go
+++ b/jasmineknotd/jkprocess/zone_test.go
@@ -210,3 +210,26 @@
 	}
 	return os.WriteFile(path, damage(text), 0o600)
 }
+
+// Guards against a restarted host that tells the other zones that the rest of its
+// zone is down, with default intervals.
+func TestRestartLeavesZoneUp(t *testing.T) {
+	s := startSite(t, options{intervals: map[string]string{}})
+	restarted := s.hosts[3]
+	restarted.stop(10 * time.Second)
+	restarted.start()
+	end := clock.Now().Add(6 * time.Second)
+	for clock.Now().Before(end) {
+		for _, observer := range s.hosts[:2] {
+			status, err := s.status(observer)
+			s.noError(err)
+			for _, h := range status.Hosts {
+				if h.Host != restarted.name && h.Status != "up" {
+					t.Fatalf("%s counts %s as %s", observer.name, h.Host, h.Status)
+				}
+			}
+		}
+		s.pause(20 * time.Millisecond)
+	}
+	s.awaitReady()
+}
