home: bring a copy up to date that missed a record of a live host

Callers saw history_unavailable after the home of a program was killed: its last turns had been written to one place only, although the host of the other copy had been up again for a second. For an idle program the gap would have lasted until its next call.

Cause: a copy that missed a record gets the whole state with the next record of the program. KeepCopies brings copies up to date only when their host has a new incarnation, so after a short silence, a timeout or a full disk without a restart nothing happened.

The home now remembers which copies missed a record and writes to them once a second while their host is up. It stops at the first copy of a host that still takes nothing, so that a host that answers nobody costs one timeout each second.

Before: TestCopyCatchesUpAfterSilence and TestCopyCatchesUpAfterRefusal failed, "the copy lacks a record". TestCopyCatchesUpBesideMovedProgram and TestCopyOfFormerHomeIsKept guard the new step.

--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -40,6 +40,12 @@
 		})
 	}
 	_ = group.Wait()
+	h.mu.Lock()
+	for i, s := range results {
+		// A fenced record is no gap: another home goes on with the program.
+		h.missed.note(hosts[i], r, s == jkmsg.CopyStored || s == jkmsg.CopyFenced)
+	}
+	h.mu.Unlock()
 	out := jkprogram.CopyRecorded
 	for i, s := range results {
 		switch s {
--- a/core/jkhome/copyset.go
+++ b/core/jkhome/copyset.go
@@ -16,9 +16,10 @@
 	silent    time.Time
 }
 
-// KeepCopies brings the copies at a restarted host up to date and replaces the
-// copies at a host that stays silent.
+// KeepCopies brings the copies at a restarted host and those that missed records
+// up to date, and replaces the copies at a host that stays silent.
 func (h *Home) KeepCopies(ctx context.Context) {
+	h.pruneMissed()
 	for host, programs := range h.byCopyHost() {
 		incarnation, up := h.options.Transport.HostState(host)
 		c := h.copyHost(host, incarnation, up)
@@ -26,7 +27,9 @@
 		case up && incarnation != c.confirmed:
 			h.confirm(ctx, programs)
 			h.setConfirmed(host, incarnation)
-		case !up && h.options.Timer.Now().Sub(c.silent) > h.options.CopyGrace:
+		case up:
+			h.repair(ctx, host, programs)
+		case h.options.Timer.Now().Sub(c.silent) > h.options.CopyGrace:
 			h.replaceCopies(ctx, host, c.confirmed, programs)
 		}
 	}
--- /dev/null
+++ b/core/jkhome/copyset_test.go
@@ -0,0 +1,166 @@
+package jkhome
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkcopy"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkmsg"
+	"jasmineknot.example/core/jkprogram"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jktoken"
+)
+
+// copySite is a home with one copy at another host.
+type copySite struct {
+	home    *Home
+	store   *jkcopy.Store
+	program string
+	// up is what the home believes of the copy's host; refuses makes the host
+	// take no record.
+	up, refuses bool
+	appends     int
+}
+
+func newCopySite(t *testing.T) *copySite {
+	t.Helper()
+	s := &copySite{up: true}
+	var err error
+	if s.store, err = jkcopy.Open(t.TempDir(), 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.store.Close)
+	keys, err := jktoken.NewKeyring([]jktoken.Key{{ID: "k", Secret: make([]byte, 16)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	timer, _ := jktimer.NewManual(time.Unix(1000, 0))
+	s.home = New(Options{
+		Self: jktoken.Incarnation{Host: "home", Start: 1}, Timer: timer, Keys: keys, MaxPrograms: 10, CopyGrace: 10 * time.Second,
+		Log: jklog.New(io.Discard, timer.Now), Rand: rand.New(rand.NewSource(1)), Sched: jksched.DefaultOptions(),
+		Rules: Rules{Template: func(string) (Template, bool) { return Template{Budget: 1000}, true }},
+		Transport: Transport{
+			ChooseCopies: func(string) []string { return []string{"copy"} },
+			HostState:    func(string) (jktoken.Incarnation, bool) { return jktoken.Incarnation{Host: "copy", Start: 1}, s.up },
+			AppendCopy:   s.append,
+		},
+	})
+	r := s.home.Create(context.Background(), jkmsg.Create{Workspace: "w", Template: "t"})
+	if r.Problem != nil {
+		t.Fatal(r.Problem)
+	}
+	s.program = r.Programs[0].Program
+	s.home.KeepCopies(context.Background())
+	return s
+}
+
+func (s *copySite) append(_ context.Context, _ string, r jkprogram.Record) (jkmsg.CopyStatus, error) {
+	s.appends++
+	if s.refuses {
+		return jkmsg.CopyFailed, nil
+	}
+	if s.store.Append(time.Unix(1000, 0), r) != nil {
+		return jkmsg.CopyGap, nil
+	}
+	return jkmsg.CopyStored, nil
+}
+
+// record writes a record to the copies.
+func (s *copySite) record() jkprogram.CopyResult {
+	s.home.mu.Lock()
+	r, _ := s.home.core.Touch(s.program)
+	s.home.mu.Unlock()
+	return s.home.appendAll(context.Background(), r)
+}
+
+func (s *copySite) isComplete(t *testing.T) bool {
+	t.Helper()
+	r, err := s.store.Read(s.program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, _ := s.home.core.State(s.program)
+	return r.State.Seq == state.Seq
+}
+
+// Guards against a copy that stays behind after a short silence of its host until
+// the program's next call, which may be days away.
+func TestCopyCatchesUpAfterSilence(t *testing.T) {
+	s := newCopySite(t)
+	s.up = false
+	if s.record() == jkprogram.CopyRecorded {
+		t.Fatal("a silent host took a record")
+	}
+	s.home.KeepCopies(context.Background())
+	s.up = true
+	s.home.KeepCopies(context.Background())
+	if !s.isComplete(t) {
+		t.Fatal("the copy lacks a record")
+	}
+	before := s.appends
+	s.home.KeepCopies(context.Background())
+	if s.appends != before {
+		t.Error("a complete copy is written again")
+	}
+}
+
+// Guards against a copy that stays behind after a record that a live host didn't
+// take.
+func TestCopyCatchesUpAfterRefusal(t *testing.T) {
+	s := newCopySite(t)
+	s.refuses = true
+	s.record()
+	s.home.KeepCopies(context.Background())
+	s.refuses = false
+	s.home.KeepCopies(context.Background())
+	if !s.isComplete(t) {
+		t.Fatal("the copy lacks a record")
+	}
+}
+
+// Guards against a copy that stays behind because another program of its host has
+// gone to another home.
+func TestCopyCatchesUpBesideMovedProgram(t *testing.T) {
+	s := newCopySite(t)
+	moved := s.program
+	s.up = false
+	s.record()
+	r := s.home.Create(context.Background(), jkmsg.Create{Workspace: "w", Template: "t"})
+	if r.Problem != nil {
+		t.Fatal(r.Problem)
+	}
+	s.home.core.Supersede(moved)
+	s.up = true
+	s.home.KeepCopies(context.Background())
+	if s.program = r.Programs[0].Program; !s.store.Holds(s.program) || !s.isComplete(t) {
+		t.Fatal("the copy lacks a record")
+	}
+	if len(s.home.missed["copy"]) > 0 {
+		t.Errorf("rows are left: %v", s.home.missed)
+	}
+}
+
+// Guards against a copy at the former home's host that is overwritten before a
+// caller's token shows whether it holds more turns.
+func TestCopyOfFormerHomeIsKept(t *testing.T) {
+	s := newCopySite(t)
+	state, _ := s.home.core.State(s.program)
+	s.home.core.Supersede(s.program)
+	record, err := s.home.core.Adopt(time.Unix(1000, 0), state, state.Epoch+1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.up = false
+	s.home.appendAll(context.Background(), record)
+	s.up = true
+	before := s.appends
+	s.home.KeepCopies(context.Background())
+	if s.appends != before {
+		t.Error("the copy was written")
+	}
+}
--- a/core/jkhome/home.go
+++ b/core/jkhome/home.go
@@ -123,6 +123,7 @@
 	// moved names the new home of programs handed over at a planned stop.
 	moved     map[string]jktoken.Incarnation
 	copyHosts map[string]*copyHost
+	missed    missedRecords
 	draining  bool
 	// successor names the next home of a program during a planned stop.
 	successor func(program string) (jktoken.Incarnation, bool)
@@ -160,6 +161,7 @@
 		moved:   map[string]jktoken.Incarnation{},
 
 		copyHosts: map[string]*copyHost{},
+		missed:    missedRecords{},
 	}
 }
 
--- a/core/jkprogram/life.go
+++ b/core/jkprogram/life.go
@@ -103,6 +103,12 @@
 	p.endedAt = time.Time{}
 }
 
+// IsSuperseded reports whether another home has taken the program over.
+func (c *Core) IsSuperseded(id string) bool {
+	p := c.programs[id]
+	return p != nil && p.superseded
+}
+
 // Snapshot returns a record that brings a copy up to date that missed records.
 func (c *Core) Snapshot(id string) (Record, bool) {
 	p := c.programs[id]
