entry: remove the store's entries of hosts that are gone for good

Entries that started counted the removed hosts as copies for 7 s, and restarted storage hosts waited for their dial timeouts.

Cause: each host writes its entry without a lease and nobody removes it.

A host that finds its entry missing, marked or out of date writes it again. The last also mends a late write that would take a host that is being emptied back into use.

A returned storage host needs more than before: the others forget with the peer how long it was silent, so they copy all that it has when its entry appears.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,6 +110,26 @@
 	}
 }
 
+// Guards against a 503 for ever for a turn that doesn't exist (inc1: "chain: 3 of 4
+// needed copies answered" after two storage hosts were replaced).
+func TestTurnIsUnknownOnceEntriesOfRemovedHostsAreGone(t *testing.T) {
+	f := newFixture(t)
+	live := f.copies
+	f.copies = append(slices.Clone(live), Copy{Host: "b-1", Addr: "127.0.0.1:1", Zone: "b"}, Copy{Host: "c-1", Addr: "127.0.0.1:1", Zone: "c"})
+	f.lost["b-1"], f.lost["c-1"] = true, true
+	_, err := f.client.Chain(context.Background(), "p", "1")
+	var uncertain *jkforward.UncertainError
+	if !errors.As(err, &uncertain) || uncertain.Needed != 4 {
+		t.Errorf("error is %v, want uncertain while more copies than may be lost are down", err)
+	}
+	f.copies = live
+	_, err = f.client.Chain(context.Background(), "p", "1")
+	var unknown *jkforward.UnknownTurnError
+	if !errors.As(err, &unknown) {
+		t.Errorf("error is %v, want unknown", err)
+	}
+}
+
 // Guards against a turn that counts with fewer disks than may be lost, and one.
 func TestTurnNeedsMoreDisksThanMayBeLost(t *testing.T) {
 	f := newFixture(t)
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -44,6 +44,7 @@
 	members  *members
 	shared   *jkfollow.Shared
 	follower *jkfollow.Follower
+	registry *registry
 	// settled is set once all hosts are likely to be known.
 	settled atomic.Bool
 	counts  *jkforward.Metrics
@@ -87,6 +88,11 @@
 		Timer: timer, Log: log.Part("follow"), Source: e.shared.ThroughPeers(),
 		Apply: e.apply, Settled: func(bool) {},
 	})
+	e.registry = newRegistry(registryOptions{
+		timer: timer, log: log.Part("hosts"), own: HostEntry{Host: s.Host, Zone: s.Zone, Addr: s.Inner},
+		put: p.PutHost, swap: p.SwapHost, observes: true, inTouch: e.follower.InTouch,
+		heard: probes.Heard, reachable: probes.Reachable, start: startCall,
+	})
 	return e, e.listen()
 }
 
@@ -262,7 +268,7 @@
 	defer cancel()
 	go e.follower.Run(ctx)
 	defer e.timer.Every(digestEvery, e.sendDigest)()
-	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
+	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
 	e.drain()
@@ -313,9 +319,11 @@
 		e.removeEndpoint(change.EndpointID, item.Revision)
 	case change.Host != nil:
 		e.members.set(*change.Host)
+		e.registry.set(*change.Host, item.Revision)
 		e.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, Always: change.Host.Ledger})
 	case change.HostName != "":
 		e.members.remove(change.HostName)
+		e.registry.remove(change.HostName)
 		e.probes.RemovePeer(change.HostName)
 	}
 }
@@ -390,6 +398,13 @@
 	return since.Sub(m.began) > newFor && m.timer.Now().Sub(since) < newFor
 }
 
+func (m *members) has(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.hosts[host]
+	return ok
+}
+
 func (m *members) remove(host string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -427,24 +442,3 @@
 	}
 	return out
 }
-
-// announcePause is the time between two tries to write the host's own entry.
-const announcePause = 400 * time.Millisecond
-
-// announceTimeout bounds one try.
-const announceTimeout = 2 * time.Second
-
-// announce writes the host's own entry until the store has taken it.
-func announce(ctx context.Context, timer *jktimer.Service, log jklog.Logger, p Platform, h HostEntry) {
-	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := p.PutHost(try, h)
-		cancel()
-		if err == nil {
-			log.Info("host announced", "host", h.Host, "addr", h.Addr, "ledger", h.Ledger, "leaving", h.Leaving)
-			return
-		}
-		log.Warn("host not announced", "host", h.Host, "error", err)
-		timer.Wait(announcePause, ctx.Done())
-	}
-}
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -57,6 +57,9 @@
 	Ledger bool `json:"ledger"`
 	// Leaving is set while the host is being emptied.
 	Leaving bool `json:"leaving"`
+	// Suspected is set by another host to which this one is silent. A host that
+	// lives writes its entry again.
+	Suspected bool `json:"suspected,omitempty"`
 }
 
 // Change is one decoded change of the platform's store; exactly one field is set
@@ -83,6 +86,10 @@
 	Decode func(item jkfollow.Item) (Change, error)
 	// PutHost writes the host's own entry.
 	PutHost func(ctx context.Context, e HostEntry) error
+	// SwapHost replaces a host's entry that is at a revision, or removes it where
+	// next is nil. It fails with an *EntryChangedError if the entry isn't at the
+	// revision.
+	SwapHost func(ctx context.Context, host string, next *HostEntry, revision int64) error
 	// PutRetire reports how far the emptying of a host is.
 	PutRetire func(ctx context.Context, host string, completed bool) error
 }
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,21 +28,26 @@
 	timer    *jktimer.Service
 	log      jklog.Logger
 
-	vault   *jkvault.Vault
-	server  *jkwire.Server
-	peers   *jkwire.Pool
-	probes  *jkprobe.Prober
-	members *members
+	vault    *jkvault.Vault
+	server   *jkwire.Server
+	peers    *jkwire.Pool
+	probes   *jkprobe.Prober
+	members  *members
+	registry *registry
+	inTouch  atomic.Bool
 
 	mu       sync.Mutex
 	retiring bool
+	// uncopied holds the addresses of hosts that appeared while this one ran, and of
+	// which nothing was copied yet.
+	uncopied map[string]bool
 	listed   chan struct{}
 	once     sync.Once
 }
 
 // NewStorage opens the ledger and listens for entries.
 func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
-	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), listed: make(chan struct{})}
+	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), listed: make(chan struct{}), uncopied: map[string]bool{}}
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, Control: isControl, Counters: &jkwire.Counters{}})
 	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds})
@@ -61,6 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
+	t.registry = newRegistry(registryOptions{
+		timer: timer, log: log.Part("hosts"), own: t.entry(false), put: p.PutHost, swap: p.SwapHost,
+		inTouch: t.inTouch.Load, heard: t.probes.Heard, reachable: t.probes.Reachable, start: startCall,
+	})
 	return t, t.serveMetrics()
 }
 
@@ -95,12 +105,13 @@
 		Timer: t.timer, Log: t.log.Part("follow"), Source: shared.ThroughPeers(),
 		Apply: func(item jkfollow.Item) { t.apply(ctx, item) },
 		Settled: func(inTouch bool) {
+			t.inTouch.Store(inTouch)
 			if inTouch {
 				t.once.Do(func() { close(t.listed) })
 			}
 		},
 	}).Run(ctx)
-	go announce(ctx, t.timer, t.log, t.platform, t.entry(false))
+	go t.registry.run(ctx)
 	go t.catchUp(ctx)
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
 	<-stop
@@ -167,12 +178,15 @@
 	}
 	switch {
 	case change.Host != nil:
+		t.hostAppeared(*change.Host)
 		t.members.set(*change.Host)
+		t.registry.set(*change.Host, item.Revision)
 		if change.Host.Ledger {
 			t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, Always: true})
 		}
 	case change.HostName != "":
 		t.members.remove(change.HostName)
+		t.registry.remove(change.HostName)
 		t.probes.RemovePeer(change.HostName)
 	case change.Retire == t.settings.Host:
 		go t.retire(ctx, change.Within)
@@ -193,7 +207,39 @@
 		t.peers.Drop(p.Addr)
 		return
 	}
-	go t.vault.Catch(context.Background(), []string{p.Addr}, silent+catchMargin)
+	go t.copyFrom(context.Background(), p.Addr, silent+catchMargin)
+}
+
+// hostAppeared copies all that a host has whose entry was missing for a while. What
+// it took meanwhile is unknown, and the prober no longer knows how long it was away.
+func (t *Storage) hostAppeared(h HostEntry) {
+	if !h.Ledger || h.Host == t.settings.Host || t.members.has(h.Host) {
+		return
+	}
+	select {
+	case <-t.listed:
+	default:
+		return // catchUp copies from the hosts of the first list.
+	}
+	t.mu.Lock()
+	t.uncopied[h.Addr] = true
+	t.mu.Unlock()
+	go t.copyFrom(context.Background(), h.Addr, 0)
+}
+
+// copyFrom copies what a host has added within a time, or all that it has where that
+// hasn't been copied yet.
+func (t *Storage) copyFrom(ctx context.Context, addr string, within time.Duration) {
+	t.mu.Lock()
+	if t.uncopied[addr] {
+		within = 0
+	}
+	t.mu.Unlock()
+	if t.vault.Catch(ctx, []string{addr}, within) {
+		t.mu.Lock()
+		delete(t.uncopied, addr)
+		t.mu.Unlock()
+	}
 }
 
 // retire hands all records over to the other copies and reports that the host
@@ -208,7 +254,7 @@
 	}
 	t.log.Info("host is being emptied", "within", within)
 	t.report(ctx, false)
-	announce(ctx, t.timer, t.log, t.platform, t.entry(true))
+	t.registry.change(ctx, t.entry(true))
 	// Entries hear of the leaving host within the time of a watch.
 	t.timer.Wait(leavingHeard, ctx.Done())
 	for ctx.Err() == nil {
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -169,6 +169,18 @@
 	return row == nil || !row.lost
 }
 
+// Heard returns when a host last answered, which is zero if it never did, and
+// whether this host probes it.
+func (p *Prober) Heard(host string) (last time.Time, probed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.peers[host]
+	if row == nil || !row.chosen {
+		return time.Time{}, false
+	}
+	return row.heard, true
+}
+
 // longLost is the silence after which a host counts as lost for good. It exceeds
 // the usual cut, so that hosts which lost it at different moments agree.
 const longLost = 7 * time.Second
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -81,6 +81,29 @@
 	}
 }
 
+// Guards against a host that was never probed, or was only just added, and is taken
+// for one that has answered.
+func TestHeardTellsAnswersFromNone(t *testing.T) {
+	p := listen(t, "a1", "a", "127.0.0.1:0", make(chan change, 4), nil)
+	defer p.Close()
+	up := listen(t, "b1", "b", "127.0.0.1:0", nil, nil)
+	defer up.Close()
+	p.SetPeer(Peer{Host: "b1", Addr: up.conn.LocalAddr().String(), Zone: "b"})
+	p.SetPeer(Peer{Host: "b2", Addr: "127.0.0.1:9", Zone: "b", Always: true})
+	began := time.Now()
+	time.Sleep(2 * lostAfter)
+	if last, probed := p.Heard("b1"); !probed || last.Before(began) {
+		t.Errorf("answering host: heard at %s, probed %t", last, probed)
+	}
+	if last, probed := p.Heard("b2"); !probed || !last.IsZero() {
+		t.Errorf("silent host: heard at %s, probed %t", last, probed)
+	}
+	p.RemovePeer("b2")
+	if _, probed := p.Heard("b2"); probed {
+		t.Error("removed host is probed")
+	}
+}
+
 // Guards against digests that don't reach the other entries, or reach hosts that
 // take none.
 func TestDigestReachesOtherEntries(t *testing.T) {
