entry: test the removal of a stopped host with all parts joined

The tests of the registry use stand-ins for probes and for the follower. This one runs two entries and two storage hosts on loopback with a store in memory and a clock that runs five times as fast. It fails if entries don't pass host entries on to the registry (seen with that line taken out), and passed three times under the race detector.

--- /dev/null
+++ b/core/jkentry/fleet_test.go
@@ -0,0 +1,194 @@
+package jkentry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+// memoryStore is a store of host entries in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision int64
+	events   []jkfollow.Item
+	items    map[string]jkfollow.Item
+}
+
+func (m *memoryStore) write(host string, next *HostEntry) {
+	m.revision++
+	item := jkfollow.Item{Key: host, Revision: m.revision, Deleted: next == nil}
+	delete(m.items, host)
+	if next != nil {
+		// A host entry has only text and flags.
+		item.Value, _ = json.Marshal(next)
+		m.items[host] = item
+	}
+	m.events = append(m.events, item)
+}
+
+func (m *memoryStore) hosts() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, host := range []string{"entry-a", "entry-b", "storage-a", "storage-b"} {
+		if _, ok := m.items[host]; ok {
+			out = append(out, host)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func (m *memoryStore) list(context.Context, string) (jkfollow.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := jkfollow.Page{Revision: m.revision}
+	for _, item := range m.items {
+		page.Items = append(page.Items, item)
+	}
+	return page, nil
+}
+
+func (m *memoryStore) watch(_ context.Context, _ string, after int64, wait time.Duration) (jkfollow.Page, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		m.mu.Lock()
+		page := jkfollow.Page{Revision: m.revision}
+		for _, item := range m.events {
+			if item.Revision > after {
+				page.Items = append(page.Items, item)
+			}
+		}
+		m.mu.Unlock()
+		if len(page.Items) > 0 || time.Now().After(end) {
+			return page, nil
+		}
+	}
+}
+
+func (m *memoryStore) platform() Platform {
+	return Platform{
+		Source: jkfollow.Source{List: m.list, Watch: m.watch},
+		Decode: func(item jkfollow.Item) (Change, error) {
+			if item.Deleted {
+				return Change{HostName: item.Key}, nil
+			}
+			var h HostEntry
+			return Change{Host: &h}, json.Unmarshal(item.Value, &h)
+		},
+		PutHost: func(_ context.Context, e HostEntry) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.write(e.Host, &e)
+			return nil
+		},
+		SwapHost: func(_ context.Context, host string, next *HostEntry, revision int64) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.items[host].Revision != revision {
+				return &EntryChangedError{Host: host, Revision: revision}
+			}
+			m.write(host, next)
+			return nil
+		},
+	}
+}
+
+// freeAddr returns an address on which nobody listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// runHost runs a host until the returned function is called.
+func runHost(t *testing.T, name string, p Platform, timer *jktimer.Service) (stop func()) {
+	t.Helper()
+	role, zone, _ := strings.Cut(name, "-")
+	s := Settings{Host: name, Zone: zone, Zones: []string{"a", "b"}, Inner: freeAddr(t), Front: freeAddr(t), First: true}
+	var run func(stop <-chan struct{})
+	if role == "storage" {
+		s.Folder = t.TempDir()
+		host, err := NewStorage(s, p, timer, jklog.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		run = host.Run
+	} else {
+		host, err := NewEntry(s, p, timer, jklog.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		run = host.Run
+	}
+	asked, done := make(chan struct{}), make(chan struct{})
+	go func() { defer close(done); run(asked) }()
+	var once sync.Once
+	return func() { once.Do(func() { close(asked) }); <-done }
+}
+
+// Guards against entries of hosts that are gone that stay in the store, and against
+// entries of hosts that run and are removed, with all parts of the processes joined.
+func TestFleetRemovesTheEntryOfAStoppedHost(t *testing.T) {
+	store := &memoryStore{items: map[string]jkfollow.Item{}}
+	timer, clock := jktimer.NewManual(time.Now())
+	ended := make(chan struct{})
+	var passed sync.WaitGroup
+	passed.Add(1)
+	go func() {
+		defer passed.Done()
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+				// Five times as fast as the clock, and slow enough for the probes' answers.
+				clock.Advance(50 * time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	}()
+	defer passed.Wait()
+	defer close(ended)
+	stops := map[string]func(){}
+	for _, name := range []string{"entry-a", "entry-b", "storage-a", "storage-b"} {
+		stops[name] = runHost(t, name, store.platform(), timer)
+		defer stops[name]()
+	}
+	pass := func(d time.Duration) {
+		end := timer.Now().Add(d)
+		for timer.Now().Before(end) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	pass(3 * time.Second)
+	stops["storage-b"]()
+	pass(removeAfter - 2*time.Second)
+	if got := store.hosts(); got != "entry-a entry-b storage-a storage-b" {
+		t.Errorf("hosts are %q before the time is over", got)
+	}
+	// A busy machine delays answers to probes, so that the observation starts anew.
+	const want = "entry-a entry-b storage-a"
+	for range 30 {
+		if store.hosts() == want {
+			break
+		}
+		pass(answerTime)
+	}
+	if got := store.hosts(); got != want {
+		t.Errorf("hosts are %q, want those that run", got)
+	}
+}
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
@@ -36,15 +35,7 @@
 // startStorage runs a storage host on a free port.
 func startStorage(t *testing.T, host string, p Platform) *Storage {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
-	}
-	s, err := NewStorage(Settings{Host: host, Zone: host, Inner: addr, Folder: t.TempDir(), First: true}, p, jktimer.New(), jklog.Discard())
+	s, err := NewStorage(Settings{Host: host, Zone: host, Inner: freeAddr(t), Folder: t.TempDir(), First: true}, p, jktimer.New(), jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
