entry: pass a marked storage host over right after the start

Storage hosts are now marked as suspected after 8 s instead of 15 s, which is after those that run pass them over. A host takes a mark for the 7 s of silence where the host doesn't answer it and never did since its own start.

Ruled out: asking the peers at the start, which needs a message and an answer before the first turn; the mark comes with the list of the store that an entry needs anyway.

The test fails with the time for a mark as it was ("takes the mark for its own silence false, want true"), and with each of the conditions taken out. A copy that was lost for less than 8 to 11 s at an entry's start is still counted.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -169,10 +169,14 @@
 	}
 }
 
+// lost reports whether a host is lost for so long that all hosts pass it over. One that
+// has just started takes the others' word.
+func (e *Entry) lost(host string) bool { return e.probes.Lost(host) || e.registry.isGone(host) }
+
 func (e *Entry) listen() error {
 	account := jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
-		Losses: e.settings.LostDisks, Zones: len(e.settings.Zones), MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost,
+		Losses: e.settings.LostDisks, Zones: len(e.settings.Zones), MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.lost,
 		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
--- a/core/jkentry/registry.go
+++ b/core/jkentry/registry.go
@@ -30,10 +30,13 @@
 // A host that was silent for suspectAfter is marked as suspected, and its entry is
 // removed after removeAfter. Both exceed the usual cut of 12 s. A host that lives and
 // reaches the store answers the mark within answerTime by writing its entry again.
+// Storage hosts are marked as soon as all that run pass them over, which takes the
+// prober 7 s, so that a host that starts does so too.
 const (
-	suspectAfter = 15 * time.Second
-	removeAfter  = 20 * time.Second
-	answerTime   = 5 * time.Second
+	suspectAfter        = 15 * time.Second
+	suspectStorageAfter = 8 * time.Second
+	removeAfter         = 20 * time.Second
+	answerTime          = 5 * time.Second
 )
 
 // observers is the number of entries that judge one storage host, and observerSpread
@@ -252,10 +255,27 @@
 // isOver reports whether the time until the next step is over.
 func (r *registry) isOver(row *registryRow) bool {
 	delay := time.Duration(observerRank(r.own.Host, row.entry.Host) % uint64(observerSpread))
-	if !row.entry.Suspected {
-		return row.silent >= suspectAfter+delay
+	switch {
+	case row.entry.Suspected:
+		return row.silent >= removeAfter+delay && row.suspected > answerTime
+	case row.entry.Ledger:
+		return row.silent >= suspectStorageAfter+delay
+	}
+	return row.silent >= suspectAfter+delay
+}
+
+// isGone reports whether a host is marked that doesn't answer this one and never did,
+// as this one has started since.
+func (r *registry) isGone(host string) bool {
+	r.mu.Lock()
+	row := r.rows[host]
+	isMarked := row != nil && row.entry.Suspected
+	r.mu.Unlock()
+	if !isMarked || r.reachable(host) {
+		return false
 	}
-	return row.silent >= removeAfter+delay && row.suspected > answerTime
+	last, probed := r.heard(host)
+	return probed && last.IsZero()
 }
 
 // isObserver reports whether this host judges another one. Entries are probed by a
--- a/core/jkentry/registry_test.go
+++ b/core/jkentry/registry_test.go
@@ -52,6 +52,7 @@
 // run starts a host's process.
 func (f *registryFixture) run(own HostEntry) {
 	f.t.Helper()
+	began := f.timer.Now()
 	r := newRegistry(registryOptions{
 		timer: f.timer, log: jklog.Discard(), own: own, observes: !own.Ledger,
 		put: func(_ context.Context, e HostEntry) error { f.write(e); return nil },
@@ -72,7 +73,9 @@
 		},
 		inTouch: func() bool { return !f.apart[own.Host] },
 		heard: func(host string) (time.Time, bool) {
-			if last, ok := f.silent[host]; ok {
+			if last, ok := f.silent[host]; ok && last.Before(began) {
+				return time.Time{}, true
+			} else if ok {
 				return last, true
 			}
 			return f.timer.Now(), true
@@ -254,7 +257,7 @@
 func TestPauseOfTheObserverIsNotSilence(t *testing.T) {
 	f := newRegistryFixture(t)
 	f.silent["storage-a-1"] = f.timer.Now()
-	f.pass(suspectAfter - 2*registryEvery)
+	f.pass(suspectStorageAfter - 2*registryEvery)
 	f.clock.Advance(time.Minute)
 	f.pass(registryEvery)
 	if f.swaps != 0 {
@@ -285,6 +288,41 @@
 	f.expect(host, false)
 }
 
+// Guards against an entry that counts copies which all others pass over, for the 7 s
+// after its start (inc1: "keep: 1 of 2 needed copies answered").
+func TestStartedEntryPassesMarkedHostsOver(t *testing.T) {
+	const host = "storage-a-1"
+	f := newRegistryFixture(t)
+	f.pass(registryEvery)
+	f.stop(host)
+	f.pass(suspectStorageAfter - registryEvery)
+	if f.swaps > 0 {
+		t.Error("host is marked before all others pass it over")
+	}
+	f.pass(2*registryEvery + observerSpread)
+	f.run(HostEntry{Host: "entry-c", Zone: "c", Addr: "entry-c"})
+	for name, want := range map[string]bool{"entry-c": true, "entry-a": false} {
+		if got := f.running[name].isGone(host); got != want {
+			t.Errorf("%s takes the mark for its own silence %t, want %t", name, got, want)
+		}
+	}
+	started := f.running["entry-c"]
+	reachable := started.reachable
+	started.reachable = func(string) bool { return true }
+	if started.isGone(host) {
+		t.Error("a marked host is passed over before it could answer")
+	}
+	started.reachable = reachable
+	delete(f.silent, host)
+	if started.isGone(host) {
+		t.Error("a marked host that answers is passed over")
+	}
+	f.silent["storage-b-1"] = time.Time{}
+	if started.isGone("storage-b-1") {
+		t.Error("a host without mark is passed over")
+	}
+}
+
 // Guards against calls to the store that grow with the entries.
 func TestFewEntriesJudgeAStorageHost(t *testing.T) {
 	f := newRegistryFixture(t)
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -196,7 +196,8 @@
 // holds returns a function that reports whether another host keeps a program's
 // records.
 func (t *Storage) holds(host string) func(program string) bool {
-	return jkaccount.Holder(host, t.members.copies(), t.probes.Lost)
+	lost := func(host string) bool { return t.probes.Lost(host) || t.registry.isGone(host) }
+	return jkaccount.Holder(host, t.members.copies(), lost)
 }
 
 // hostChanged copies what another copy has taken while it was out of reach. A
