--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -44,6 +44,7 @@
 	members  *members
 	shared   *jkfollow.Shared
 	follower *jkfollow.Follower
+	registry *registry
 	// settled is set once all hosts are likely to be known.
 	settled atomic.Bool
 	counts  *jkforward.Metrics
@@ -88,6 +89,11 @@
 		Timer: timer, Log: log.Part("follow"), Source: e.shared.ThroughPeers(),
 		Apply: e.apply, Settled: func(bool) {},
 	})
+	e.registry = newRegistry(registryOptions{
+		timer: timer, log: log.Part("hosts"), own: HostEntry{Host: s.Host, Zone: s.Zone, Addr: s.Inner},
+		put: p.PutHost, swap: p.SwapHost, observes: true, inTouch: e.follower.InTouch,
+		heard: probes.Heard, reachable: probes.Reachable, start: startCall,
+	})
 	return e, e.listen()
 }
 
@@ -168,11 +174,15 @@
 	}
 }
 
+// lost reports whether a host is lost for so long that all hosts pass it over. One that
+// has just started takes the others' word.
+func (e *Entry) lost(host string) bool { return e.probes.Lost(host) || e.registry.isGone(host) }
+
 func (e *Entry) listen() error {
 	e.account = jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Metrics: jkaccount.NewMetrics(e.metrics), Losses: e.settings.LostDisks, Zones: len(e.settings.Zones),
-		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.probes.Lost, Silent: e.probes.Silent,
+		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.lost, Silent: e.probes.Silent,
 		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
@@ -268,7 +278,7 @@
 	defer cancel()
 	go e.follower.Run(ctx)
 	defer e.timer.Every(digestEvery, e.sendDigest)()
-	go announce(ctx, e.timer, e.log, e.platform, HostEntry{Host: e.settings.Host, Zone: e.settings.Zone, Addr: e.settings.Inner})
+	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
 	e.drain()
@@ -323,9 +333,11 @@
 		e.removeEndpoint(change.EndpointID, item.Revision)
 	case change.Host != nil:
 		e.members.set(*change.Host)
+		e.registry.set(*change.Host, item.Revision)
 		e.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, Always: change.Host.Ledger})
 	case change.HostName != "":
 		e.members.remove(change.HostName)
+		e.registry.remove(change.HostName)
 		e.probes.RemovePeer(change.HostName)
 	}
 }
@@ -400,6 +412,13 @@
 	return since.Sub(m.began) > newFor && m.timer.Now().Sub(since) < newFor
 }
 
+func (m *members) has(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.hosts[host]
+	return ok
+}
+
 func (m *members) remove(host string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -437,24 +456,3 @@
 	}
 	return out
 }
-
-// announcePause is the time between two tries to write the host's own entry.
-const announcePause = 400 * time.Millisecond
-
-// announceTimeout bounds one try.
-const announceTimeout = 2 * time.Second
-
-// announce writes the host's own entry until the store has taken it.
-func announce(ctx context.Context, timer *jktimer.Service, log jklog.Logger, p Platform, h HostEntry) {
-	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := p.PutHost(try, h)
-		cancel()
-		if err == nil {
-			log.Info("host announced", "host", h.Host, "addr", h.Addr, "ledger", h.Ledger, "leaving", h.Leaving)
-			return
-		}
-		log.Warn("host not announced", "host", h.Host, "error", err)
-		timer.Wait(announcePause, ctx.Done())
-	}
-}
