--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
 	"jasmineknot.example/core/jkforward"
@@ -52,6 +54,7 @@
 	t.Cleanup(pool.Close)
 	yes := func(string) bool { return true }
 	client := jkaccount.NewClient(jkaccount.Options{
+		Metrics: jkaccount.NewMetrics(metrics.NewSet()), Silent: func(string) time.Duration { return 0 },
 		Timer: jktimer.New(), Log: jklog.Discard(), Pool: pool, Zone: s.settings.Zone, Zones: 1,
 		MembersSettled: func() bool { return true },
 		Copies: func() []jkaccount.Copy {
