follow: don't judge answers that the end of a test cuts off

TestFollowerAsksTheOtherPeerFirst failed once in a full run and in 3 of 48 runs beside five others with "follower not answered: use of closed network connection". The test's cleanup closes the followers' connections first; an answer that is written in the moment before the server notices fails without the context having ended. The check stays for all of the test itself; t.Context ends right before the cleanup.

--- a/core/jkfollow/shared_test.go
+++ b/core/jkfollow/shared_test.go
@@ -65,7 +65,8 @@
 		Self: jkwire.Hello{Host: peer.Host, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
 		Control: func(string) bool { return true },
 		Handle: func(ctx context.Context, in *jkwire.Incoming) {
-			if err := s.Handle(ctx, in); err != nil && ctx.Err() == nil {
+			// At the end of the test its connections close under an answer that is written.
+			if err := s.Handle(ctx, in); err != nil && ctx.Err() == nil && t.Context().Err() == nil {
 				t.Errorf("follower not answered: %v", err)
 			}
 		},
