account: don't give up a turn that its copies have just written

Cause: the loop counted the copies that hold the turn, and then asked whether any was still being tried. Copies that answered in between made the turn look given up. The order is now the other way round; a copy that has written the turn or dropped it stays so.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -95,11 +95,13 @@
 	defer stop()
 	for {
 		k.askSubstitutes()
+		// Copies may write the turn at any moment, so this is asked before they are counted.
+		givenUp := k.isGivenUp()
 		kept, needed := k.kept(), c.neededZones()
 		if kept >= needed {
 			return nil
 		}
-		if k.isGivenUp() {
+		if givenUp {
 			return &jkforward.UncertainError{Operation: "keep", Answers: kept, Needed: needed}
 		}
 		select {
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"jasmineknot.example/core/jkforward"
 )
 
@@ -129,3 +131,19 @@
 	}
 	t.Error("the copy never got the last turn")
 }
+
+// Guards against a turn that is given up in the moment in which its copies have
+// written it.
+func TestWrittenTurnIsNotGivenUp(t *testing.T) {
+	f := newFixture(t)
+	var group errgroup.Group
+	group.SetLimit(32)
+	for i := range 10000 {
+		group.Go(func() error {
+			return f.keepWithin(t, fmt.Sprintf("p%d", i), 5*time.Second)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
