--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -54,11 +54,12 @@
 	Options
 	outbox *outbox
 	relays *relays
+	reach  *reach
 }
 
 // NewClient returns a client.
 func NewClient(o Options) *Client {
-	c := &Client{Options: o, relays: newRelays()}
+	c := &Client{Options: o, relays: newRelays(), reach: newReach()}
 	c.outbox = newOutbox(c)
 	return c
 }
