--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -10,73 +10,37 @@
 	"jasmineknot.example/core/jkforward"
 )
 
-// place is what one zone has of a program. See docs/decisions/budgets.md.
-type place struct {
-	zone string
-	// needed are the copies that must all answer for the zone to count: the one
-	// that all hosts choose or, while they may choose differently, all that one of
-	// them may choose.
-	needed []Copy
-	// standIns take records as long as a needed copy is lost. They don't count,
-	// since hosts that are cut off may still use the lost one.
-	standIns []Copy
-}
-
-// maxUnproved bounds the copies of a zone that a host asks as long as it doesn't
-// know which of them are new: the new one and the one that others still choose.
-const maxUnproved = 2
-
-// places returns the zones that hold a program: in each, copies are chosen by
-// rendezvous hash. Majorities of different copies needn't meet, so that a copy is
-// never replaced because it is silent, and a new one counts alone only once all
-// hosts know it.
-func (c *Client) places(program string) []place {
-	byZone := map[string][]Copy{}
+// replicas returns the copies that hold a program: one in each zone, chosen by
+// rendezvous hash among the zone's copies. All hosts have to choose alike, since
+// majorities of different sets needn't meet. So a copy is passed over only while
+// it is new or lost for long, not while it is out of reach of this host. The copy
+// in the own zone comes first.
+func (c *Client) replicas(program string) []Copy {
+	best := map[string]Copy{}
 	for _, candidate := range c.Copies() {
-		byZone[candidate.Zone] = append(byZone[candidate.Zone], candidate)
-	}
-	out := make([]place, 0, len(byZone))
-	for zone, copies := range byZone {
-		out = append(out, c.place(program, zone, copies))
-	}
-	slices.SortFunc(out, func(a, b place) int { return cmp.Compare(a.zone, b.zone) })
-	return out
-}
-
-func (c *Client) place(program, zone string, copies []Copy) place {
-	slices.SortFunc(copies, func(a, b Copy) int { return cmp.Compare(rank(program, b.Host), rank(program, a.Host)) })
-	n := 1 + slices.IndexFunc(copies, func(o Copy) bool { return c.reach.isProved(o.Host) })
-	if n == 0 {
-		n = min(len(copies), maxUnproved)
-	}
-	p := place{zone: zone, needed: copies[:n]}
-	if !slices.ContainsFunc(p.needed, func(n Copy) bool { return c.Lost(n.Host) }) {
-		return p
-	}
-	for _, other := range copies[n:] {
-		if !c.Lost(other.Host) {
-			p.standIns = []Copy{other}
-			break
+		known, ok := best[candidate.Zone]
+		if !ok || c.beats(program, candidate, known) {
+			best[candidate.Zone] = candidate
 		}
 	}
-	return p
-}
-
-// replicas returns all copies that get a program's records, those that are in
-// reach and in the own zone first.
-func (c *Client) replicas(program string) []Copy { return c.copiesOf(c.places(program)) }
-
-func (c *Client) copiesOf(places []place) []Copy {
-	var out []Copy
-	for _, p := range places {
-		out = append(append(out, p.needed...), p.standIns...)
+	out := make([]Copy, 0, len(best))
+	for _, b := range best {
+		out = append(out, b)
 	}
 	slices.SortFunc(out, func(a, b Copy) int {
-		return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Host, b.Host))
+		if own := cmp.Compare(c.distance(a), c.distance(b)); own != 0 {
+			return own
+		}
+		return cmp.Compare(a.Zone, b.Zone)
 	})
 	return out
 }
 
+// isSettled reports whether all hosts are likely to count a copy.
+func (c *Client) isSettled(target Copy) bool {
+	return !target.New && !c.Lost(target.Host)
+}
+
 func (c *Client) distance(target Copy) int {
 	switch {
 	case !c.Reachable(target.Host):
@@ -87,6 +51,13 @@
 	return 0
 }
 
+func (c *Client) beats(program string, a, b Copy) bool {
+	if x, y := c.isSettled(a), c.isSettled(b); x != y {
+		return x
+	}
+	return ranksBefore(program, a, b)
+}
+
 func ranksBefore(program string, a, b Copy) bool {
 	return rank(program, a.Host) > rank(program, b.Host)
 }
@@ -129,16 +100,12 @@
 	return n
 }
 
-// tooFew returns an *UncertainError if copies in fewer zones are known than have to
-// hold a record. Another host that knows them all would miss it.
+// tooFew returns an *UncertainError if fewer copies are known than have to hold a
+// record. Another host that knows them all would miss it.
 func (c *Client) tooFew(operation string, copies []Copy) error {
-	zones := map[string]bool{}
-	for _, target := range copies {
-		zones[target.Zone] = true
-	}
 	wanted := min(c.Losses+1, c.Zones)
-	if len(zones) >= wanted || c.MembersSettled() {
+	if len(copies) >= wanted || c.MembersSettled() {
 		return nil
 	}
-	return &jkforward.UncertainError{Operation: operation, Answers: len(zones), Needed: wanted}
+	return &jkforward.UncertainError{Operation: operation, Answers: len(copies), Needed: wanted}
 }
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -59,12 +59,11 @@
 	Options
 	outbox *outbox
 	relays *relays
-	reach  *reach
 }
 
 // NewClient returns a client.
 func NewClient(o Options) *Client {
-	c := &Client{Options: o, relays: newRelays(), reach: newReach()}
+	c := &Client{Options: o, relays: newRelays()}
 	c.outbox = newOutbox(c)
 	return c
 }
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -8,46 +8,25 @@
 // quorum collects the answers of a program's copies to one reservation.
 type quorum struct {
 	spendings spendings
-	places    []place
-	// partial is set while there may be zones that aren't known.
-	partial bool
-	// certain holds the hosts of the copies that answered and have lost nothing.
-	certain map[string]bool
-	// view is set after all copies that can be reached were asked.
-	view view
+	copies    int
+	// certain counts the answers of copies that have lost nothing.
+	certain int
+	// whole is set once no other part of the fleet can admit turns of the program
+	// by itself: each copy has answered, or is down in a zone that is in reach.
+	whole bool
 }
 
-func newQuorum(places []place) *quorum {
-	return &quorum{spendings: spendings{}, places: places, certain: map[string]bool{}}
-}
-
-func (q *quorum) add(host string, a *jkledger.ReserveAnswer) {
+func (q *quorum) add(a *jkledger.ReserveAnswer) {
 	q.spendings.merge(a.Spendings)
 	if a.Certain {
-		q.certain[host] = true
+		q.certain++
 	}
 }
 
-// split returns the copies of the zones that count, and those that would be needed
-// for the others to count.
-func (q *quorum) split() (answered, missing []Copy, zones int) {
-	for _, p := range q.places {
-		n := len(missing)
-		for _, target := range p.needed {
-			if !q.certain[target.Host] {
-				missing = append(missing, target)
-			}
-		}
-		if len(missing) == n {
-			answered = append(answered, p.needed...)
-			zones++
-		}
-	}
-	return answered, missing, zones
-}
+// majority is the number of copies of which any two sets have one in common.
+func majority(copies int) int { return copies/2 + 1 }
 
-// majority is the number of zones of which any two sets have one in common.
-func majority(zones int) int { return zones/2 + 1 }
+func (q *quorum) hasMajority() bool { return q.certain >= majority(q.copies) }
 
 // half is what one part of the fleet may hand out while another part may admit
 // turns of the same program: half of what may be handed out at most, which is
@@ -58,26 +37,23 @@
 // isEnough reports whether the answers so far admit the turn, so that the other
 // copies needn't be waited for.
 func (q *quorum) isEnough(r jkforward.Reservation) bool {
-	_, _, zones := q.split()
-	return zones >= majority(len(q.places)) && q.spendings.total() <= min(half(r), r.Budget)
+	return q.hasMajority() && q.spendings.total() <= min(half(r), r.Budget)
 }
 
 // decide tells whether the budget holds the reservation, after all copies that
 // can be reached were asked.
 func (q *quorum) decide(r jkforward.Reservation) error {
-	_, missing, zones := q.split()
 	total := q.spendings.total()
-	hasMajority := zones >= majority(len(q.places))
+	uncertain := &jkforward.UncertainError{Operation: "reserve", Answers: q.certain, Needed: majority(q.copies)}
 	switch {
-	case len(q.certain) > 0 && total > r.Budget:
+	case q.certain == 0:
+		return uncertain
+	case total > r.Budget:
 		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
-	case zones > 0 && len(missing) == 0 && !q.partial,
-		hasMajority && q.view.harmless && !q.partial,
-		hasMajority && total <= half(r),
-		zones > 0 && q.view.parted && total <= half(r):
+	case q.hasMajority() && q.whole, total <= half(r):
 		return nil
 	}
-	return &jkforward.UncertainError{Operation: "reserve", Answers: zones, Needed: majority(len(q.places))}
+	return uncertain
 }
 
 // spendings are those of one program by request, merged from several copies.
--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,20 +28,17 @@
 func (e *UnreachableError) Error() string { return fmt.Sprintf("copy on %q can't be reached", e.Host) }
 
 // maxRelays bounds the hosts that are asked to pass one message on.
-const maxRelays = 3
+const maxRelays = 2
 
 // hopelessFor is how long no message is passed on to a copy that the asked hosts
 // couldn't reach either. A copy that is down would otherwise cost messages to
 // other hosts for each turn.
 const hopelessFor = time.Second
 
-// relays remembers the copies that can't be reached through other hosts, and the
-// address of the host that passed a message on last. A cut leaves some of the hosts
-// in reach without the copies as well.
+// relays remembers the copies that can't be reached through other hosts.
 type relays struct {
 	mu       sync.Mutex
 	hopeless map[string]time.Time
-	good     string
 }
 
 func newRelays() *relays { return &relays{hopeless: map[string]time.Time{}} }
@@ -59,22 +55,6 @@
 	r.hopeless[host] = until
 }
 
-// order returns the addresses to try, the one that passed a message on last first.
-func (r *relays) order(addrs []string) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if i := slices.Index(addrs, r.good); i > 0 {
-		addrs[0], addrs[i] = addrs[i], addrs[0]
-	}
-	return addrs[:min(len(addrs), maxRelays)]
-}
-
-func (r *relays) setGood(addr string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.good = addr
-}
-
 // relay passes a message to a copy through another host. A single host that is
 // cut off from the copies serves on in this way.
 func (c *Client) relay(ctx context.Context, target Copy, messageType string, request, answer any) error {
@@ -86,10 +66,10 @@
 		return err
 	}
 	err = &UnreachableError{Host: target.Host}
-	for _, addr := range c.relays.order(c.Relays()) {
+	relays := c.Relays()
+	for _, addr := range relays[:min(len(relays), maxRelays)] {
 		err = c.Pool.Call(ctx, addr, TypeRelay, &RelayRequest{Host: target.Host, Type: messageType, Body: body}, answer)
 		if err == nil {
-			c.relays.setGood(addr)
 			return nil
 		}
 	}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -185,7 +185,6 @@
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.lost, Silent: e.probes.Silent,
 		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
-	e.closed = append(e.closed, e.timer.Every(jkaccount.ObserveEvery, e.account.Observe))
 	e.counts = jkforward.NewMetrics(e.metrics)
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
