account: without a majority, don't count a copy that stands in for another

After 7 s all of a program's old copies counted as lost for them, so that the new one took their place; it knew nothing, and the entries handed out half of the budget on its word alone, while the healthy side handed out the whole.

Half of a budget now takes a majority, or one copy that is neither new nor in the place of a better ranked one.

Not covered: what TestBudgetAfterACutWhoseCopyGoesDown shows.

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -133,7 +133,7 @@
 		}
 		l := w.ledgers[c.Host]
 		l.Apply(w.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
-		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true})
+		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true}, e.client.standsIn(r.Program, c))
 	}
 	q.whole = missing == 0 || missing <= e.client.down(copies)
 	err := q.decide(r)
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -58,6 +58,17 @@
 	return ranksBefore(program, a, b)
 }
 
+// standsIn reports whether a copy is chosen only because another one of its zone, which
+// some hosts may still use, is passed over, or is one that some hosts may not know yet.
+func (c *Client) standsIn(program string, target Copy) bool {
+	if target.New {
+		return true
+	}
+	return slices.ContainsFunc(c.Copies(), func(other Copy) bool {
+		return other.Zone == target.Zone && !other.New && ranksBefore(program, other, target)
+	})
+}
+
 func ranksBefore(program string, a, b Copy) bool {
 	return rank(program, a.Host) > rank(program, b.Host)
 }
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -11,15 +11,21 @@
 	copies    int
 	// certain counts the answers of copies that have lost nothing.
 	certain int
+	// regular counts those of them that stand in for no other copy.
+	regular int
 	// whole is set once no other part of the fleet can admit turns of the program
 	// by itself: each copy has answered, or is down in a zone that is in reach.
 	whole bool
 }
 
-func (q *quorum) add(a *jkledger.ReserveAnswer) {
+func (q *quorum) add(a *jkledger.ReserveAnswer, standsIn bool) {
 	q.spendings.merge(a.Spendings)
-	if a.Certain {
-		q.certain++
+	if !a.Certain {
+		return
+	}
+	q.certain++
+	if !standsIn {
+		q.regular++
 	}
 }
 
@@ -50,7 +56,11 @@
 		return uncertain
 	case total > r.Budget:
 		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
-	case q.hasMajority() && q.whole, total <= half(r):
+	case q.hasMajority() && q.whole:
+		return nil
+	case total <= half(r) && (q.hasMajority() || q.regular > 0):
+		// Without a majority, the copy that another one stands in for may be in use on
+		// the other side of a cut, or have been used on this one.
 		return nil
 	}
 	return uncertain
--- a/core/jkaccount/quorum_test.go
+++ b/core/jkaccount/quorum_test.go
@@ -22,7 +22,8 @@
 		q := &quorum{spendings: spendings{}, copies: copies, whole: d.HasArg("whole")}
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			if line != "" {
-				q.add(parseAnswer(t, line))
+				line, standsIn := strings.CutPrefix(line, "stand-in ")
+				q.add(parseAnswer(t, line), standsIn)
 			}
 		}
 		err := q.decide(jkforward.Reservation{Budget: int64(budget), Tokens: int64(tokens)})
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -30,25 +30,29 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	copies := c.replicas(r.Program)
 	q := &quorum{spendings: spendings{}, copies: len(copies)}
-	answers := make(chan *jkledger.ReserveAnswer, len(copies))
+	type reserveAnswer struct {
+		from    Copy
+		content *jkledger.ReserveAnswer
+	}
+	answers := make(chan reserveAnswer, len(copies))
 	for _, target := range copies {
 		go func() {
 			var a jkledger.ReserveAnswer
 			if err := c.call(ctx, target, jkledger.TypeReserve, request, &a); err != nil {
-				answers <- nil
+				answers <- reserveAnswer{from: target}
 				return
 			}
-			answers <- &a
+			answers <- reserveAnswer{from: target, content: &a}
 		}()
 	}
 	missing := len(copies)
 	for range copies {
 		a := <-answers
-		if a == nil {
+		if a.content == nil {
 			continue
 		}
 		missing--
-		q.add(a)
+		q.add(a.content, c.standsIn(r.Program, a.from))
 		if q.isEnough(r) {
 			// The reservation is still written to the copies that are late.
 			c.Timer.After(callTimeout, cancel)
