wire: a peer that doesn't read holds calls no longer than a silent one

All calls to a host share one connection, and a write to it waited up to 10 s for a peer that doesn't read: one large call took 10 s and a call of 300 ms behind it as long. Pools that replace silent connections now bound a write by the same time.

--- a/core/jkwire/link.go
+++ b/core/jkwire/link.go
@@ -72,6 +72,8 @@
 	// afterwards, because its streams have a gap.
 	dropped bool
 	waiting atomic.Int32
+	// timeout bounds one flush.
+	timeout time.Duration
 }
 
 func newLink(conn net.Conn, counters *Counters, faults *Faults) *link {
@@ -79,6 +81,7 @@
 		conn:     conn,
 		reader:   bufio.NewReaderSize(conn, 32<<10),
 		writer:   bufio.NewWriterSize(conn, 32<<10),
+		timeout:  writeTimeout,
 		counters: counters,
 		faults:   faults,
 	}
@@ -104,7 +107,7 @@
 	if l.isCut() {
 		return nil
 	}
-	if err := l.conn.SetWriteDeadline(deadline(writeTimeout)); err != nil {
+	if err := l.conn.SetWriteDeadline(deadline(l.timeout)); err != nil {
 		return err
 	}
 	if _, err := l.writer.Write(data); err != nil {
--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -208,6 +208,9 @@
 		return err
 	}
 	l := newLink(conn, c.pool.counters, c.pool.faults)
+	if c.pool.silentAfter > 0 {
+		l.timeout = c.pool.silentAfter
+	}
 	peer, err := exchangeHello(l, c.pool.self)
 	if err != nil {
 		_ = conn.Close()
--- a/core/jkwire/silent_test.go
+++ b/core/jkwire/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,6 +21,8 @@
 	silenced atomic.Int64
 	accepted atomic.Int64
 	done     sync.WaitGroup
+	// hold, if set, keeps silent connections from being read until it is closed.
+	hold chan struct{}
 }
 
 func newSilencer(t *testing.T, target string) *silencer {
@@ -58,6 +61,9 @@
 	defer to.Close()
 	_, _ = io.Copy(writerFunc(func(b []byte) (int, error) {
 		if s.silenced.Load() >= number {
+			if s.hold != nil {
+				<-s.hold
+			}
 			return len(b), nil
 		}
 		return to.Write(b)
@@ -144,3 +150,35 @@
 		t.Errorf("the slow call ended with %v", err)
 	}
 }
+
+// Guards against calls that are held by a peer which doesn't read: they share one
+// connection.
+func TestCallsAreNotHeldByAPeerThatDoesNotRead(t *testing.T) {
+	const silentAfter = 300 * time.Millisecond
+	direct, addr := start(t, nil, func(_ context.Context, s *Incoming) { _ = s.End(&sample{}) })
+	s := newSilencer(t, addr)
+	s.hold = make(chan struct{})
+	pool := NewPool(PoolOptions{Self: direct.self, Control: direct.control, Counters: &Counters{}, SilentAfter: silentAfter, Timer: jktimer.New()})
+	t.Cleanup(func() {
+		pool.Close()
+		close(s.hold)
+		s.close()
+	})
+	if _, ok := echo(t, pool, s.listener.Addr().String(), time.Second, time.Second); !ok {
+		t.Fatal("the peer doesn't answer")
+	}
+	s.silence()
+	began := time.Now()
+	large := &sample{Text: strings.Repeat("x", MaxFrame*3/4)}
+	for range 4 {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_ = pool.Call(ctx, s.listener.Addr().String(), "echo", large, nil)
+		cancel()
+	}
+	if _, ok := echo(t, pool, s.listener.Addr().String(), 100*time.Millisecond, 3*time.Second); !ok {
+		t.Error("the peer is never reached again")
+	}
+	if took := time.Since(began); took > writeTimeout/2 {
+		t.Errorf("the calls were held for %s", took)
+	}
+}
