entry: let turns count without a zone once it is lost for longer than a probe

An entry that was paused takes every zone for lost until its next probes are answered, a quarter of a second later, and a turn that waits in this moment counted as kept with one zone. A zone now has to be lost for 0.3 s before turns count without it. A watch through another host takes up to 1.3 s, so that a silent connection is replaced after 1.5 s.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -116,8 +116,8 @@
 }
 
 // silentAfter is how long another host may take to send anything on a connection on
-// which a call got no answer: as long as the longest call to a copy of the ledger.
-const silentAfter = time.Second
+// which a call got no answer: longer than a watch of the store through that host.
+const silentAfter = 1500 * time.Millisecond
 
 // isControl counts all messages between hosts as control traffic: requests
 // themselves don't pass between hosts.
@@ -178,12 +178,21 @@
 // has just started takes the others' word.
 func (e *Entry) lost(host string) bool { return e.probes.Lost(host) || e.registry.isGone(host) }
 
+// zoneLostAfter is how long a zone is lost before turns count without it: longer than
+// the interval of probes. A host that was paused takes all zones for lost until its next
+// probes are answered.
+const zoneLostAfter = 300 * time.Millisecond
+
+func (e *Entry) zoneReachable(zone string) bool {
+	return e.probes.ZoneLostFor(zone) < zoneLostAfter
+}
+
 func (e *Entry) listen() error {
 	e.account = jkaccount.NewClient(jkaccount.Options{
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Metrics: jkaccount.NewMetrics(e.metrics), Losses: e.settings.LostDisks, Zones: len(e.settings.Zones),
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.lost, Silent: e.probes.Silent,
-		ZoneReachable: e.probes.ZoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
+		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, Relays: e.probes.Answering,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	handler := jkforward.NewHandler(jkforward.Options{
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -214,6 +214,16 @@
 	return !known || reachable
 }
 
+// ZoneLostFor returns for how long a zone has been lost, and zero for one in reach.
+func (p *Prober) ZoneLostFor(zone string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if reachable, known := p.zones[zone]; !known || reachable {
+		return 0
+	}
+	return p.Timer.Now().Sub(p.since[zone])
+}
+
 // settleTime is how long after a cut the copies on both sides may take to learn
 // what the other side has admitted.
 const settleTime = 4 * time.Second
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -58,12 +58,18 @@
 	if p.Reachable("b1") || p.ZoneSettled("b") {
 		t.Error("a silent host counts as reachable")
 	}
+	if lost := p.ZoneLostFor("b"); lost <= 0 || lost > 2*lostAfter {
+		t.Errorf("the zone has been lost for %s", lost)
+	}
 	again := listen(t, "b1", "b", addr, nil, nil)
 	defer again.Close()
 	expect(t, zones, change{"b", true}, 2*lostAfter)
 	if p.ZoneSettled("b") {
 		t.Error("a zone that has just come back counts as settled")
 	}
+	if lost := p.ZoneLostFor("b"); lost != 0 {
+		t.Errorf("a zone that is back has been lost for %s", lost)
+	}
 }
 
 // Guards against a zone that counts as lost because one of its hosts is down.
