account: keep a turn elsewhere while others wait for a copy that doesn't answer

Only the records of the current write heard that a copy doesn't answer. A turn behind them, or one that came later, looked as if it was being tried, got no other copy and failed with its time; and what waits behind the first megabyte never grew too old, so that a queue was bounded by its number only.

All that waits for a copy now hears that its write failed and grows old. Records for a copy that is no longer listed are dropped. A turn that is kept asks for no more quick tries. A reservation no longer waits for answers beyond its time.

TestTurnBehindABacklogIsKeptElsewhere and TestBacklogOfAGoneCopyIsDropped fail with the calls taken out; TestHostsOfOneZoneCountOnce guards the count of zones.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -41,6 +41,8 @@
 
 	mu       sync.Mutex
 	outcomes map[string]outcome
+	// over is set once nobody waits for the turn any more.
+	over bool
 }
 
 // Keep writes a turn and its spending to its copies and returns once as many zones
@@ -50,6 +52,7 @@
 	began := c.Timer.Now()
 	k := c.newKeeping(t)
 	err := k.run(ctx)
+	k.end()
 	took := c.Timer.Now().Sub(began)
 	c.Metrics.kept(resultOf(ctx, err), took)
 	if err != nil {
@@ -123,16 +126,24 @@
 func (k *keeping) ask(target Copy) {
 	k.asked = append(k.asked, target)
 	k.set(target.Host, outcomeWaiting)
-	k.client.outbox.send(target, k.records, func(o outcome) {
-		k.set(target.Host, o)
-		notify(k.changed)
+	k.client.outbox.send(target, k.records, func(o outcome) bool {
+		defer notify(k.changed)
+		return k.set(target.Host, o)
 	})
 }
 
-func (k *keeping) set(host string, o outcome) {
+// set records an outcome and reports whether the turn is still waited for.
+func (k *keeping) set(host string, o outcome) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.outcomes[host] = o
+	return !k.over
+}
+
+func (k *keeping) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.over = true
 }
 
 func (k *keeping) outcome(host string) outcome {
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -147,3 +147,59 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a turn that gets no other copy because it waits behind a backlog for
+// one that doesn't answer.
+func TestTurnBehindABacklogIsKeptElsewhere(t *testing.T) {
+	f := newFixture(t)
+	live := slices.Clone(f.copies)
+	f.copies[1].Host, f.copies[2].Host = "b-2", "c-2"
+	f.copies = append(f.copies, Copy{Host: "b", Addr: "127.0.0.1:1", Zone: "b"}, Copy{Host: "c", Addr: "127.0.0.1:1", Zone: "c"})
+	program := f.programOf(t, "b", "c")
+	var group errgroup.Group
+	for i := range 5 {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			size := maxWrite * 9 / 10
+			if i == 4 {
+				time.Sleep(200 * time.Millisecond)
+				size = 10
+			}
+			return f.client.Keep(ctx, jkforward.Turn{Request: fmt.Sprint(i), Program: program, Input: make([]byte, size), Retention: time.Minute})
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("with copies at %s and %s: %v", live[1].Addr, live[2].Addr, err)
+	}
+}
+
+// Guards against two hosts of one zone that count as two zones.
+func TestHostsOfOneZoneCountOnce(t *testing.T) {
+	k := newFixture(t).client.newKeeping(jkforward.Turn{})
+	for _, host := range []string{"a-1", "a-2"} {
+		k.asked = append(k.asked, Copy{Host: host, Zone: "a"})
+		k.set(host, outcomeWritten)
+	}
+	if n := k.kept(); n != 1 {
+		t.Errorf("%d zones hold the turn, want 1", n)
+	}
+}
+
+// Guards against records that wait without end for a copy that never answers.
+func TestBacklogOfAGoneCopyIsDropped(t *testing.T) {
+	f := newFixture(t)
+	gone := Copy{Host: "b-2", Addr: "127.0.0.1:1", Zone: "b"}
+	dropped := make(chan struct{})
+	f.client.outbox.send(gone, nil, func(o outcome) bool {
+		if o == outcomeDropped {
+			close(dropped)
+		}
+		return true
+	})
+	select {
+	case <-dropped:
+	case <-time.After(3 * time.Second):
+		t.Error("records wait for a copy that isn't listed")
+	}
+}
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,14 +25,19 @@
 	pending []parcel
 	// running is set while a sender is at work or about to begin.
 	running bool
+	// failure is the outcome of the last write if it failed, and else empty.
+	failure outcome
 }
 
 // parcel is a set of records that is delivered as a whole.
 type parcel struct {
 	records []jkledger.Record
 	since   time.Time
-	// report is called with the outcome of each try; it is nil where nobody waits.
-	report func(outcome)
+	// sync is set where the records have to be on disk before the copy answers.
+	sync bool
+	// report is called with the outcome of each try and tells whether somebody still
+	// waits; it is nil where nobody does.
+	report func(outcome) bool
 }
 
 // Bounds of a queue: how long a parcel is kept for a copy that doesn't answer,
@@ -63,8 +69,10 @@
 func newOutbox(c *Client) *outbox { return &outbox{client: c, queues: map[string]*queue{}} }
 
 // send queues records for a copy. The function report, if there is one, is called with
-// the outcome of each try until they are written or dropped.
-func (o *outbox) send(target Copy, records []jkledger.Record, report func(outcome)) {
+// the outcome of each try until they are written or dropped, and tells whether somebody
+// still waits. While the last write to the copy has failed, that outcome is reported at
+// once: records are tried in their order.
+func (o *outbox) send(target Copy, records []jkledger.Record, report func(outcome) bool) {
 	o.mu.Lock()
 	q := o.queues[target.Host]
 	if q == nil {
@@ -72,13 +80,16 @@
 		o.queues[target.Host] = q
 	}
 	q.target = target
-	q.pending = append(q.pending, parcel{records: records, since: o.client.Timer.Now(), report: report})
+	q.pending = append(q.pending, parcel{records: records, since: o.client.Timer.Now(), sync: report != nil, report: report})
 	over := q.pending[:max(0, len(q.pending)-maxWaiting)]
 	q.pending = q.pending[len(over):]
-	idle := !q.running
+	idle, failure := !q.running, q.failure
 	q.running = true
 	o.mu.Unlock()
 	o.drop(target, over)
+	if report != nil && failure != "" {
+		report(failure)
+	}
 	if !idle {
 		return
 	}
@@ -122,35 +133,51 @@
 		}
 		result := outcomeOf(o.write(target, batch))
 		o.client.Metrics.written(result)
-		report(batch, result)
 		if result == outcomeWritten {
+			o.setFailure(q, "")
+			report(batch, result)
 			continue
 		}
-		o.keep(q, batch)
-		pause := deliverPause
-		if isWaitedFor(batch) {
-			pause = waitedPause
-		}
-		o.client.Timer.Wait(pause, nil)
-		o.refresh(q)
+		o.retry(q, batch, result)
 	}
 }
 
-func report(batch []parcel, result outcome) {
-	for _, p := range batch {
-		if p.report != nil {
-			p.report(result)
-		}
+func (o *outbox) setFailure(q *queue, failure outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q.failure = failure
+}
+
+// retry puts a batch back that wasn't written, and returns when it is to be tried again.
+func (o *outbox) retry(q *queue, batch []parcel, result outcome) {
+	o.setFailure(q, result)
+	waited := report(batch, result)
+	o.putBack(q, batch)
+	pause := deliverPause
+	if waited {
+		pause = waitedPause
+	}
+	o.client.Timer.Wait(pause, nil)
+	if !o.refresh(q) {
+		o.forget(q)
 	}
 }
 
-func isWaitedFor(batch []parcel) bool {
-	for _, p := range batch {
-		if p.report != nil {
-			return true
+// report calls the functions of those that wait and forgets those that don't any more.
+// It returns whether any still waits.
+func report(batch []parcel, result outcome) bool {
+	waited := false
+	for i, p := range batch {
+		if p.report == nil {
+			continue
 		}
+		if !p.report(result) {
+			batch[i].report = nil
+			continue
+		}
+		waited = true
 	}
-	return false
+	return waited
 }
 
 // take removes the oldest parcels that fit into one write. Without any, the sender
@@ -186,34 +213,49 @@
 	return size
 }
 
-// keep puts parcels back that are young enough to be tried again.
-func (o *outbox) keep(q *queue, batch []parcel) {
+// putBack puts parcels back in front of those that wait, and drops all that are too old.
+// Those behind the batch hear that the copy doesn't answer.
+func (o *outbox) putBack(q *queue, batch []parcel) {
 	now := o.client.Timer.Now()
 	var young, old []parcel
-	for _, p := range batch {
+	o.mu.Lock()
+	behind := slices.Clone(q.pending)
+	for _, p := range slices.Concat(batch, q.pending) {
 		if now.Sub(p.since) < deliverFor {
 			young = append(young, p)
 			continue
 		}
 		old = append(old, p)
 	}
-	o.mu.Lock()
-	q.pending = append(young, q.pending...)
-	target := q.target
+	q.pending = young
+	target, failure := q.target, q.failure
 	o.mu.Unlock()
+	report(behind, failure)
 	o.drop(target, old)
 }
 
-// refresh takes over the address at which the copy is known by now.
-func (o *outbox) refresh(q *queue) {
+// refresh takes over the address at which the copy is known by now, and reports whether
+// it is known.
+func (o *outbox) refresh(q *queue) bool {
 	copies := o.client.Copies()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, known := range copies {
 		if known.Host == q.target.Host {
 			q.target = known
+			return true
 		}
 	}
+	return false
+}
+
+// forget drops what waits for a copy that is no longer listed.
+func (o *outbox) forget(q *queue) {
+	o.mu.Lock()
+	pending, target := q.pending, q.target
+	q.pending, q.failure = nil, ""
+	o.mu.Unlock()
+	o.drop(target, pending)
 }
 
 func (o *outbox) drop(target Copy, batch []parcel) {
@@ -225,9 +267,10 @@
 }
 
 func (o *outbox) write(target Copy, batch []parcel) error {
-	request := &jkledger.WriteRequest{Sync: isWaitedFor(batch)}
+	request := &jkledger.WriteRequest{}
 	for _, p := range batch {
 		request.Records = append(request.Records, p.records...)
+		request.Sync = request.Sync || p.sync
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -47,7 +47,11 @@
 	}
 	missing := len(copies)
 	for range copies {
-		a := <-answers
+		var a reserveAnswer
+		select {
+		case a = <-answers:
+		case <-ctx.Done():
+		}
 		if a.content == nil {
 			continue
 		}
