--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -175,7 +175,7 @@
 }
 
 // lost reports whether a host is lost for so long that all hosts pass it over. One that
-// has just started takes the others' word.
+// has just started uses what other hosts have recorded in the store.
 func (e *Entry) lost(host string) bool { return e.probes.Lost(host) || e.registry.isGone(host) }
 
 // zoneLostAfter is how long a zone is lost before turns count without it: longer than
--- a/core/jkentry/registry.go
+++ b/core/jkentry/registry.go
@@ -24,7 +24,7 @@
 	return fmt.Sprintf("entry of host %q isn't at revision %d", e.Host, e.Revision)
 }
 
-// registryEvery is the interval at which entries are judged.
+// registryEvery is the interval at which other hosts are observed.
 const registryEvery = time.Second
 
 // A host that was silent for suspectAfter is marked as suspected, and its entry is
@@ -39,7 +39,7 @@
 	answerTime          = 5 * time.Second
 )
 
-// observers is the number of entries that judge one storage host, and observerSpread
+// observers is the number of entries that observe one storage host, and observerSpread
 // the time over which they act, so that mostly one of them calls the store.
 const (
 	observers      = 3
@@ -72,7 +72,7 @@
 	// put and swap are the calls of Platform.
 	put  func(ctx context.Context, e HostEntry) error
 	swap func(ctx context.Context, host string, next *HostEntry, revision int64) error
-	// observes is set on hosts that judge others.
+	// observes is set on hosts that observe others.
 	observes bool
 	// inTouch reports whether the store answers.
 	inTouch func() bool
@@ -136,8 +136,8 @@
 	if !r.observes {
 		return
 	}
-	for _, v := range r.judge(inTouch) {
-		r.start(func() { r.carryOut(ctx, v) })
+	for _, v := range r.observe(inTouch) {
+		r.start(func() { r.apply(ctx, v) })
 	}
 }
 
@@ -199,18 +199,18 @@
 	}
 }
 
-// verdict is a host whose entry is to be marked or removed at a revision.
-type verdict struct {
+// entryChange is a host whose entry is to be marked or removed at a revision.
+type entryChange struct {
 	entry    HostEntry
 	revision int64
 }
 
-// judge counts one more observation of each host and returns what is to be done.
-func (r *registry) judge(inTouch bool) []verdict {
+// observe counts one more observation of each host and returns what is to be done.
+func (r *registry) observe(inTouch bool) []entryChange {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.timer.Now()
-	var out []verdict
+	var out []entryChange
 	for host, row := range r.rows {
 		if host == r.own.Host {
 			continue
@@ -226,7 +226,7 @@
 		}
 		if row.rest == 0 && r.isOver(row) && r.isObserver(row.entry) {
 			row.rest = restAfterCall
-			out = append(out, verdict{row.entry, row.revision})
+			out = append(out, entryChange{row.entry, row.revision})
 		}
 	}
 	return out
@@ -278,7 +278,7 @@
 	return probed && last.IsZero()
 }
 
-// isObserver reports whether this host judges another one. Entries are probed by a
+// isObserver reports whether this host observes another one. Entries are probed by a
 // few others only, storage hosts by all.
 func (r *registry) isObserver(e HostEntry) bool {
 	if !e.Ledger {
@@ -300,8 +300,8 @@
 	return xxhash.Sum64String(observer + "\x00" + host)
 }
 
-// carryOut marks an entry, or removes one that is marked.
-func (r *registry) carryOut(ctx context.Context, v verdict) {
+// apply marks an entry, or removes one that is marked.
+func (r *registry) apply(ctx context.Context, v entryChange) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	message := "silent host suspected"
