account: show a budget handed out twice by a new copy in a cut zone

A storage host was added at 21.6 s, zone lju-a was cut off at 26.7 s, and the host stopped being new at 29.6 s, within the cut.

The test brings that order about in the model and fails.

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -227,6 +227,33 @@
 	w.check(t)
 }
 
+// Guards against half of a budget that is handed out twice in a zone that is cut off: a
+// host added before the cut stops being new during it, takes the place of the copy that
+// knows what was handed out, and hasn't copied that.
+func TestBudgetOfACutZoneWhoseNewCopyTakesOver(t *testing.T) {
+	w := newBudgetWorld(3, 1, 3)
+	a, b := w.entries[0], w.entries[1]
+	former := w.copyIn(b, b.zone)
+	added := Copy{Zone: b.zone, New: true}
+	for i := 0; added.Host == "" || !ranksBefore("p", added, Copy{Host: former}); i++ {
+		added.Host = fmt.Sprintf("%s-added-%d", b.zone, i)
+	}
+	w.copies = append(w.copies, added)
+	w.ledgers[added.Host] = jkledger.New()
+	w.advance(silentAfter)
+	w.cut(b.zone)
+	w.advance(settledAfter)
+	for range 2 {
+		w.reserve(a, turnTokens, turnBudget)
+		w.reserve(b, turnTokens, turnBudget)
+	}
+	w.copies[len(w.copies)-1].New = false
+	for range 2 {
+		w.reserve(b, turnTokens, turnBudget)
+	}
+	w.check(t)
+}
+
 // Guards against a budget that is spent by both sides of a cut, because the only copy
 // that knows what one side handed out goes down before it can tell the others.
 func TestBudgetAfterACutWhoseCopyGoesDown(t *testing.T) {
