follow: log where a version came from and how long the store was silent

Change: the line 'rules in force' has the store's revision, the way and the silence before it; jk_store_watches_total counts watches by way and outcome, and jk_store_changes_ignored_total the changes that have no effect. Ruled out: a log line for each watch, which would be one or two a second on each host. Measured: go test ./jkfollow ./jkentry passes.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,7 +84,7 @@
 	e.closers = append(e.closers, probes.Close)
 	e.watchRelay = jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
 		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: e.peers,
-		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) },
+		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) }, OnWatch: e.countWatch,
 	})
 	// One watch over all keys costs a third of the store calls of one watch for each kind.
 	e.follower = jkfollow.New(jkfollow.Options{
@@ -346,16 +347,18 @@
 	var unreadable *UnreadableError
 	switch {
 	case errors.As(err, &unreadable):
-		e.log.Info("store entry ignored", "key", item.Key, "detail", unreadable.Detail)
+		e.countIgnored(ignoredUnreadable)
+		e.log.Info("store entry ignored", "key", item.Key, "revision", item.Revision, "via", item.Via, "detail", unreadable.Detail)
 	case err != nil:
-		e.log.Warn("store change can't be decoded", "key", item.Key, "error", err)
+		e.countIgnored(ignoredUnreadable)
+		e.log.Warn("store change can't be decoded", "key", item.Key, "revision", item.Revision, "via", item.Via, "error", err)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case change.Rules != nil:
-		e.setRules(change.Rules)
+		e.setRules(change.Rules, item)
 	case change.Endpoint != nil:
 		e.setEndpoint(*change.Endpoint, item.Revision)
 	case change.RemovedEndpoint != "":
@@ -371,15 +374,35 @@
 	}
 }
 
+// ignoredReason is why a change of the store isn't applied.
+type ignoredReason string
+
+// Reasons for which a change isn't applied.
+const (
+	ignoredUnreadable ignoredReason = "unreadable"
+	ignoredOlder      ignoredReason = "older"
+)
+
+func (e *Entry) countIgnored(reason ignoredReason) {
+	e.metrics.GetOrCreateCounter(fmt.Sprintf(`jk_store_changes_ignored_total{reason=%q}`, string(reason))).Inc()
+}
+
+// countWatch counts a watch of the store by its way and outcome.
+func (e *Entry) countWatch(way jkfollow.WatchWay, outcome jkfollow.WatchOutcome) {
+	e.metrics.GetOrCreateCounter(fmt.Sprintf(`jk_store_watches_total{way=%q,outcome=%q}`, string(way), string(outcome))).Inc()
+}
+
 // setRules puts rules into force unless the version in force is the same or newer.
-func (e *Entry) setRules(next *jkruleset.Set) {
+func (e *Entry) setRules(next *jkruleset.Set, item jkfollow.Item) {
 	now := e.rules.Load()
 	if now != nil && next.Version() <= now.Version() {
-		e.log.Info("rules ignored, version isn't newer", "version", next.Version(), "in_force", now.Version())
+		e.countIgnored(ignoredOlder)
+		e.log.Info("rules ignored, version isn't newer", "version", next.Version(), "in_force", now.Version(), "revision", item.Revision, "via", item.Via)
 		return
 	}
 	e.rules.Store(next)
-	e.log.Info("rules in force", "version", next.Version(), "routes", next.RouteCount())
+	e.log.Info("rules in force", "version", next.Version(), "routes", next.RouteCount(), "revision", item.Revision, "via", item.Via,
+		"silence_ms", item.Silence.Milliseconds())
 }
 
 // setEndpoint adds or updates an endpoint. The caller holds the lock.
--- a/core/jkfollow/follower.go
+++ b/core/jkfollow/follower.go
@@ -22,13 +22,22 @@
 	Revision int64
 	// Deleted is set if the key was removed; Value is empty then.
 	Deleted bool
+	// Via is where this host read the change: ViaStore or the name of another host.
+	Via string `msgpack:"-"`
+	// Silence is the time since the answer before the one that brought the change.
+	Silence time.Duration `msgpack:"-"`
 }
 
+// ViaStore is the Via of changes that a host read from the store itself.
+const ViaStore = "store"
+
 // Page is the answer of a list or a watch.
 type Page struct {
 	Items []Item
 	// Revision is the revision after which the next watch continues.
 	Revision int64
+	// Via is where the page was read: ViaStore or the name of another host.
+	Via string
 }
 
 // HistoryLostError is returned by a watch from a revision after which the store no
@@ -87,6 +96,8 @@
 	revisions map[string]int64
 	revision  int64
 	reachable atomic.Bool
+	// answeredAt is when the latest page arrived.
+	answeredAt time.Time
 }
 
 // New returns a Follower, which Run starts.
@@ -144,19 +155,32 @@
 		return err
 	}
 	present := make(map[string]bool, len(page.Items))
+	silence := f.answered()
 	for _, item := range page.Items {
 		present[item.Key] = true
+		item.Via, item.Silence = page.Via, silence
 		f.apply(item)
 	}
 	for key := range f.revisions {
 		if !present[key] {
-			f.apply(Item{Key: key, Revision: page.Revision, Deleted: true})
+			f.apply(Item{Key: key, Revision: page.Revision, Deleted: true, Via: page.Via, Silence: silence})
 		}
 	}
 	f.revision = max(f.revision, page.Revision)
 	return nil
 }
 
+// answered records the arrival of a page and returns the time since the one before it,
+// or zero for the first one.
+func (f *Follower) answered() time.Duration {
+	now, last := f.Timer.Now(), f.answeredAt
+	f.answeredAt = now
+	if last.IsZero() {
+		return 0
+	}
+	return now.Sub(last)
+}
+
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
@@ -164,7 +188,9 @@
 	if err != nil {
 		return err
 	}
+	silence := f.answered()
 	for _, item := range page.Items {
+		item.Via, item.Silence = page.Via, silence
 		f.apply(item)
 	}
 	f.revision = max(f.revision, page.Revision)
--- a/core/jkfollow/follower_test.go
+++ b/core/jkfollow/follower_test.go
@@ -69,7 +69,7 @@
 // Guards against keys that stay known although they were removed while the history was
 // lost, and against an older value that replaces a newer one.
 func TestListRemovesKeysAndSkipsOlderRevisions(t *testing.T) {
-	f := New(Options{Log: jklog.Discard()})
+	f := New(Options{Timer: jktimer.New(), Log: jklog.Discard()})
 	var got []Item
 	f.Apply = func(i Item) { got = append(got, i) }
 	pages := []Page{
--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -66,8 +66,30 @@
 	Pool   *jkwire.Pool
 	// Peers returns the hosts that may watch the store, including this one.
 	Peers func() []Peer
+	// OnWatch is called after each watch; nil if it isn't counted.
+	OnWatch func(way WatchWay, outcome WatchOutcome)
 }
 
+// WatchWay is how a host watches the store.
+type WatchWay string
+
+// Ways of a watch.
+const (
+	WayStore WatchWay = "store"
+	WayPeer  WatchWay = "peer"
+)
+
+// WatchOutcome is the outcome of one watch.
+type WatchOutcome string
+
+// Outcomes of a watch. A lost one was answered by a peer that has lost the store or a
+// part of its history, and a failed one had no answer.
+const (
+	WatchAnswered WatchOutcome = "answered"
+	WatchLost     WatchOutcome = "lost"
+	WatchFailed   WatchOutcome = "failed"
+)
+
 // WatchRelay watches the store, directly or through a peer, for this host and for the
 // hosts that follow it.
 type WatchRelay struct {
@@ -89,6 +111,9 @@
 
 // NewWatchRelay returns a WatchRelay with an empty history.
 func NewWatchRelay(o WatchRelayOptions) *WatchRelay {
+	if o.OnWatch == nil {
+		o.OnWatch = func(WatchWay, WatchOutcome) {}
+	}
 	return &WatchRelay{WatchRelayOptions: o, changed: make(chan struct{})}
 }
 
@@ -104,6 +129,7 @@
 		r.setReachable(false)
 		return page, err
 	}
+	page.Via = ViaStore
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// A list doesn't show which keys were deleted before it, so the history starts over.
@@ -116,12 +142,16 @@
 	for _, peer := range r.peerCandidates() {
 		page, err := r.watchPeer(ctx, peer, after, wait)
 		if err == nil {
+			r.OnWatch(WayPeer, WatchAnswered)
 			r.record(page)
 			return page, nil
 		}
-		r.Log.Info("peer not followed", "peer", peer.Host, "error", err)
+		r.Log.Info("peer not followed", "peer", peer.Host, "after", after, "error", err)
 		var answered *jkwire.RemoteError
-		if !errors.As(err, &answered) {
+		if errors.As(err, &answered) {
+			r.OnWatch(WayPeer, WatchLost)
+		} else {
+			r.OnWatch(WayPeer, WatchFailed)
 			r.avoid(peer)
 			// The peer used up the time of this call.
 			return Page{}, err
@@ -135,9 +165,12 @@
 	}
 	page, err := r.Source.Watch(ctx, prefix, after, wait)
 	if err != nil {
+		r.OnWatch(WayStore, WatchFailed)
 		r.setReachable(false)
 		return page, err
 	}
+	r.OnWatch(WayStore, WatchAnswered)
+	page.Via = ViaStore
 	r.record(page)
 	if len(page.Items) > 0 {
 		r.mu.Lock()
@@ -190,7 +223,7 @@
 	defer cancel()
 	var answer WatchAnswer
 	err := r.Pool.Call(ctx, p.Addr, TypeWatch, &WatchRequest{After: after, Wait: wait}, &answer)
-	return Page(answer), err
+	return Page{Items: answer.Items, Revision: answer.Revision, Via: p.Host}, err
 }
 
 // record appends changes to the history for the hosts that follow this one.
