follow: reproduce rules that are in force too late, failing

In one both followed peers accept calls and answer none; in the other the followed peer answers that nothing has changed, while its own peers and the store have gone silent. Ruled out: nothing more.

--- /dev/null
+++ b/core/jkfollow/late_test.go
@@ -0,0 +1,114 @@
+package jkfollow
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// hungPeer starts a host that accepts calls and answers none of them, and returns a
+// channel of its calls.
+func hungPeer(t *testing.T, name string) (Peer, <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := make(chan struct{}, 64)
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: name, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
+		IsControl: func(string) bool { return true },
+		Handle: func(ctx context.Context, _ *jkwire.ServerStream) {
+			calls <- struct{}{}
+			<-ctx.Done()
+		},
+	})
+	t.Cleanup(server.Close)
+	return Peer{Host: name, Addr: l.Addr().String()}, calls
+}
+
+func receive(t *testing.T, calls <-chan struct{}, within time.Duration) {
+	t.Helper()
+	select {
+	case <-calls:
+	case <-time.After(within):
+		t.Fatalf("no call within %s", within)
+	}
+}
+
+// Guards against rules that are in force too late on a host that reaches the store while
+// both peers that it follows accept its calls and never answer.
+func TestHungPeersDelayNoChange(t *testing.T) {
+	t.Parallel()
+	one, callsOfOne := hungPeer(t, "one")
+	two, callsOfTwo := hungPeer(t, "two")
+	own := &storeStub{changes: make(chan Item, 1)}
+	items := follower(t, own, one, two)
+	next(t, items, time.Second)
+	// Both peers have failed once, and one of them is tried again.
+	receive(t, callsOfOne, 10*time.Second)
+	receive(t, callsOfTwo, 10*time.Second)
+	select {
+	case <-callsOfOne:
+	case <-callsOfTwo:
+	case <-time.After(20 * time.Second):
+		t.Fatal("no peer is tried again")
+	}
+	own.changes <- Item{Key: "op/config", Revision: 2}
+	if got := next(t, items, applyBound); got.Revision != 2 {
+		t.Errorf("revision %d, want 2", got.Revision)
+	}
+}
+
+// Guards against rules that are in force too late on a host whose peer answers that
+// nothing has changed, while that peer itself has lost its peers and the store.
+func TestPeerWithoutNewsOfTheStoreDelaysNoChange(t *testing.T) {
+	t.Parallel()
+	hung, calls := hungPeer(t, "hung")
+	other, _ := hungPeer(t, "other")
+	lost := &storeStub{changes: make(chan Item, 1)}
+	lost.down.Store(true)
+	relay, peer := relayBehind(t, "relay", lost, hung, other)
+	own := &storeStub{changes: make(chan Item, 1)}
+	items := follower(t, own, peer)
+	next(t, items, time.Second)
+	receive(t, calls, 5*time.Second)
+	if _, complete, _ := relay.changesSince(1); !complete {
+		t.Fatal("the relay has noticed already that it lost the store")
+	}
+	own.changes <- Item{Key: "op/config", Revision: 2}
+	if got := next(t, items, applyBound); got.Revision != 2 {
+		t.Errorf("revision %d, want 2", got.Revision)
+	}
+}
+
+// relayBehind starts a host that watches the store through peers and answers followers.
+func relayBehind(t *testing.T, name string, store *storeStub, peers ...Peer) (*WatchRelay, Peer) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := jkwire.NewPool(jkwire.PoolOptions{
+		Self: jkwire.Hello{Host: name, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, IsControl: func(string) bool { return true },
+	})
+	t.Cleanup(pool.Close)
+	r := NewWatchRelay(WatchRelayOptions{
+		Timer: jktimer.New(), Log: jklog.Discard(), Host: name, Source: store.source(), Pool: pool,
+		Peers: func() []Peer { return append([]Peer(nil), peers...) },
+	})
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: name, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
+		IsControl: func(string) bool { return true },
+		// A follower gets the error as its answer.
+		Handle: func(ctx context.Context, in *jkwire.ServerStream) { _ = r.Handle(ctx, in) },
+	})
+	t.Cleanup(server.Close)
+	run(t, r.ThroughPeers())
+	return r, Peer{Host: name, Addr: l.Addr().String()}
+}
