follow: ask the store once peers bring nothing new of it for 1.3 s

What callers saw: a version that was confirmed isn't in force in time on some hosts (CONFIG). Cause: a follower took the silence of its peers for 'no change'. Two hung peers took 1.3 s each before the store was asked, and a peer answered 'no change' while it had lost its own peers and the store, which it noticed only after its own calls had failed. Class: an answer without news counts as fresh, however old the knowledge behind it is. Change: answers carry the age of what the peer knows of the store, counted from the last answer of the store. A host whose own knowledge is older than 1.3 s asks the store, whatever its peers say; a peer that brings nothing newer is passed over for the next one. Peers answer when they have heard the store again, twice a second. The two hosts that watch make 4 calls a second to the store instead of 2.

--- a/core/jkfollow/follower.go
+++ b/core/jkfollow/follower.go
@@ -56,6 +56,8 @@
 	// Watch returns the changes after a revision. If there are none, it waits for one and
 	// returns an empty page after the given time.
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error)
+	// watchTimeout bounds a watch; zero means storeWatchTimeout.
+	watchTimeout time.Duration
 }
 
 // Options holds the dependencies and callbacks of a Follower.
@@ -70,15 +72,19 @@
 	OnReachable func(reachable bool)
 }
 
-// watchWait is how long one watch waits for changes. A store that loses its history
-// never answers the watches in flight, so watchWait and watchSlack together have to stay
-// below the 2 s within which a configuration must be in force.
-const watchWait = time.Second
+// watchWait is how long one watch waits for changes. It is also the interval at which
+// hosts that follow a peer learn that nothing has changed.
+const watchWait = 500 * time.Millisecond
 
-// watchSlack is the time for an answer after the wait is over, before the watch times
-// out. A slow store takes sixty times its usual 4 ms.
+// watchSlack is the time for an answer of the store after the wait is over. A slow store
+// takes sixty times its usual 4 ms.
 const watchSlack = 500 * time.Millisecond
 
+// storeWatchTimeout bounds a watch of the store. A store that loses its history never
+// answers the watches in flight, so it has to stay below the 2 s within which rules must
+// be in force.
+const storeWatchTimeout = watchWait + watchSlack
+
 // listTimeout is the timeout of a list. A slow store takes fifty times its usual 4 ms.
 const listTimeout = 2500 * time.Millisecond
 
@@ -182,7 +188,11 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	timeout := storeWatchTimeout
+	if f.Source.watchTimeout > 0 {
+		timeout = f.Source.watchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	page, err := f.Source.Watch(ctx, f.Prefix, f.revision, watchWait)
 	if err != nil {
--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -23,12 +23,18 @@
 type WatchRequest struct {
 	After int64         `msgpack:"after"`
 	Wait  time.Duration `msgpack:"wait"`
+	// Age is the age of what the follower knows.
+	Age time.Duration `msgpack:"age"`
 }
 
 // WatchAnswer holds the changes after the requested revision, if there are any.
 type WatchAnswer struct {
 	Items    []Item `msgpack:"items"`
 	Revision int64  `msgpack:"revision"`
+	// Age is the age of the answer: the store had no other changes that long ago.
+	Age time.Duration `msgpack:"age"`
+	// Held is how long the peer held the request.
+	Held time.Duration `msgpack:"held"`
 }
 
 // Peer is a host that may watch the store for other hosts.
@@ -41,6 +47,23 @@
 // follow one of them, so that the calls to the store don't grow with the hosts.
 const directWatchers = 2
 
+// maxAge is the age of a host's knowledge of the store at which it asks the store itself,
+// whatever its peers answer. It leaves 700 ms for that call until rules must be in force,
+// and exceeds the age that a peer reaches between two answers of the store, where a change
+// comes late in one watch and the next one brings none.
+const maxAge = 2*watchWait + 300*time.Millisecond
+
+// peerWait is how long a peer holds a watch while the store tells it nothing new, and
+// peerTimeout the time for its answer.
+const (
+	peerWait    = watchWait + 200*time.Millisecond
+	peerTimeout = peerWait + 200*time.Millisecond
+)
+
+// minAgeGain is how much younger than the follower's knowledge a peer's has to be for an
+// answer without changes.
+const minAgeGain = 300 * time.Millisecond
+
 // avoidPeriod is how long a peer isn't followed after it failed to answer. A peer that
 // answers that it has lost the store is tried again each time, which costs less than a
 // call to the store.
@@ -101,7 +124,12 @@
 	oldest    int64
 	revision  int64
 	reachable bool
-	// changed is closed and replaced when history or reachable changes, to wake followers.
+	// confirmedAt is a time at which the store had no changes but those known here.
+	confirmedAt time.Time
+	// storeFailed is set while the last call to the store had no answer.
+	storeFailed bool
+	// changed is closed and replaced when history, reachable or confirmedAt changes, to
+	// wake followers.
 	changed chan struct{}
 	// avoidUntil is the time until which a host isn't followed, by its name.
 	avoidUntil map[string]time.Time
@@ -120,62 +148,101 @@
 // ThroughPeers returns a source that watches through another host if one is available.
 // Lists always go to the store.
 func (r *WatchRelay) ThroughPeers() Source {
-	return Source{List: r.list, Watch: r.watch}
+	return Source{List: r.list, Watch: r.watch, watchTimeout: directWatchers*peerTimeout + coalesceDelay + storeWatchTimeout}
 }
 
 func (r *WatchRelay) list(ctx context.Context, prefix string) (Page, error) {
+	began := r.Timer.Now()
 	page, err := r.Source.List(ctx, prefix)
 	if err != nil {
-		r.setReachable(false)
+		r.storeLost()
 		return page, err
 	}
 	page.Via = ViaStore
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// A list doesn't show which keys were deleted before it, so the history starts over.
-	r.history, r.oldest, r.revision, r.reachable = nil, page.Revision, page.Revision, true
+	r.history, r.oldest, r.revision = nil, page.Revision, page.Revision
+	r.reachable, r.storeFailed, r.confirmedAt = true, false, began
 	r.notify()
 	return page, nil
 }
 
 func (r *WatchRelay) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
 	for _, peer := range r.peerCandidates() {
-		page, err := r.watchPeer(ctx, peer, after, wait)
-		if err == nil {
-			r.OnWatch(WayPeer, WatchAnswered)
-			r.record(page)
-			return page, nil
+		timeout := r.peerBudget()
+		if timeout <= 0 {
+			break
+		}
+		page, confirmedAt, err := r.watchPeer(ctx, peer, after, timeout)
+		if err != nil {
+			r.peerFailed(peer, after, err)
+			continue
 		}
-		r.Log.Info("peer not followed", "peer", peer.Host, "after", after, "error", err)
-		var answered *jkwire.RemoteError
-		if errors.As(err, &answered) {
-			r.OnWatch(WayPeer, WatchLost)
-		} else {
-			r.OnWatch(WayPeer, WatchFailed)
-			r.avoid(peer)
-			// The peer used up the time of this call.
-			return Page{}, err
+		r.OnWatch(WayPeer, WatchAnswered)
+		if r.record(page, confirmedAt) {
+			return page, nil
 		}
+		r.Log.Debug("peer knows nothing newer of the store", "peer", peer.Host, "after", after)
 	}
+	return r.watchStore(ctx, prefix, after, wait)
+}
+
+// peerBudget returns the time for an answer of a peer. It isn't positive if this host has
+// to ask the store first.
+func (r *WatchRelay) peerBudget() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.storeFailed {
+		return peerTimeout
+	}
+	return min(peerTimeout, maxAge-r.Timer.Now().Sub(r.confirmedAt))
+}
+
+// peerFailed counts and logs a watch through a peer that brought nothing. A peer that
+// didn't answer isn't followed for a while.
+func (r *WatchRelay) peerFailed(p Peer, after int64, err error) {
+	r.Log.Info("peer not followed", "peer", p.Host, "after", after, "error", err)
+	var answered *jkwire.RemoteError
+	if errors.As(err, &answered) {
+		r.OnWatch(WayPeer, WatchLost)
+		return
+	}
+	r.OnWatch(WayPeer, WatchFailed)
+	r.avoid(p)
+}
+
+// watchStore watches the store itself.
+func (r *WatchRelay) watchStore(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
 	r.mu.Lock()
 	pause := r.coalesceUntil.Sub(r.Timer.Now())
 	r.mu.Unlock()
 	if pause > 0 {
 		r.Timer.Wait(pause, ctx.Done())
+		wait = max(wait-pause, 0)
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeWatchTimeout)
+	defer cancel()
+	began := r.Timer.Now()
 	page, err := r.Source.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		r.OnWatch(WayStore, WatchFailed)
-		r.setReachable(false)
+		r.storeLost()
 		return page, err
 	}
 	r.OnWatch(WayStore, WatchAnswered)
 	page.Via = ViaStore
-	r.record(page)
+	confirmedAt := began
+	if len(page.Items) == 0 {
+		// The store answers without changes only once the wait is over.
+		confirmedAt = began.Add(wait)
+	}
+	r.record(page, confirmedAt)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeFailed = false
 	if len(page.Items) > 0 {
-		r.mu.Lock()
 		r.coalesceUntil = r.Timer.Now().Add(coalesceDelay)
-		r.mu.Unlock()
 	}
 	return page, nil
 }
@@ -210,24 +277,30 @@
 	r.avoidUntil[p.Host] = r.Timer.Now().Add(avoidPeriod)
 }
 
-// peerSlack is the time for an answer of a peer after its wait is over.
-const peerSlack = 300 * time.Millisecond
-
-// watchPeer watches the store through a peer. The wait ends early enough for an answer
-// before the context's deadline, so a missing answer is the peer's fault.
-func (r *WatchRelay) watchPeer(ctx context.Context, p Peer, after int64, wait time.Duration) (Page, error) {
-	if end, ok := ctx.Deadline(); ok {
-		wait = min(wait, max(0, time.Until(end)-peerSlack))
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+// watchPeer watches the store through a peer. It also returns a time at which the store
+// had no other changes. That time is counted from when the request was sent, since the
+// answer may have been on its way for long.
+func (r *WatchRelay) watchPeer(ctx context.Context, p Peer, after int64, timeout time.Duration) (Page, time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := r.Timer.Now()
+	request := WatchRequest{After: after, Wait: min(peerWait, timeout*3/4), Age: r.age()}
 	var answer WatchAnswer
-	err := r.Pool.Call(ctx, p.Addr, TypeWatch, &WatchRequest{After: after, Wait: wait}, &answer)
-	return Page{Items: answer.Items, Revision: answer.Revision, Via: p.Host}, err
+	err := r.Pool.Call(ctx, p.Addr, TypeWatch, &request, &answer)
+	page := Page{Items: answer.Items, Revision: answer.Revision, Via: p.Host}
+	return page, began.Add(answer.Held - answer.Age), err
+}
+
+// age returns the age of what this host knows of the store.
+func (r *WatchRelay) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Timer.Now().Sub(r.confirmedAt)
 }
 
-// record appends changes to the history for the hosts that follow this one.
-func (r *WatchRelay) record(page Page) {
+// record appends changes to the history for the hosts that follow this one, and reports
+// whether this host has learned anything from the page.
+func (r *WatchRelay) record(page Page, confirmedAt time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.history = append(r.history, page.Items...)
@@ -235,11 +308,15 @@
 		r.oldest = r.history[excess-1].Revision
 		r.history = slices.Clone(r.history[excess:])
 	}
-	wasReachable := r.reachable
-	r.revision, r.reachable = max(r.revision, page.Revision), true
-	if len(page.Items) > 0 || !wasReachable {
+	newer := len(page.Items) > 0 || confirmedAt.After(r.confirmedAt)
+	if confirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = confirmedAt
+	}
+	if newer || !r.reachable {
 		r.notify()
 	}
+	r.revision, r.reachable = max(r.revision, page.Revision), true
+	return newer
 }
 
 // notify wakes the handlers of waiting followers. The lock must be held.
@@ -248,33 +325,34 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *WatchRelay) setReachable(reachable bool) {
+// storeLost records that the store didn't answer.
+func (r *WatchRelay) storeLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reachable != reachable {
-		r.reachable = reachable
+	r.storeFailed = true
+	if r.reachable {
+		r.reachable = false
 		r.notify()
 	}
 }
 
-// Handle answers a WatchRequest of a follower. It waits for changes up to the requested
-// time, and fails if this host has lost the store or part of the requested history.
+// Handle answers a WatchRequest of a follower. It waits up to the requested time for
+// changes, or until this host knows that there are none of late. It fails if this host has
+// lost the store or part of the requested history.
 func (r *WatchRelay) Handle(ctx context.Context, in *jkwire.ServerStream) error {
 	var m WatchRequest
 	if err := in.Decode(&m); err != nil {
 		return err
 	}
-	end := r.Timer.Now().Add(m.Wait)
+	began := r.Timer.Now()
 	for {
 		answer, complete, changed := r.changesSince(m.After)
+		answer.Held = r.Timer.Now().Sub(began)
+		remaining := m.Wait - answer.Held
 		switch {
 		case !complete:
 			return in.Fail("store_lost", "this host has lost the store or the history")
-		case len(answer.Items) > 0:
-			return in.End(&answer)
-		}
-		remaining := end.Sub(r.Timer.Now())
-		if remaining <= 0 {
+		case len(answer.Items) > 0, remaining <= 0, answer.Age+minAgeGain <= m.Age+answer.Held:
 			return in.End(&answer)
 		}
 		expired := make(chan struct{})
@@ -295,7 +373,7 @@
 func (r *WatchRelay) changesSince(after int64) (WatchAnswer, bool, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	answer := WatchAnswer{Revision: max(after, r.revision)}
+	answer := WatchAnswer{Revision: max(after, r.revision), Age: r.Timer.Now().Sub(r.confirmedAt)}
 	for _, item := range r.history {
 		if item.Revision > after {
 			answer.Items = append(answer.Items, item)
