follow: call the store again as soon as a host is back

What callers saw: rules that are out of date after a partition (CONFIG, suspected). Change: the first probe that is answered again cancels the hanging call and the pause. Ruled out: shorter pauses, which double the calls while the store is down.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -175,11 +175,13 @@
 }
 
 // hostChanged drops the connection to a host that became unreachable: its unacknowledged
-// bytes would delay later calls.
+// bytes would delay later calls. A host that is back may mean the end of a partition.
 func (e *Entry) hostChanged(p jkprobe.Peer, reachable bool, _ time.Duration) {
 	if !reachable {
 		e.peers.Disconnect(p.Addr)
+		return
 	}
+	e.follower.Retry()
 }
 
 // isDown reports whether a host has been silent for so long that every other host excludes
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -28,12 +28,14 @@
 	timer    *jktimer.Service
 	log      jklog.Logger
 
-	vault          *jkvault.Vault
-	server         *jkwire.Server
-	peers          *jkwire.Pool
-	probes         *jkprobe.Prober
-	members        *members
-	registry       *registry
+	vault    *jkvault.Vault
+	server   *jkwire.Server
+	peers    *jkwire.Pool
+	probes   *jkprobe.Prober
+	members  *members
+	registry *registry
+	// follower is set by Run.
+	follower       atomic.Pointer[jkfollow.Follower]
 	storeReachable atomic.Bool
 
 	mu       sync.Mutex
@@ -104,7 +106,7 @@
 		Timer: t.timer, Log: t.log.Part("follow"), Host: t.settings.Host, Source: t.platform.Source, Pool: t.peers,
 		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
 	})
-	go jkfollow.New(jkfollow.Options{
+	follower := jkfollow.New(jkfollow.Options{
 		Timer: t.timer, Log: t.log.Part("follow"), Source: watchRelay.ThroughPeers(),
 		Apply: func(item jkfollow.Item) { t.apply(ctx, item) },
 		OnReachable: func(storeReachable bool) {
@@ -113,7 +115,9 @@
 				t.listOnce.Do(func() { close(t.hostsListed) })
 			}
 		},
-	}).Run(ctx)
+	})
+	t.follower.Store(follower)
+	go follower.Run(ctx)
 	go t.registry.run(ctx)
 	go t.catchUp(ctx)
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
@@ -215,6 +219,9 @@
 		t.peers.Disconnect(p.Addr)
 		return
 	}
+	if f := t.follower.Load(); f != nil {
+		f.Retry()
+	}
 	go t.copyFrom(context.Background(), p.Addr, silent+catchUpMargin)
 }
 
--- a/core/jkfollow/follower.go
+++ b/core/jkfollow/follower.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,12 @@
 	reachable atomic.Bool
 	// answeredAt is when the latest page arrived.
 	answeredAt time.Time
+
+	mu sync.Mutex
+	// cancelCall cancels the call in flight and the pause after it. The call began at
+	// calledAt.
+	cancelCall func()
+	calledAt   time.Time
 }
 
 // New returns a Follower, which Run starts.
@@ -118,12 +125,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	listed, backoff := false, minBackoff
 	for ctx.Err() == nil {
+		callCtx, cancel := f.beginCall(ctx)
 		var err error
 		if !listed {
-			err = f.list(ctx)
+			err = f.list(callCtx)
 			listed = err == nil
 		} else {
-			err = f.watch(ctx)
+			err = f.watch(callCtx)
 		}
 		var lost *HistoryLostError
 		switch {
@@ -135,10 +143,36 @@
 			listed = false
 		default:
 			f.setReachable(false, err)
-			f.Timer.Wait(backoff, ctx.Done())
-			backoff = min(2*backoff, maxBackoff)
+			if f.Timer.Wait(backoff, callCtx.Done()) {
+				backoff = min(2*backoff, maxBackoff)
+			}
 		}
+		cancel()
+	}
+}
+
+func (f *Follower) beginCall(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelCall, f.calledAt = cancel, f.Timer.Now()
+	return ctx, cancel
+}
+
+// minRetryAge is the age of a call below which Retry lets it go on. A slow store takes
+// sixty times its usual 4 ms.
+const minRetryAge = 250 * time.Millisecond
+
+// Retry makes a follower that has lost the store call it again at once. It is meant for the
+// end of a partition: a call that began before may hang until its timeout.
+func (f *Follower) Retry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancelCall == nil || f.reachable.Load() || f.Timer.Now().Sub(f.calledAt) < minRetryAge {
+		return
 	}
+	f.Log.Info("store is called again, a host is back", "prefix", f.Prefix)
+	f.cancelCall()
 }
 
 func (f *Follower) setReachable(reachable bool, err error) {
--- a/core/jkfollow/late_test.go
+++ b/core/jkfollow/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,3 +113,50 @@
 	run(t, r.ThroughPeers())
 	return r, Peer{Host: name, Addr: l.Addr().String()}
 }
+
+// Guards against rules that stay out of force after a partition, while calls to the store
+// that began during it hang and the pause after them has grown.
+func TestHostRereadsStoreAsSoonAsPeersAnswer(t *testing.T) {
+	t.Parallel()
+	var healed atomic.Bool
+	var watches atomic.Int64
+	items := make(chan Item, 16)
+	f := New(Options{
+		Timer: jktimer.New(), Log: jklog.Discard(), OnReachable: func(bool) {},
+		Apply: func(i Item) { items <- i },
+		Source: Source{
+			List: func(context.Context, string) (Page, error) {
+				return Page{Items: []Item{{Key: "op/config", Revision: 1}}, Revision: 1}, nil
+			},
+			Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+				watches.Add(1)
+				if healed.Load() {
+					return Page{Items: []Item{{Key: "op/config", Revision: 2}}, Revision: 2}, nil
+				}
+				<-ctx.Done()
+				return Page{}, ctx.Err()
+			},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	next(t, items, time.Second)
+	waitFor(t, func() bool { return watches.Load() == 5 })
+	time.Sleep(minRetryAge)
+	healed.Store(true)
+	f.Retry()
+	if got := next(t, items, applyBound/2); got.Revision != 2 {
+		t.Errorf("revision %d, want 2", got.Revision)
+	}
+}
+
+func waitFor(t *testing.T, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the expected state isn't reached")
+		}
+	}
+}
