forward: refuse a request under which three endpoints have ended

Cause: each attempt has an id of its own and is placed like a new request; nothing counts crashes beyond one attempt, on one host or over all. Class: what a caller repeats isn't recognized as the same. Change: hosts count the endpoints that ended under a request's content and exchange the counts; after three the content gets 503 at once, with the time left in Retry-After, for a minute that doubles with each further crash. A content that is served is cleared. An entry that starts asks another one for its counts before it is ready. Ruled out: a count on each host, which allows three on each; resets and silences as evidence, which would refuse requests beside them; a record in the store for each crash.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -45,6 +45,8 @@
 	watchRelay *jkfollow.WatchRelay
 	follower   *jkfollow.Follower
 	registry   *registry
+	crashes    *jkforward.CrashWatch
+	news       *news
 	// settled caches that membersSettled has been true.
 	settled atomic.Bool
 	counts  *jkforward.Metrics
@@ -69,6 +71,8 @@
 	opt.Zone = s.Zone
 	opt.Delay = assumedDelay
 	e.fleet = jkforward.NewFleet(opt, timer)
+	e.crashes = jkforward.NewCrashWatch(timer, log.Part("crash"))
+	e.news = &news{timer: timer, log: log.Part("news"), crashes: e.crashes, startedAt: timer.Now()}
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
@@ -76,11 +80,13 @@
 	probes, err := jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, SendProbes: true,
 		OnZoneChange: e.fleet.SetZoneReachable, OnHostChange: e.hostChanged, OnDigest: e.receiveDigest,
+		OnNews: e.news.receive, CurrentNews: e.news.current,
 	})
 	if err != nil {
 		return nil, err
 	}
 	e.probes = probes
+	e.news.send, e.news.ask = probes.SendNews, probes.AskForNews
 	e.closers = append(e.closers, probes.Close)
 	e.watchRelay = jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
 		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: e.peers,
@@ -209,10 +215,12 @@
 		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, RelayAddrs: e.probes.AnsweringAddrs,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
+	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
+	e.metrics.NewGauge("jk_crash_refused", func() float64 { _, n := e.crashes.Suspects(); return float64(n) })
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Leaving: e.leaving.Load,
+		Crashes: e.crashes, Leaving: e.leaving.Load,
 	})
 	inner, err := net.Listen("tcp", e.settings.Inner)
 	if err != nil {
@@ -296,7 +304,7 @@
 // endpoint of a service isn't ready, so that callers go to entries of other zones.
 func (e *Entry) Ready() bool {
 	rules := e.rules.Load()
-	return !e.leaving.Load() && rules != nil && e.fleet.Endpoints() > 0 && !e.fleet.HasUnreachableService(rules.Services())
+	return !e.leaving.Load() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.fleet.HasUnreachableService(rules.Services())
 }
 
 // Run follows the store until stop is closed, then drains the requests in flight and
@@ -306,6 +314,7 @@
 	defer cancel()
 	go e.follower.Run(ctx)
 	defer e.timer.Every(digestInterval, e.sendDigest)()
+	defer e.timer.Every(newsInterval, e.news.tick)()
 	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
@@ -367,6 +376,7 @@
 		e.removeEndpoint(change.RemovedEndpoint, item.Revision)
 	case change.Host != nil:
 		e.members.set(*change.Host)
+		e.news.hostAppeared(*change.Host)
 		e.registry.set(*change.Host, item.Revision)
 		e.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: change.Host.Ledger})
 	case change.RemovedHost != "":
@@ -420,6 +430,7 @@
 	}
 	e.endpoints[s.Endpoint.ID] = s
 	e.fleet.SetEndpoint(s.Endpoint, s.Addr)
+	e.crashes.SetEndpoint(s.Endpoint.ID, s.Addr, s.Born)
 }
 
 // removeEndpoint removes an endpoint with its connections. The caller holds the lock.
@@ -431,5 +442,6 @@
 	e.log.Info("endpoint removed", "endpoint", id, "revision", revision)
 	delete(e.endpoints, id)
 	e.fleet.RemoveEndpoint(id)
+	e.crashes.RemoveEndpoint(id)
 	e.pool.CloseIdle(known.Addr)
 }
--- /dev/null
+++ b/core/jkentry/news.go
@@ -0,0 +1,109 @@
+package jkentry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jasmineknot.example/core/jkcrash"
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+// newsMessage holds what entries have learned about requests and endpoints. Unlike load
+// digests, it has to reach the entries of all zones.
+type newsMessage struct {
+	Suspects []jkcrash.Suspect `msgpack:"suspects,omitempty"`
+}
+
+const (
+	// newsInterval is the interval at which an entry passes news on.
+	newsInterval = 200 * time.Millisecond
+	// newsRepeats is the number of intervals for which it passes on what changed, since
+	// datagrams are lost.
+	newsRepeats = 5
+	// refreshInterval is the interval at which it passes on what hasn't changed, for
+	// entries that have started or were cut off.
+	refreshInterval = time.Second
+	// maxSuspectsPerNews bounds the suspects in one datagram: thirty bytes each with two
+	// crashes.
+	maxSuspectsPerNews = 24
+)
+
+// news spreads what this entry learns and merges what others do.
+type news struct {
+	timer   *jktimer.Service
+	log     jklog.Logger
+	crashes *jkforward.CrashWatch
+	// send sends news to a few other entries, and ask asks one for its news.
+	send func(data []byte)
+	ask  func(addr string)
+
+	// startedAt is when the process started, and heard is set once another entry has
+	// answered.
+	startedAt time.Time
+	heard     atomic.Bool
+	// repeats is the number of intervals for which the latest change is still passed on.
+	repeats   int
+	refreshAt time.Time
+}
+
+// tick passes on what is due.
+func (n *news) tick() {
+	now := n.timer.Now()
+	if n.crashes.Changed() {
+		n.repeats = newsRepeats
+	}
+	if n.repeats == 0 && now.Before(n.refreshAt) {
+		return
+	}
+	n.repeats = max(n.repeats-1, 0)
+	n.refreshAt = now.Add(refreshInterval)
+	m := newsMessage{Suspects: n.crashes.Export(maxSuspectsPerNews)}
+	if len(m.Suspects) > 0 {
+		n.send(n.encode(&m))
+	}
+}
+
+// current returns the news for an entry that has started.
+func (n *news) current() []byte {
+	return n.encode(&newsMessage{Suspects: n.crashes.Latest(maxSuspectsPerNews)})
+}
+
+func (n *news) encode(m *newsMessage) []byte {
+	data, err := msgpack.Marshal(m)
+	if err != nil {
+		n.log.Warn("news can't be encoded", "error", err)
+	}
+	return data
+}
+
+// hostAppeared asks another entry for its news, until one has answered.
+func (n *news) hostAppeared(e HostEntry) {
+	if !e.Ledger && !n.heard.Load() {
+		n.ask(e.Addr)
+	}
+}
+
+// startTimeout is how long an entry that has started waits for the news of another one. An
+// entry alone gets none.
+const startTimeout = time.Second
+
+// settled reports whether this entry has heard the news of another one, or has waited for
+// them long enough.
+func (n *news) settled() bool {
+	return n.heard.Load() || n.timer.Now().Sub(n.startedAt) >= startTimeout
+}
+
+// receive merges the news of another entry.
+func (n *news) receive(data []byte) {
+	var m newsMessage
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		n.log.Warn("news can't be decoded", "error", err)
+		return
+	}
+	n.crashes.Merge(m.Suspects)
+	n.heard.Store(true)
+}
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -1,10 +1,12 @@
 package jkforward
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
 
+	"jasmineknot.example/core/jkcrash"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 )
@@ -19,6 +21,8 @@
 	body    []byte
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
+	// contentKey is set by key.
+	contentKey jkcrash.Key
 
 	receivedAt time.Time
 	deadline   time.Time
@@ -33,6 +37,8 @@
 	excluded []string
 	// lastEndpoint is the endpoint of the latest attempt.
 	lastEndpoint string
+	// broken is how the latest exchange broke off.
+	broken exchangeBreak
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 
@@ -51,6 +57,25 @@
 	reason         string
 }
 
+// exchangeBreak is how an exchange with an endpoint broke off.
+type exchangeBreak string
+
+// Ways in which an exchange broke off, if it did: this host cancelled it, or the
+// connection ended or failed.
+const (
+	exchangeWhole     exchangeBreak = "whole"
+	exchangeCancelled exchangeBreak = "cancelled"
+	exchangeEnded     exchangeBreak = "ended"
+)
+
+// recordBroken records that the exchange with the given context broke off.
+func (c *call) recordBroken(ctx context.Context) {
+	c.broken = exchangeEnded
+	if ctx.Err() != nil {
+		c.broken = exchangeCancelled
+	}
+}
+
 func (c *call) isStream() bool { return c.route.Kind() == jkruleset.KindStream }
 
 // schedulerCall describes the call to the scheduler.
--- /dev/null
+++ b/core/jkforward/crash.go
@@ -0,0 +1,300 @@
+package jkforward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasmineknot.example/core/jkcrash"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+const (
+	// maxSuspects bounds the request contents that are suspected of crashing endpoints.
+	maxSuspects = 1024
+	// maxPending bounds the exchanges with one endpoint for which it isn't known yet
+	// whether the endpoint ended.
+	maxPending = 128
+	// pendingPeriod is how long an exchange that broke off may turn out to be a crash:
+	// the registry shows a restarted endpoint some heartbeats later.
+	pendingPeriod = 15 * time.Second
+	// endedDialTimeout bounds the connection by which an endpoint is checked.
+	endedDialTimeout = 300 * time.Millisecond
+	// endedWait is how long a request waits for the check before it is sent again. An
+	// endpoint in reach answers within some milliseconds.
+	endedWait = 60 * time.Millisecond
+)
+
+// CrashWatch finds the requests under which endpoints end, and refuses them once they
+// have ended too many. It is safe for concurrent use.
+type CrashWatch struct {
+	timer *jktimer.Service
+	log   jklog.Logger
+	// dial opens a connection to check whether an endpoint's process still listens.
+	dial func(ctx context.Context, addr string) error
+
+	mu    sync.Mutex
+	table *jkcrash.Table
+	// lives holds the start of each known endpoint by its id.
+	lives   map[string]*endpointLife
+	pending map[jkcrash.Life][]pendingCrash
+	checks  map[jkcrash.Life]*endedCheck
+}
+
+// endpointLife is one start of an endpoint. removedAt is set once its entry was removed.
+type endpointLife struct {
+	life      jkcrash.Life
+	addr      string
+	removedAt time.Time
+}
+
+// pendingCrash is an exchange that broke off at an endpoint that may have ended.
+type pendingCrash struct {
+	key     jkcrash.Key
+	request string
+	at      time.Time
+}
+
+// endedCheck is a check in progress of whether an endpoint has ended.
+type endedCheck struct{ done chan struct{} }
+
+// NewCrashWatch returns a CrashWatch without suspects.
+func NewCrashWatch(timer *jktimer.Service, log jklog.Logger) *CrashWatch {
+	return &CrashWatch{
+		timer: timer, log: log, dial: dialOnce, table: jkcrash.New(maxSuspects), lives: map[string]*endpointLife{},
+		pending: map[jkcrash.Life][]pendingCrash{}, checks: map[jkcrash.Life]*endedCheck{},
+	}
+}
+
+func dialOnce(ctx context.Context, addr string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// lifeOf identifies one start of an endpoint by its id and start time.
+func lifeOf(id string, born int64) jkcrash.Life {
+	var h xxhash.Digest
+	h.Reset()
+	// Writes to a digest never fail.
+	_, _ = h.WriteString(id)
+	var b [9]byte
+	for i := range 8 {
+		b[1+i] = byte(born >> (8 * i))
+	}
+	_, _ = h.Write(b[:])
+	return jkcrash.Life(h.Sum64())
+}
+
+// keyOf identifies the content of a request: what is the same if its caller sends it
+// again. Headers aren't, since they hold ids and times of the attempt.
+func keyOf(r *http.Request, input []byte) jkcrash.Key {
+	var h xxhash.Digest
+	h.Reset()
+	for _, part := range []string{r.Method, r.Host, r.RequestURI} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(input)
+	return jkcrash.Key(h.Sum64())
+}
+
+// key returns the call's content, which is hashed on first use only.
+func (c *call) key() jkcrash.Key {
+	if c.contentKey == 0 {
+		c.contentKey = keyOf(c.request, c.input)
+	}
+	return c.contentKey
+}
+
+// SetEndpoint records the start of an endpoint. If it is another start than the known one,
+// or at the address of another endpoint, the one before has ended.
+func (w *CrashWatch) SetEndpoint(id, addr string, born int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	life := lifeOf(id, born)
+	known := w.lives[id]
+	if known != nil && known.life == life && known.addr == addr && known.removedAt.IsZero() {
+		return
+	}
+	if known != nil && known.life != life {
+		w.confirm(known.life, "restarted")
+	}
+	w.lives[id] = &endpointLife{life: life, addr: addr}
+	for other, row := range w.lives {
+		if other != id && row.addr == addr {
+			w.confirm(row.life, "replaced")
+			delete(w.lives, other)
+		}
+	}
+}
+
+// RemoveEndpoint records that the entry of an endpoint was removed. That doesn't show that
+// the endpoint has ended, since it may only have lost its way to the store.
+func (w *CrashWatch) RemoveEndpoint(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.lives[id]; known != nil {
+		known.removedAt = w.timer.Now()
+	}
+}
+
+// refusal returns the refusal of a request whose content has ended too many endpoints, or
+// nil.
+func (w *CrashWatch) refusal(c *call) *refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.table.Len() == 0 {
+		return nil
+	}
+	left := w.table.Refused(w.timer.Now(), c.key())
+	if left <= 0 {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "crashes_endpoints", retryAfter: left}
+}
+
+// served clears the content of a request that an endpoint has served.
+func (w *CrashWatch) served(c *call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.table.Len() == 0 {
+		return
+	}
+	if w.table.Served(c.key()) {
+		w.log.Info("request no longer suspected, it was served", "request", c.info.Request, "content", uint64(c.key()))
+	}
+}
+
+// brokeOff records that an exchange broke off. Unless this host ended the exchange itself,
+// it checks whether the endpoint has ended, and waits for the result for a short while, so
+// that the request isn't sent again before a crash is counted.
+func (w *CrashWatch) brokeOff(c *call, id, addr string, byEndpoint bool) {
+	w.mu.Lock()
+	if w.lives[id] == nil {
+		w.lives[id] = &endpointLife{life: lifeOf(id, 0), addr: addr, removedAt: w.timer.Now()}
+	}
+	life := w.lives[id].life
+	w.addPending(life, pendingCrash{key: c.key(), request: c.info.Request, at: w.timer.Now()})
+	if !byEndpoint {
+		w.mu.Unlock()
+		return
+	}
+	check := w.checks[life]
+	if check == nil {
+		check = &endedCheck{done: make(chan struct{})}
+		w.checks[life] = check
+		go w.check(check, life, id, addr)
+	}
+	w.mu.Unlock()
+	w.timer.Wait(endedWait, check.done)
+}
+
+// addPending adds an exchange and drops those that are too old. The caller holds the lock.
+func (w *CrashWatch) addPending(life jkcrash.Life, p pendingCrash) {
+	list := w.pending[life]
+	for len(list) > 0 && (len(list) >= maxPending || p.at.Sub(list[0].at) > pendingPeriod) {
+		list = list[1:]
+	}
+	w.pending[life] = append(list, p)
+}
+
+// check connects to an endpoint. Only a refused connection shows that its process has
+// ended: one that was only reset accepts it, and one that is cut off or frozen doesn't
+// answer.
+func (w *CrashWatch) check(check *endedCheck, life jkcrash.Life, id, addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), endedDialTimeout)
+	defer cancel()
+	err := w.dial(ctx, addr)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.checks, life)
+	close(check.done)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		w.confirm(life, "refuses_connections")
+		return
+	}
+	w.log.Debug("endpoint not known to have ended", "endpoint", id, "error", err)
+}
+
+// confirm counts the exchanges that broke off at an endpoint that has ended. The caller
+// holds the lock.
+func (w *CrashWatch) confirm(life jkcrash.Life, evidence string) {
+	now := w.timer.Now()
+	for _, p := range w.pending[life] {
+		if now.Sub(p.at) > pendingPeriod {
+			continue
+		}
+		crashes, added := w.table.Crashed(now, p.key, life)
+		if !added {
+			continue
+		}
+		w.log.Info("endpoint ended under request", "request", p.request, "content", uint64(p.key), "evidence", evidence,
+			"crashes", crashes, "refused_for", w.table.Refused(now, p.key))
+	}
+	delete(w.pending, life)
+}
+
+// Suspects returns the number of suspected contents and of those that are refused.
+func (w *CrashWatch) Suspects() (suspected, refused int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Len(), w.table.RefusedCount(w.timer.Now())
+}
+
+// Changed reports whether a suspect has changed since its last export.
+func (w *CrashWatch) Changed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Changed()
+}
+
+// Export returns up to n suspects for other hosts.
+func (w *CrashWatch) Export(n int) []jkcrash.Suspect {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.timer.Now()
+	w.expire(now)
+	return w.table.Export(now, n)
+}
+
+// Latest returns up to n suspects for a host that has started.
+func (w *CrashWatch) Latest(n int) []jkcrash.Suspect {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Latest(w.timer.Now(), n)
+}
+
+// expire forgets what can't lead to a refusal anymore.
+func (w *CrashWatch) expire(now time.Time) {
+	w.table.Expire(now)
+	for life, list := range w.pending {
+		if now.Sub(list[len(list)-1].at) > pendingPeriod {
+			delete(w.pending, life)
+		}
+	}
+	for id, row := range w.lives {
+		if !row.removedAt.IsZero() && now.Sub(row.removedAt) > pendingPeriod {
+			delete(w.lives, id)
+		}
+	}
+}
+
+// Merge adds the suspects of another host.
+func (w *CrashWatch) Merge(suspects []jkcrash.Suspect) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range w.table.Merge(w.timer.Now(), suspects) {
+		w.log.Info("request refused, another host reports its crashes", "content", uint64(key))
+	}
+}
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -281,6 +281,7 @@
 		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(f.metrics), Rules: testRules,
 		Dialect: testDialect(), Account: f.memoryAccount.account(), Fleet: fleet,
 		Pool:    jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() { opened++ }),
+		Crashes: NewCrashWatch(timer, jklog.Discard()),
 		Leaving: func() bool { return false },
 	})
 	f.front = httptest.NewServer(h)
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -30,6 +30,7 @@
 	Account Account
 	Fleet   *Fleet
 	Pool    *jkupstream.Pool
+	Crashes *CrashWatch
 	// Leaving reports whether the host is draining, so that callers are asked to
 	// close their connections.
 	Leaving func() bool
@@ -65,7 +66,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
-	for _, step := range []func(*call) *refusal{h.match, h.readBody, h.prependChain, h.reserve} {
+	for _, step := range []func(*call) *refusal{h.match, h.readBody, h.Crashes.refusal, h.prependChain, h.reserve} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -58,6 +58,7 @@
 		h.Metrics.countAttempt(string(outcome))
 		switch outcome {
 		case outcomeDone:
+			h.Crashes.served(c)
 			return nil
 		case outcomeCallerLeft:
 			c.status, c.reason = statusCallerLeft, "caller_left"
@@ -75,7 +76,10 @@
 			}
 		case outcomeBroken:
 			c.mayHaveRun = true
-			if !h.mayRetry(c, id) {
+			if c.broken != exchangeWhole {
+				h.Crashes.brokeOff(c, id, addr, c.broken == exchangeEnded)
+			}
+			if !h.mayRetry(c, id) || h.Crashes.refusal(c) != nil {
 				return c.finalRefusal("endpoint_failed", 0)
 			}
 		case outcomeNotSent:
@@ -153,6 +157,7 @@
 		c.watchdog = newWatchdog(h.Timer, c.firstByteTimeout(), cancel, func() bool { return c.events == 0 && h.Fleet.isCrowded(id) })
 		defer c.watchdog.stop()
 	}
+	c.broken = exchangeWhole
 	header := c.forwardHeader(h.Dialect)
 	h.Dialect.AddHeaders(header, ForwardInfo{Endpoint: id, TimeLeft: left, Urgency: urgency(c), LastEvent: c.lastEventID})
 	began := h.Timer.Now()
@@ -230,6 +235,7 @@
 	if !errors.Is(context.Cause(ctx), errZoneUnreachable) {
 		h.Fleet.fault(id)
 	}
+	c.recordBroken(ctx)
 	h.recordTooLong(c, err)
 	h.Log.Info("exchange broke off", "request", c.info.Request, "endpoint", id, "error", err)
 	return outcomeBroken
@@ -249,7 +255,7 @@
 		return outcomeBroken
 	}
 	if c.isStream() && success {
-		return h.forwardStream(c, resp)
+		return h.forwardStream(ctx, c, resp)
 	}
 	if c.headerSent {
 		// A stream can't be followed by another response.
@@ -257,6 +263,7 @@
 	}
 	body, err := resp.ReadAll(ctx)
 	if err != nil {
+		c.recordBroken(ctx)
 		h.recordTooLong(c, err)
 		return outcomeBroken
 	}
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -11,7 +11,7 @@
 )
 
 // forwardStream sends the events of a response to the caller as they arrive.
-func (h *Handler) forwardStream(c *call, resp *jkupstream.Response) attemptOutcome {
+func (h *Handler) forwardStream(ctx context.Context, c *call, resp *jkupstream.Response) attemptOutcome {
 	flusher := http.NewResponseController(c.writer)
 	if !c.headerSent {
 		copyHeader(c.writer.Header(), resp.Header)
@@ -34,6 +34,7 @@
 			return h.endStream(c, resp)
 		}
 		if err != nil {
+			c.recordBroken(ctx)
 			h.recordTooLong(c, err)
 			h.Log.Info("stream broke off", "request", c.info.Request, "endpoint", c.lastEndpoint, "events", c.events, "error", err)
 			return outcomeBroken
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -41,6 +42,10 @@
 	SendProbes bool
 	// OnDigest receives a load digest of another host; if nil, digests are dropped.
 	OnDigest func(data []byte)
+	// OnNews receives the news that another host spreads; if nil, they are dropped.
+	OnNews func(data []byte)
+	// CurrentNews returns the news for a host that asks for them; if nil, it gets none.
+	CurrentNews func() []byte
 	// OnZoneChange is called when a zone becomes unreachable or reachable again.
 	OnZoneChange func(zone string, reachable bool)
 	// OnHostChange is called when a host becomes unreachable or reachable again, with
@@ -91,6 +96,8 @@
 	kindProbe  = 1
 	kindAnswer = 2
 	kindDigest = 3
+	kindNews   = 4
+	kindAsk    = 5
 )
 
 // datagramSize is the size of a probe and of its answer: one byte of type and eight of a
@@ -366,6 +373,42 @@
 	}
 }
 
+// newsPeers is the number of hosts to which one message of news is sent. News that each
+// host passes on to four others reach a hundred hosts in four rounds.
+const newsPeers = 4
+
+// MaxNews is the size of the news that fit into one datagram.
+const MaxNews = 1200
+
+// SendNews sends news to a few reachable hosts, chosen at random from all zones. Hosts
+// that are always probed get none.
+func (p *Prober) SendNews(data []byte) {
+	p.mu.Lock()
+	var rows []*peerRow
+	for _, row := range p.peers {
+		if !row.peer.AlwaysProbed && !row.unreachable {
+			rows = append(rows, row)
+		}
+	}
+	p.mu.Unlock()
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	packet := append([]byte{kindNews}, data...)
+	for _, row := range rows[:min(len(rows), newsPeers)] {
+		// A failed send is the same as a lost datagram.
+		_, _ = p.conn.WriteToUDPAddrPort(packet, row.addr)
+	}
+}
+
+// AskForNews asks a host for its news.
+func (p *Prober) AskForNews(addr string) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return
+	}
+	// A failed send is the same as a lost datagram.
+	_, _ = p.conn.WriteToUDPAddrPort([]byte{kindAsk}, to)
+}
+
 func hostHash(host string) uint64 { return xxhash.Sum64String(host) }
 
 func (p *Prober) send(kind byte, key uint64, to netip.AddrPort) {
@@ -389,6 +432,14 @@
 			p.OnDigest(b[1:n])
 			continue
 		}
+		if err == nil && n > 1 && b[0] == kindNews && p.OnNews != nil {
+			p.OnNews(b[1:n])
+			continue
+		}
+		if err == nil && n == 1 && b[0] == kindAsk && p.CurrentNews != nil {
+			_, _ = p.conn.WriteToUDPAddrPort(append([]byte{kindNews}, p.CurrentNews()...), from)
+			continue
+		}
 		if err != nil || n != datagramSize {
 			continue
 		}
