forward: keep the limits that endpoints name, all hosts together

What callers saw: nothing at once; an endpoint in need got 9 to 15 times what it could take. Cause: nothing read Server-Limit. Class: what an answer says besides its body had no way into the placement, nor to the other hosts. Change: a limit is shared by as many hosts as it has requests a second; each sends at an even rate, turns, calls of tools and retries alike. Requests wait for a place for 0.5 s at most, which counts in the choice of the endpoint; else they are refused at once and told to return at the rate of the places. Hosts tell each other of limits and their ends; one that starts asks before it is ready. The share follows hosts that join, leave or fall silent.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -70,9 +70,9 @@
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = s.Zone
 	opt.Delay = assumedDelay
-	e.fleet = jkforward.NewFleet(opt, timer)
+	e.fleet = jkforward.NewFleet(s.Host, opt, timer)
 	e.crashes = jkforward.NewCrashWatch(timer, log.Part("crash"))
-	e.news = &news{timer: timer, log: log.Part("news"), crashes: e.crashes, startedAt: timer.Now()}
+	e.news = &news{timer: timer, log: log.Part("news"), crashes: e.crashes, fleet: e.fleet, startedAt: timer.Now()}
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
@@ -216,6 +216,7 @@
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
+	e.metrics.NewGauge("jk_limited_endpoints", func() float64 { return float64(e.fleet.LimitedEndpoints()) })
 	e.metrics.NewGauge("jk_crash_refused", func() float64 { _, n := e.crashes.Suspects(); return float64(n) })
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
@@ -315,6 +316,7 @@
 	go e.follower.Run(ctx)
 	defer e.timer.Every(digestInterval, e.sendDigest)()
 	defer e.timer.Every(newsInterval, e.news.tick)()
+	defer e.timer.Every(newsInterval, e.updateSenders)()
 	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
@@ -324,6 +326,11 @@
 	}
 }
 
+// updateSenders tells the fleet which hosts share the limits of endpoints.
+func (e *Entry) updateSenders() {
+	e.fleet.SetHosts(e.members.senders(jkforward.Host{Name: e.settings.Host, Zone: e.settings.Zone}, e.probes.Reachable))
+}
+
 // deregistrationDelay is how long the platform may still send new connections after the
 // entry stopped being ready: two readiness checks, one a second, and the time of one
 // answer.
@@ -376,6 +383,7 @@
 		e.removeEndpoint(change.RemovedEndpoint, item.Revision)
 	case change.Host != nil:
 		e.members.set(*change.Host)
+		e.updateSenders()
 		e.news.hostAppeared(*change.Host)
 		e.registry.set(*change.Host, item.Revision)
 		e.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: change.Host.Ledger})
@@ -429,7 +437,7 @@
 			"state", s.Endpoint.State, "revision", revision)
 	}
 	e.endpoints[s.Endpoint.ID] = s
-	e.fleet.SetEndpoint(s.Endpoint, s.Addr)
+	e.fleet.SetEndpoint(s.Endpoint, s.Addr, s.Born)
 	e.crashes.SetEndpoint(s.Endpoint.ID, s.Addr, s.Born)
 }
 
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -1,12 +1,14 @@
 package jkentry
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jktimer"
 )
 
@@ -78,6 +80,21 @@
 	return out
 }
 
+// senders returns the entries that send requests to endpoints, ordered by name: those that
+// are reachable, and always the given one.
+func (m *members) senders(self jkforward.Host, reachable func(host string) bool) []jkforward.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []jkforward.Host{self}
+	for _, h := range m.hosts {
+		if !h.Ledger && !h.Leaving && !h.Suspected && h.Host != self.Name && reachable(h.Host) {
+			out = append(out, jkforward.Host{Name: h.Host, Zone: h.Zone})
+		}
+	}
+	slices.SortFunc(out, func(a, b jkforward.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // watchers returns the reachable entries through which other hosts may watch the store.
 func (m *members) watchers(reachable func(host string) bool) []jkfollow.Peer {
 	m.mu.Lock()
--- a/core/jkentry/news.go
+++ b/core/jkentry/news.go
@@ -15,7 +15,8 @@
 // newsMessage holds what entries have learned about requests and endpoints. Unlike load
 // digests, it has to reach the entries of all zones.
 type newsMessage struct {
-	Suspects []jkcrash.Suspect `msgpack:"suspects,omitempty"`
+	Suspects []jkcrash.Suspect        `msgpack:"suspects,omitempty"`
+	Notices  []jkforward.NoticeReport `msgpack:"notices,omitempty"`
 }
 
 const (
@@ -29,7 +30,13 @@
 	refreshInterval = time.Second
 	// maxSuspectsPerNews bounds the suspects in one datagram: thirty bytes each with two
 	// crashes.
-	maxSuspectsPerNews = 24
+	maxSuspectsPerNews = 16
+	// maxNoticesPerNews bounds the notices in one datagram: forty bytes each with a name
+	// of a usual length.
+	maxNoticesPerNews = 12
+	// maxNoticesAtStart bounds the notices for an entry that has started. It may take a
+	// second packet.
+	maxNoticesAtStart = 32
 )
 
 // news spreads what this entry learns and merges what others do.
@@ -37,6 +44,7 @@
 	timer   *jktimer.Service
 	log     jklog.Logger
 	crashes *jkforward.CrashWatch
+	fleet   *jkforward.Fleet
 	// send sends news to a few other entries, and ask asks one for its news.
 	send func(data []byte)
 	ask  func(addr string)
@@ -53,7 +61,7 @@
 // tick passes on what is due.
 func (n *news) tick() {
 	now := n.timer.Now()
-	if n.crashes.Changed() {
+	if n.crashes.Changed() || n.fleet.NoticesChanged() {
 		n.repeats = newsRepeats
 	}
 	if n.repeats == 0 && now.Before(n.refreshAt) {
@@ -61,15 +69,15 @@
 	}
 	n.repeats = max(n.repeats-1, 0)
 	n.refreshAt = now.Add(refreshInterval)
-	m := newsMessage{Suspects: n.crashes.Export(maxSuspectsPerNews)}
-	if len(m.Suspects) > 0 {
+	m := newsMessage{Suspects: n.crashes.Export(maxSuspectsPerNews), Notices: n.fleet.ExportNotices(maxNoticesPerNews)}
+	if len(m.Suspects)+len(m.Notices) > 0 {
 		n.send(n.encode(&m))
 	}
 }
 
 // current returns the news for an entry that has started.
 func (n *news) current() []byte {
-	return n.encode(&newsMessage{Suspects: n.crashes.Latest(maxSuspectsPerNews)})
+	return n.encode(&newsMessage{Suspects: n.crashes.Latest(maxSuspectsPerNews), Notices: n.fleet.LatestNotices(maxNoticesAtStart)})
 }
 
 func (n *news) encode(m *newsMessage) []byte {
@@ -105,5 +113,6 @@
 		return
 	}
 	n.crashes.Merge(m.Suspects)
+	n.fleet.MergeNotices(m.Notices)
 	n.heard.Store(true)
 }
--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -60,6 +60,9 @@
 	// Load is valid if HasLoad is set.
 	Load    jksched.DirectLoad
 	HasLoad bool
+	// Limit is the number of requests a second that the endpoint takes from all hosts
+	// together; zero if it names no limit.
+	Limit float64
 }
 
 // Dialect converts between the headers of callers and endpoints and the types of
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -28,6 +28,11 @@
 	// reportedLoads holds the loads that endpoints reported to this host since the
 	// last digest.
 	reportedLoads map[string]reportedLoad
+	// notices holds what endpoints have said of themselves in answers, by id.
+	notices map[string]*notice
+	// hosts are the hosts that share the limits of endpoints, including this one.
+	hosts []Host
+	self  Host
 	// recentPlacements holds the latest placements since the last digest.
 	recentPlacements []placement
 }
@@ -38,21 +43,25 @@
 	at   time.Time
 }
 
-// NewFleet returns a fleet without endpoints.
-func NewFleet(opt jksched.DirectOptions, timer *jktimer.Service) *Fleet {
+// NewFleet returns a fleet without endpoints for the host with the given name.
+func NewFleet(host string, opt jksched.DirectOptions, timer *jktimer.Service) *Fleet {
 	return &Fleet{
-		timer: timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
+		self:    Host{Name: host, Zone: opt.Zone},
+		notices: map[string]*notice{},
+		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
 		cancels: map[string]map[*call]context.CancelCauseFunc{}, unreachableZones: map[string]bool{},
 		reportedLoads: map[string]reportedLoad{},
 	}
 }
 
-// SetEndpoint adds an endpoint or updates its description and address.
-func (f *Fleet) SetEndpoint(e jksched.Endpoint, addr string) {
+// SetEndpoint adds an endpoint or updates its description and address. Born is its start
+// time.
+func (f *Fleet) SetEndpoint(e jksched.Endpoint, addr string, born int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.direct.SetEndpoint(e)
 	f.addrs[e.ID] = addr
+	f.keepNotice(e.ID, born)
 }
 
 // RemoveEndpoint removes an endpoint. Its calls in flight continue.
@@ -61,6 +70,9 @@
 	defer f.mu.Unlock()
 	f.direct.RemoveEndpoint(id)
 	delete(f.addrs, id)
+	if n := f.notices[id]; n != nil {
+		n.removedAt = f.timer.Now()
+	}
 }
 
 // Endpoints returns the number of known endpoints.
@@ -117,30 +129,47 @@
 }
 
 // place chooses an endpoint and returns its id and address.
-func (f *Fleet) place(c jksched.Call, exclude []string) (id, addr string, err error) {
+func (f *Fleet) place(c jksched.Call, exclude []string) (target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, err := f.direct.Place(f.timer.Now(), c, exclude)
 	if err != nil {
-		return "", "", err
+		return target{}, err
 	}
 	if n := len(c.Prefix); n > 0 {
 		f.recentPlacements = append(f.recentPlacements, placement{Endpoint: p.Endpoint, Part: c.Prefix[n-1].Hash})
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
-	return p.Endpoint, f.addrs[p.Endpoint], nil
+	return target{id: p.Endpoint, addr: f.addrs[p.Endpoint], delay: p.SendDelay}, nil
+}
+
+// target is the endpoint of one attempt. The request is sent to it after the delay.
+type target struct {
+	id    string
+	addr  string
+	delay time.Duration
 }
 
-// reuse counts one more call at an endpoint that was chosen before, and returns its
-// address.
-func (f *Fleet) reuse(id string) (addr string, ok bool) {
+// reuse counts one more call at an endpoint that was chosen before. It reports false if
+// the endpoint takes none.
+func (f *Fleet) reuse(id string) (target, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	addr, ok = f.addrs[id]
-	if ok {
-		f.direct.AddCall(id)
+	addr, known := f.addrs[id]
+	if !known {
+		return target{}, false
 	}
-	return addr, ok
+	delay, ok := f.direct.Reserve(f.timer.Now(), id)
+	return target{id: id, addr: addr, delay: delay}, ok
+}
+
+// takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
+// the address.
+func (f *Fleet) takesCalls(t target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.direct.Endpoint(t.id)
+	return ok && e.State == jksched.StateLive && f.addrs[t.id] == t.addr && !f.unreachableZones[e.Zone]
 }
 
 func (f *Fleet) reportLoad(id string, l jksched.DirectLoad) {
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -268,13 +268,13 @@
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = "a"
 	// Both endpoints have the same settings, so that the first in order is chosen.
-	fleet := NewFleet(opt, timer)
+	fleet := NewFleet("h", opt, timer)
 	f := &fixture{endpoints: map[string]*scriptedEndpoint{}, memoryAccount: &memoryAccount{}, metrics: metrics.NewSet()}
 	for _, id := range []string{"e1", "e2"} {
 		e := newScriptedEndpoint(t)
 		f.endpoints[id] = e
 		zone := map[string]string{"e1": "a", "e2": "b"}[id]
-		fleet.SetEndpoint(jksched.Endpoint{ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, e.listener.Addr().String())
+		fleet.SetEndpoint(jksched.Endpoint{ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, e.listener.Addr().String(), 1)
 	}
 	opened := 0
 	h := NewHandler(Options{
--- a/core/jkforward/metrics.go
+++ b/core/jkforward/metrics.go
@@ -45,4 +45,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_answers_too_long_total{part=%q}`, part)).Inc()
 }
 
+// countLimited counts a request that was delayed or refused because endpoints limit the
+// rate of requests.
+func (m *Metrics) countLimited(action string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_limited_total{action=%q}`, action)).Inc()
+}
+
 func hashOf(key string) uint64 { return xxhash.Sum64String(key) }
--- /dev/null
+++ b/core/jkforward/notice_test.go
@@ -0,0 +1,93 @@
+package jkforward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+)
+
+var noticeStart = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+
+func newNoticeFleet(host, zone string, hosts []Host) (*Fleet, *jktimer.Manual) {
+	timer, clock := jktimer.NewManual(noticeStart)
+	opt := jksched.DefaultDirectOptions()
+	opt.Zone = zone
+	f := NewFleet(host, opt, timer)
+	f.SetEndpoint(jksched.Endpoint{ID: "e", Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.1:80", 1)
+	f.SetHosts(hosts)
+	return f, clock
+}
+
+// Guards against hosts that together send more than an endpoint's limit: the shares of all
+// hosts that know each other add up to it, and not more hosts send at once than it has
+// requests a second.
+func TestSharesOfAllHostsAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []Host
+		for i := range rapid.IntRange(1, 90).Draw(t, "hosts") {
+			hosts = append(hosts, Host{Name: fmt.Sprint("h", i), Zone: fmt.Sprint("z", rapid.IntRange(0, 3).Draw(t, "zone"))})
+		}
+		limit := float64(rapid.IntRange(1, 2000).Draw(t, "limit")) / 10
+		sum, sending := 0.0, 0
+		for _, h := range hosts {
+			f, _ := newNoticeFleet(h.Name, h.Zone, hosts)
+			share := f.shareOf("e", limit)
+			if sum += share; share > 0 {
+				sending++
+			}
+		}
+		if sum > limit*1.000001 || sum < limit*0.999999 {
+			t.Fatalf("the shares add up to %g, want %g", sum, limit)
+		}
+		if sending > max(int(limit), 1) {
+			t.Fatalf("%d hosts share a limit of %g", sending, limit)
+		}
+	})
+}
+
+// Guards against limits that are lost or outlive their end: hosts hear of them from each
+// other, the latest answer counts, and a restarted endpoint has none.
+func TestLatestNoticeCounts(t *testing.T) {
+	hosts := []Host{{"a", "z1"}, {"b", "z1"}}
+	a, clockA := newNoticeFleet("a", "z1", hosts)
+	b, clockB := newNoticeFleet("b", "z1", hosts)
+	limitAt := func(f *Fleet, want float64) {
+		t.Helper()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if got := f.notices["e"].limit; got != want {
+			t.Errorf("limit %g, want %g", got, want)
+		}
+	}
+	advance := func() {
+		clockA.Advance(time.Second)
+		clockB.Advance(time.Second)
+	}
+	advance()
+	if !a.reportNotice("e", 6) || a.reportNotice("e", 6) {
+		t.Error("only the first answer with a limit is news")
+	}
+	first := a.ExportNotices(8)
+	b.MergeNotices(first)
+	limitAt(b, 6)
+	advance()
+	b.reportNotice("e", 0)
+	b.MergeNotices(first)
+	limitAt(b, 0)
+	a.MergeNotices(b.ExportNotices(8))
+	limitAt(a, 0)
+	advance()
+	a.reportNotice("e", 3)
+	a.RemoveEndpoint("e")
+	a.SetEndpoint(jksched.Endpoint{ID: "e", Zone: "z1", Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.1:80", 1)
+	limitAt(a, 3)
+	reports := a.ExportNotices(8)
+	b.SetEndpoint(jksched.Endpoint{ID: "e", Zone: "z1", Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.1:80", 2)
+	b.MergeNotices(reports)
+	limitAt(b, 0)
+}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -49,12 +49,17 @@
 		if left < minAttemptTime {
 			return c.finalRefusal("deadline", slotRetryAfter)
 		}
-		id, addr, err := h.chooseEndpoint(c)
+		to, err := h.chooseEndpoint(c)
 		if err != nil {
 			return h.placementRefusal(c, err)
 		}
-		c.lastEndpoint = id
-		outcome := h.attempt(c, id, addr, left)
+		c.lastEndpoint = to.id
+		outcome := outcomeNotSent
+		if h.awaitPlace(c, to) {
+			outcome = h.attempt(c, to.id, to.addr, min(left, c.deadline.Sub(h.Timer.Now())))
+		} else if c.request.Context().Err() != nil {
+			outcome = outcomeCallerLeft
+		}
 		h.Metrics.countAttempt(string(outcome))
 		switch outcome {
 		case outcomeDone:
@@ -77,9 +82,9 @@
 		case outcomeBroken:
 			c.mayHaveRun = true
 			if c.broken != exchangeWhole {
-				h.Crashes.brokeOff(c, id, addr, c.broken == exchangeEnded)
+				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
-			if !h.mayRetry(c, id) || h.Crashes.refusal(c) != nil {
+			if !h.mayRetry(c, to.id) || h.Crashes.refusal(c) != nil {
 				return c.finalRefusal("endpoint_failed", 0)
 			}
 		case outcomeNotSent:
@@ -127,21 +132,39 @@
 
 // chooseEndpoint chooses the endpoint of the next attempt. Once the route's maximum
 // of endpoints was tried, it reuses the last one unless that one is excluded.
-func (h *Handler) chooseEndpoint(c *call) (id, addr string, err error) {
+func (h *Handler) chooseEndpoint(c *call) (target, error) {
 	if c.attempts >= max(c.route.MaxAttempts(), 1) && !slices.Contains(c.excluded, c.lastEndpoint) {
-		if addr, ok := h.Fleet.reuse(c.lastEndpoint); ok {
-			return c.lastEndpoint, addr, nil
+		if to, ok := h.Fleet.reuse(c.lastEndpoint); ok {
+			return to, nil
 		}
 	}
 	return h.Fleet.place(c.schedulerCall(), c.excluded)
 }
 
+// awaitPlace waits until the request may be sent to an endpoint that limits the rate of
+// requests. It reports false if the caller has left, or if the endpoint takes no new calls
+// by then.
+func (h *Handler) awaitPlace(c *call, to target) bool {
+	if to.delay <= 0 {
+		return true
+	}
+	h.Metrics.countLimited("delayed")
+	if h.Timer.Wait(to.delay, c.request.Context().Done()) && h.Fleet.takesCalls(to) {
+		return true
+	}
+	h.Fleet.done(to.id, jksched.DirectAbandoned, 0)
+	return false
+}
+
 // placementRefusal returns the refusal for a request that couldn't be placed.
 func (h *Handler) placementRefusal(c *call, err error) *refusal {
 	var refused *jksched.RefusedError
 	if !errors.As(err, &refused) {
 		return c.finalRefusal("no_endpoint", slotRetryAfter)
 	}
+	if refused.Reason == jksched.ReasonLimited {
+		h.Metrics.countLimited("refused")
+	}
 	return c.finalRefusal(string(refused.Reason), max(refused.RetryAfter, minAttemptTime))
 }
 
@@ -177,6 +200,9 @@
 	if respInfo.HasLoad {
 		h.Fleet.reportLoad(id, respInfo.Load)
 	}
+	if h.Fleet.reportNotice(id, respInfo.Limit) {
+		h.Log.Info("endpoint named a limit", "endpoint", id, "per_second", respInfo.Limit, "request", c.info.Request)
+	}
 	outcome := h.forwardResponse(ctx, c, resp, respInfo)
 	h.Fleet.done(id, h.endpointOutcome(c, ctx, outcome), h.Timer.Now().Sub(began))
 	if outcome == outcomeRefused {
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -377,9 +377,6 @@
 // host passes on to four others reach a hundred hosts in four rounds.
 const newsPeers = 4
 
-// MaxNews is the size of the news that fit into one datagram.
-const MaxNews = 1200
-
 // SendNews sends news to a few reachable hosts, chosen at random from all zones. Hosts
 // that are always probed get none.
 func (p *Prober) SendNews(data []byte) {
@@ -421,7 +418,7 @@
 
 // receive answers probes and takes answers and digests until the socket is closed.
 func (p *Prober) receive() {
-	var b [2048]byte
+	var b [4096]byte
 	selfHash := hostHash(p.Host)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b[:])
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -43,6 +43,9 @@
 	// QueuePerSlot bounds the calls waiting at an endpoint, as a multiple of its
 	// slots. Place refuses a call when every endpoint is at its bound.
 	QueuePerSlot float64
+	// MaxSendDelay is how long a call may wait for its place at an endpoint that limits
+	// its requests.
+	MaxSendDelay time.Duration
 	// MaxParts bounds the number of prompt parts whose holders are tracked.
 	MaxParts int
 }
@@ -56,7 +59,7 @@
 		ServiceTime: 30 * time.Millisecond, MaxLoadAge: 450 * time.Millisecond,
 		MaxPaceAge: 500 * time.Millisecond, CrossZoneCost: 6 * time.Millisecond,
 		BreakerFaults: 2, BreakerPause: 400 * time.Millisecond, BreakerMaxPause: 3 * time.Second,
-		QueuePerSlot: 2.5, MaxParts: 20000,
+		QueuePerSlot: 2.5, MaxSendDelay: 500 * time.Millisecond, MaxParts: 20000,
 	}
 }
 
@@ -90,6 +93,9 @@
 	// rankedEndpoints caches the rendezvous ranking of the endpoints for a shared prompt
 	// part. It is cleared when an endpoint changes.
 	rankedEndpoints map[string][]*directRow
+	// returnAt is when the next call that is refused because of limits is told to return,
+	// by service.
+	returnAt map[string]time.Time
 	// programHash and primary belong to the call that is being placed. utilization is
 	// the share of its service's slots that other hosts use, from 0 to 1.
 	programHash uint64
@@ -119,6 +125,8 @@
 	openUntil    time.Time
 	// probing is set while a call probes an endpoint that has faults.
 	probing bool
+	// limit is nil for an endpoint that takes any number of requests.
+	limit *sendLimit
 }
 
 // NewDirectPlacer returns a DirectPlacer without endpoints.
@@ -131,6 +139,7 @@
 		unreachableZones: map[string]bool{},
 		otherHostCalls:   map[string]float64{},
 		rankedEndpoints:  map[string][]*directRow{},
+		returnAt:         map[string]time.Time{},
 	}
 }
 
@@ -216,14 +225,22 @@
 	d.primary = d.primaryEndpoint(c)
 	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
 	fallback, fallbackCost := (*directRow)(nil), time.Duration(math.MaxInt64)
-	soonest := time.Duration(math.MaxInt64)
-	live := 0
+	soonest, soonestPlace := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
+	live, limited := 0, 0
 	for _, row := range d.services[c.Service] {
 		if row.endpoint.State != StateLive || slices.Contains(exclude, row.endpoint.ID) {
 			continue
 		}
 		live++
-		predicted := d.cost(now, c, row)
+		delay, allowed := row.sendDelay(now)
+		if !allowed || delay > d.opt.MaxSendDelay {
+			limited++
+			if allowed {
+				soonestPlace = min(soonestPlace, delay)
+			}
+			continue
+		}
+		predicted := d.cost(now, c, row) + delay
 		if !d.available(now, row) {
 			if predicted < fallbackCost && !d.unreachableZones[row.endpoint.Zone] {
 				fallback, fallbackCost = row, predicted
@@ -243,18 +260,28 @@
 		// endpoint, the call itself serves as the probe.
 		best = fallback
 	}
-	if best == nil {
+	switch {
+	case best == nil && limited > 0 && soonestPlace < soonest, best == nil && limited == live && live > 0:
+		return Placement{}, d.limitRefusal(now, c.Service, soonestPlace)
+	case best == nil:
 		return Placement{}, d.refusal(live, soonest)
 	}
-	if !c.Deadline.IsZero() && now.Add(d.predictedWait(now, c, best)).After(c.Deadline) {
-		return Placement{}, &RefusedError{Reason: ReasonDeadline, RetryAfter: d.predictedWait(now, c, best)}
+	delay, _ := best.sendDelay(now)
+	wait := d.predictedWait(now, c, best)
+	if delay > 0 {
+		// A call that waits for its place and then can't end in time would waste it.
+		wait = max(wait, delay+d.runTime(now, c, best))
+	}
+	if !c.Deadline.IsZero() && now.Add(wait).After(c.Deadline) {
+		return Placement{}, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
 	}
+	best.book(now)
 	best.ownCalls++
 	if best.faults > 0 {
 		best.probing = true
 	}
 	d.recordPlacement(c, best)
-	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best)}, nil
+	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay}, nil
 }
 
 // refusal returns the error for a call without an endpoint; soonest is the shortest
@@ -298,7 +325,7 @@
 	DirectAbandoned DirectOutcome = "abandoned"
 )
 
-// Done ends a call that Place or AddCall counted; took is the time until its answer.
+// Done ends a call that Place or Reserve counted; took is the time until its answer.
 func (d *DirectPlacer) Done(now time.Time, id string, outcome DirectOutcome, took time.Duration) {
 	row, ok := d.endpoints[id]
 	if !ok {
@@ -353,13 +380,6 @@
 	r.serviceTime += (took - r.serviceTime) / 8
 }
 
-// AddCall counts a call at an endpoint that was chosen without Place, until Done.
-func (d *DirectPlacer) AddCall(id string) {
-	if row, ok := d.endpoints[id]; ok {
-		row.ownCalls++
-	}
-}
-
 // Fault records a failure of an endpoint after Done has been called for its call.
 func (d *DirectPlacer) Fault(now time.Time, id string) {
 	if row, ok := d.endpoints[id]; ok {
--- a/core/jksched/direct_test.go
+++ b/core/jksched/direct_test.go
@@ -135,7 +135,7 @@
 	d := newTestDirect(2)
 	now := time.Unix(0, 0)
 	for range 2 {
-		d.AddCall("e0")
+		d.Reserve(now, "e0")
 		d.Done(now, "e0", DirectFault, 0)
 	}
 	now = now.Add(d.opt.BreakerPause + time.Millisecond)
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -132,6 +132,9 @@
 	Endpoint      string
 	Alternatives  []string
 	PredictedWait time.Duration
+	// SendDelay is how long the call has to wait before it may be sent, because its
+	// endpoint limits the rate of requests.
+	SendDelay time.Duration
 }
 
 // Reason is the reason of a refusal or a command.
@@ -153,6 +156,7 @@
 	ReasonMoved      Reason = "moved"
 	ReasonEvicted    Reason = "evicted"
 	ReasonCancelled  Reason = "cancelled"
+	ReasonLimited    Reason = "endpoint_limit"
 )
 
 // RefusedError is returned for a call that was not accepted and was therefore not run.
