forward: show that a refusal written once more tells no caller

Cause: other operators saw callers told 'not run' because a faulty server wrote an earlier refusal once more on a kept connection. Change: cases in testdata/answers: the repeated refusal arrives with the id of another request, without an id, and while the connection is idle. Requests of the tests may have ids of their own. Ruled out: that it happens here. An answer counts only with the id of its request, which each attempt has of its own, and an endpoint that refused a request isn't asked again for it.

--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -151,6 +151,38 @@
 		answer(500, signed, arg)
 	case "refuse":
 		answer(503, testNotRun+": 1\r\n", "")
+	case "refuse-twice":
+		// The endpoint writes an earlier refusal once more, then its answer.
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: earlier\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testRequest, testNotRun)
+		answer(200, signed, arg)
+	case "refuse-unnamed":
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testNotRun)
+		answer(200, signed, arg)
+	case "refuse-early":
+		// The repeated refusal arrives while the connection is idle.
+		answer(200, signed, arg)
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testRequest, id, testNotRun)
+	case "plain":
+		answer(200, signed+"Content-Type: text/plain\r\n", arg+"\n\n")
+	case "unframed", "unframed-reset":
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s\r\n%s", testRequest, id, signed, arg)
+		if kind == "unframed-reset" {
+			resetConn(c)
+		}
+		return false
+	case "unframed-events", "unframed-events-cut", "unframed-events-reset":
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", testRequest, id, signed)
+		for _, n := range strings.Split(arg, ",") {
+			fmt.Fprintf(c, "id: %s\ndata: piece %s\n\n", n, n)
+		}
+		if kind == "unframed-events-cut" {
+			fmt.Fprint(c, "id: 99\nd")
+		}
+		if kind == "unframed-events-reset" {
+			resetConn(c)
+		}
+		return false
 	case "foreign":
 		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: other\r\n%sContent-Length: 7\r\n\r\nforeign", testRequest, signed)
 		answer(200, signed, arg)
@@ -178,6 +210,14 @@
 	return true
 }
 
+// resetConn resets a connection once its peer has read what was written.
+func resetConn(c net.Conn) {
+	time.Sleep(50 * time.Millisecond)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (e *scriptedEndpoint) writeStream(c net.Conn, id, arg string, whole bool) {
 	fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testRequest, id, testSigned)
 	for _, n := range strings.Split(arg, ",") {
@@ -316,7 +356,11 @@
 		t.Fatal(err)
 	}
 	req.Host = "site.example"
-	req.Header.Set(testRequest, "r1")
+	request := "r1"
+	if d.HasArg("request") {
+		d.ScanArgs(t, "request", &request)
+	}
+	req.Header.Set(testRequest, request)
 	req.Header.Set(testSystemOnly, "forged")
 	if d.HasArg("patient") {
 		req.Header.Set(testLongWait, "1")
