forward: continue a stream with events of the same stream only

Cause: a success of the next endpoint was read as a stream whatever its content type, and any line with a name was an event. An endpoint that ignores where to go on was believed. Change: a continued stream needs the media type of the one that had begun, and ids after the last one; a block without any field of an event breaks the stream off. Class: an answer is trusted to be what the request asked for. Ruled out: failures with a status of their own, and unsigned successes: these never reached a stream that had begun.

--- a/core/jkforward/events.go
+++ b/core/jkforward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 
 	"jasmineknot.example/core/jkupstream"
@@ -18,6 +19,16 @@
 	data []byte
 	// hasField is false for a block of comment lines only.
 	hasField bool
+	// isEvent is set if the block has a field of an event.
+	isEvent bool
+}
+
+// NotAnEventError is returned for a block of a stream that has fields, but none of an
+// event, such as the header of another response.
+type NotAnEventError struct{ Line string }
+
+func (e *NotAnEventError) Error() string {
+	return fmt.Sprintf("the stream has a block that isn't an event: %.60q", e.Line)
 }
 
 // maxEventBytes bounds one event of a stream, including the blank and comment lines
@@ -54,6 +65,10 @@
 			e.parseLine(line)
 			continue
 		}
+		if e.hasField && !e.isEvent {
+			first, _, _ := bytes.Cut(bytes.TrimSpace(e.raw), []byte("\n"))
+			return event{}, &NotAnEventError{Line: string(first)}
+		}
 		if !blank {
 			return e, nil
 		}
@@ -96,9 +111,13 @@
 	e.hasField = e.hasField || len(bytes.TrimSpace(name)) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
+	case "event", "retry":
+		e.isEvent = true
 	case "id":
+		e.isEvent = true
 		e.id = string(value)
 	case "data":
+		e.isEvent = true
 		if e.data != nil {
 			e.data = append(e.data, '\n')
 		}
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -171,7 +171,7 @@
 			resetConn(c)
 		}
 		return false
-	case "unframed-events", "unframed-events-cut", "unframed-events-reset":
+	case "unframed-events", "unframed-events-cut", "unframed-events-reset", "unframed-events-error":
 		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", testRequest, id, signed)
 		for _, n := range strings.Split(arg, ",") {
 			fmt.Fprintf(c, "id: %s\ndata: piece %s\n\n", n, n)
@@ -179,6 +179,9 @@
 		if kind == "unframed-events-cut" {
 			fmt.Fprint(c, "id: 99\nd")
 		}
+		if kind == "unframed-events-error" {
+			fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 17\r\n\r\nthe error's text\n")
+		}
 		if kind == "unframed-events-reset" {
 			resetConn(c)
 		}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"jasmineknot.example/core/jksched"
@@ -281,6 +282,11 @@
 		return outcomeBroken
 	}
 	if c.isStream() && success {
+		if c.headerSent && mediaType(resp.Header) != mediaType(c.writer.Header()) {
+			// The text of an error must not become a part of the stream.
+			h.Log.Info("stream not continued", "request", c.info.Request, "endpoint", c.lastEndpoint, "content_type", resp.Header.Get("Content-Type"))
+			return outcomeBroken
+		}
 		return h.forwardStream(ctx, c, resp)
 	}
 	if c.headerSent {
@@ -304,6 +310,12 @@
 	return outcomeDone
 }
 
+// mediaType returns the media type of a response without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // copyHeader copies all headers except hopHeaders.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"jasmineknot.example/core/jkupstream"
@@ -13,6 +14,7 @@
 // forwardStream sends the events of a response to the caller as they arrive.
 func (h *Handler) forwardStream(ctx context.Context, c *call, resp *jkupstream.Response) attemptOutcome {
 	flusher := http.NewResponseController(c.writer)
+	continued := c.headerSent
 	if !c.headerSent {
 		copyHeader(c.writer.Header(), resp.Header)
 		c.status = resp.Status
@@ -51,6 +53,10 @@
 			}
 			continue
 		}
+		if continued && !followsID(e.id, c.lastEventID) {
+			h.Log.Info("stream started over", "request", c.info.Request, "endpoint", c.lastEndpoint, "event", e.id, "after", c.lastEventID)
+			return outcomeBroken
+		}
 		if c.events >= limit {
 			h.recordTooLong(c, resp.TooLong(jkupstream.PartEvents, limit))
 			return outcomeTurnTooLong
@@ -65,6 +71,14 @@
 	}
 }
 
+// followsID reports whether an event may come after another one. Ids that aren't numbers
+// can't be compared.
+func followsID(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	return errA != nil || errB != nil || a > b
+}
+
 // recordPace reports the time since the previous event to the fleet and returns the
 // time of this one.
 func (h *Handler) recordPace(c *call, last time.Time) time.Time {
