--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -73,6 +73,20 @@
 	Pace float64
 }
 
+// MaxSlots bounds the slots of an endpoint, and maxReportedCalls and maxReportedPace its
+// load. Beyond these bounds predictions would overflow.
+const (
+	MaxSlots         = 1 << 16
+	maxReportedCalls = 1 << 20
+	maxReportedPace  = 1000
+)
+
+// IsValid reports whether an endpoint can have the load.
+func (l DirectLoad) IsValid() bool {
+	return l.Running >= 0 && l.Running <= maxReportedCalls && l.Waiting >= 0 && l.Waiting <= maxReportedCalls &&
+		l.Slots >= 0 && l.Slots <= MaxSlots && l.Pace >= 0 && l.Pace <= maxReportedPace
+}
+
 // DirectPlacer places calls for a host that sends to endpoints itself, without a
 // dispatcher between them. It knows its own running calls exactly and estimates
 // those of other hosts from the endpoints' load reports. It does no input or output
@@ -145,6 +159,7 @@
 
 // SetEndpoint adds an endpoint or changes its description.
 func (d *DirectPlacer) SetEndpoint(e Endpoint) {
+	e.Slots = min(e.Slots, MaxSlots)
 	clear(d.rankedEndpoints)
 	row, ok := d.endpoints[e.ID]
 	if !ok {
@@ -296,7 +311,7 @@
 // Report records the load report that an endpoint sent with an answer to this host.
 func (d *DirectPlacer) Report(now time.Time, id string, l DirectLoad) {
 	row, ok := d.endpoints[id]
-	if !ok {
+	if !ok || !l.IsValid() {
 		return
 	}
 	row.load, row.loadAt, row.ownCallsAtLoad = l, now, row.ownCalls
@@ -307,7 +322,7 @@
 func (d *DirectPlacer) MergeReport(now time.Time, id string, l DirectLoad, age time.Duration) {
 	row, ok := d.endpoints[id]
 	at := now.Add(-age)
-	if !ok || !at.After(row.loadAt) {
+	if !ok || !l.IsValid() || !at.After(row.loadAt) {
 		return
 	}
 	row.load, row.loadAt, row.ownCallsAtLoad = l, at, row.ownCalls
--- a/core/jksched/direct_test.go
+++ b/core/jksched/direct_test.go
@@ -220,3 +220,43 @@
 		t.Errorf("20 hosts used %d engines, want at most a quarter of 48", len(used))
 	}
 }
+
+// Guards against requests that fail because of an endpoint that reports or registers a load
+// beyond any sense: the numbers overflow the prediction, or divide by zero.
+func TestSenselessLoadsAreIgnored(t *testing.T) {
+	now := time.Unix(0, 0)
+	const huge = 1 << 62
+	for _, odd := range []struct {
+		slots int
+		load  DirectLoad
+	}{
+		{4, DirectLoad{Running: huge, Slots: 4}},
+		{4, DirectLoad{Waiting: huge, Slots: 4}},
+		{4, DirectLoad{Slots: huge}},
+		{4, DirectLoad{Running: -huge, Slots: 4}},
+		{4, DirectLoad{Slots: -1}},
+		{4, DirectLoad{Slots: 4, Pace: 1e18}},
+		{4, DirectLoad{Slots: 4, Pace: -1}},
+		{huge, DirectLoad{}},
+	} {
+		d := NewDirectPlacer(DefaultDirectOptions())
+		d.SetEndpoint(Endpoint{ID: "odd", Kind: KindService, Service: "app", Slots: odd.slots, State: StateLive})
+		d.SetEndpoint(Endpoint{ID: "sound", Kind: KindService, Service: "app", Slots: 4, State: StateLive})
+		d.Report(now, "odd", odd.load)
+		d.MergeReport(now.Add(time.Millisecond), "odd", odd.load, 0)
+		placed := map[string]int{}
+		for range 8 {
+			p, err := d.Place(now, Call{Kind: KindService, Service: "app"}, nil)
+			if err != nil {
+				t.Fatalf("%+v: %v", odd, err)
+			}
+			if p.PredictedWait < 0 {
+				t.Errorf("%+v: predicted wait %s", odd, p.PredictedWait)
+			}
+			placed[p.Endpoint]++
+		}
+		if odd.slots == 4 && placed["sound"] == 0 {
+			t.Errorf("%+v: no call went to the other endpoint, placed %v", odd, placed)
+		}
+	}
+}
