--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -33,7 +33,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return h.endStream(c, resp)
+			return h.endStream(c)
 		}
 		if err != nil {
 			c.recordBroken(ctx)
@@ -129,10 +129,7 @@
 }
 
 // endStream stores a retained turn before the caller sees the end of the stream.
-func (h *Handler) endStream(c *call, resp *jkupstream.Response) attemptOutcome {
-	if !resp.Framed() {
-		h.Log.Warn("stream ended by close of the connection, without length or chunks", "request", c.info.Request, "endpoint", c.lastEndpoint)
-	}
+func (h *Handler) endStream(c *call) attemptOutcome {
 	if !c.route.Retain() {
 		return outcomeDone
 	}
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -41,8 +41,6 @@
 	// limit bounds the body, and read is the part of it that was read, both in bytes.
 	limit int64
 	read  int64
-	// framed is false if only the close of the connection marks the end of the body.
-	framed       bool
 	reusable     bool
 	requestWrite *requestWrite
 	stopCancel   func() bool
@@ -90,9 +88,10 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		conn: c, body: resp.Body, limit: r.MaxBody, requestWrite: w, stopCancel: stopCancel,
-		framed: resp.ContentLength >= 0 || isChunked(resp),
 	}
-	out.reusable = out.framed && !resp.Close && otherAnswers == 0
+	// A body without length and chunks ends with its connection.
+	framed := resp.ContentLength >= 0 || isChunked(resp)
+	out.reusable = framed && !resp.Close && otherAnswers == 0
 	c.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"), p.opt.IdleTimeout)
 	return out, nil
 }
@@ -196,7 +195,8 @@
 	return err
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body, which is the
+// end of the connection if the body has neither a length nor chunks.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	r.read += int64(n)
@@ -219,10 +219,6 @@
 	return &ExchangeError{Addr: r.conn.addr, Stage: StageBody, Cause: cause}
 }
 
-// Framed reports whether the end of the body is marked, so that a body that
-// ends with its connection can be told from a truncated one.
-func (r *Response) Framed() bool { return r.framed }
-
 // Close ends the exchange. The connection returns to the pool if the response was read
 // to its end and the endpoint keeps the connection open as well. Otherwise it is
 // closed, which tells the endpoint to stop.
