forward: send nothing to an endpoint that has said it leaves

Cause: nothing read the header, and a retry at the last endpoint didn't look at its state. Change: an endpoint that says so takes no new requests on any host, until it is started anew; its entry in the store doesn't take that back. Hosts tell each other like of limits. Ruled out: waiting for the entry, which may come late, never, or not while the store is away.

--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -63,6 +63,8 @@
 	// Limit is the number of requests a second that the endpoint takes from all hosts
 	// together; zero if it names no limit.
 	Limit float64
+	// Leaving states that the endpoint is about to end and takes no new requests.
+	Leaving bool
 }
 
 // Dialect converts between the headers of callers and endpoints and the types of
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -155,8 +155,8 @@
 func (f *Fleet) reuse(id string) (target, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	addr, known := f.addrs[id]
-	if !known {
+	addr := f.addrs[id]
+	if e, known := f.direct.Endpoint(id); !known || e.State != jksched.StateLive {
 		return target{}, false
 	}
 	delay, ok := f.direct.Reserve(f.timer.Now(), id)
--- a/core/jkforward/notice.go
+++ b/core/jkforward/notice.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jasmineknot.example/core/jksched"
 )
 
 // Host is a host that sends requests to endpoints.
@@ -22,6 +24,8 @@
 	// limit is the number of requests a second that the endpoint takes from all hosts
 	// together; zero means that it names no limit.
 	limit float64
+	// leaving is set once the endpoint has said that it leaves. It never takes that back.
+	leaving bool
 	// saidAt is when the latest answer said so, at this host or another one, and changedAt
 	// when it last said something else than before.
 	saidAt     time.Time
@@ -38,6 +42,7 @@
 	Endpoint string
 	Born     int64
 	Limit    float64
+	Leaving  bool
 	Age      time.Duration
 }
 
@@ -84,9 +89,13 @@
 	}
 }
 
-// applyNotice passes this host's share of an endpoint's limit to the placer. The caller
-// holds the lock.
+// applyNotice passes what an endpoint says to the placer: that it leaves, whatever its entry
+// says, and this host's share of its limit. The caller holds the lock.
 func (f *Fleet) applyNotice(id string, n *notice) {
+	if e, ok := f.direct.Endpoint(id); ok && n.leaving && e.State == jksched.StateLive {
+		e.State = jksched.StateLeaving
+		f.direct.SetEndpoint(e)
+	}
 	if n.limit == 0 {
 		f.direct.ClearLimit(id)
 		return
@@ -140,7 +149,7 @@
 
 // reportNotice records what an answer of an endpoint to this host says, and reports
 // whether it changes anything.
-func (f *Fleet) reportNotice(id string, limit float64) bool {
+func (f *Fleet) reportNotice(id string, limit float64, leaving bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.notices[id]
@@ -148,18 +157,20 @@
 		// The entry of the endpoint was removed long ago.
 		return false
 	}
-	return f.update(id, n, limit, f.timer.Now())
+	return f.update(id, n, limit, leaving, f.timer.Now())
 }
 
-func (f *Fleet) update(id string, n *notice, limit float64, saidAt time.Time) bool {
+func (f *Fleet) update(id string, n *notice, limit float64, leaving bool, saidAt time.Time) bool {
 	if !saidAt.After(n.saidAt) {
-		return false
+		limit = n.limit
+	} else {
+		n.saidAt = saidAt
 	}
-	n.saidAt = saidAt
-	if n.limit == limit {
+	leaving = leaving || n.leaving
+	if n.limit == limit && n.leaving == leaving {
 		return false
 	}
-	n.limit, n.changedAt, n.exportedAt = limit, f.timer.Now(), time.Time{}
+	n.limit, n.leaving, n.changedAt, n.exportedAt = limit, leaving, f.timer.Now(), time.Time{}
 	f.applyNotice(id, n)
 	return true
 }
@@ -223,7 +234,7 @@
 func (f *Fleet) noticeOrder(now time.Time) []string {
 	var ids []string
 	for id, one := range f.notices {
-		if one.limit > 0 || (!one.changedAt.IsZero() && now.Sub(one.changedAt) < endedNoticePeriod) {
+		if one.limit > 0 || one.leaving || (!one.changedAt.IsZero() && now.Sub(one.changedAt) < endedNoticePeriod) {
 			ids = append(ids, id)
 		}
 	}
@@ -240,7 +251,7 @@
 	out := make([]NoticeReport, 0, len(ids))
 	for _, id := range ids {
 		one := f.notices[id]
-		out = append(out, NoticeReport{Endpoint: id, Born: one.born, Limit: one.limit, Age: now.Sub(one.saidAt)})
+		out = append(out, NoticeReport{Endpoint: id, Born: one.born, Limit: one.limit, Leaving: one.leaving, Age: now.Sub(one.saidAt)})
 	}
 	return out
 }
@@ -260,6 +271,6 @@
 		if limit != 0 {
 			limit = ParsedLimit(limit)
 		}
-		f.update(r.Endpoint, n, limit, now.Add(-r.Age))
+		f.update(r.Endpoint, n, limit, r.Leaving, now.Add(-r.Age))
 	}
 }
--- a/core/jkforward/notice_test.go
+++ b/core/jkforward/notice_test.go
@@ -69,20 +69,20 @@
 		clockB.Advance(time.Second)
 	}
 	advance()
-	if !a.reportNotice("e", 6) || a.reportNotice("e", 6) {
+	if !a.reportNotice("e", 6, false) || a.reportNotice("e", 6, false) {
 		t.Error("only the first answer with a limit is news")
 	}
 	first := a.ExportNotices(8)
 	b.MergeNotices(first)
 	limitAt(b, 6)
 	advance()
-	b.reportNotice("e", 0)
+	b.reportNotice("e", 0, false)
 	b.MergeNotices(first)
 	limitAt(b, 0)
 	a.MergeNotices(b.ExportNotices(8))
 	limitAt(a, 0)
 	advance()
-	a.reportNotice("e", 3)
+	a.reportNotice("e", 3, false)
 	a.RemoveEndpoint("e")
 	a.SetEndpoint(jksched.Endpoint{ID: "e", Zone: "z1", Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.1:80", 1)
 	limitAt(a, 3)
@@ -91,3 +91,44 @@
 	b.MergeNotices(reports)
 	limitAt(b, 0)
 }
+
+// Guards against requests to an endpoint that has said that it leaves, on this host or
+// another one, while its entry says that it is live: a retry there, an entry that is
+// written again or comes back. A restarted endpoint takes requests again (DRAIN).
+func TestLeavingOutlivesTheEntry(t *testing.T) {
+	hosts := []Host{{"a", "z1"}, {"b", "z1"}}
+	a, _ := newNoticeFleet("a", "z1", hosts)
+	b, _ := newNoticeFleet("b", "z1", hosts)
+	entry := jksched.Endpoint{ID: "e", Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}
+	takes := func(f *Fleet) bool {
+		_, err := f.place(jksched.Call{Kind: jksched.KindService, Service: "s"}, nil)
+		_, again := f.reuse("e")
+		if (err == nil) != again {
+			t.Errorf("placed: %t, reused: %t", err == nil, again)
+		}
+		return err == nil
+	}
+	if !takes(a) || !takes(b) {
+		t.Fatal("a live endpoint takes no requests")
+	}
+	a.reportNotice("e", 0, true)
+	b.MergeNotices(a.ExportNotices(8))
+	for _, f := range []*Fleet{a, b} {
+		if takes(f) {
+			t.Error("a leaving endpoint takes requests")
+		}
+		f.SetEndpoint(entry, "10.0.0.1:80", 1)
+		if takes(f) {
+			t.Error("a leaving endpoint takes requests once its entry is written again")
+		}
+		f.RemoveEndpoint("e")
+		f.SetEndpoint(entry, "10.0.0.1:80", 1)
+		if takes(f) {
+			t.Error("a leaving endpoint takes requests once its entry is back")
+		}
+		f.SetEndpoint(entry, "10.0.0.1:80", 2)
+		if !takes(f) {
+			t.Error("a restarted endpoint takes no requests")
+		}
+	}
+}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -201,8 +201,8 @@
 	if respInfo.HasLoad {
 		h.Fleet.reportLoad(id, respInfo.Load)
 	}
-	if h.Fleet.reportNotice(id, respInfo.Limit) {
-		h.Log.Info("endpoint named a limit", "endpoint", id, "per_second", respInfo.Limit, "request", c.info.Request)
+	if h.Fleet.reportNotice(id, respInfo.Limit, respInfo.Leaving) {
+		h.Log.Info("endpoint said something new", "endpoint", id, "limit_per_second", respInfo.Limit, "leaving", respInfo.Leaving, "request", c.info.Request)
 	}
 	outcome := h.forwardResponse(ctx, c, resp, respInfo)
 	h.Fleet.done(id, h.endpointOutcome(c, ctx, outcome), h.Timer.Now().Sub(began))
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -39,8 +39,8 @@
 	conn *conn
 	body io.ReadCloser
 	// limit bounds the body, and read is the part of it that was read, both in bytes.
-	limit int64
-	read  int64
+	limit        int64
+	read         int64
 	reusable     bool
 	requestWrite *requestWrite
 	stopCancel   func() bool
