follow: don't take an early empty answer or an own cancellation for more than it is

Change: the wait counts only as far as it has passed, a cancelled watch blames no peer, and with less than 150 ms left the store is asked instead. Ruled out: nothing more. Measured: TestEarlyEmptyAnswerProvesNothingAboutLater (-500 ms old) and TestCancelledWatchAvoidsNoPeer fail before and pass after.

--- a/core/jkfollow/late_test.go
+++ b/core/jkfollow/late_test.go
@@ -160,3 +160,39 @@
 		}
 	}
 }
+
+// Guards against knowledge that looks newer than it is, after a store that answered an empty
+// watch before the end of its wait.
+func TestEarlyEmptyAnswerProvesNothingAboutLater(t *testing.T) {
+	timer, _ := jktimer.NewManual(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	r := NewWatchRelay(WatchRelayOptions{
+		Timer: timer, Log: jklog.Discard(), Host: "h", Peers: func() []Peer { return nil },
+		Source: Source{Watch: func(context.Context, string, int64, time.Duration) (Page, error) { return Page{}, nil }},
+	})
+	if _, err := r.watch(t.Context(), "", 0, watchWait); err != nil {
+		t.Fatal(err)
+	}
+	if age := r.age(); age < 0 {
+		t.Errorf("what is known of the store is %s old", age)
+	}
+}
+
+// Guards against sound peers that aren't followed for a while because this host itself
+// cancelled its call to them.
+func TestCancelledWatchAvoidsNoPeer(t *testing.T) {
+	t.Parallel()
+	hung, calls := hungPeer(t, "hung")
+	own := &storeStub{}
+	relay, _ := relayBehind(t, "relay", own, hung)
+	receive(t, calls, 5*time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := relay.watch(ctx, "", 0, watchWait); err == nil {
+		t.Error("a cancelled watch succeeded")
+	}
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	if !relay.avoidUntil["hung"].IsZero() {
+		t.Error("the peer isn't followed")
+	}
+}
--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -54,10 +54,12 @@
 const maxAge = 2*watchWait + 300*time.Millisecond
 
 // peerWait is how long a peer holds a watch while the store tells it nothing new, and
-// peerTimeout the time for its answer.
+// peerTimeout the time for its answer. With less than minPeerTimeout left until maxAge a
+// peer isn't asked, since a sound one may miss it.
 const (
-	peerWait    = watchWait + 200*time.Millisecond
-	peerTimeout = peerWait + 200*time.Millisecond
+	peerWait       = watchWait + 200*time.Millisecond
+	peerTimeout    = peerWait + 200*time.Millisecond
+	minPeerTimeout = 150 * time.Millisecond
 )
 
 // minAgeGain is how much younger than the follower's knowledge a peer's has to be for an
@@ -171,10 +173,13 @@
 func (r *WatchRelay) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
 	for _, peer := range r.peerCandidates() {
 		timeout := r.peerBudget()
-		if timeout <= 0 {
+		if timeout < minPeerTimeout {
 			break
 		}
 		page, confirmedAt, err := r.watchPeer(ctx, peer, after, timeout)
+		if ctx.Err() != nil {
+			return Page{}, ctx.Err()
+		}
 		if err != nil {
 			r.peerFailed(peer, after, err)
 			continue
@@ -188,8 +193,8 @@
 	return r.watchStore(ctx, prefix, after, wait)
 }
 
-// peerBudget returns the time for an answer of a peer. It isn't positive if this host has
-// to ask the store first.
+// peerBudget returns the time for an answer of a peer. It may be negative: then this host
+// has to ask the store first.
 func (r *WatchRelay) peerBudget() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -234,8 +239,8 @@
 	page.Via = ViaStore
 	confirmedAt := began
 	if len(page.Items) == 0 {
-		// The store answers without changes only once the wait is over.
-		confirmedAt = began.Add(wait)
+		// The store usually answers without changes only once the wait is over.
+		confirmedAt = began.Add(min(wait, r.Timer.Now().Sub(began)))
 	}
 	r.record(page, confirmedAt)
 	r.mu.Lock()
