forward: count crashes of attempts that follow each other only

Change: a crash counts if its attempt was sent after the crash before it, on whatever host; reports carry both times. Ruled out: counting by callers, whose address may change between attempts.

--- a/core/jkcrash/table.go
+++ b/core/jkcrash/table.go
@@ -32,37 +32,78 @@
 // Life identifies one start of an endpoint.
 type Life uint64
 
-// Suspect is a content with the lives of the endpoints that ended while they ran it.
+// Crash is the end of an endpoint while it ran a content.
+type Crash struct {
+	Life Life
+	// SentAt is when the content was sent to the endpoint, and EndedAt when its exchange
+	// broke off.
+	SentAt  time.Time
+	EndedAt time.Time
+}
+
+// Suspect is a content with the endpoints that ended while they ran it.
 type Suspect struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Key     Key
-	Crashes []Life
+	Crashes []CrashReport
 	// Cleared are crashes that no longer count, since the content was served later.
 	Cleared []Life
-	// Age is the time since the last crash.
-	Age time.Duration
+}
+
+// CrashReport is a crash for another host, whose clock differs.
+type CrashReport struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Life Life
+	// Sent and Ended are the times since then.
+	Sent  time.Duration
+	Ended time.Duration
 }
 
 // row is the state of one content.
 type row struct {
-	crashes    []Life
+	// crashes are ordered by their ends.
+	crashes    []Crash
 	cleared    []Life
-	lastCrash  time.Time
 	lastExport time.Time
 }
 
-// count returns the number of crashes that count.
+// count returns the number of crashes that count: those of attempts that were sent after
+// the crash before. Endpoints that end at the same moment, for a reason of their own, may
+// all have run a content that many callers send.
 func (r *row) count() int {
 	n := 0
-	for _, life := range r.crashes {
-		if !slices.Contains(r.cleared, life) {
-			n++
+	var last time.Time
+	for _, c := range r.crashes {
+		if slices.Contains(r.cleared, c.Life) || c.SentAt.Before(last) {
+			continue
 		}
+		n++
+		last = c.EndedAt
 	}
 	return n
 }
 
+// lastCrash returns when the last crash ended.
+func (r *row) lastCrash() time.Time {
+	if len(r.crashes) == 0 {
+		return time.Time{}
+	}
+	return r.crashes[len(r.crashes)-1].EndedAt
+}
+
+// add adds a crash and reports whether it wasn't known.
+func (r *row) add(c Crash) bool {
+	known := slices.ContainsFunc(r.crashes, func(other Crash) bool { return other.Life == c.Life })
+	if known || len(r.crashes) >= maxCrashes {
+		return false
+	}
+	r.crashes = append(r.crashes, c)
+	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.EndedAt.Compare(b.EndedAt) })
+	return true
+}
+
 // quarantine returns how long the content is refused after its last crash.
 func (r *row) quarantine() time.Duration {
 	n := r.count()
@@ -87,16 +128,12 @@
 
 // Crashed records that an endpoint ended while it ran a content, and returns the number
 // of crashes that count. It reports false if the crash was known.
-func (t *Table) Crashed(now time.Time, key Key, life Life) (crashes int, added bool) {
+func (t *Table) Crashed(key Key, c Crash) (crashes int, added bool) {
 	r := t.getOrAdd(key)
-	if slices.Contains(r.crashes, life) {
-		return r.count(), false
+	if added = r.add(c); added {
+		r.lastExport = time.Time{}
 	}
-	r.lastCrash, r.lastExport = now, time.Time{}
-	if len(r.crashes) < maxCrashes {
-		r.crashes = append(r.crashes, life)
-	}
-	return r.count(), true
+	return r.count(), added
 }
 
 // Served records that an endpoint served a content, which clears it of the crashes so
@@ -106,7 +143,19 @@
 	if r == nil || r.count() == 0 {
 		return false
 	}
-	r.cleared, r.lastExport = slices.Clone(r.crashes), time.Time{}
+	r.lastExport = time.Time{}
+	for _, c := range r.crashes {
+		r.clear(c.Life)
+	}
+	return true
+}
+
+// clear records that a crash no longer counts, and reports whether that is new.
+func (r *row) clear(life Life) bool {
+	if len(r.cleared) >= maxCrashes || slices.Contains(r.cleared, life) {
+		return false
+	}
+	r.cleared = append(r.cleared, life)
 	return true
 }
 
@@ -116,7 +165,7 @@
 	if r == nil {
 		return 0
 	}
-	return max(r.quarantine()-now.Sub(r.lastCrash), 0)
+	return max(r.quarantine()-now.Sub(r.lastCrash()), 0)
 }
 
 // RefusedCount returns the number of contents that are refused.
@@ -135,18 +184,19 @@
 func (t *Table) Merge(now time.Time, suspects []Suspect) []Key {
 	var refused []Key
 	for _, s := range suspects {
-		if s.Age < 0 || s.Age > maxQuarantine {
-			continue
-		}
 		before := t.Refused(now, s.Key)
 		r := t.getOrAdd(s.Key)
-		crashes, cleared := len(r.crashes), len(r.cleared)
-		r.crashes = union(r.crashes, s.Crashes)
-		r.cleared = union(r.cleared, s.Cleared)
-		if at := now.Add(-s.Age); len(r.crashes) > crashes && at.After(r.lastCrash) {
-			r.lastCrash = at
+		changed := false
+		for _, c := range s.Crashes {
+			if c.Ended < 0 || c.Sent < c.Ended || c.Ended > maxQuarantine {
+				continue
+			}
+			changed = r.add(Crash{Life: c.Life, SentAt: now.Add(-c.Sent), EndedAt: now.Add(-c.Ended)}) || changed
+		}
+		for _, life := range s.Cleared {
+			changed = r.clear(life) || changed
 		}
-		if len(r.crashes) > crashes || len(r.cleared) > cleared {
+		if changed {
 			r.lastExport = time.Time{}
 		}
 		if before == 0 && t.Refused(now, s.Key) > 0 {
@@ -156,15 +206,6 @@
 	return refused
 }
 
-func union(a, b []Life) []Life {
-	for _, life := range b {
-		if len(a) < maxCrashes && !slices.Contains(a, life) {
-			a = append(a, life)
-		}
-	}
-	return a
-}
-
 func (t *Table) getOrAdd(key Key) *row {
 	if r := t.rows[key]; r != nil {
 		return r
@@ -181,7 +222,7 @@
 	var oldest Key
 	first := true
 	for key, r := range t.rows {
-		if first || r.lastCrash.Before(t.rows[oldest].lastCrash) {
+		if first || r.lastCrash().Before(t.rows[oldest].lastCrash()) {
 			oldest, first = key, false
 		}
 	}
@@ -191,7 +232,7 @@
 // Expire forgets contents whose last crash is long ago.
 func (t *Table) Expire(now time.Time) {
 	for key, r := range t.rows {
-		if now.Sub(r.lastCrash) > max(2*r.quarantine(), suspectRetention) {
+		if now.Sub(r.lastCrash()) > max(2*r.quarantine(), suspectRetention) {
 			delete(t.rows, key)
 		}
 	}
@@ -222,7 +263,7 @@
 // started. It doesn't count as an export.
 func (t *Table) Latest(now time.Time, n int) []Suspect {
 	keys := t.exportOrder()
-	slices.SortStableFunc(keys, func(a, b Key) int { return t.rows[b].lastCrash.Compare(t.rows[a].lastCrash) })
+	slices.SortStableFunc(keys, func(a, b Key) int { return t.rows[b].lastCrash().Compare(t.rows[a].lastCrash()) })
 	return t.suspects(now, keys[:min(n, len(keys))])
 }
 
@@ -244,7 +285,11 @@
 	out := make([]Suspect, 0, len(keys))
 	for _, key := range keys {
 		r := t.rows[key]
-		out = append(out, Suspect{Key: key, Crashes: slices.Clone(r.crashes), Cleared: slices.Clone(r.cleared), Age: now.Sub(r.lastCrash)})
+		one := Suspect{Key: key, Cleared: slices.Clone(r.cleared)}
+		for _, c := range r.crashes {
+			one.Crashes = append(one.Crashes, CrashReport{Life: c.Life, Sent: now.Sub(c.SentAt), Ended: now.Sub(c.EndedAt)})
+		}
+		out = append(out, one)
 	}
 	return out
 }
--- a/core/jkcrash/table_test.go
+++ b/core/jkcrash/table_test.go
@@ -10,26 +10,33 @@
 
 var start = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 
+// crashAt returns the end of an endpoint under a content that was sent to it shortly
+// before.
+func crashAt(life Life, endedAt time.Time) Crash {
+	return Crash{Life: life, SentAt: endedAt.Add(-10 * time.Millisecond), EndedAt: endedAt}
+}
+
 // Guards against a content that goes on because its three crashes were seen by three
 // hosts, and against one crash that counts twice because two hosts saw it.
 func TestCrashesOfAllHostsCountOnce(t *testing.T) {
 	hosts := []*Table{New(8), New(8), New(8)}
-	hosts[0].Crashed(start, 1, 100)
-	hosts[1].Crashed(start, 1, 100)
-	hosts[1].Crashed(start, 1, 200)
+	now := start.Add(2 * time.Second)
+	hosts[0].Crashed(1, crashAt(100, start))
+	hosts[1].Crashed(1, crashAt(100, start))
+	hosts[1].Crashed(1, crashAt(200, start.Add(time.Second)))
 	for _, from := range hosts {
 		for _, to := range hosts {
-			to.Merge(start, from.Export(start, 8))
+			to.Merge(now, from.Export(now, 8))
 		}
 	}
-	if left := hosts[0].Refused(start, 1); left != 0 {
+	if left := hosts[0].Refused(now, 1); left != 0 {
 		t.Fatalf("refused for %s after two crashes", left)
 	}
-	hosts[2].Crashed(start, 1, 300)
-	if fresh := hosts[0].Merge(start, hosts[2].Export(start, 8)); !slices.Equal(fresh, []Key{1}) {
+	hosts[2].Crashed(1, crashAt(300, start.Add(2*time.Second)))
+	if fresh := hosts[0].Merge(now, hosts[2].Export(now, 8)); !slices.Equal(fresh, []Key{1}) {
 		t.Errorf("newly refused %v, want content 1", fresh)
 	}
-	if left := hosts[0].Refused(start, 1); left != minQuarantine {
+	if left := hosts[0].Refused(now, 1); left != minQuarantine {
 		t.Errorf("refused for %s, want %s", left, minQuarantine)
 	}
 }
@@ -39,7 +46,7 @@
 func TestServedContentIsClearedEverywhere(t *testing.T) {
 	a, b := New(8), New(8)
 	for life := Life(1); life <= 3; life++ {
-		a.Crashed(start, 7, life)
+		a.Crashed(7, crashAt(life, start.Add(time.Duration(life)*time.Second-4*time.Second)))
 	}
 	b.Merge(start, a.Export(start, 8))
 	if !a.Served(7) {
@@ -61,7 +68,7 @@
 func TestQuarantineEndsAndGrows(t *testing.T) {
 	table, now := New(8), start
 	for life := Life(1); life <= 3; life++ {
-		table.Crashed(now, 7, life)
+		table.Crashed(7, crashAt(life, now.Add(time.Duration(life)*time.Second-3*time.Second)))
 	}
 	for want := minQuarantine; want <= maxQuarantine; want *= 2 {
 		if left := table.Refused(now, 7); left != want {
@@ -72,7 +79,7 @@
 			t.Fatalf("refused for %s after the end", left)
 		}
 		table.Expire(now)
-		table.Crashed(now, 7, Life(1000+want))
+		table.Crashed(7, crashAt(Life(1000+want), now))
 	}
 }
 
@@ -87,7 +94,8 @@
 			key := Key(rapid.IntRange(1, 3).Draw(t, "key"))
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				host.Crashed(start, key, Life(rapid.IntRange(1, 5).Draw(t, "life")))
+				life := Life(rapid.IntRange(1, 5).Draw(t, "life"))
+				host.Crashed(key, crashAt(life, start.Add(-time.Duration(life)*time.Second)))
 			case 1:
 				host.Served(key)
 			case 2:
@@ -115,3 +123,20 @@
 		}
 	})
 }
+
+// Guards against contents that many callers send and that are refused since several endpoints
+// that ran them ended at the same moment.
+func TestEndpointsThatEndTogetherCountOnce(t *testing.T) {
+	table := New(8)
+	for life := Life(1); life <= 5; life++ {
+		table.Crashed(7, Crash{Life: life, SentAt: start.Add(-time.Duration(life) * 10 * time.Millisecond), EndedAt: start.Add(time.Duration(life) * time.Millisecond)})
+	}
+	now := start.Add(time.Second)
+	if left := table.Refused(now, 7); left != 0 {
+		t.Errorf("refused for %s after one moment in which endpoints ended", left)
+	}
+	table.Crashed(7, crashAt(10, now))
+	if n, _ := table.Crashed(7, crashAt(11, now.Add(time.Second))); n != 3 {
+		t.Errorf("%d crashes count, want 3", n)
+	}
+}
--- a/core/jkentry/news.go
+++ b/core/jkentry/news.go
@@ -28,9 +28,9 @@
 	// refreshInterval is the interval at which it passes on what hasn't changed, for
 	// entries that have started or were cut off.
 	refreshInterval = time.Second
-	// maxSuspectsPerNews bounds the suspects in one datagram: thirty bytes each with two
+	// maxSuspectsPerNews bounds the suspects in one datagram: eighty bytes each with three
 	// crashes.
-	maxSuspectsPerNews = 16
+	maxSuspectsPerNews = 8
 	// maxNoticesPerNews bounds the notices in one datagram: forty bytes each with a name
 	// of a usual length.
 	maxNoticesPerNews = 12
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -26,6 +26,8 @@
 
 	receivedAt time.Time
 	deadline   time.Time
+	// sentAt is when the request was sent to the endpoint of the latest attempt.
+	sentAt time.Time
 	// firstSentAt is when the request was first sent to an endpoint, and firstEventAt
 	// when the first event of a stream arrived.
 	firstSentAt  time.Time
--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -59,6 +59,7 @@
 type pendingCrash struct {
 	key     jkcrash.Key
 	request string
+	sentAt  time.Time
 	at      time.Time
 }
 
@@ -185,7 +186,7 @@
 		w.lives[id] = &endpointLife{life: lifeOf(id, 0), addr: addr, removedAt: w.timer.Now()}
 	}
 	life := w.lives[id].life
-	w.addPending(life, pendingCrash{key: c.key(), request: c.info.Request, at: w.timer.Now()})
+	w.addPending(life, pendingCrash{key: c.key(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
 	if !byEndpoint {
 		w.mu.Unlock()
 		return
@@ -235,7 +236,7 @@
 		if now.Sub(p.at) > pendingPeriod {
 			continue
 		}
-		crashes, added := w.table.Crashed(now, p.key, life)
+		crashes, added := w.table.Crashed(p.key, jkcrash.Crash{Life: life, SentAt: p.sentAt, EndedAt: p.at})
 		if !added {
 			continue
 		}
--- a/core/jkforward/crash_test.go
+++ b/core/jkforward/crash_test.go
@@ -37,6 +37,7 @@
 			c := crashingCall(t, "content")
 			for _, id := range []string{"i-1", "i-2", "i-3"} {
 				w.SetEndpoint(id, id, 1)
+				c.sentAt = time.Now()
 				w.brokeOff(c, id, id, true)
 				if test.later != nil {
 					test.later(w, id)
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -185,6 +185,7 @@
 	header := c.forwardHeader(h.Dialect)
 	h.Dialect.AddHeaders(header, ForwardInfo{Endpoint: id, TimeLeft: left, Urgency: urgency(c), LastEvent: c.lastEventID})
 	began := h.Timer.Now()
+	c.sentAt = began
 	if c.firstSentAt.IsZero() {
 		c.firstSentAt = began
 	}
