forward: send to no further endpoint because the last one takes no more

Cause: found while reading: once a request has been tried at as many endpoints as its route allows, it goes on at the last one; if that one leaves or has no place, another endpoint was chosen, one more than allowed (BUDGET). Change: the request ends then; an endpoint that is gone is still replaced. Ruled out: nothing more. Measured: TestLastEndpointThatLeavesIsNotReplaced chooses the other endpoint with the former condition, and none now.

--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -150,17 +150,24 @@
 	delay time.Duration
 }
 
-// reuse counts one more call at an endpoint that was chosen before. It reports false if
-// the endpoint takes none.
-func (f *Fleet) reuse(id string) (target, bool) {
+// reuse counts one more call at an endpoint that was chosen before. The error is a
+// *RefusedError if the endpoint takes no call now, and nil with an empty target if it is
+// gone.
+func (f *Fleet) reuse(id string) (target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	addr := f.addrs[id]
-	if e, known := f.direct.Endpoint(id); !known || e.State != jksched.StateLive {
-		return target{}, false
+	e, known := f.direct.Endpoint(id)
+	if !known {
+		return target{}, nil
+	}
+	if e.State != jksched.StateLive {
+		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLeaving}
 	}
 	delay, ok := f.direct.Reserve(f.timer.Now(), id)
-	return target{id: id, addr: addr, delay: delay}, ok
+	if !ok {
+		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLimited}
+	}
+	return target{id: id, addr: f.addrs[id], delay: delay}, nil
 }
 
 // takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
--- a/core/jkforward/notice_test.go
+++ b/core/jkforward/notice_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 	"jasmineknot.example/core/jktimer"
 )
@@ -103,8 +104,8 @@
 	takes := func(f *Fleet) bool {
 		_, err := f.place(jksched.Call{Kind: jksched.KindService, Service: "s"}, nil)
 		_, again := f.reuse("e")
-		if (err == nil) != again {
-			t.Errorf("placed: %t, reused: %t", err == nil, again)
+		if (err == nil) != (again == nil) {
+			t.Errorf("placed: %v, reused: %v", err, again)
 		}
 		return err == nil
 	}
@@ -132,3 +133,27 @@
 		}
 	}
 }
+
+// Guards against a request that reaches more endpoints than its route allows because the
+// last one takes no more requests (BUDGET); one that is gone doesn't count.
+func TestLastEndpointThatLeavesIsNotReplaced(t *testing.T) {
+	f, _ := newNoticeFleet("a", "z1", []Host{{"a", "z1"}})
+	f.SetEndpoint(jksched.Endpoint{ID: "other", Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.2:80", 1)
+	h := NewHandler(Options{Fleet: f})
+	c := &call{
+		attempts: 2, lastEndpoint: "e",
+		route:   jkruleset.NewRoute(jkruleset.RouteConfig{Kind: jkruleset.KindIdempotent, MaxAttempts: 2}),
+		service: jkruleset.NewService(jkruleset.ServiceConfig{Name: "s"}),
+	}
+	if to, err := h.chooseEndpoint(c); err != nil || to.id != "e" {
+		t.Fatalf("chosen %+v, error %v, want e once more", to, err)
+	}
+	f.reportNotice("e", 0, true)
+	if to, err := h.chooseEndpoint(c); err == nil {
+		t.Errorf("chosen %+v after the last endpoint began to leave, want none", to)
+	}
+	f.RemoveEndpoint("e")
+	if to, err := h.chooseEndpoint(c); err != nil || to.id != "other" {
+		t.Errorf("chosen %+v, error %v, want the other one", to, err)
+	}
+}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -135,8 +135,9 @@
 // of endpoints was tried, it reuses the last one unless that one is excluded.
 func (h *Handler) chooseEndpoint(c *call) (target, error) {
 	if c.attempts >= max(c.route.MaxAttempts(), 1) && !slices.Contains(c.excluded, c.lastEndpoint) {
-		if to, ok := h.Fleet.reuse(c.lastEndpoint); ok {
-			return to, nil
+		// Another endpoint would be one more than the route allows.
+		if to, err := h.Fleet.reuse(c.lastEndpoint); err != nil || to.id != "" {
+			return to, err
 		}
 	}
 	return h.Fleet.place(c.schedulerCall(), c.excluded)
