forward: count crashes of an endpoint whose restarts the registry misses

Cause: found while reading: an endpoint that is started again under its id, while the store is away or before it has written its entry, counted as the same start, so that a request could end a service's only endpoint without end. Change: an endpoint that takes a request after it was found to have ended is another start. Ruled out: nothing more.

--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -48,10 +48,16 @@
 	checks  map[jkcrash.Life]*endedCheck
 }
 
-// endpointLife is one start of an endpoint. removedAt is set once its entry was removed.
+// endpointLife is one start of an endpoint.
 type endpointLife struct {
-	life      jkcrash.Life
-	addr      string
+	// registered is the start that the registry shows. The endpoint may have been started
+	// again since; life is the present start.
+	registered jkcrash.Life
+	life       jkcrash.Life
+	addr       string
+	// endedAt is when the present start was found to have ended.
+	endedAt time.Time
+	// removedAt is when the endpoint's entry was removed.
 	removedAt time.Time
 }
 
@@ -125,13 +131,14 @@
 	defer w.mu.Unlock()
 	life := lifeOf(id, born)
 	known := w.lives[id]
-	if known != nil && known.life == life && known.addr == addr && known.removedAt.IsZero() {
+	if known != nil && known.registered == life && known.addr == addr {
+		known.removedAt = time.Time{}
 		return
 	}
-	if known != nil && known.life != life {
+	if known != nil && known.registered != life {
 		w.confirm(known.life, "restarted")
 	}
-	w.lives[id] = &endpointLife{life: life, addr: addr}
+	w.lives[id] = &endpointLife{registered: life, life: life, addr: addr}
 	for other, row := range w.lives {
 		if other != id && row.addr == addr {
 			w.confirm(row.life, "replaced")
@@ -182,10 +189,18 @@
 // that the request isn't sent again before a crash is counted.
 func (w *CrashWatch) brokeOff(c *call, id, addr string, byEndpoint bool) {
 	w.mu.Lock()
-	if w.lives[id] == nil {
-		w.lives[id] = &endpointLife{life: lifeOf(id, 0), addr: addr, removedAt: w.timer.Now()}
+	row := w.lives[id]
+	if row == nil {
+		unknown := lifeOf(id, 0)
+		row = &endpointLife{registered: unknown, life: unknown, addr: addr, removedAt: w.timer.Now()}
+		w.lives[id] = row
 	}
-	life := w.lives[id].life
+	if !row.endedAt.IsZero() && c.sentAt.After(row.endedAt) {
+		// It took the request after it had ended, so it has been started again, though the
+		// registry doesn't show that yet.
+		row.life, row.endedAt = lifeOf(id, int64(row.life)), time.Time{}
+	}
+	life := row.life
 	w.addPending(life, pendingCrash{key: c.key(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
 	if !byEndpoint {
 		w.mu.Unlock()
@@ -195,7 +210,7 @@
 	if check == nil {
 		check = &endedCheck{done: make(chan struct{})}
 		w.checks[life] = check
-		go w.check(check, life, id, addr)
+		go w.check(check, row, life, id, addr)
 	}
 	w.mu.Unlock()
 	w.timer.Wait(endedWait, check.done)
@@ -213,7 +228,7 @@
 // check connects to an endpoint. Only a refused connection shows that its process has
 // ended: one that was only reset accepts it, and one that is cut off or frozen doesn't
 // answer.
-func (w *CrashWatch) check(check *endedCheck, life jkcrash.Life, id, addr string) {
+func (w *CrashWatch) check(check *endedCheck, row *endpointLife, life jkcrash.Life, id, addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), endedDialTimeout)
 	defer cancel()
 	err := w.dial(ctx, addr)
@@ -222,6 +237,9 @@
 	delete(w.checks, life)
 	close(check.done)
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		if row.life == life {
+			row.endedAt = w.timer.Now()
+		}
 		w.confirm(life, "refuses_connections")
 		return
 	}
--- a/core/jkforward/crash_test.go
+++ b/core/jkforward/crash_test.go
@@ -71,6 +71,28 @@
 	}
 }
 
+// Guards against a request that ends the same endpoint again and again while the registry
+// doesn't show that it was started again.
+func TestRestartsThatTheRegistryMissesCount(t *testing.T) {
+	w := NewCrashWatch(jktimer.New(), jklog.Discard())
+	w.dial = func(context.Context, string) error { return fmt.Errorf("dial: %w", syscall.ECONNREFUSED) }
+	w.SetEndpoint("i-1", "a", 1)
+	c := crashingCall(t, "content")
+	for n := range 3 {
+		if w.refusal(c) != nil {
+			t.Fatalf("refused after %d crashes", n)
+		}
+		c.sentAt = time.Now()
+		w.brokeOff(c, "i-1", "a", true)
+		// The endpoint's entry is written once more without a new start.
+		w.SetEndpoint("i-1", "a", 1)
+		time.Sleep(time.Millisecond)
+	}
+	if w.refusal(c) == nil {
+		t.Error("not refused after three crashes of one endpoint")
+	}
+}
+
 func crashingCall(t *testing.T, body string) *call {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://a.example/p/x", nil)
