--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -71,7 +71,7 @@
 	opt.Delay = assumedDelay
 	e.fleet = jkforward.NewFleet(s.Host, opt, timer)
 	e.crashes = jkforward.NewCrashWatch(timer, log.Part("crash"))
-	e.news = &news{timer: timer, log: log.Part("news"), crashes: e.crashes, fleet: e.fleet, startedAt: timer.Now()}
+	e.news = &news{self: s.Host, timer: timer, log: log.Part("news"), crashes: e.crashes, fleet: e.fleet, startedAt: timer.Now()}
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
 	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
--- a/core/jkentry/news.go
+++ b/core/jkentry/news.go
@@ -1,6 +1,9 @@
 package jkentry
 
 import (
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +44,8 @@
 
 // news spreads what this entry learns and merges what others do.
 type news struct {
+	// self is the name of this entry.
+	self    string
 	timer   *jktimer.Service
 	log     jklog.Logger
 	crashes *jkforward.CrashWatch
@@ -53,6 +58,9 @@
 	// answered.
 	startedAt time.Time
 	heard     atomic.Bool
+	// addrs are the entries that were asked; mu guards it.
+	mu    sync.Mutex
+	addrs []string
 	// repeats is the number of intervals for which the latest change is still passed on.
 	repeats   int
 	refreshAt time.Time
@@ -60,6 +68,7 @@
 
 // tick passes on what is due.
 func (n *news) tick() {
+	n.askAgain()
 	now := n.timer.Now()
 	if n.crashes.Changed() || n.fleet.NoticesChanged() {
 		n.repeats = newsRepeats
@@ -90,11 +99,33 @@
 
 // hostAppeared asks another entry for its news, until one has answered.
 func (n *news) hostAppeared(e HostEntry) {
-	if !e.Ledger && !n.heard.Load() {
-		n.ask(e.Addr)
+	if e.Ledger || e.Host == n.self || n.heard.Load() {
+		return
 	}
+	n.mu.Lock()
+	n.addrs = append(n.addrs, e.Addr)
+	n.mu.Unlock()
+	n.ask(e.Addr)
 }
 
+// askAgain asks the known entries once more. When a whole fleet starts, the first questions
+// reach entries that don't listen yet.
+func (n *news) askAgain() {
+	if n.settled() {
+		return
+	}
+	n.mu.Lock()
+	addrs := slices.Clone(n.addrs)
+	n.mu.Unlock()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, addr := range addrs[:min(len(addrs), maxAsked)] {
+		n.ask(addr)
+	}
+}
+
+// maxAsked bounds the entries that are asked again in one interval.
+const maxAsked = 4
+
 // startTimeout is how long an entry that has started waits for the news of another one. An
 // entry alone gets none.
 const startTimeout = time.Second
