entry: refuse what can't end in the grace of a planned stop

Cause: a stopping entry took requests until its process ended. Shutdown closes idle connections, but one that was opened less than 5 s ago and hasn't sent anything may still bring a request, and requests whose time limit exceeds the rest of the grace were passed on from the first moment. What hadn't ended by then was cut without a response.

Ruled out: refusing by the usual time of a route instead of the time limit. It takes more requests in the first seconds, but a slow endpoint then cuts those that can't be repeated. Bounding the deadline of late requests by the grace: same risk, as a 504 says nothing about whether the request ran.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -35,7 +35,7 @@
 	metrics  *metrics.Set
 
 	rules      atomic.Pointer[jkruleset.Set]
-	leaving    atomic.Bool
+	stop       *jkforward.HostStop
 	fleet      *jkforward.Fleet
 	pool       *jkupstream.Pool
 	peers      *jkwire.Pool
@@ -64,7 +64,7 @@
 func NewEntry(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Entry, error) {
 	e := &Entry{
 		settings: s, platform: p, timer: timer, log: log, metrics: metrics.NewSet(),
-		members: newMembers(timer), endpoints: map[string]EndpointState{},
+		members: newMembers(timer), endpoints: map[string]EndpointState{}, stop: jkforward.NewHostStop(),
 	}
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = s.Zone
@@ -220,7 +220,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Leaving: e.leaving.Load,
+		Crashes: e.crashes, Stop: e.stop,
 	})
 	inner, err := net.Listen("tcp", e.settings.Inner)
 	if err != nil {
@@ -304,7 +304,7 @@
 // endpoint of a service isn't ready, so that callers go to entries of other zones.
 func (e *Entry) Ready() bool {
 	rules := e.rules.Load()
-	return !e.leaving.Load() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.fleet.HasUnreachableService(rules.Services())
+	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.fleet.HasUnreachableService(rules.Services())
 }
 
 // Run follows the store until stop is closed, then drains the requests in flight and
@@ -343,16 +343,28 @@
 // copies.
 const flushTimeout = killMargin / 2
 
+// responseTimeout bounds how long the responses to requests that are broken off at the end
+// of the grace period may take to be written.
+const responseTimeout = 100 * time.Millisecond
+
 // drain waits until the platform sends no new connections, then until the requests in
-// flight have ended or the grace period is nearly over.
+// flight have ended or the grace period is nearly over. From its start on, requests that
+// may last longer are refused; those that were taken before and last longer are answered.
 func (e *Entry) drain() {
-	e.leaving.Store(true)
+	endsAt := e.timer.Now().Add(e.settings.Grace - killMargin)
+	e.stop.Begin(endsAt)
 	e.log.Info("entry draining", "in_flight", e.counts.InFlight())
 	e.timer.Wait(min(deregistrationDelay, e.settings.Grace/2), nil)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Grace-deregistrationDelay-killMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Sub(e.timer.Now()))
 	defer cancel()
-	if err := e.front.Shutdown(ctx); err != nil {
+	if err := e.front.Shutdown(ctx); err != nil && e.counts.InFlight() > 0 {
 		e.log.Warn("drain timed out with requests in flight", "in_flight", e.counts.InFlight(), "error", err)
+		e.stop.End()
+		last, cancelLast := context.WithTimeout(context.Background(), responseTimeout)
+		defer cancelLast()
+		if err := e.front.Shutdown(last); err != nil && e.counts.InFlight() > 0 {
+			e.log.Warn("requests cut off by the end of the process", "in_flight", e.counts.InFlight(), "error", err)
+		}
 	}
 	e.account.Flush(flushTimeout)
 	e.log.Info("entry stopped")
--- /dev/null
+++ b/core/jkentry/stop_test.go
@@ -0,0 +1,238 @@
+package jkentry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkruleset"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+)
+
+// Headers of the test's Dialect, whose times are in milliseconds.
+const (
+	stopTestID   = "Test-Request"
+	stopTestWait = "Test-Wait"
+	stopTestWork = "Test-Work"
+)
+
+// slowEndpoint answers each request once the work that it names is done.
+type slowEndpoint struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func (s *slowEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.seen[r.Header.Get(stopTestID)] = true
+	s.mu.Unlock()
+	work, _ := strconv.Atoi(r.Header.Get(stopTestWork))
+	select {
+	case <-time.After(time.Duration(work) * time.Millisecond):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set(stopTestID, r.Header.Get(stopTestID))
+	_, _ = io.WriteString(w, "done")
+}
+
+func (s *slowEndpoint) saw(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[id]
+}
+
+// stopTestPlatform has one service with an endpoint at each address, and a route to it whose
+// requests can't be repeated.
+func stopTestPlatform(addrs []string) Platform {
+	rules := jkruleset.NewSet(1, jkruleset.Limits{}, []*jkruleset.Service{
+		jkruleset.NewService(jkruleset.ServiceConfig{Name: "s"}),
+	}, []*jkruleset.Route{jkruleset.NewRoute(jkruleset.RouteConfig{
+		Name: "once", Host: "site.example", Prefix: "/once/", Kind: jkruleset.KindNonIdempotent,
+		Timeout: time.Minute, MaxAttempts: 1, Shares: []jkruleset.Share{{Service: "s", Weight: 1}},
+	})})
+	byKey := map[string]Change{"rules": {Rules: rules}}
+	for _, addr := range addrs {
+		byKey[addr] = Change{Endpoint: &EndpointState{Addr: addr, Born: 1, Endpoint: jksched.Endpoint{
+			ID: addr, Zone: "a", Kind: jksched.KindService, Service: "s", Slots: 1000, State: jksched.StateLive,
+		}}}
+	}
+	p := scriptedPlatform(byKey)
+	p.Dialect = jkforward.Dialect{
+		DecodeRequest: func(h http.Header) jkforward.RequestInfo {
+			wait, _ := strconv.Atoi(h.Get(stopTestWait))
+			return jkforward.RequestInfo{Request: h.Get(stopTestID), Wait: time.Duration(wait) * time.Millisecond}
+		},
+		Forwardable: func(string) bool { return true },
+		AddHeaders:  func(http.Header, jkforward.ForwardInfo) {},
+		DecodeResponse: func(h http.Header) jkforward.ResponseInfo {
+			return jkforward.ResponseInfo{Request: h.Get(stopTestID), Signed: true}
+		},
+	}
+	return p
+}
+
+// stopCaller is one connection of a caller.
+type stopCaller struct {
+	conn net.Conn
+	read *bufio.Reader
+}
+
+func dialStopping(addr string) (*stopCaller, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &stopCaller{conn: c, read: bufio.NewReader(c)}, nil
+}
+
+// closeAtExit closes the connection once the channel is closed, as the end of the host's
+// process does, or when the returned function is called.
+func (c *stopCaller) closeAtExit(exited <-chan struct{}) func() {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-exited:
+		case <-done:
+		}
+		_ = c.conn.Close()
+	}()
+	return func() { close(done) }
+}
+
+// send sends a request and returns the status of its whole response, or zero without one.
+func (c *stopCaller) send(id string, wait, work time.Duration) (status int, retryAfter string) {
+	_, err := fmt.Fprintf(c.conn, "POST /once/x HTTP/1.1\r\nHost: site.example\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: 0\r\n\r\n",
+		stopTestID, id, stopTestWait, wait.Milliseconds(), stopTestWork, work.Milliseconds())
+	if err != nil {
+		return 0, ""
+	}
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// Guards against requests that are taken during a planned stop, reach an endpoint and are
+// cut without a response when the host ends, on connections of all ages.
+func TestRequestsLateInAPlannedStop(t *testing.T) {
+	t.Parallel()
+	const grace = 4 * time.Second
+	work := &slowEndpoint{seen: map[string]bool{}}
+	// A host opens at most 48 connections to an endpoint.
+	var endpoints []string
+	for range 4 {
+		endpoint := httptest.NewServer(work)
+		t.Cleanup(endpoint.Close)
+		endpoints = append(endpoints, endpoint.Listener.Addr().String())
+	}
+	front := freeAddr(t)
+	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Inner: freeAddr(t), Front: front, Grace: grace},
+		stopTestPlatform(endpoints), jktimer.New(), jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, key := range append([]string{"rules"}, endpoints...) {
+		e.apply(jkfollow.Item{Key: key, Revision: int64(i + 1)})
+	}
+	kinds := []struct {
+		name       string
+		wait, work time.Duration
+	}{{"short", time.Second, 50 * time.Millisecond}, {"long", 6 * time.Second, 3 * time.Second}, {"brief-of-long", 6 * time.Second, 50 * time.Millisecond}}
+	type probe struct {
+		conn       *stopCaller
+		id, kind   string
+		at         time.Duration
+		wait, work time.Duration
+	}
+	var probes []probe
+	for at := time.Duration(0); at < grace; at += 100 * time.Millisecond {
+		for _, kind := range kinds {
+			for _, conn := range []string{"kept", "unused", "new"} {
+				p := probe{id: fmt.Sprintf("%s-%s-%s", conn, kind.name, at), kind: kind.name, at: at, wait: kind.wait, work: kind.work}
+				if conn != "new" {
+					if p.conn, err = dialStopping(front); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if conn == "kept" {
+					if status, _ := p.conn.send("before-"+p.id, time.Second, 0); status != http.StatusOK {
+						t.Fatalf("request before the stop: status %d", status)
+					}
+				}
+				probes = append(probes, p)
+			}
+		}
+	}
+	before, err := dialStopping(front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done, exited := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var outcomes sync.WaitGroup
+	check := func(p probe, status int, retryAfter string) {
+		saw := work.saw(p.id)
+		switch {
+		case saw && status == 0:
+			t.Errorf("%s reached the endpoint and has no response", p.id)
+		case status == http.StatusServiceUnavailable && (saw || retryAfter == ""):
+			t.Errorf("%s: refused, but reached the endpoint: %t, Retry-After %q", p.id, saw, retryAfter)
+		case status != http.StatusOK && p.kind == "short" && p.at < 1500*time.Millisecond:
+			t.Errorf("%s: status %d early in the stop, although it would have ended", p.id, status)
+		}
+	}
+	began := time.Now()
+	run := func(p probe) {
+		defer outcomes.Done()
+		time.Sleep(p.at - time.Since(began))
+		if p.conn == nil {
+			var err error
+			if p.conn, err = dialStopping(front); err != nil {
+				// The host listens no more.
+				return
+			}
+		}
+		defer p.conn.closeAtExit(exited)()
+		status, retryAfter := p.conn.send(p.id, p.wait, p.work)
+		check(p, status, retryAfter)
+	}
+	outcomes.Add(len(probes) + 1)
+	go func() {
+		// A request that was taken before the stop and lasts longer than the grace period.
+		defer outcomes.Done()
+		defer before.closeAtExit(exited)()
+		if status, _ := before.send("before", time.Minute, time.Minute); status != http.StatusGatewayTimeout {
+			t.Errorf("request from before the stop that outlasts it: status %d", status)
+		}
+	}()
+	eventually(t, "request at the endpoint", func() bool { return work.saw("before") })
+	began = time.Now()
+	go func() { defer close(done); e.Run(stop) }()
+	close(stop)
+	for _, p := range probes {
+		go run(p)
+	}
+	<-done
+	took := time.Since(began)
+	close(exited)
+	outcomes.Wait()
+	if took > grace {
+		t.Errorf("the stop took %s of %s", took, grace)
+	}
+}
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -325,7 +325,7 @@
 		Dialect: testDialect(), Account: f.memoryAccount.account(), Fleet: fleet,
 		Pool:    jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() { opened++ }),
 		Crashes: NewCrashWatch(timer, jklog.Discard()),
-		Leaving: func() bool { return false },
+		Stop:    NewHostStop(),
 	})
 	f.front = httptest.NewServer(h)
 	t.Cleanup(f.front.Close)
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -31,9 +31,8 @@
 	Fleet   *Fleet
 	Pool    *jkupstream.Pool
 	Crashes *CrashWatch
-	// Leaving reports whether the host is draining, so that callers are asked to
-	// close their connections.
-	Leaving func() bool
+	// Stop is the planned stop of this host.
+	Stop *HostStop
 }
 
 // Handler is the http.Handler that serves callers.
@@ -62,11 +61,11 @@
 	c.lastEventID = c.info.LastEvent
 	h.Metrics.inFlight.Add(1)
 	defer h.Metrics.inFlight.Add(-1)
-	if h.Leaving() {
+	if h.Stop.Begun() {
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
-	for _, step := range []func(*call) *refusal{h.match, h.readBody, h.Crashes.refusal, h.prependChain, h.reserve} {
+	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.readBody, h.Crashes.refusal, h.prependChain, h.reserve} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -46,6 +46,9 @@
 // allowed.
 func (h *Handler) run(c *call) *refusal {
 	for refusals := 0; ; {
+		if h.Stop.hasEnded() {
+			return c.finalRefusal("host_stopped", stoppingRetryAfter)
+		}
 		left := c.deadline.Sub(h.Timer.Now())
 		if left < minAttemptTime {
 			return c.finalRefusal("deadline", slotRetryAfter)
@@ -85,7 +88,7 @@
 			if c.broken != exchangeWhole {
 				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
-			if !h.mayRetry(c, to.id) || h.Crashes.refusal(c) != nil {
+			if !h.Stop.hasEnded() && (!h.mayRetry(c, to.id) || h.Crashes.refusal(c) != nil) {
 				return c.finalRefusal("endpoint_failed", 0)
 			}
 		case outcomeNotSent:
@@ -103,7 +106,7 @@
 	switch {
 	case !c.mayHaveRun:
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retry}
-	case reason == "deadline":
+	case reason == "deadline" || reason == "host_stopped":
 		return &refusal{status: http.StatusGatewayTimeout, reason: reason}
 	}
 	return &refusal{status: http.StatusBadGateway, reason: reason}
@@ -176,6 +179,7 @@
 	defer cancel(nil)
 	stop := h.Timer.After(left, func() { cancel(context.DeadlineExceeded) })
 	defer stop()
+	defer h.Stop.onEnd(func() { cancel(errHostStopped) })()
 	if c.route.Repeatable() {
 		h.Fleet.track(id, c, cancel)
 		defer h.Fleet.untrack(id, c)
