wire: shut a server down without outcomes that nobody knows

Cause: Close cancels the running handlers and closes the connections, with the frames that haven't been read. The client can't tell which of its streams ran, and counts all as sent.

Change: Shutdown tells clients that the server runs no new streams, answers those that arrive later with an error that becomes a ConnectionError with Sent false, waits for the running ones and for the clients to close. The new frame belongs to no stream, so that hosts of the version before ignore it.

--- a/core/jkwire/frame.go
+++ b/core/jkwire/frame.go
@@ -30,8 +30,16 @@
 	KindCancel Kind = "cancel"
 	// KindNotify carries a one-way message, to which no response is sent.
 	KindNotify Kind = "notify"
+	// KindGoAway tells a client that the server is shutting down: it answers the streams
+	// that are open and runs no new ones. It belongs to no stream, so that clients which
+	// don't know it ignore it.
+	KindGoAway Kind = "go_away"
 )
 
+// codeShuttingDown is the code of the RemoteError for a stream that arrives after the
+// server has started to shut down. Its request did not run.
+const codeShuttingDown = "shutting_down"
+
 // Frame is one message envelope. It is encoded as an array, because field names would
 // take up a large part of a heartbeat.
 type Frame struct {
--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -186,6 +186,9 @@
 	lastStreamID uint64
 	streams      map[uint64]*Stream
 	failure      error
+	// peerStopping is set once the peer runs no new streams. The connection is closed after
+	// the last response.
+	peerStopping bool
 	// unansweredSince is when the first of the streams was opened that have timed out since
 	// a frame was last received. It is zero if there is none.
 	unansweredSince time.Time
@@ -272,7 +275,33 @@
 		c.unansweredSince = time.Time{}
 		c.receivedFrames++
 		c.mu.Unlock()
-		c.deliver(f)
+		if f.Kind == KindGoAway {
+			c.handleGoAway()
+		} else {
+			c.deliver(f)
+		}
+		c.closeIfDone()
+	}
+}
+
+// errPeerStopping is the cause if the peer is shutting down and did not run a request.
+var errPeerStopping = errors.New("the peer is shutting down")
+
+// handleGoAway keeps new streams off the connection to a peer that is shutting down.
+func (c *clientConn) handleGoAway() {
+	c.pool.removeConn(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peerStopping = true
+}
+
+// closeIfDone closes the connection to a peer that is shutting down once no stream is open.
+func (c *clientConn) closeIfDone() {
+	c.mu.Lock()
+	done := c.peerStopping && len(c.streams) == 0
+	c.mu.Unlock()
+	if done {
+		c.fail(errPeerStopping)
 	}
 }
 
@@ -288,7 +317,7 @@
 	}
 	m := Message{Last: f.Kind == KindEnd, body: f.Body}
 	if f.Kind == KindError {
-		s.endWithError(m.remoteError())
+		s.endWithError(c.streamError(m.remoteError()))
 		return
 	}
 	if !s.push(m) {
@@ -297,6 +326,16 @@
 	}
 }
 
+// streamError returns the error of a stream that the peer ended with one. If the peer did
+// not run the request because it is shutting down, it is a *ConnectionError.
+func (c *clientConn) streamError(err error) error {
+	var remote *RemoteError
+	if errors.As(err, &remote) && remote.Code == codeShuttingDown {
+		return eris.Wrap(&ConnectionError{Addr: c.addr, Cause: errPeerStopping}, "receive")
+	}
+	return err
+}
+
 var errSlowReader = errors.New("the reader fell behind")
 
 func (c *clientConn) openStream(messageType string, request any) (*Stream, error) {
@@ -310,6 +349,10 @@
 		c.mu.Unlock()
 		return nil, eris.Wrap(&ConnectionError{Addr: c.addr, Cause: err}, "open stream")
 	}
+	if c.peerStopping {
+		c.mu.Unlock()
+		return nil, eris.Wrap(&ConnectionError{Addr: c.addr, Cause: errPeerStopping}, "open stream")
+	}
 	c.lastStreamID++
 	s := &Stream{conn: c, id: c.lastStreamID, control: c.pool.isControl(messageType), arrived: make(chan struct{}, 1), failed: make(chan struct{}), receivedAtOpen: c.receivedFrames}
 	if c.pool.receiveTimeout > 0 {
@@ -482,6 +525,7 @@
 	if !s.conn.removeStream(s.id) {
 		return
 	}
+	defer s.conn.closeIfDone()
 	// If the write fails, closing the connection cancels the stream as well.
 	if err := s.conn.link.write(&Frame{Stream: s.id, Kind: KindCancel}, s.control); err != nil {
 		s.conn.fail(err)
--- a/core/jkwire/server.go
+++ b/core/jkwire/server.go
@@ -42,7 +42,9 @@
 	mu     sync.Mutex
 	conns  map[*serverConn]bool
 	closed bool
-	done   sync.WaitGroup
+	// stopping is set once the server runs no new streams.
+	stopping bool
+	done     sync.WaitGroup
 }
 
 // ServerOptions configures a Server.
@@ -85,6 +87,38 @@
 	s.done.Wait()
 }
 
+// Shutdown stops the server gracefully: it runs no new streams, tells the clients so and
+// waits until they have the responses to all others and close their connections. Then, or
+// when ctx ends, it calls Close. A client's stream that didn't run ends with a
+// *ConnectionError whose Sent is false.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	_ = s.listener.Close()
+	for c := range s.conns {
+		// A client that can't be told loses its connection in Close.
+		go func() { _ = c.link.write(&Frame{Kind: KindGoAway}, true) }()
+	}
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.done.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	s.Close()
+}
+
+// isStopping reports whether new streams are refused.
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 func (s *Server) acceptLoop() {
 	defer s.done.Done()
 	for {
@@ -94,7 +128,7 @@
 		}
 		c := &serverConn{server: s, link: newLink(conn, s.counters, s.faults), streams: map[uint64]context.CancelFunc{}}
 		s.mu.Lock()
-		if s.closed {
+		if s.closed || s.stopping {
 			s.mu.Unlock()
 			_ = conn.Close()
 			return
@@ -155,6 +189,9 @@
 		return false
 	}
 	in := &ServerStream{conn: c, stream: f.Stream, messageType: f.Type, body: f.Body, control: c.server.isControl(f.Type), notification: f.Kind == KindNotify}
+	if c.server.isStopping() {
+		return in.Fail(codeShuttingDown, "the host is shutting down") == nil
+	}
 	streamCtx, cancel := context.WithCancel(ctx)
 	if !c.addStream(f.Stream, cancel) {
 		cancel()
--- a/core/jkwire/wire_test.go
+++ b/core/jkwire/wire_test.go
@@ -18,6 +18,12 @@
 }
 
 func startPeer(t *testing.T, faults *Faults, handle func(ctx context.Context, s *ServerStream)) (*Pool, string) {
+	t.Helper()
+	pool, _, addr := startServer(t, faults, handle)
+	return pool, addr
+}
+
+func startServer(t *testing.T, faults *Faults, handle func(ctx context.Context, s *ServerStream)) (*Pool, *Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,7 +37,7 @@
 		server.Close()
 		goleak.VerifyNone(t)
 	})
-	return pool, l.Addr().String()
+	return pool, server, l.Addr().String()
 }
 
 func testContext(t *testing.T) context.Context {
