entry, daemon: keep connections open until the end of a planned stop

Cause: net/http's Shutdown closes a connection without a response if its request arrives after the call. A caller sees a request that was read and not answered, and doesn't repeat one that can't be repeated. The daemon moreover cut calls that outlast its drain time.

Change: both wait until no request is in flight or the time is over, with the listener and all connections open, and shut the server down only then. It ends the connections of other hosts by Shutdown.

Ruled out: refusing all calls of a stopping daemon. Calls without a deadline mostly end in time, and a refused one that can't be repeated has an unknown outcome at this host.

--- a/core/jkapi/api.go
+++ b/core/jkapi/api.go
@@ -54,6 +54,9 @@
 	Program func(ctx context.Context, m jkmsg.Program) jkmsg.ProgramResult
 	// Repeatable reports whether a service call may be repeated.
 	Repeatable func(service, method, path string) bool
+	// StopsAt returns when this host, which is being stopped, breaks off the calls in
+	// flight; zero while it isn't being stopped.
+	StopsAt func() time.Time
 	// Observe records a finished request for the metrics.
 	Observe func(Observation)
 	// BodyLimit bounds a request body in bytes.
@@ -155,7 +158,25 @@
 		}
 		m.Deadline = a.Timer.Now().Add(time.Duration(n) * time.Millisecond)
 	}
-	return m, nil
+	return m, a.stopProblem(m)
+}
+
+// stoppingRetryAfter is the time after which a caller should try another host. The host
+// list of a balancer that hasn't noticed the stop yet still names this one.
+const stoppingRetryAfter = 200 * time.Millisecond
+
+// stopProblem refuses a call that may last longer than this host, which is being stopped.
+// The call may have run at an earlier attempt, so its outcome is unknown.
+func (a *api) stopProblem(m jkmsg.Call) *jkproblem.Problem {
+	end := a.StopsAt()
+	last := m.Deadline
+	if last.IsZero() {
+		last = a.Timer.Now()
+	}
+	if end.IsZero() || !last.After(end) {
+		return nil
+	}
+	return jkproblem.New(jkproblem.TypeUnavailable, "this host stops before the deadline of the call").WithRetryAfter(stoppingRetryAfter)
 }
 
 // maxDeadline bounds the deadline that a caller may set.
--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -87,6 +87,7 @@
 	lease          *hostLease
 	copySetRecords *copySetRecords
 	orders         *orders
+	requests       *requests
 
 	platformTransport faultTransport
 	// queueDefaults are the dispatcher's options before the configuration overrides them.
@@ -102,7 +103,7 @@
 
 // New opens the daemon's sockets and data folder and builds its parts. Start starts them.
 func New(s jksettings.Settings, o Options) (*Daemon, error) {
-	d := &Daemon{settings: s, options: o, log: o.Log, counters: &jkwire.Counters{}}
+	d := &Daemon{settings: s, options: o, log: o.Log, counters: &jkwire.Counters{}, requests: newRequests()}
 	rng := rand.New(rand.NewSource(o.Timer.Now().UnixNano()))
 	d.self = newIncarnation(s.Host(), o.Timer.Now(), rng)
 	if err := d.open(); err != nil {
--- a/core/jkdaemon/stop.go
+++ b/core/jkdaemon/stop.go
@@ -23,6 +23,7 @@
 	d.ready.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Intervals().Drain())
 	defer cancel()
+	d.requests.beginStop(d.options.Timer.Now().Add(d.settings.Intervals().Drain()))
 	d.gossip.SetState(jkmember.StateLeaving)
 	d.orders.stop()
 	d.lease.beginDrain()
@@ -33,6 +34,7 @@
 	}, d.sendHandover)
 	d.announceEnd(ctx, successors)
 	d.drainRequests(ctx)
+	d.shutDownPeers()
 	d.Kill()
 	log.Info("host has stopped")
 }
@@ -92,14 +94,39 @@
 	return named
 }
 
+// responseTimeout bounds how long the last responses may take to be written.
+const responseTimeout = 200 * time.Millisecond
+
 // drainRequests waits for requests that this host still serves as an entry or a dispatcher.
+// Those that outlast the drain time are broken off and get a response that says so. The
+// listener stays open meanwhile, since net/http's Shutdown closes connections whose request
+// arrives later without a response.
 func (d *Daemon) drainRequests(ctx context.Context) {
-	if err := d.httpServer.Shutdown(ctx); err != nil {
-		d.log.Part("daemon").Error("requests were cut off at the end of the drain time", err)
-	}
-	for d.dispatcher.Jobs() > 0 && ctx.Err() == nil {
+	for (d.requests.inFlight.Load() > 0 || d.dispatcher.Jobs() > 0) && ctx.Err() == nil {
 		d.options.Timer.Wait(10*time.Millisecond, ctx.Done())
 	}
+	if n := d.requests.inFlight.Load(); n > 0 {
+		d.log.Part("daemon").Warn("requests outlast the drain time", "in_flight", n)
+		d.requests.end()
+	}
+	last, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	defer cancel()
+	if err := d.httpServer.Shutdown(last); err != nil && d.requests.inFlight.Load() > 0 {
+		d.log.Part("daemon").Error("requests were cut off at the end of the drain time", err, "in_flight", d.requests.inFlight.Load())
+	}
+}
+
+// peerShutdownTimeout bounds the end of the connections from other hosts. All of their
+// requests that this host runs have ended by then, so that only responses on their way are
+// left.
+const peerShutdownTimeout = time.Second
+
+// shutDownPeers ends the connections from other hosts, so that each of their requests has
+// its response or is known not to have run.
+func (d *Daemon) shutDownPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), peerShutdownTimeout)
+	defer cancel()
+	d.server.Shutdown(ctx)
 }
 
 // refreshHostList reads the platform's host list as a hint: hosts that it names as leaving
--- a/core/jkdaemon/web.go
+++ b/core/jkdaemon/web.go
@@ -1,6 +1,8 @@
 package jkdaemon
 
 import (
+	"context"
+	"net"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
@@ -17,6 +19,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = jkapi.ErrorHandler
+	e.Use(d.countRequests)
 	jkapi.Register(e, jkapi.Options{
 		Timer:   d.options.Timer,
 		Call:    d.router.Call,
@@ -29,6 +32,7 @@
 		Observe:   d.observe,
 		BodyLimit: d.settings.Limits().BodyBytes(),
 		MaxCalls:  d.settings.Limits().EntryQueue(),
+		StopsAt:   d.requests.stopsAt,
 	})
 	jkconfigapi.Register(e.Group("/v1/config"), jkconfigadapter.NewFunctions(d.follower, d.editor))
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -45,7 +49,23 @@
 	d.orders.register(e)
 	e.GET("/v1/quarantine", d.quarantine)
 	e.DELETE("/v1/quarantine/:fingerprint", d.liftQuarantine)
-	return &http.Server{Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter()}
+	return &http.Server{
+		Handler: e, ReadHeaderTimeout: d.settings.Intervals().DeadAfter(),
+		BaseContext: func(net.Listener) context.Context { return d.requests.base },
+	}
+}
+
+// countRequests counts the requests in flight. A host that is being stopped asks callers to
+// use other connections.
+func (d *Daemon) countRequests(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		d.requests.inFlight.Add(1)
+		defer d.requests.inFlight.Add(-1)
+		if !d.requests.stopsAt().IsZero() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		return next(c)
+	}
 }
 
 // readyz reports whether this host accepts callers. A host without configuration can't
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -343,28 +343,35 @@
 // copies.
 const flushTimeout = killMargin / 2
 
-// responseTimeout bounds how long the responses to requests that are broken off at the end
-// of the grace period may take to be written.
+// drainInterval is how often a draining entry checks whether requests are in flight.
+const drainInterval = 20 * time.Millisecond
+
+// responseTimeout bounds how long the last responses may take to be written.
 const responseTimeout = 100 * time.Millisecond
 
 // drain waits until the platform sends no new connections, then until the requests in
-// flight have ended or the grace period is nearly over. From its start on, requests that
-// may last longer are refused; those that were taken before and last longer are answered.
+// flight have ended or the grace period is nearly over. Connections stay open meanwhile:
+// net/http's Shutdown would close those whose request arrives later without a response.
+// Requests that may last longer than the process are refused; those that were taken before
+// and last longer are answered.
 func (e *Entry) drain() {
 	endsAt := e.timer.Now().Add(e.settings.Grace - killMargin)
 	e.stop.Begin(endsAt)
 	e.log.Info("entry draining", "in_flight", e.counts.InFlight())
 	e.timer.Wait(min(deregistrationDelay, e.settings.Grace/2), nil)
-	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Sub(e.timer.Now()))
+	for e.counts.InFlight() > 0 && e.timer.Now().Before(endsAt) {
+		e.timer.Wait(drainInterval, nil)
+	}
+	if n := e.counts.InFlight(); n > 0 {
+		e.log.Warn("drain timed out with requests in flight", "in_flight", n)
+		e.stop.End()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
+	// Shutdown also waits for connections that never had a request, so that its error alone
+	// doesn't tell that a request was cut.
 	if err := e.front.Shutdown(ctx); err != nil && e.counts.InFlight() > 0 {
-		e.log.Warn("drain timed out with requests in flight", "in_flight", e.counts.InFlight(), "error", err)
-		e.stop.End()
-		last, cancelLast := context.WithTimeout(context.Background(), responseTimeout)
-		defer cancelLast()
-		if err := e.front.Shutdown(last); err != nil && e.counts.InFlight() > 0 {
-			e.log.Warn("requests cut off by the end of the process", "in_flight", e.counts.InFlight(), "error", err)
-		}
+		e.log.Warn("requests cut off by the end of the process", "in_flight", e.counts.InFlight(), "error", err)
 	}
 	e.account.Flush(flushTimeout)
 	e.log.Info("entry stopped")
--- a/core/jkentry/stop_test.go
+++ b/core/jkentry/stop_test.go
@@ -133,7 +133,8 @@
 // cut without a response when the host ends, on connections of all ages.
 func TestRequestsLateInAPlannedStop(t *testing.T) {
 	t.Parallel()
-	const grace = 4 * time.Second
+	// The request from before the stop lasts until killMargin before the end of the grace.
+	const grace, endsAfter = 4 * time.Second, 3300 * time.Millisecond
 	work := &slowEndpoint{seen: map[string]bool{}}
 	// A host opens at most 48 connections to an endpoint.
 	var endpoints []string
@@ -189,6 +190,8 @@
 	check := func(p probe, status int, retryAfter string) {
 		saw := work.saw(p.id)
 		switch {
+		case status == 0 && p.at < endsAfter:
+			t.Errorf("%s has no response, reached the endpoint: %t", p.id, saw)
 		case saw && status == 0:
 			t.Errorf("%s reached the endpoint and has no response", p.id)
 		case status == http.StatusServiceUnavailable && (saw || retryAfter == ""):
