forward: reset the connection of an HTTP/1.0 caller whose stream breaks off

Cause: a stream that breaks off ends with the connection. HTTP/1.0 has no chunks, so that a closed connection is the end of a whole body there.

Change: such a connection is reset.

Ruled out: heads that break off. All are errors, at each byte, for calls and streams, with a length, chunked and without, on both ways in; for HTTP/1.1 callers bodies as well.

--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -191,7 +192,7 @@
 		// A success status was sent already: only an aborted connection tells the
 		// caller that the stream is incomplete.
 		c.status = statusAborted
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	c.status = refused.status
 	if refused.retryAfter > 0 {
@@ -201,6 +202,29 @@
 	c.writer.WriteHeader(refused.status)
 }
 
+// abort ends the connection to the caller and the handler, so that the response isn't taken
+// for a complete one. HTTP/1.0 has no chunks: there a closed connection ends the body, and
+// only a reset one shows that it is incomplete.
+func (c *call) abort() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		c.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the connection to the caller.
+func (c *call) resetConnection() {
+	conn, _, err := http.NewResponseController(c.writer).Hijack()
+	if err != nil {
+		// The server closes the connection after the panic in abort.
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // statusAborted is the status in logs and metrics of a stream that was aborted.
 const statusAborted = 599
 
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -71,13 +71,13 @@
 			return nil
 		case outcomeCallerLeft:
 			c.status, c.reason = statusCallerLeft, "caller_left"
-			panic(http.ErrAbortHandler)
+			c.abort()
 		case outcomeTurnNotKept:
 			c.status, c.reason = statusAborted, "turn_not_kept"
-			panic(http.ErrAbortHandler)
+			c.abort()
 		case outcomeTurnTooLong:
 			c.status, c.reason = statusAborted, "turn_too_long"
-			panic(http.ErrAbortHandler)
+			c.abort()
 		case outcomeRefused:
 			refusals++
 			if refusals >= maxRefusals {
