account: keep budgets in every order of a cut, a loss and an added copy

Cause: which copies are harmless when they don't answer was judged by their zone's present state. A copy that granted half of a budget in a cut and went down before the others had its records was taken for one that went down in calm; a copy that came back and was cut off at once granted half of a budget that the others had spent; a copy that was added before a cut took the place of the one with the records.

Change: a silent or replaced copy is harmless only if its zone was in reach without a break since 4 s before its last answer; a copy says that it is behind until it has copied from enough zones, and then doesn't admit turns in a partition; a copy stays new until all zones have been in reach for 4 s. A host that restarts in a cut now copies the records of its downtime from each host that comes back; before it copied only those of the cut.

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -22,6 +22,8 @@
 	// copiedAfter is how long copies take to catch up with each other after a partition or
 	// a restart; entries rely on it after settledAfter.
 	copiedAfter = 2 * time.Second
+	// newFor is how long a copy is new.
+	newFor = 8 * time.Second
 )
 
 // budgetFixture simulates a program's copies in several zones, and entries that reserve tokens
@@ -36,7 +38,11 @@
 	downSince   map[string]time.Time
 	cutSince    map[string]time.Time
 	recoveredAt map[string]time.Time
-	entries     []*budgetEntry
+	// behind holds the hosts that have been down and haven't copied from another zone since.
+	behind map[string]bool
+	// addedAt is when a host was added.
+	addedAt map[string]time.Time
+	entries []*budgetEntry
 	// granted is the number of tokens of all admitted turns, and turns the number of all
 	// reservations.
 	granted int64
@@ -54,6 +60,7 @@
 	f := &budgetFixture{
 		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
 		cutSince: map[string]time.Time{}, recoveredAt: map[string]time.Time{},
+		behind: map[string]bool{}, addedAt: map[string]time.Time{},
 	}
 	for z := range zones {
 		for h := range hosts {
@@ -73,6 +80,7 @@
 			ZoneSettled: func(zone string) bool {
 				return zone == e.zone || f.cutFor(e.zone, zone) <= unreachableAfter+e.phase && f.now.Sub(f.lastCut(e.zone, zone)) >= settledAfter
 			},
+			SettledWhenLost: func(host string) bool { return f.settledWhenLost(e, host) },
 		}}
 		f.entries = append(f.entries, e)
 	}
@@ -118,6 +126,23 @@
 	return longest
 }
 
+// settledWhenLost reports whether no partition of an entry's zone from that of a host, or
+// from any zone if they are the same, was noticed since settledAfter before the host's last
+// answer.
+func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
+	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
+	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
+	for _, c := range f.copies {
+		if c.Zone == e.zone || own != e.zone && c.Zone != own {
+			continue
+		}
+		if f.cutFor(e.zone, c.Zone) > unreachableAfter+e.phase || lastAnswer.Sub(f.lastCut(e.zone, c.Zone)) < settledAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // answers reports whether a copy answers an entry's message.
 func (f *budgetFixture) answers(e *budgetEntry, c Copy) bool {
 	_, down := f.downSince[c.Host]
@@ -138,9 +163,9 @@
 		}
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
-		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true}, e.client.standsIn(r.Program, c))
+		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host]}, e.client.standsIn(r.Program, c))
 	}
-	q.exclusive = missing == 0 || missing <= e.client.countDown(copies)
+	q.exclusive = e.client.isExclusive(r.Program, copies, missing)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
@@ -157,6 +182,11 @@
 // that they lack from each other.
 func (f *budgetFixture) advance(d time.Duration) {
 	f.now = f.now.Add(d)
+	for i, c := range f.copies {
+		if at, added := f.addedAt[c.Host]; added {
+			f.copies[i].New = f.now.Sub(at) < newFor
+		}
+	}
 	for _, to := range f.copies {
 		for _, from := range f.copies {
 			_, downTo := f.downSince[to.Host]
@@ -165,6 +195,9 @@
 			if downTo || downFrom || f.areCut(to.Zone, from.Zone) || together < copiedAfter {
 				continue
 			}
+			if from.Zone != to.Zone {
+				delete(f.behind, to.Host)
+			}
 			for _, s := range f.ledgers[from.Host].Spendings("p") {
 				f.ledgers[to.Host].Apply(f.now, jkledger.Record{Spending: &s})
 			}
@@ -184,7 +217,10 @@
 	turnBudget = 45
 )
 
-func (f *budgetFixture) down(host string) { f.downSince[host] = f.now }
+func (f *budgetFixture) down(host string) {
+	f.downSince[host] = f.now
+	f.behind[host] = true
+}
 
 func (f *budgetFixture) cut(zone string) { f.cutSince[zone] = f.now }
 
@@ -288,6 +324,64 @@
 	f.check(t)
 }
 
+// Guards against a budget that is spent again after a partition, because the copy with the
+// spendings of the partitioned zone went down during it and another one takes its place.
+func TestBudgetAfterACutWhoseLostCopyIsReplaced(t *testing.T) {
+	f := newBudgetFixture(3, 2, 3)
+	a, b := f.entries[0], f.entries[1]
+	f.cut(b.zone)
+	f.advance(unreachableAfter + time.Second)
+	for range 2 {
+		f.reserve(b, turnTokens, turnBudget)
+	}
+	f.down(f.copyIn(b, b.zone))
+	f.heal()
+	f.advance(lostAfter + settledAfter)
+	for range 4 {
+		f.reserve(a, turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
+// add adds a host with a copy to a zone. All entries hear of it.
+func (f *budgetFixture) add(zone string) {
+	c := Copy{Host: fmt.Sprintf("%s-added-%d", zone, len(f.copies)), Zone: zone, New: true}
+	f.copies = append(f.copies, c)
+	f.ledgers[c.Host] = jkledger.New()
+	f.behind[c.Host] = true
+	f.addedAt[c.Host] = f.now
+	for _, e := range f.entries {
+		e.client.Observe()
+	}
+}
+
+// Guards against the same while copies are added, which take the place of others once they
+// aren't new.
+func TestBudgetHoldsWhileCopiesAreAdded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newBudgetFixture(rapid.IntRange(3, 4).Draw(t, "zones"), 1, 4)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"reserve", "reserve", "reserve", "wait", "wait", "add", "cut", "heal"}).Draw(t, "step") {
+			case "reserve":
+				f.reserve(f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")], turnTokens, turnBudget)
+			case "wait":
+				f.advance(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
+			case "add":
+				if len(f.copies) < 8 {
+					f.add(f.copies[rapid.IntRange(0, len(f.copies)-1).Draw(t, "zone")].Zone)
+				}
+			case "cut":
+				if len(f.cutSince) == 0 {
+					f.cut(f.copies[rapid.IntRange(0, len(f.copies)-1).Draw(t, "zone")].Zone)
+				}
+			case "heal":
+				f.heal()
+			}
+			f.check(t)
+		}
+	})
+}
+
 // Guards against a program that is granted more than its budget and one turn while hosts go
 // down and zones are partitioned at any moment, one of each at a time, which the users'
 // fleets have to tolerate.
--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -27,7 +27,7 @@
 
 func (w *chainWalk) run(ctx context.Context, program, request string) ([]byte, error) {
 	copies := w.client.replicas(program)
-	others := slices.DeleteFunc(slices.Clone(w.client.Copies()), func(o Copy) bool { return slices.Contains(copies, o) })
+	others := slices.DeleteFunc(slices.Clone(w.client.knownCopies()), func(o Copy) bool { return slices.Contains(copies, o) })
 	copies = append(copies, others...)
 	if len(copies) == 0 {
 		return nil, &jkforward.NoQuorumError{Operation: "chain", Needed: 1}
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -4,12 +4,51 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"jasmineknot.example/core/jkforward"
 )
 
+// recentCopies remembers the copies that are new.
+type recentCopies struct {
+	mu    sync.Mutex
+	hosts map[string]bool
+}
+
+// update sets New on the copies that were new before, until the zones are settled.
+func (r *recentCopies) update(copies []Copy, settled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hosts == nil {
+		r.hosts = map[string]bool{}
+	}
+	for i, known := range copies {
+		switch {
+		case known.New:
+			r.hosts[known.Host] = true
+		case r.hosts[known.Host] && !settled:
+			copies[i].New = true
+		case r.hosts[known.Host]:
+			delete(r.hosts, known.Host)
+		}
+	}
+}
+
+// knownCopies returns the known copies. One that is new stays so until all zones have been
+// in reach for some seconds: if it took the place of another copy of its zone during a
+// partition, it would lack what that one has admitted.
+func (c *Client) knownCopies() []Copy {
+	copies := c.Copies()
+	settled := !slices.ContainsFunc(copies, func(known Copy) bool { return !c.ZoneSettled(known.Zone) })
+	c.recent.update(copies, settled)
+	return copies
+}
+
+// Observe notices copies that are new. It has to be called more often than a copy is new.
+func (c *Client) Observe() { c.knownCopies() }
+
 // replicas returns the copies that hold a program: one in each zone, chosen by rendezvous
 // hashing among the zone's copies. The nearest copy comes first. All hosts have to choose
 // the same copies, since majorities of different sets needn't intersect. So a copy is
@@ -17,7 +56,7 @@
 // reach it.
 func (c *Client) replicas(program string) []Copy {
 	best := map[string]Copy{}
-	for _, candidate := range c.Copies() {
+	for _, candidate := range c.knownCopies() {
 		chosen, ok := best[candidate.Zone]
 		if !ok || c.isPreferred(program, candidate, chosen) {
 			best[candidate.Zone] = candidate
@@ -70,7 +109,7 @@
 	if target.New {
 		return true
 	}
-	return slices.ContainsFunc(c.Copies(), func(other Copy) bool {
+	return slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
 		return other.Zone == target.Zone && !other.New && ranksBefore(program, other, target)
 	})
 }
@@ -120,6 +159,30 @@
 	return n
 }
 
+// isExclusive reports whether no other part of the fleet can admit turns of a program by
+// itself, or has done so without the given copies, of which some didn't answer. Those are
+// harmless if they are down in a zone that was in reach all the while: the others have what
+// they admitted. The same goes for lost copies in whose place one of the given was chosen.
+func (c *Client) isExclusive(program string, copies []Copy, unanswered int) bool {
+	harmless := 0
+	for _, target := range copies {
+		if !c.Reachable(target.Host) && c.ZoneSettled(target.Zone) && c.SettledWhenLost(target.Host) {
+			harmless++
+		}
+	}
+	return unanswered <= harmless && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
+		return !c.Reachable(other.Host) && !c.SettledWhenLost(other.Host) && c.isReplaced(program, other, copies)
+	})
+}
+
+// isReplaced reports whether one of the chosen copies has the place of another copy of its
+// zone, which ranks before it.
+func (c *Client) isReplaced(program string, other Copy, chosen []Copy) bool {
+	return !other.New && slices.ContainsFunc(chosen, func(target Copy) bool {
+		return target.Zone == other.Zone && target.Host != other.Host && ranksBefore(program, other, target)
+	})
+}
+
 // checkKnownCopies returns a *jkforward.NoQuorumError if this host knows fewer copies than
 // have to hold a record, and may not know all of them yet. Another host that knows all copies
 // wouldn't find the record.
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -51,6 +51,10 @@
 	// one has answered for some seconds.
 	ZoneReachable func(zone string) bool
 	ZoneSettled   func(zone string) bool
+	// SettledWhenLost reports whether the zones of this host and of an unreachable one have
+	// been in reach of each other without a break since some seconds before the last answer
+	// of the unreachable one. The copies then have what it admitted.
+	SettledWhenLost func(host string) bool
 	// RelayAddrs returns the addresses of hosts that may reach copies that this host can't
 	// reach.
 	RelayAddrs func() []string
@@ -61,6 +65,7 @@
 	Options
 	outbox        *outbox
 	relayBackoffs *relayBackoffs
+	recent        recentCopies
 }
 
 // NewClient returns a client.
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -236,7 +236,7 @@
 // and the outbox continues to deliver it to the others.
 func (c *Client) requiredZones() int {
 	reachable := map[string]bool{}
-	for _, target := range c.Copies() {
+	for _, target := range c.knownCopies() {
 		reachable[target.Zone] = reachable[target.Zone] || c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
 	}
 	zones := 0
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -240,7 +240,7 @@
 // refreshTarget updates the address of the queue's copy, and reports whether the copy is
 // still listed.
 func (o *outbox) refreshTarget(q *queue) bool {
-	copies := o.client.Copies()
+	copies := o.client.knownCopies()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, known := range copies {
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -13,7 +13,7 @@
 	// certainAnswers counts the answers of copies that have lost no records.
 	certainAnswers int
 	// regularAnswers counts the certain answers of copies that don't stand in for another
-	// one.
+	// one and aren't behind others.
 	regularAnswers int
 	// exclusive is set if no other part of the fleet can admit turns of the program by
 	// itself: each copy has answered, or is down in a reachable zone.
@@ -28,7 +28,7 @@
 		return
 	}
 	q.certainAnswers++
-	if !standsIn {
+	if !standsIn && !a.Behind {
 		q.regularAnswers++
 	}
 }
@@ -65,7 +65,8 @@
 	case total <= partitionShare(r) && (q.hasMajority() || q.regularAnswers > 0):
 		// Without a majority, an answer of a stand-in doesn't suffice: the copy that it
 		// replaces may be in use on the other side of a partition, or have been used on
-		// this side.
+		// this side. Nor does that of a copy that is behind: while it was down, the others
+		// may have granted the whole budget.
 		return nil
 	}
 	return noQuorum
--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -98,7 +98,7 @@
 	if !isLedgerType(m.Type) {
 		return &UnreachableError{Host: m.Host}
 	}
-	for _, target := range c.Copies() {
+	for _, target := range c.knownCopies() {
 		if target.Host != m.Host || !c.Reachable(m.Host) {
 			continue
 		}
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -66,7 +66,7 @@
 		}
 	}
 	cancel()
-	q.exclusive = unanswered == 0 || unanswered <= c.countDown(copies)
+	q.exclusive = c.isExclusive(r.Program, copies, unanswered)
 	return q
 }
 
--- /dev/null
+++ b/core/jkentry/behind.go
@@ -0,0 +1,100 @@
+package jkentry
+
+import "sync"
+
+// copySources tracks from which other copies of the ledger this host has to copy records
+// that it missed while it was down or out of reach. Copies in its own zone don't matter: it
+// is behind as long as it may lack what the other zones have admitted without it.
+type copySources struct {
+	zone string
+	// neededZones is the number of other zones of which one has each record that a majority
+	// of the zones has admitted without this one.
+	neededZones int
+
+	mu      sync.Mutex
+	sources map[string]*copySource
+}
+
+// copySource is a copy on a host in another zone.
+type copySource struct {
+	zone string
+	// pending is set while this host may lack records of the source.
+	pending bool
+	// sinceStart is set if nothing was copied from the source since this process started, so
+	// that also records from before are missing.
+	sinceStart bool
+}
+
+func newCopySources(zone string, zones int) *copySources {
+	majority := zones/2 + 1
+	return &copySources{zone: zone, neededZones: zones - majority, sources: map[string]*copySource{}}
+}
+
+// add adds a host. Pending is set if this host may lack some of its records.
+func (s *copySources) add(h HostEntry, pending bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Zone == s.zone || s.sources[h.Host] != nil {
+		return
+	}
+	s.sources[h.Host] = &copySource{zone: h.Zone, pending: pending, sinceStart: pending}
+}
+
+func (s *copySources) remove(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sources, host)
+}
+
+// returned notes that a host is in reach again.
+func (s *copySources) returned(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if source := s.sources[host]; source != nil {
+		source.pending = true
+	}
+}
+
+// copied notes that all missing records of a host were copied.
+func (s *copySources) copied(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if source := s.sources[host]; source != nil {
+		source.pending, source.sinceStart = false, false
+	}
+}
+
+// isPending reports whether records of a host are missing, and whether nothing was copied
+// from it since the start.
+func (s *copySources) isPending(host string) (pending, sinceStart bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	source := s.sources[host]
+	if source == nil {
+		return false, false
+	}
+	return source.pending, source.sinceStart
+}
+
+// behind reports whether this host may lack records that the other zones have admitted
+// without it. A zone counts as copied if one of its hosts was, and each that is in reach.
+func (s *copySources) behind(reachable func(host string) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied, missing := map[string]bool{}, map[string]bool{}
+	for host, source := range s.sources {
+		switch {
+		case !source.pending:
+			copied[source.zone] = true
+		case reachable(host):
+			missing[source.zone] = true
+		}
+	}
+	zones := 0
+	for zone := range copied {
+		if !missing[zone] {
+			zones++
+		}
+	}
+	return zones < s.neededZones
+}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -211,7 +211,7 @@
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Metrics: jkaccount.NewMetrics(e.metrics), MaxLostDisks: e.settings.LostDisks, ZoneCount: len(e.settings.Zones),
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.isDown, UnreachableFor: e.probes.UnreachableFor,
-		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, RelayAddrs: e.probes.AnsweringAddrs,
+		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, SettledWhenLost: e.probes.SettledWhenLost, RelayAddrs: e.probes.AnsweringAddrs,
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
@@ -316,6 +316,7 @@
 	defer e.timer.Every(digestInterval, e.sendDigest)()
 	defer e.timer.Every(newsInterval, e.news.tick)()
 	defer e.timer.Every(newsInterval, e.updateSenders)()
+	defer e.timer.Every(newsInterval, e.account.Observe)()
 	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
 	<-stop
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	probes   *jkprobe.Prober
 	members  *members
 	registry *registry
+	// running ends with the process.
+	running context.Context
+	end     context.CancelFunc
 	// follower is set by Run.
 	follower       atomic.Pointer[jkfollow.Follower]
 	storeReachable atomic.Bool
@@ -43,6 +47,7 @@
 	// needFullCopy holds the addresses of hosts that appeared while this one ran and
 	// whose records haven't been copied yet.
 	needFullCopy map[string]bool
+	sources      *copySources
 	// hostsListed is closed after the first complete list of the store.
 	hostsListed chan struct{}
 	listOnce    sync.Once
@@ -50,10 +55,11 @@
 
 // NewStorage opens the ledger and starts to listen for other hosts.
 func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
-	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), hostsListed: make(chan struct{}), needFullCopy: map[string]bool{}}
+	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), hostsListed: make(chan struct{}), needFullCopy: map[string]bool{}, sources: newCopySources(s.Zone, len(s.Zones))}
+	t.running, t.end = context.WithCancel(context.Background())
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
-	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds})
+	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, Behind: t.behind})
 	if err != nil {
 		return nil, err
 	}
@@ -100,8 +106,8 @@
 // Run follows the store and copies missing records until stop is closed, then closes the
 // ledger.
 func (t *Storage) Run(stop <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx := t.running
+	defer t.end()
 	watchRelay := jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
 		Timer: t.timer, Log: t.log.Part("follow"), Host: t.settings.Host, Source: t.platform.Source, Pool: t.peers,
 		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
@@ -123,6 +129,7 @@
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
 	<-stop
 	t.log.Info("storage stopping")
+	t.end()
 	t.server.Close()
 	t.probes.Close()
 	t.peers.Close()
@@ -158,7 +165,14 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if t.vault.CatchUp(ctx, t.otherCopyAddrs(), t.vault.CatchUpWindow()) || t.vault.Certain() {
+		certain := false
+		for _, c := range t.otherCopies() {
+			if t.vault.CatchUp(ctx, []string{c.Addr}, t.vault.CatchUpWindow()) {
+				certain = true
+				t.sources.copied(c.Host)
+			}
+		}
+		if certain || t.vault.Certain() {
 			break
 		}
 		t.timer.Wait(catchUpRetryInterval, ctx.Done())
@@ -169,13 +183,20 @@
 	}
 }
 
+// behind reports whether this copy may lack records that others have added while it was down
+// or out of reach.
+func (t *Storage) behind() bool { return t.sources.behind(t.probes.Reachable) }
+
+// otherCopies returns the other hosts with a copy of the ledger.
+func (t *Storage) otherCopies() []jkaccount.Copy {
+	return slices.DeleteFunc(t.members.copies(), func(c jkaccount.Copy) bool { return c.Host == t.settings.Host })
+}
+
 // otherCopyAddrs returns the addresses of the other hosts with a copy of the ledger.
 func (t *Storage) otherCopyAddrs() []string {
 	var out []string
-	for _, c := range t.members.copies() {
-		if c.Host != t.settings.Host {
-			out = append(out, c.Addr)
-		}
+	for _, c := range t.otherCopies() {
+		out = append(out, c.Addr)
 	}
 	return out
 }
@@ -197,6 +218,7 @@
 		}
 	case change.RemovedHost != "":
 		t.members.remove(change.RemovedHost)
+		t.sources.remove(change.RemovedHost)
 		t.registry.remove(change.RemovedHost)
 		t.probes.RemovePeer(change.RemovedHost)
 	case change.RetireHost == t.settings.Host:
@@ -222,7 +244,8 @@
 	if f := t.follower.Load(); f != nil {
 		f.Retry()
 	}
-	go t.copyFrom(context.Background(), p.Addr, silent+catchUpMargin)
+	t.sources.returned(p.Host)
+	go t.copyFrom(t.running, p.Host, p.Addr, silent+catchUpMargin)
 }
 
 // hostAppeared copies all records of a host whose entry was missing. What the host recorded
@@ -234,26 +257,45 @@
 	select {
 	case <-t.hostsListed:
 	default:
-		return // catchUp copies from the hosts of the first list.
+		// catchUp copies from the hosts of the first list.
+		t.sources.add(h, !t.settings.First)
+		return
 	}
+	t.sources.add(h, true)
 	t.mu.Lock()
 	t.needFullCopy[h.Addr] = true
 	t.mu.Unlock()
-	go t.copyFrom(context.Background(), h.Addr, 0)
+	go t.copyFrom(t.running, h.Host, h.Addr, 0)
 }
 
-// copyFrom copies the records that a host has added within a time, or all of them if none
-// were copied since the host appeared.
-func (t *Storage) copyFrom(ctx context.Context, addr string, within time.Duration) {
-	t.mu.Lock()
-	if t.needFullCopy[addr] {
-		within = 0
-	}
-	t.mu.Unlock()
-	if t.vault.CatchUp(ctx, []string{addr}, within) {
+// copyFrom copies the records that a host has added within a time, or more of them if fewer
+// were copied since the host appeared or this process started. It tries again while the host
+// is in reach and records are missing.
+func (t *Storage) copyFrom(ctx context.Context, host, addr string, within time.Duration) {
+	requested := t.timer.Now()
+	for {
+		window := t.timer.Now().Sub(requested) + within
+		_, sinceStart := t.sources.isPending(host)
 		t.mu.Lock()
-		delete(t.needFullCopy, addr)
+		all := within == 0 || t.needFullCopy[addr]
 		t.mu.Unlock()
+		switch start := t.vault.CatchUpWindow(); {
+		case all || sinceStart && start == 0:
+			window = 0
+		case sinceStart:
+			window = max(window, start)
+		}
+		if t.vault.CatchUp(ctx, []string{addr}, window) {
+			t.mu.Lock()
+			delete(t.needFullCopy, addr)
+			t.mu.Unlock()
+			t.sources.copied(host)
+			return
+		}
+		pending, _ := t.sources.isPending(host)
+		if !pending || !t.probes.Reachable(host) || !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
+			return
+		}
 	}
 }
 
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -108,3 +108,24 @@
 	observer.apply(ctx, jkfollow.Item{Key: "b", Revision: 3})
 	eventually(t, "turn of the returned host", func() bool { _, turns, _ := observer.vault.Size(); return turns == 1 })
 }
+
+// Guards against a restarted copy that answers as if it had what others recorded while it was
+// down, and against one that never stops to be behind.
+func TestRestartedCopyIsBehindUntilItHasCopied(t *testing.T) {
+	entries := map[string]Change{}
+	other := startStorage(t, "b", scriptedPlatform(entries))
+	s, err := NewStorage(Settings{Host: "a", Zone: "a", Zones: []string{"a", "b", "c"}, Inner: freeAddr(t), Folder: t.TempDir()}, scriptedPlatform(entries), jktimer.New(), jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() { defer close(done); s.Run(stop) }()
+	t.Cleanup(func() { close(stop); <-done })
+	if !s.behind() {
+		t.Error("a copy that has copied nothing isn't behind")
+	}
+	entries["b"] = Change{Host: &HostEntry{Host: "b", Zone: "b", Addr: other.settings.Inner, Ledger: true}}
+	<-s.hostsListed
+	s.apply(context.Background(), jkfollow.Item{Key: "b", Revision: 1})
+	eventually(t, "copy that isn't behind", func() bool { return !s.behind() })
+}
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -28,6 +28,9 @@
 	// Certain is false while the copy may lack records that it has acknowledged,
 	// because it lost its disk.
 	Certain bool `msgpack:"certain"`
+	// Behind is set while the copy may lack records that others have added while it was
+	// down or out of reach.
+	Behind bool `msgpack:"behind,omitempty"`
 }
 
 // WriteRequest adds records to a copy.
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -69,6 +69,8 @@
 	Options
 	conn *net.UDPConn
 	stop func()
+	// startedAt is when this host began to observe the others.
+	startedAt time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peerRow
@@ -115,7 +117,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for probes")
 	}
-	p := &Prober{Options: o, conn: conn, peers: map[string]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
+	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), peers: map[string]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
 	go p.receive()
 	if o.SendProbes {
 		p.stop = o.Timer.Every(probeInterval, p.tick)
@@ -258,6 +260,28 @@
 	return known && reachable && p.Timer.Now().Sub(p.zoneChangedAt[zone]) >= settleTime
 }
 
+// SettledWhenLost reports whether the zones of an unreachable host and of this one have been
+// in reach of each other without a break since settleTime before the host's last answer. For
+// a host of the own zone, that goes for all other zones.
+func (p *Prober) SettledWhenLost(host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.peers[host]
+	if row == nil {
+		return false
+	}
+	last := later(row.lastAnswer, row.addedAt)
+	for zone, reachable := range p.zones {
+		if row.peer.Zone != p.Zone && row.peer.Zone != zone {
+			continue
+		}
+		if !reachable || last.Sub(later(p.zoneChangedAt[zone], p.startedAt)) < settleTime {
+			return false
+		}
+	}
+	return true
+}
+
 // AnsweringAddrs returns the addresses of the zones' witnesses that answer probes. Hosts
 // that are always probed aren't among them.
 func (p *Prober) AnsweringAddrs() []string {
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -1,6 +1,7 @@
 package jkprobe
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,40 @@
 		t.Error("no digest arrived")
 	}
 }
+
+// Guards against a silent host that counts as one whose records the others have, although
+// its zone, or this one, was cut off shortly before its last answer or later.
+func TestSettledWhenLost(t *testing.T) {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	p := &Prober{Options: Options{Timer: timer, Zone: "a"}, startedAt: timer.Now(), zones: map[string]bool{"b": true, "c": true}, zoneChangedAt: map[string]time.Time{}, peers: map[string]*peerRow{}}
+	for _, host := range []string{"a2", "b1", "c1"} {
+		p.peers[host] = &peerRow{peer: Peer{Host: host, Zone: host[:1]}, lastAnswer: timer.Now(), unreachable: true}
+	}
+	expectSettled := func(when string, want ...string) {
+		t.Helper()
+		for _, host := range []string{"a2", "b1", "c1"} {
+			if got := p.SettledWhenLost(host); got != slices.Contains(want, host) {
+				t.Errorf("%s: settled when %s was lost: %t", when, host, got)
+			}
+		}
+	}
+	answer := func() {
+		for _, row := range p.peers {
+			row.lastAnswer = timer.Now()
+		}
+	}
+	expectSettled("after the start")
+	clock.Advance(settleTime)
+	answer()
+	expectSettled("in calm", "a2", "b1", "c1")
+	p.zones["b"], p.zoneChangedAt["b"] = false, timer.Now()
+	expectSettled("while zone b is cut off", "c1")
+	clock.Advance(time.Second)
+	p.zones["b"], p.zoneChangedAt["b"] = true, timer.Now()
+	clock.Advance(settleTime)
+	expectSettled("without an answer since the cut", "c1")
+	p.peers["b1"].lastAnswer = timer.Now().Add(-time.Millisecond)
+	expectSettled("with an answer too soon after the cut", "c1")
+	answer()
+	expectSettled("with an answer long after the cut", "a2", "b1", "c1")
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -34,6 +34,9 @@
 	// Holds returns a function that reports whether a host keeps a program's records.
 	// Nil means that every host keeps all records.
 	Holds func(host string) func(program string) bool
+	// Behind reports whether this copy may lack records that others have added while it was
+	// down or out of reach. Nil means that it never does.
+	Behind func() bool
 	// First is set when the whole system starts for the first time, so that an empty
 	// folder isn't a lost disk.
 	First bool
@@ -253,7 +256,7 @@
 	}
 	v.mu.Lock()
 	done, err := v.add([]jkledger.Record{{Spending: &m.Spending}})
-	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: v.certain.Load()}
+	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: v.certain.Load(), Behind: v.Behind != nil && v.Behind()}
 	v.mu.Unlock()
 	if err != nil {
 		return err
