follow: start by what the seeds know while the store doesn't answer

Cause: a host lists the store before it knows any other host, so that one which starts in a cut zone, or is refused by the store, has no rules until the cut ends, although hosts of its zone have them in force.

Change: hosts with disks serve as seeds, which the settings name.

Ruled out: rules that are applied on trial until the store answers. The state of a seed is complete at its revision, so that a watch brings all changes since, removals too.

Result: TestStartedHostTakesTheStateOfItsSeeds (without the seeds no key arrives).

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -90,6 +90,7 @@
 	e.watchRelay = jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
 		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: e.peers,
 		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) }, OnWatch: e.countWatch,
+		Seeds: s.otherSeeds,
 	})
 	// One watch over all keys costs a third of the store calls of one watch for each kind.
 	e.follower = jkfollow.New(jkfollow.Options{
@@ -132,15 +133,20 @@
 // requests don't pass between hosts.
 func isControl(string) bool { return true }
 
-// handle answers one message of another host: a watch of the store, or a message that is
-// relayed to a copy of the ledger.
+// handle answers one message of another host: a watch of the store, a question for its state,
+// or a message that is relayed to a copy of the ledger.
 func (e *Entry) handle(ctx context.Context, s *jkwire.ServerStream) {
-	if s.Type() != jkfollow.TypeWatch {
+	var err error
+	switch s.Type() {
+	case jkfollow.TypeWatch:
+		err = e.watchRelay.Handle(ctx, s)
+	case jkfollow.TypeState:
+		err = e.watchRelay.HandleState(s)
+	default:
 		e.account.Handle(ctx, s)
-		return
 	}
-	if err := e.watchRelay.Handle(ctx, s); err != nil {
-		e.log.Info("follower not answered", "host", s.Peer().Host, "error", err)
+	if err != nil {
+		e.log.Info("follower not answered", "host", s.Peer().Host, "type", s.Type(), "error", err)
 	}
 }
 
@@ -318,7 +324,7 @@
 	defer e.timer.Every(newsInterval, e.updateSenders)()
 	defer e.timer.Every(newsInterval, e.account.Observe)()
 	go e.registry.run(ctx)
-	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front)
+	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front, "seeds", len(e.settings.Seeds))
 	<-stop
 	e.drain()
 	for _, end := range e.closers {
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"jasmineknot.example/core/jkfollow"
@@ -27,6 +28,8 @@
 	Ready string
 	// Inner is the address for other hosts: messages over TCP, probes over UDP.
 	Inner string
+	// Seeds are the addresses for other hosts of a few hosts, which may be stale or down.
+	Seeds []string
 	// Metrics is the address at which metrics are served; empty for none.
 	Metrics string
 	// Folder is the folder for persistent data; empty on hosts without a disk.
@@ -42,6 +45,11 @@
 	LogLevel  string
 }
 
+// otherSeeds returns the seeds without this host.
+func (s Settings) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(s.Seeds), func(addr string) bool { return addr == s.Inner })
+}
+
 // EndpointState is an endpoint's entry in the platform's registry.
 type EndpointState struct {
 	Endpoint jksched.Endpoint
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -35,6 +35,8 @@
 	probes   *jkprobe.Prober
 	members  *members
 	registry *registry
+	// watchRelay also serves what this host knows of the store to hosts that start.
+	watchRelay *jkfollow.WatchRelay
 	// running ends with the process.
 	running context.Context
 	end     context.CancelFunc
@@ -64,11 +66,16 @@
 		return nil, err
 	}
 	t.vault = vault
+	t.watchRelay = jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
+		Timer: timer, Log: log.Part("follow"), Host: s.Host, Source: p.Source, Pool: t.peers,
+		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
+		Seeds: s.otherSeeds,
+	})
 	l, err := net.Listen("tcp", s.Inner)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for entries")
 	}
-	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: vault.Handle, IsControl: isControl, Counters: &jkwire.Counters{}})
+	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.probes, err = jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner,
 		SendProbes: true, OnZoneChange: func(string, bool) {}, OnHostChange: t.hostChanged,
@@ -83,6 +90,18 @@
 	return t, t.serveMetrics()
 }
 
+// handle answers one message of another host: for the copy of the ledger, or a question for
+// the state of the store.
+func (t *Storage) handle(ctx context.Context, s *jkwire.ServerStream) {
+	if s.Type() != jkfollow.TypeState {
+		t.vault.Handle(ctx, s)
+		return
+	}
+	if err := t.watchRelay.HandleState(s); err != nil {
+		t.log.Info("state not sent", "host", s.Peer().Host, "error", err)
+	}
+}
+
 // serveMetrics serves the ledger's metrics on the address of the settings, if there is one.
 func (t *Storage) serveMetrics() error {
 	if t.settings.Metrics == "" {
@@ -108,12 +127,8 @@
 func (t *Storage) Run(stop <-chan struct{}) {
 	ctx := t.running
 	defer t.end()
-	watchRelay := jkfollow.NewWatchRelay(jkfollow.WatchRelayOptions{
-		Timer: t.timer, Log: t.log.Part("follow"), Host: t.settings.Host, Source: t.platform.Source, Pool: t.peers,
-		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
-	})
 	follower := jkfollow.New(jkfollow.Options{
-		Timer: t.timer, Log: t.log.Part("follow"), Source: watchRelay.ThroughPeers(),
+		Timer: t.timer, Log: t.log.Part("follow"), Source: t.watchRelay.ThroughPeers(),
 		Apply: func(item jkfollow.Item) { t.apply(ctx, item) },
 		OnReachable: func(storeReachable bool) {
 			t.storeReachable.Store(storeReachable)
--- a/core/jkfollow/follower.go
+++ b/core/jkfollow/follower.go
@@ -37,8 +37,10 @@
 	Items []Item
 	// Revision is the revision after which the next watch continues.
 	Revision int64
-	// Via is where the page was read: ViaStore or the name of another host.
+	// Via is where the page was read: ViaStore or the name or address of another host.
 	Via string
+	// Age is the age of a page that another host has passed on.
+	Age time.Duration
 }
 
 // HistoryLostError is returned by a watch from a revision after which the store no
@@ -127,8 +129,9 @@
 	for ctx.Err() == nil {
 		callCtx, cancel := f.beginCall(ctx)
 		var err error
+		fresh := true
 		if !listed {
-			err = f.list(callCtx)
+			fresh, err = f.list(callCtx)
 			listed = err == nil
 		} else {
 			err = f.watch(callCtx)
@@ -137,7 +140,9 @@
 		switch {
 		case err == nil:
 			backoff = minBackoff
-			f.setReachable(true, nil)
+			if fresh {
+				f.setReachable(true, nil)
+			}
 		case errors.As(err, &lost):
 			f.Log.Info("history lost, keys are listed again", "prefix", f.Prefix, "revision", f.revision)
 			listed = false
@@ -187,12 +192,13 @@
 	f.OnReachable(reachable)
 }
 
-func (f *Follower) list(ctx context.Context) error {
+// list lists the prefix and reports whether the list shows the present state of the store.
+func (f *Follower) list(ctx context.Context) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	page, err := f.Source.List(ctx, f.Prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	present := make(map[string]bool, len(page.Items))
 	silence := f.answered()
@@ -207,7 +213,7 @@
 		}
 	}
 	f.revision = max(f.revision, page.Revision)
-	return nil
+	return page.Age <= maxAge, nil
 }
 
 // answered records the arrival of a page and returns the time since the one before it,
--- a/core/jkfollow/follower_test.go
+++ b/core/jkfollow/follower_test.go
@@ -78,7 +78,7 @@
 	}
 	for _, p := range pages {
 		f.Source.List = func(context.Context, string) (Page, error) { return p, nil }
-		if err := f.list(context.Background()); err != nil {
+		if _, err := f.list(context.Background()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -91,6 +91,9 @@
 	Pool   *jkwire.Pool
 	// Peers returns the hosts that may watch the store, including this one.
 	Peers func() []Peer
+	// Seeds returns the addresses of hosts that may know what the store holds; nil if none
+	// are known before the first list.
+	Seeds func() []string
 	// OnWatch is called after each watch; nil if it isn't counted.
 	OnWatch func(way WatchWay, outcome WatchOutcome)
 }
@@ -133,6 +136,10 @@
 	// changed is closed and replaced when history, reachable or confirmedAt changes, to
 	// wake followers.
 	changed chan struct{}
+	// items holds the latest change of each key that isn't deleted.
+	items map[string]Item
+	// listed is set once items holds all keys.
+	listed bool
 	// avoidUntil is the time until which a host isn't followed, by its name.
 	avoidUntil map[string]time.Time
 	// coalesceUntil is the earliest time of the next call to the store after a change.
@@ -144,32 +151,15 @@
 	if o.OnWatch == nil {
 		o.OnWatch = func(WatchWay, WatchOutcome) {}
 	}
-	return &WatchRelay{WatchRelayOptions: o, changed: make(chan struct{})}
+	return &WatchRelay{WatchRelayOptions: o, changed: make(chan struct{}), items: map[string]Item{}}
 }
 
-// ThroughPeers returns a source that watches through another host if one is available.
-// Lists always go to the store.
+// ThroughPeers returns a source that watches through another host if one is available. It
+// lists the store, or takes what the seeds know if the store doesn't answer.
 func (r *WatchRelay) ThroughPeers() Source {
 	return Source{List: r.list, Watch: r.watch, watchTimeout: directWatchers*peerTimeout + coalesceDelay + storeWatchTimeout}
 }
 
-func (r *WatchRelay) list(ctx context.Context, prefix string) (Page, error) {
-	began := r.Timer.Now()
-	page, err := r.Source.List(ctx, prefix)
-	if err != nil {
-		r.storeLost()
-		return page, err
-	}
-	page.Via = ViaStore
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	// A list doesn't show which keys were deleted before it, so the history starts over.
-	r.history, r.oldest, r.revision = nil, page.Revision, page.Revision
-	r.reachable, r.storeFailed, r.confirmedAt = true, false, began
-	r.notify()
-	return page, nil
-}
-
 func (r *WatchRelay) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
 	for _, peer := range r.peerCandidates() {
 		timeout := r.peerBudget()
@@ -308,6 +298,9 @@
 func (r *WatchRelay) record(page Page, confirmedAt time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, item := range page.Items {
+		r.remember(item)
+	}
 	r.history = append(r.history, page.Items...)
 	if excess := len(r.history) - maxHistory; excess > 0 {
 		r.oldest = r.history[excess-1].Revision
--- /dev/null
+++ b/core/jkfollow/state_test.go
@@ -0,0 +1,154 @@
+package jkfollow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// serveState runs a host that follows the store and serves its state to others.
+func serveState(t *testing.T, store Source) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewWatchRelay(WatchRelayOptions{Timer: jktimer.New(), Log: jklog.Discard(), Source: store, Peers: func() []Peer { return nil }})
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: "seed", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
+		IsControl: func(string) bool { return true },
+		// The host that asks gets the error as its answer.
+		Handle: func(_ context.Context, in *jkwire.ServerStream) { _ = r.HandleState(in) },
+	})
+	t.Cleanup(server.Close)
+	run(t, r.ThroughPeers())
+	return l.Addr().String()
+}
+
+// startWithSeeds follows a store on a host that has just started and knows only the seeds.
+func startWithSeeds(t *testing.T, store Source, seeds ...string) <-chan Item {
+	t.Helper()
+	pool := jkwire.NewPool(jkwire.PoolOptions{
+		Self: jkwire.Hello{Host: "started", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, IsControl: func(string) bool { return true },
+	})
+	t.Cleanup(pool.Close)
+	r := NewWatchRelay(WatchRelayOptions{
+		Timer: jktimer.New(), Log: jklog.Discard(), Host: "started", Source: store, Pool: pool,
+		Peers: func() []Peer { return nil }, Seeds: func() []string { return seeds },
+	})
+	return run(t, r.ThroughPeers())
+}
+
+// silentStore answers nothing until it is released, then what the source does.
+func silentStore(released *atomic.Bool, s Source) Source {
+	wait := func(ctx context.Context) error {
+		for !released.Load() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		return nil
+	}
+	return Source{
+		List: func(ctx context.Context, prefix string) (Page, error) {
+			if err := wait(ctx); err != nil {
+				return Page{}, err
+			}
+			return s.List(ctx, prefix)
+		},
+		Watch: func(ctx context.Context, prefix string, after int64, d time.Duration) (Page, error) {
+			if err := wait(ctx); err != nil {
+				return Page{}, err
+			}
+			return s.Watch(ctx, prefix, after, d)
+		},
+	}
+}
+
+// listedStore lists the items and never changes.
+func listedStore(items ...Item) Source {
+	revision := int64(0)
+	for _, item := range items {
+		revision = max(revision, item.Revision)
+	}
+	return Source{
+		List: func(context.Context, string) (Page, error) { return Page{Items: items, Revision: revision}, nil },
+		Watch: func(ctx context.Context, _ string, _ int64, wait time.Duration) (Page, error) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			return Page{Revision: revision}, ctx.Err()
+		},
+	}
+}
+
+// Guards against a host that starts while it is cut off from the store and has no rules until
+// the cut ends, although its neighbours have them, and against rules that it keeps after that.
+func TestStartedHostTakesTheStateOfItsSeeds(t *testing.T) {
+	t.Parallel()
+	large := make([]byte, 300<<10)
+	seed := serveState(t, listedStore(Item{Key: "op/config", Revision: 4, Value: large}, Item{Key: "servers/a", Revision: 5, Value: large}, Item{Key: "servers/b", Revision: 6, Value: large}))
+	var released atomic.Bool
+	store := Source{}
+	// The configuration has changed and an endpoint has left since the seed lost the store.
+	store.List = func(context.Context, string) (Page, error) { t.Error("listed again"); return Page{}, nil }
+	store.Watch = func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+		if after < 8 {
+			return Page{Items: []Item{{Key: "op/config", Revision: 7}, {Key: "servers/a", Revision: 8, Deleted: true}}, Revision: 8}, nil
+		}
+		return listedStore().Watch(ctx, "", after, wait)
+	}
+	items := startWithSeeds(t, silentStore(&released, store), "127.0.0.1:1", seed)
+	var keys []string
+	for range 3 {
+		keys = append(keys, next(t, items, seedDelay+2*seedTimeout).Key)
+	}
+	slices.Sort(keys)
+	if want := []string{"op/config", "servers/a", "servers/b"}; !slices.Equal(keys, want) {
+		t.Fatalf("keys of the seed's state: %v, want %v", keys, want)
+	}
+	released.Store(true)
+	if got := next(t, items, 4*time.Second); got.Key != "op/config" || got.Revision != 7 {
+		t.Errorf("first change of the store: %s at %d", got.Key, got.Revision)
+	}
+	if got := next(t, items, time.Second); got.Key != "servers/a" || !got.Deleted {
+		t.Errorf("second change of the store: %s, deleted %t", got.Key, got.Deleted)
+	}
+}
+
+// Guards against the state of a seed in place of the store's, and against seeds that delay a
+// start: one that hangs, one that knows nothing and one that is older than the other.
+func TestSeedsDelayNoStart(t *testing.T) {
+	t.Parallel()
+	old := serveState(t, listedStore(Item{Key: "op/config", Revision: 1}))
+	newer := serveState(t, listedStore(Item{Key: "op/config", Revision: 2}))
+	var never atomic.Bool
+	empty := serveState(t, silentStore(&never, Source{}))
+	hung, _ := hungPeer(t, "hung")
+	seeds := []string{empty, old, hung.Addr, newer}
+	began := time.Now()
+	items := startWithSeeds(t, listedStore(Item{Key: "op/config", Revision: 9}), seeds...)
+	if got := next(t, items, time.Second); got.Revision != 9 || time.Since(began) > seedDelay {
+		t.Errorf("revision %d after %s, want that of the store at once", got.Revision, time.Since(began))
+	}
+	down := Source{
+		List: func(context.Context, string) (Page, error) { return Page{}, fmt.Errorf("store is down") },
+		Watch: func(context.Context, string, int64, time.Duration) (Page, error) {
+			return Page{}, fmt.Errorf("store is down")
+		},
+	}
+	if got := next(t, startWithSeeds(t, down, seeds...), seedDelay+2*seedTimeout); got.Revision != 2 {
+		t.Errorf("revision %d, want that of the seed that knows most", got.Revision)
+	}
+}
