probe: probe many hosts with disks less often

Cause: every entry and every storage host probes every storage host four times a second: 259 x 36 x 4, 37,000 probes a second and as many answers on the large site (read in the code).

Change: from 13 such hosts on the interval grows, up to 1 s. A host that doesn't answer, and all others of its zone, are probed four times a second again. Silence is counted from the first probe without an answer, and from the last answer where this process was paused. Answers are matched by a table instead of a hash of each known host.

Ruled out: fewer hosts that probe each storage host, with the others told by digests: a host then acts on what another one reaches. Slower probes of the two witnesses of each zone: a cut zone is to be noticed within a second.

Result: TestManyHostsAreProbedLessOften: with 36 hosts at most 96 probes a second instead of 192 (it fails at 4 a second for each), a silent one found within 2 s, a cut zone within 1.3 s. What it saves on the large site isn't measured yet.

--- a/core/jkentry/registry.go
+++ b/core/jkentry/registry.go
@@ -238,10 +238,11 @@
 	return out
 }
 
-// isSilent reports whether a host is probed and hasn't answered within observeInterval.
+// isSilent reports whether a host is probed, is out of reach and hasn't answered within
+// observeInterval. Hosts in reach may be probed as seldom as that.
 func (r *registry) isSilent(host string, now time.Time) bool {
 	last, probed := r.lastAnswer(host)
-	return probed && now.Sub(last) > observeInterval
+	return probed && now.Sub(last) > observeInterval && !r.reachable(host)
 }
 
 // zoneAnswers reports whether another host of the entry's zone answers. If none does, the
@@ -251,7 +252,8 @@
 		if host == e.Host || host == r.own.Host || row.entry.Zone != e.Zone {
 			continue
 		}
-		if last, probed := r.lastAnswer(host); probed && now.Sub(last) <= observeInterval {
+		last, probed := r.lastAnswer(host)
+		if probed && !last.IsZero() && (now.Sub(last) <= observeInterval || r.reachable(host)) {
 			return true
 		}
 	}
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -60,6 +60,15 @@
 	unreachableAfter = 800 * time.Millisecond
 )
 
+// maxAlwaysProbed is the number of hosts that are always probed at each probeInterval. More of
+// them are probed less often, so that the probes of a host don't grow with the fleet, up to
+// maxProbeInterval. Such a host is probed at each probeInterval again once it, or another host
+// of its zone, hasn't answered, which detects a silent one within two seconds.
+const (
+	maxAlwaysProbed  = 12
+	maxProbeInterval = time.Second
+)
+
 // witnessesPerZone is the number of hosts in each zone that are probed to tell whether
 // the zone is reachable, besides those that are always probed.
 const witnessesPerZone = 2
@@ -69,11 +78,19 @@
 	Options
 	conn *net.UDPConn
 	stop func()
+	// sendTo sends a datagram.
+	sendTo func(kind byte, key uint64, to netip.AddrPort)
 	// startedAt is when this host began to observe the others.
 	startedAt time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peerRow
+	// tickedAt is the time of the latest tick.
+	tickedAt time.Time
+	// alwaysInterval is the interval at which hosts that are always probed are.
+	alwaysInterval time.Duration
+	// byHash finds the row of a host by the hash in its answers.
+	byHash map[uint64]*peerRow
 	// zones reports for each other zone whether it is reachable, as of the last tick in
 	// which a host of it was probed.
 	zones map[string]bool
@@ -89,6 +106,10 @@
 	addedAt     time.Time
 	unreachable bool
 	isProbed    bool
+	// probedAt is when the latest probe was sent, and unansweredSince when the first one since
+	// the last answer was.
+	probedAt        time.Time
+	unansweredSince time.Time
 	// silentSince is when an unreachable host last answered, or was added.
 	silentSince time.Time
 }
@@ -117,7 +138,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for probes")
 	}
-	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), peers: map[string]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
+	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
+	p.sendTo = p.send
 	go p.receive()
 	if o.SendProbes {
 		p.stop = o.Timer.Every(probeInterval, p.tick)
@@ -143,7 +165,8 @@
 	if known := p.peers[peer.Host]; known != nil && known.peer == peer {
 		return
 	}
-	p.peers[peer.Host] = &peerRow{peer: peer, addr: addr, addedAt: p.Timer.Now()}
+	row := &peerRow{peer: peer, addr: addr, addedAt: p.Timer.Now()}
+	p.peers[peer.Host], p.byHash[hostHash(peer.Host)] = row, row
 	p.selectProbed()
 }
 
@@ -152,6 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.peers, host)
+	delete(p.byHash, hostHash(host))
 	p.selectProbed()
 }
 
@@ -307,14 +331,16 @@
 	var changes []change
 	now := p.Timer.Now()
 	p.mu.Lock()
-	var targets []*peerRow
+	if now.Sub(p.tickedAt) > unreachableAfter {
+		p.notePause()
+	}
+	p.tickedAt = now
 	for _, row := range p.peers {
 		if !row.isProbed {
 			continue
 		}
-		targets = append(targets, row)
 		last := later(row.lastAnswer, row.addedAt)
-		unreachable := now.Sub(last) > unreachableAfter
+		unreachable := row.silence(now) > unreachableAfter
 		if unreachable == row.unreachable {
 			continue
 		}
@@ -325,6 +351,7 @@
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
 	}
 	zones := p.updateZones()
+	targets := p.chooseTargets(now)
 	p.mu.Unlock()
 	for _, c := range changes {
 		p.Log.Info("host reachability changed", "host", c.peer.Host, "zone", c.peer.Zone, "reachable", c.reachable, "silent", c.silent)
@@ -335,8 +362,55 @@
 		p.OnZoneChange(zone, reachable)
 	}
 	for _, row := range targets {
-		p.send(kindProbe, hostHash(row.peer.Host), row.addr)
+		p.sendTo(kindProbe, hostHash(row.peer.Host), row.addr)
+	}
+}
+
+// notePause treats all hosts as silent since their last answers, because this process was
+// paused and may have missed what they sent. They are back with their next answers.
+func (p *Prober) notePause() {
+	for _, row := range p.peers {
+		if row.unansweredSince.IsZero() {
+			row.unansweredSince = later(row.lastAnswer, row.addedAt)
+		}
+	}
+}
+
+// silence returns for how long a host hasn't answered, not counting the time in which it
+// wasn't probed. It is zero for a host whose last probe was answered.
+func (r *peerRow) silence(now time.Time) time.Duration {
+	if r.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.unansweredSince) + probeInterval
+}
+
+// chooseTargets returns the hosts that are to be probed now. The caller holds the lock.
+func (p *Prober) chooseTargets(now time.Time) []*peerRow {
+	alwaysProbed := 0
+	suspectZones := map[string]bool{}
+	for _, row := range p.peers {
+		if row.peer.AlwaysProbed {
+			alwaysProbed++
+		}
+		if row.isProbed && row.silence(now) > probeInterval {
+			suspectZones[row.peer.Zone] = true
+		}
+	}
+	p.alwaysInterval = min(probeInterval*time.Duration(alwaysProbed)/maxAlwaysProbed, maxProbeInterval)
+	var out []*peerRow
+	for _, row := range p.peers {
+		due := !row.peer.AlwaysProbed || suspectZones[row.peer.Zone] || now.Sub(row.probedAt) >= p.alwaysInterval
+		if !row.isProbed || !due {
+			continue
+		}
+		row.probedAt = now
+		if row.unansweredSince.IsZero() {
+			row.unansweredSince = now
+		}
+		out = append(out, row)
 	}
+	return out
 }
 
 func later(a, b time.Time) time.Time {
@@ -351,16 +425,21 @@
 // the lock.
 func (p *Prober) updateZones() map[string]bool {
 	answers := map[string]bool{}
+	now := p.Timer.Now()
 	for _, row := range p.peers {
 		if row.isProbed && row.peer.Zone != p.Zone {
-			answers[row.peer.Zone] = answers[row.peer.Zone] || !row.unreachable
+			// A host that is probed less often is found unreachable later than the others.
+			// Two probes without an answer are enough if nobody else answers either.
+			seldom := row.peer.AlwaysProbed && p.alwaysInterval > probeInterval
+			silent := row.unreachable || seldom && row.silence(now) > 2*probeInterval
+			answers[row.peer.Zone] = answers[row.peer.Zone] || !silent
 		}
 	}
 	changed := map[string]bool{}
 	for zone, reachable := range answers {
 		if was, known := p.zones[zone]; (known || !reachable) && was != reachable {
 			changed[zone] = reachable
-			p.zoneChangedAt[zone] = p.Timer.Now()
+			p.zoneChangedAt[zone] = now
 		}
 		p.zones[zone] = reachable
 	}
@@ -478,10 +557,7 @@
 func (p *Prober) recordAnswer(key uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for host, row := range p.peers {
-		if hostHash(host) == key {
-			row.lastAnswer = p.Timer.Now()
-			return
-		}
+	if row := p.byHash[key]; row != nil {
+		row.lastAnswer, row.unansweredSince = p.Timer.Now(), time.Time{}
 	}
 }
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -1,6 +1,8 @@
 package jkprobe
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -168,3 +170,106 @@
 	answer()
 	expectSettled("with an answer long after the cut", "a2", "b1", "c1")
 }
+
+// Guards against probes that grow with the square of the fleet, against a silent host that is
+// noticed later than two seconds because of that, and against a zone that is cut off and not
+// noticed as soon as in a small fleet.
+func TestManyHostsAreProbedLessOften(t *testing.T) {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	zones := make(chan change, 8)
+	p, err := Listen(Options{
+		Timer: timer, Log: jklog.Discard(), Host: "e", Zone: "0", Addr: "127.0.0.1:0", SendProbes: true,
+		OnZoneChange: func(zone string, reachable bool) { zones <- change{zone, reachable} },
+		OnHostChange: func(Peer, bool, time.Duration) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	silent := map[string]bool{}
+	byHash := map[uint64]Peer{}
+	probes := 0
+	p.sendTo = func(_ byte, key uint64, _ netip.AddrPort) {
+		probes++
+		if peer := byHash[key]; !silent[peer.Host] && !silent[peer.Zone] {
+			p.recordAnswer(key)
+		}
+	}
+	for i := range 36 {
+		peer := Peer{Host: fmt.Sprintf("s%d", i), Addr: "127.0.0.1:9", Zone: fmt.Sprint(i % 6), AlwaysProbed: true}
+		witness := Peer{Host: fmt.Sprintf("w%d", i), Addr: "127.0.0.1:9", Zone: fmt.Sprint(i % 6)}
+		for _, one := range []Peer{peer, witness} {
+			byHash[hostHash(one.Host)] = one
+			p.SetPeer(one)
+		}
+	}
+	pass := func(d time.Duration) {
+		for end := timer.Now().Add(d); timer.Now().Before(end); {
+			clock.Advance(10 * time.Millisecond)
+		}
+	}
+	pass(3 * time.Second)
+	probes = 0
+	pass(6 * time.Second)
+	// Twelve witnesses four times a second, and as many other probes as for twelve hosts.
+	if most := 6 * (12*4 + maxAlwaysProbed*4); probes > most {
+		t.Errorf("%d probes in 6 s, want %d at most", probes, most)
+	}
+	for _, host := range []string{"s7", "s13", "w2"} {
+		silent[host] = true
+	}
+	pass(2 * time.Second)
+	for _, host := range []string{"s7", "s13"} {
+		if p.Reachable(host) {
+			t.Errorf("host %s is silent for 2 s and counts as reachable", host)
+		}
+	}
+	if !p.Reachable("s8") || len(zones) > 0 {
+		t.Error("a host or zone that answers counts as unreachable")
+	}
+	silent["3"] = true
+	pass(unreachableAfter + 2*probeInterval)
+	if p.ZoneReachable("3") {
+		t.Error("a zone that is cut off counts as reachable")
+	}
+	delete(silent, "3")
+	pass(2 * time.Second)
+	if !p.ZoneReachable("3") || !p.Reachable("s3") {
+		t.Error("a zone that is back counts as unreachable")
+	}
+}
+
+// Guards against a process that was paused and doesn't notice that it may have missed what the
+// others did meanwhile.
+func TestPauseCountsAsSilence(t *testing.T) {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	returned := map[string]time.Duration{}
+	p := &Prober{
+		Options: Options{
+			Timer: timer, Log: jklog.Discard(), Zone: "a", OnZoneChange: func(string, bool) {},
+			OnHostChange: func(peer Peer, reachable bool, silent time.Duration) {
+				if reachable {
+					returned[peer.Host] = silent
+				}
+			},
+		},
+		zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{},
+		tickedAt: timer.Now(),
+	}
+	p.sendTo = func(_ byte, key uint64, _ netip.AddrPort) { p.recordAnswer(key) }
+	p.SetPeer(Peer{Host: "a2", Addr: "127.0.0.1:9", Zone: "a", AlwaysProbed: true})
+	for range 4 {
+		clock.Advance(probeInterval)
+		p.tick()
+	}
+	clock.Advance(3 * time.Second)
+	p.tick()
+	if p.Reachable("a2") {
+		t.Error("a host that couldn't be heard for 3 s counts as reachable")
+	}
+	clock.Advance(probeInterval)
+	p.tick()
+	if returned["a2"] < 3*time.Second {
+		t.Errorf("host is back after %s, want 3 s", returned["a2"])
+	}
+}
