entry: wake up less often to spread digests, news and members

Cause: four timers of 200 ms each woke an entry 20 times a second, and each time it sorted and compared all hosts, 259 on the large site, although they hardly ever change.

Change: digests and news have one timer; hosts are compared each second, and when one appears, falls silent or is back.

Ruled out: a longer interval of digests; loads are too old then.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -162,10 +162,6 @@
 	return crossZoneDelay
 }
 
-// digestInterval is the interval at which entries send each other the loads that endpoints
-// have reported. It is a third of the time for which a load report is valid.
-const digestInterval = 200 * time.Millisecond
-
 // sendDigest sends the loads that endpoints have reported to this entry to other entries.
 func (e *Entry) sendDigest() {
 	data, err := e.fleet.NextDigest()
@@ -188,6 +184,7 @@
 // hostChanged drops the connection to a host that became unreachable: its unacknowledged
 // bytes would delay later calls. A host that is back may mean the end of a partition.
 func (e *Entry) hostChanged(p jkprobe.Peer, reachable bool, _ time.Duration) {
+	e.updateSenders()
 	if !reachable {
 		e.peers.Disconnect(p.Addr)
 		return
@@ -319,10 +316,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.follower.Run(ctx)
-	defer e.timer.Every(digestInterval, e.sendDigest)()
-	defer e.timer.Every(newsInterval, e.news.tick)()
-	defer e.timer.Every(newsInterval, e.updateSenders)()
-	defer e.timer.Every(newsInterval, e.account.Observe)()
+	defer e.timer.Every(newsInterval, e.spread)()
+	defer e.timer.Every(membersInterval, e.observeMembers)()
 	go e.registry.run(ctx)
 	e.log.Info("entry started", "host", e.settings.Host, "zone", e.settings.Zone, "front", e.settings.Front, "seeds", len(e.settings.Seeds))
 	<-stop
@@ -332,6 +327,23 @@
 	}
 }
 
+// spread sends other entries what this one has learned since the last call. Digests and news
+// have one timer, because each wake-up of a small host costs about as much as what it sends.
+func (e *Entry) spread() {
+	e.sendDigest()
+	e.news.tick()
+}
+
+// membersInterval is the interval at which an entry checks which hosts there are, besides
+// each time that one appears, falls silent or is back.
+const membersInterval = time.Second
+
+// observeMembers notices hosts that are new or gone.
+func (e *Entry) observeMembers() {
+	e.updateSenders()
+	e.account.Observe()
+}
+
 // updateSenders tells the fleet which hosts share the limits of endpoints.
 func (e *Entry) updateSenders() {
 	e.fleet.SetHosts(e.members.senders(jkforward.Host{Name: e.settings.Host, Zone: e.settings.Zone}, e.probes.Reachable))
--- a/core/jkentry/news.go
+++ b/core/jkentry/news.go
@@ -23,7 +23,8 @@
 }
 
 const (
-	// newsInterval is the interval at which an entry passes news on.
+	// newsInterval is the interval at which an entry passes on news and the loads that
+	// endpoints have reported. It is a third of the time for which a load report is valid.
 	newsInterval = 200 * time.Millisecond
 	// newsRepeats is the number of intervals for which it passes on what changed, since
 	// datagrams are lost.
