account: let the copies tell which losses are harmless

One that has restarted since the loss has seen nothing, and a zone whose storage host is gone looks cut off while its only entry restarts.

Change: copies name, in their answer to a reservation, the hosts that they saw fall silent in a zone in reach; storage hosts probe entries too, to tell a cut zone from one without storage. A loss is confirmed after 2 s; if the zone is cut off later, the lost copy is behind and admits nothing. On the first start of a system nothing can have been admitted before.

Ruled out: entries that tell each other by news: all may have restarted. The mark of a silent host in the store: it says nothing of the time before.

Tests: the fixture of the budget tests keeps all partitions, as the confirmed loss needs them; bounds and steps are as before.

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -22,6 +22,8 @@
 	// copiedAfter is how long copies take to catch up with each other after a partition or
 	// a restart; entries rely on it after settledAfter.
 	copiedAfter = 2 * time.Second
+	// confirmedAfter is the silence after which a host fell silent alone.
+	confirmedAfter = 2 * time.Second
 	// newFor is how long a copy is new.
 	newFor = 8 * time.Second
 )
@@ -38,6 +40,8 @@
 	downSince   map[string]time.Time
 	cutSince    map[string]time.Time
 	recoveredAt map[string]time.Time
+	// partitions holds all partitions, the latest one last.
+	partitions []partition
 	// behind holds the hosts that have been down and haven't copied from another zone since.
 	behind map[string]bool
 	// addedAt is when a host was added.
@@ -126,21 +130,42 @@
 	return longest
 }
 
-// settledWhenLost reports whether no partition of an entry's zone from that of a host, or
-// from any zone if they are the same, was noticed since settledAfter before the host's last
-// answer.
+// settledWhenLost reports whether an entry noticed no partition of its zone from that of a
+// host, or from any zone if they are the same, from settledAfter before the host's last answer
+// until confirmedAfter after it.
 func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
 	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
 	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
-	for _, c := range f.copies {
-		if c.Zone == e.zone || own != e.zone && c.Zone != own {
-			continue
+	return !slices.ContainsFunc(f.partitions, func(p partition) bool {
+		concerns := p.zone == e.zone || p.zone == own || own == e.zone
+		end := p.to
+		if end.IsZero() {
+			end = f.now
 		}
-		if f.cutFor(e.zone, c.Zone) > unreachableAfter+e.phase || lastAnswer.Sub(f.lastCut(e.zone, c.Zone)) < settledAfter {
-			return false
+		noticed := !p.to.IsZero() || end.Sub(p.from) > unreachableAfter+e.phase
+		return concerns && noticed && end.Sub(lastAnswer) > -settledAfter && p.from.Sub(lastAnswer) < confirmedAfter
+	})
+}
+
+// partition is a zone that is cut off from the others for a time; to is zero while it is.
+type partition struct {
+	zone     string
+	from, to time.Time
+}
+
+// settledLosses returns the hosts that a copy's host names as such. One that was down itself
+// has observed the others for too short a time.
+func (f *budgetFixture) settledLosses(c Copy) []string {
+	var out []string
+	own := &budgetEntry{zone: c.Zone}
+	for _, other := range f.copies {
+		lastAnswer := f.now.Add(-f.unreachableFor(own, other.Host))
+		observed := lastAnswer.Sub(latest(f.recoveredAt[c.Host], f.addedAt[c.Host])) >= settledAfter
+		if observed && f.unreachableFor(own, other.Host) > unreachableAfter && f.settledWhenLost(own, other.Host) {
+			out = append(out, other.Host)
 		}
 	}
-	return true
+	return out
 }
 
 // answers reports whether a copy answers an entry's message.
@@ -163,9 +188,9 @@
 		}
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
-		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host]}, e.client.standsIn(r.Program, c))
+		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host], SettledLosses: f.settledLosses(c)}, e.client.standsIn(r.Program, c))
 	}
-	q.exclusive = e.client.isExclusive(r.Program, copies, missing)
+	q.exclusive = e.client.isExclusive(r.Program, copies, missing, q.settledLosses)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
@@ -222,7 +247,10 @@
 	f.behind[host] = true
 }
 
-func (f *budgetFixture) cut(zone string) { f.cutSince[zone] = f.now }
+func (f *budgetFixture) cut(zone string) {
+	f.cutSince[zone] = f.now
+	f.partitions = append(f.partitions, partition{zone: zone, from: f.now})
+}
 
 // up starts all hosts that are down.
 func (f *budgetFixture) up() {
@@ -237,6 +265,7 @@
 	for zone := range f.cutSince {
 		delete(f.cutSince, zone)
 		f.recoveredAt[zone] = f.now
+		f.partitions[len(f.partitions)-1].to = f.now
 	}
 }
 
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -162,16 +162,18 @@
 // isExclusive reports whether no other part of the fleet can admit turns of a program by
 // itself, or has done so without the given copies, of which some didn't answer. Those are
 // harmless if they are down in a zone that was in reach all the while: the others have what
-// they admitted. The same goes for lost copies in whose place one of the given was chosen.
-func (c *Client) isExclusive(program string, copies []Copy, unanswered int) bool {
+// they admitted. The same goes for lost copies in whose place one of the given was chosen. The
+// copies that answered know it as well, and better than a host that has just started.
+func (c *Client) isExclusive(program string, copies []Copy, unanswered int, settledLosses map[string]bool) bool {
+	settled := func(host string) bool { return settledLosses[host] || c.SettledWhenLost(host) }
 	harmless := 0
 	for _, target := range copies {
-		if !c.Reachable(target.Host) && c.ZoneSettled(target.Zone) && c.SettledWhenLost(target.Host) {
+		if !c.Reachable(target.Host) && c.ZoneSettled(target.Zone) && settled(target.Host) {
 			harmless++
 		}
 	}
 	return unanswered <= harmless && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
-		return !c.Reachable(other.Host) && !c.SettledWhenLost(other.Host) && c.isReplaced(program, other, copies)
+		return !c.Reachable(other.Host) && !settled(other.Host) && c.isReplaced(program, other, copies)
 	})
 }
 
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -66,7 +66,7 @@
 		}
 	}
 	cancel()
-	q.exclusive = c.isExclusive(r.Program, copies, unanswered)
+	q.exclusive = c.isExclusive(r.Program, copies, unanswered, q.settledLosses)
 	return q
 }
 
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -77,7 +77,7 @@
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
 	e.closers = append(e.closers, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
-		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, SendProbes: true,
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First, SendProbes: true,
 		OnZoneChange: e.fleet.SetZoneReachable, OnHostChange: e.hostChanged, OnDigest: e.receiveDigest,
 		OnNews: e.news.receive, CurrentNews: e.news.current,
 	})
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -55,6 +55,13 @@
 	return ok
 }
 
+// isCopy reports whether a host has a copy of the ledger.
+func (m *members) isCopy(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts[host].Ledger
+}
+
 func (m *members) remove(host string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -61,7 +61,7 @@
 	t.running, t.end = context.WithCancel(context.Background())
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
-	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, Behind: t.behind})
+	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, Behind: t.behind, SettledLosses: t.settledLosses})
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 	}
 	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.probes, err = jkprobe.Listen(jkprobe.Options{
-		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner,
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First,
 		SendProbes: true, OnZoneChange: func(string, bool) {}, OnHostChange: t.hostChanged,
 	})
 	if err != nil {
@@ -202,6 +202,10 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind(t.probes.Reachable) }
 
+// settledLosses returns the other hosts with a copy that are out of reach and whose records
+// the others have.
+func (t *Storage) settledLosses() []string { return t.probes.SettledLosses() }
+
 // otherCopies returns the other hosts with a copy of the ledger.
 func (t *Storage) otherCopies() []jkaccount.Copy {
 	return slices.DeleteFunc(t.members.copies(), func(c jkaccount.Copy) bool { return c.Host == t.settings.Host })
@@ -228,9 +232,8 @@
 		t.hostAppeared(*change.Host)
 		t.members.set(*change.Host)
 		t.registry.set(*change.Host, item.Revision)
-		if change.Host.Ledger {
-			t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: true})
-		}
+		// Entries show whether a zone is in reach whose only storage host is down.
+		t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: change.Host.Ledger})
 	case change.RemovedHost != "":
 		t.members.remove(change.RemovedHost)
 		t.sources.remove(change.RemovedHost)
@@ -248,7 +251,7 @@
 	return jkaccount.ReplicaFilter(host, t.members.copies(), isDown)
 }
 
-// hostChanged copies what another storage host has recorded while it was unreachable. When
+// hostChanged copies what a storage host has recorded while it was unreachable. When
 // a host becomes unreachable, its connection is dropped, since the unacknowledged bytes
 // would delay later calls.
 func (t *Storage) hostChanged(p jkprobe.Peer, reachable bool, silent time.Duration) {
@@ -259,6 +262,9 @@
 	if f := t.follower.Load(); f != nil {
 		f.Retry()
 	}
+	if !t.members.isCopy(p.Host) {
+		return
+	}
 	t.sources.returned(p.Host)
 	go t.copyFrom(t.running, p.Host, p.Addr, silent+catchUpMargin)
 }
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -31,6 +31,9 @@
 	// Behind is set while the copy may lack records that others have added while it was
 	// down or out of reach.
 	Behind bool `msgpack:"behind,omitempty"`
+	// SettledLosses are the hosts of other copies that the copy's host can't reach, and whose
+	// zone was in reach of its own without a break since some seconds before they fell silent.
+	SettledLosses []string `msgpack:"settled_losses,omitempty"`
 }
 
 // WriteRequest adds records to a copy.
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -38,6 +38,9 @@
 	Zone  string
 	// Addr is the UDP address on which the prober listens.
 	Addr string
+	// First is set when the whole system starts for the first time: no host has admitted
+	// anything before this one observes it.
+	First bool
 	// SendProbes is false on a host that only answers probes.
 	SendProbes bool
 	// OnDigest receives a load digest of another host; if nil, digests are dropped.
@@ -89,6 +92,8 @@
 	tickedAt time.Time
 	// alwaysInterval is the interval at which hosts that are always probed are.
 	alwaysInterval time.Duration
+	// unreachableHosts is the number of unreachable hosts.
+	unreachableHosts int
 	// byHash finds the row of a host by the hash in its answers.
 	byHash map[uint64]*peerRow
 	// zones reports for each other zone whether it is reachable, as of the last tick in
@@ -106,6 +111,8 @@
 	addedAt     time.Time
 	unreachable bool
 	isProbed    bool
+	// lossConfirmed is set by confirmLoss.
+	lossConfirmed bool
 	// probedAt is when the latest probe was sent, and unansweredSince when the first one since
 	// the last answer was.
 	probedAt        time.Time
@@ -140,6 +147,9 @@
 	}
 	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
 	p.sendTo = p.send
+	if o.First {
+		p.startedAt = time.Time{}
+	}
 	go p.receive()
 	if o.SendProbes {
 		p.stop = o.Timer.Every(probeInterval, p.tick)
@@ -165,15 +175,24 @@
 	if known := p.peers[peer.Host]; known != nil && known.peer == peer {
 		return
 	}
+	p.forget(peer.Host)
 	row := &peerRow{peer: peer, addr: addr, addedAt: p.Timer.Now()}
 	p.peers[peer.Host], p.byHash[hostHash(peer.Host)] = row, row
 	p.selectProbed()
 }
 
+// forget takes a host that is removed or added anew out of the count of unreachable ones.
+func (p *Prober) forget(host string) {
+	if row := p.peers[host]; row != nil && row.unreachable {
+		p.unreachableHosts--
+	}
+}
+
 // RemovePeer removes a host with what was observed of it.
 func (p *Prober) RemovePeer(host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forget(host)
 	delete(p.peers, host)
 	delete(p.byHash, hostHash(host))
 	p.selectProbed()
@@ -284,15 +303,48 @@
 	return known && reachable && p.Timer.Now().Sub(p.zoneChangedAt[zone]) >= settleTime
 }
 
-// SettledWhenLost reports whether the zones of an unreachable host and of this one have been
-// in reach of each other without a break since settleTime before the host's last answer. For
-// a host of the own zone, that goes for all other zones.
+// SettledWhenLost reports whether the zones of an unreachable host and of this one were in
+// reach of each other without a break from settleTime before the host's last answer until
+// now, or until lossConfirmedAfter after it. For a host of the own zone, that goes for all
+// other zones.
 func (p *Prober) SettledWhenLost(host string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row := p.peers[host]
-	if row == nil {
-		return false
+	return row != nil && p.wasSettled(row)
+}
+
+// SettledLosses returns the unreachable hosts for which SettledWhenLost is true.
+func (p *Prober) SettledLosses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unreachableHosts == 0 {
+		return nil
+	}
+	var out []string
+	for host, row := range p.peers {
+		if row.unreachable && p.wasSettled(row) {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// lossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
+// turn out to be the first one of a partition.
+const lossConfirmedAfter = 2 * time.Second
+
+// confirmLoss remembers that an unreachable host fell silent alone. If its zone is cut off
+// later, the host lacks what was admitted without it and says so.
+func (p *Prober) confirmLoss(now time.Time, row *peerRow) {
+	silent := now.Sub(later(row.lastAnswer, row.addedAt))
+	row.lossConfirmed = row.unreachable && (row.lossConfirmed || silent >= lossConfirmedAfter && p.wasSettled(row))
+}
+
+// wasSettled implements SettledWhenLost. The caller holds the lock.
+func (p *Prober) wasSettled(row *peerRow) bool {
+	if row.lossConfirmed {
+		return true
 	}
 	last := later(row.lastAnswer, row.addedAt)
 	for zone, reachable := range p.zones {
@@ -347,10 +399,16 @@
 		row.unreachable = unreachable
 		if unreachable {
 			row.silentSince = last
+			p.unreachableHosts++
+		} else {
+			p.unreachableHosts--
 		}
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
 	}
 	zones := p.updateZones()
+	for _, row := range p.peers {
+		p.confirmLoss(now, row)
+	}
 	targets := p.chooseTargets(now)
 	p.mu.Unlock()
 	for _, c := range changes {
@@ -369,6 +427,8 @@
 // notePause treats all hosts as silent since their last answers, because this process was
 // paused and may have missed what they sent. They are back with their next answers.
 func (p *Prober) notePause() {
+	// What happened to the zones meanwhile isn't known either.
+	p.startedAt = p.Timer.Now()
 	for _, row := range p.peers {
 		if row.unansweredSince.IsZero() {
 			row.unansweredSince = later(row.lastAnswer, row.addedAt)
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -169,6 +169,13 @@
 	expectSettled("with an answer too soon after the cut", "c1")
 	answer()
 	expectSettled("with an answer long after the cut", "a2", "b1", "c1")
+	clock.Advance(lossConfirmedAfter)
+	p.confirmLoss(timer.Now(), p.peers["b1"])
+	p.zones["b"], p.zoneChangedAt["b"] = false, timer.Now()
+	expectSettled("two seconds before the next cut, as was noticed for b1", "b1", "c1")
+	p.peers["b1"].unreachable = false
+	p.confirmLoss(timer.Now(), p.peers["b1"])
+	expectSettled("but was back since", "c1")
 }
 
 // Guards against probes that grow with the square of the fleet, against a silent host that is
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -37,6 +37,9 @@
 	// Behind reports whether this copy may lack records that others have added while it was
 	// down or out of reach. Nil means that it never does.
 	Behind func() bool
+	// SettledLosses returns the hosts of other copies that are out of reach and whose records
+	// the others have. Nil means that none are known.
+	SettledLosses func() []string
 	// First is set when the whole system starts for the first time, so that an empty
 	// folder isn't a lost disk.
 	First bool
@@ -264,6 +267,9 @@
 	if err := <-done; err != nil {
 		return err
 	}
+	if v.SettledLosses != nil {
+		answer.SettledLosses = v.SettledLosses()
+	}
 	return s.End(&answer)
 }
 
