--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -63,15 +62,6 @@
 	unreachableAfter = 800 * time.Millisecond
 )
 
-// maxAlwaysProbed is the number of hosts that are always probed at each probeInterval. More of
-// them are probed less often, so that the probes of a host don't grow with the fleet, up to
-// maxProbeInterval. Such a host is probed at each probeInterval again once it, or another host
-// of its zone, hasn't answered, which detects a silent one within two seconds.
-const (
-	maxAlwaysProbed  = 12
-	maxProbeInterval = time.Second
-)
-
 // witnessesPerZone is the number of hosts in each zone that are probed to tell whether
 // the zone is reachable, besides those that are always probed.
 const witnessesPerZone = 2
@@ -303,61 +293,6 @@
 	return known && reachable && p.Timer.Now().Sub(p.zoneChangedAt[zone]) >= settleTime
 }
 
-// SettledWhenLost reports whether the zones of an unreachable host and of this one were in
-// reach of each other without a break from settleTime before the host's last answer until
-// now, or until lossConfirmedAfter after it. For a host of the own zone, that goes for all
-// other zones.
-func (p *Prober) SettledWhenLost(host string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	row := p.peers[host]
-	return row != nil && p.wasSettled(row)
-}
-
-// SettledLosses returns the unreachable hosts for which SettledWhenLost is true.
-func (p *Prober) SettledLosses() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.unreachableHosts == 0 {
-		return nil
-	}
-	var out []string
-	for host, row := range p.peers {
-		if row.unreachable && p.wasSettled(row) {
-			out = append(out, host)
-		}
-	}
-	return out
-}
-
-// lossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
-// turn out to be the first one of a partition.
-const lossConfirmedAfter = 2 * time.Second
-
-// confirmLoss remembers that an unreachable host fell silent alone. If its zone is cut off
-// later, the host lacks what was admitted without it and says so.
-func (p *Prober) confirmLoss(now time.Time, row *peerRow) {
-	silent := now.Sub(later(row.lastAnswer, row.addedAt))
-	row.lossConfirmed = row.unreachable && (row.lossConfirmed || silent >= lossConfirmedAfter && p.wasSettled(row))
-}
-
-// wasSettled implements SettledWhenLost. The caller holds the lock.
-func (p *Prober) wasSettled(row *peerRow) bool {
-	if row.lossConfirmed {
-		return true
-	}
-	last := later(row.lastAnswer, row.addedAt)
-	for zone, reachable := range p.zones {
-		if row.peer.Zone != p.Zone && row.peer.Zone != zone {
-			continue
-		}
-		if !reachable || last.Sub(later(p.zoneChangedAt[zone], p.startedAt)) < settleTime {
-			return false
-		}
-	}
-	return true
-}
-
 // AnsweringAddrs returns the addresses of the zones' witnesses that answer probes. Hosts
 // that are always probed aren't among them.
 func (p *Prober) AnsweringAddrs() []string {
@@ -424,55 +359,6 @@
 	}
 }
 
-// notePause treats all hosts as silent since their last answers, because this process was
-// paused and may have missed what they sent. They are back with their next answers.
-func (p *Prober) notePause() {
-	// What happened to the zones meanwhile isn't known either.
-	p.startedAt = p.Timer.Now()
-	for _, row := range p.peers {
-		if row.unansweredSince.IsZero() {
-			row.unansweredSince = later(row.lastAnswer, row.addedAt)
-		}
-	}
-}
-
-// silence returns for how long a host hasn't answered, not counting the time in which it
-// wasn't probed. It is zero for a host whose last probe was answered.
-func (r *peerRow) silence(now time.Time) time.Duration {
-	if r.unansweredSince.IsZero() {
-		return 0
-	}
-	return now.Sub(r.unansweredSince) + probeInterval
-}
-
-// chooseTargets returns the hosts that are to be probed now. The caller holds the lock.
-func (p *Prober) chooseTargets(now time.Time) []*peerRow {
-	alwaysProbed := 0
-	suspectZones := map[string]bool{}
-	for _, row := range p.peers {
-		if row.peer.AlwaysProbed {
-			alwaysProbed++
-		}
-		if row.isProbed && row.silence(now) > probeInterval {
-			suspectZones[row.peer.Zone] = true
-		}
-	}
-	p.alwaysInterval = min(probeInterval*time.Duration(alwaysProbed)/maxAlwaysProbed, maxProbeInterval)
-	var out []*peerRow
-	for _, row := range p.peers {
-		due := !row.peer.AlwaysProbed || suspectZones[row.peer.Zone] || now.Sub(row.probedAt) >= p.alwaysInterval
-		if !row.isProbed || !due {
-			continue
-		}
-		row.probedAt = now
-		if row.unansweredSince.IsZero() {
-			row.unansweredSince = now
-		}
-		out = append(out, row)
-	}
-	return out
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -506,69 +392,6 @@
 	return changed
 }
 
-// maxDigestPeers bounds the hosts to which one digest is sent.
-const maxDigestPeers = 16
-
-// SendDigest sends a load digest to reachable hosts that aren't always probed: up to
-// maxDigestPeers, those of the own zone first.
-func (p *Prober) SendDigest(data []byte) {
-	p.mu.Lock()
-	var rows []*peerRow
-	for _, row := range p.peers {
-		if !row.peer.AlwaysProbed && !row.unreachable {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b *peerRow) int {
-		if x, y := a.peer.Zone == p.Zone, b.peer.Zone == p.Zone; x != y {
-			if x {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(p.rank(a), p.rank(b))
-	})
-	p.mu.Unlock()
-	packet := append([]byte{kindDigest}, data...)
-	for _, row := range rows[:min(len(rows), maxDigestPeers)] {
-		// A failed send is the same as a lost datagram.
-		_, _ = p.conn.WriteToUDPAddrPort(packet, row.addr)
-	}
-}
-
-// newsPeers is the number of hosts to which one message of news is sent. News that each
-// host passes on to four others reach a hundred hosts in four rounds.
-const newsPeers = 4
-
-// SendNews sends news to a few reachable hosts, chosen at random from all zones. Hosts
-// that are always probed get none.
-func (p *Prober) SendNews(data []byte) {
-	p.mu.Lock()
-	var rows []*peerRow
-	for _, row := range p.peers {
-		if !row.peer.AlwaysProbed && !row.unreachable {
-			rows = append(rows, row)
-		}
-	}
-	p.mu.Unlock()
-	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
-	packet := append([]byte{kindNews}, data...)
-	for _, row := range rows[:min(len(rows), newsPeers)] {
-		// A failed send is the same as a lost datagram.
-		_, _ = p.conn.WriteToUDPAddrPort(packet, row.addr)
-	}
-}
-
-// AskForNews asks a host for its news.
-func (p *Prober) AskForNews(addr string) {
-	to, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return
-	}
-	// A failed send is the same as a lost datagram.
-	_, _ = p.conn.WriteToUDPAddrPort([]byte{kindAsk}, to)
-}
-
 func hostHash(host string) uint64 { return xxhash.Sum64String(host) }
 
 func (p *Prober) send(kind byte, key uint64, to netip.AddrPort) {
--- /dev/null
+++ b/core/jkprobe/schedule.go
@@ -0,0 +1,61 @@
+package jkprobe
+
+import "time"
+
+// maxAlwaysProbed is the number of hosts that are always probed at each probeInterval. More of
+// them are probed less often, so that the probes of a host don't grow with the fleet, up to
+// maxProbeInterval. Such a host is probed at each probeInterval again once it, or another host
+// of its zone, hasn't answered, which detects a silent one within two seconds.
+const (
+	maxAlwaysProbed  = 12
+	maxProbeInterval = time.Second
+)
+
+// notePause treats all hosts as silent since their last answers, because this process was
+// paused and may have missed what they sent. They are back with their next answers.
+func (p *Prober) notePause() {
+	// What happened to the zones meanwhile isn't known either.
+	p.startedAt = p.Timer.Now()
+	for _, row := range p.peers {
+		if row.unansweredSince.IsZero() {
+			row.unansweredSince = later(row.lastAnswer, row.addedAt)
+		}
+	}
+}
+
+// silence returns for how long a host hasn't answered, not counting the time in which it
+// wasn't probed. It is zero for a host whose last probe was answered.
+func (r *peerRow) silence(now time.Time) time.Duration {
+	if r.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.unansweredSince) + probeInterval
+}
+
+// chooseTargets returns the hosts that are to be probed now. The caller holds the lock.
+func (p *Prober) chooseTargets(now time.Time) []*peerRow {
+	alwaysProbed := 0
+	suspectZones := map[string]bool{}
+	for _, row := range p.peers {
+		if row.peer.AlwaysProbed {
+			alwaysProbed++
+		}
+		if row.isProbed && row.silence(now) > probeInterval {
+			suspectZones[row.peer.Zone] = true
+		}
+	}
+	p.alwaysInterval = min(probeInterval*time.Duration(alwaysProbed)/maxAlwaysProbed, maxProbeInterval)
+	var out []*peerRow
+	for _, row := range p.peers {
+		due := !row.peer.AlwaysProbed || suspectZones[row.peer.Zone] || now.Sub(row.probedAt) >= p.alwaysInterval
+		if !row.isProbed || !due {
+			continue
+		}
+		row.probedAt = now
+		if row.unansweredSince.IsZero() {
+			row.unansweredSince = now
+		}
+		out = append(out, row)
+	}
+	return out
+}
