entry, daemon: answer the last requests of a planned stop

Cause: at the end of its stop a host calls net/http's Shutdown, which closes a connection without a response if it has just read a request.

Change: the host closes its listener and idle connections, answers what still arrives for 0.1 s (the daemon 0.2 s), and then closes the rest.

Ruled out: keeping the listener for that time. New connections would go on to arrive.

--- a/core/jkdaemon/daemon.go
+++ b/core/jkdaemon/daemon.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand"
 	randv2 "math/rand/v2"
 	"net"
@@ -290,7 +291,7 @@
 	d.spawn(func() { d.loadConfig(ctx) })
 	d.spawn(func() { d.lease.run(ctx) })
 	d.spawn(func() {
-		if err := d.httpServer.Serve(d.httpListener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+		if err := d.httpServer.Serve(d.httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.log.Part("http").Error("server stopped", err)
 		}
 	})
--- a/core/jkdaemon/stop.go
+++ b/core/jkdaemon/stop.go
@@ -94,13 +94,15 @@
 	return named
 }
 
-// responseTimeout bounds how long the last responses may take to be written.
-const responseTimeout = 200 * time.Millisecond
+// lastRequestTime is how long requests are still answered after the listener and the idle
+// connections were closed: one that a caller has sent before it sees the close arrives within
+// that time.
+const lastRequestTime = 200 * time.Millisecond
 
 // drainRequests waits for requests that this host still serves as an entry or a dispatcher.
 // Those that outlast the drain time are broken off and get a response that says so. The
-// listener stays open meanwhile, since net/http's Shutdown closes connections whose request
-// arrives later without a response.
+// listener stays open meanwhile, and Shutdown of net/http isn't used: it closes connections
+// whose request arrives later without a response.
 func (d *Daemon) drainRequests(ctx context.Context) {
 	for (d.requests.inFlight.Load() > 0 || d.dispatcher.Jobs() > 0) && ctx.Err() == nil {
 		d.options.Timer.Wait(10*time.Millisecond, ctx.Done())
@@ -109,10 +111,11 @@
 		d.log.Part("daemon").Warn("requests outlast the drain time", "in_flight", n)
 		d.requests.end()
 	}
-	last, cancel := context.WithTimeout(context.Background(), responseTimeout)
-	defer cancel()
-	if err := d.httpServer.Shutdown(last); err != nil && d.requests.inFlight.Load() > 0 {
-		d.log.Part("daemon").Error("requests were cut off at the end of the drain time", err, "in_flight", d.requests.inFlight.Load())
+	_ = d.httpListener.Close()
+	d.httpServer.SetKeepAlivesEnabled(false)
+	d.options.Timer.Wait(lastRequestTime, nil)
+	if n := d.requests.inFlight.Load(); n > 0 {
+		d.log.Part("daemon").Warn("requests were cut off at the end of the drain time", "in_flight", n)
 	}
 }
 
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -54,7 +54,8 @@
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
 
-	front *http.Server
+	front         *http.Server
+	frontListener net.Listener
 	// closers release listeners and connections when the process stops.
 	closers []func()
 }
@@ -241,6 +242,7 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: nil,
 	}
+	e.frontListener = l
 	go e.serve(e.front, l)
 	if err := e.serveOperators(e.settings.Ready, e.operatorRoutes()); err != nil {
 		return err
@@ -259,7 +261,7 @@
 
 // serve runs an HTTP server until it is closed.
 func (e *Entry) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		e.log.Error("HTTP listener failed", err, "addr", l.Addr().String())
 	}
 }
@@ -365,12 +367,15 @@
 // drainInterval is how often a draining entry checks whether requests are in flight.
 const drainInterval = 20 * time.Millisecond
 
-// responseTimeout bounds how long the last responses may take to be written.
-const responseTimeout = 100 * time.Millisecond
+// lastRequestTime is how long requests are still answered after the listener and the idle
+// connections were closed: one that a caller has sent before it sees the close arrives within
+// that time.
+const lastRequestTime = 100 * time.Millisecond
 
 // drain waits until the platform sends no new connections, then until the requests in
-// flight have ended or the grace period is nearly over. Connections stay open meanwhile:
-// net/http's Shutdown would close those whose request arrives later without a response.
+// flight have ended or the grace period is nearly over. Connections stay open meanwhile, and
+// Shutdown of net/http isn't used: it closes those whose request arrives later without a
+// response.
 // Requests that may last longer than the process are refused; those that were taken before
 // and last longer are answered.
 func (e *Entry) drain() {
@@ -385,13 +390,13 @@
 		e.log.Warn("drain timed out with requests in flight", "in_flight", n)
 		e.stop.End()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
-	defer cancel()
-	// Shutdown also waits for connections that never had a request, so that its error alone
-	// doesn't tell that a request was cut.
-	if err := e.front.Shutdown(ctx); err != nil && e.counts.InFlight() > 0 {
-		e.log.Warn("requests cut off by the end of the process", "in_flight", e.counts.InFlight(), "error", err)
+	_ = e.frontListener.Close()
+	e.front.SetKeepAlivesEnabled(false)
+	e.timer.Wait(lastRequestTime, nil)
+	if n := e.counts.InFlight(); n > 0 {
+		e.log.Warn("requests cut off by the end of the process", "in_flight", n)
 	}
+	_ = e.front.Close()
 	e.account.Flush(flushTimeout)
 	e.log.Info("entry stopped")
 }
