storage: answer reservations only once the prober is there

Cause: since an answer says what the prober knows, and the server took messages before the prober existed. A reservation in that moment would have ended the process. Found by reading; no run showed it.

Change: the prober listens first.

--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -75,7 +75,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for entries")
 	}
-	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.probes, err = jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First,
 		SendProbes: true, OnZoneChange: func(string, bool) {}, OnHostChange: t.hostChanged,
@@ -83,6 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Answers of the ledger say what the prober knows, so that it has to be there first.
+	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.registry = newRegistry(registryOptions{
 		timer: timer, log: log.Part("hosts"), own: t.hostEntry(false), put: p.PutHost, swap: p.SwapHost,
 		storeReachable: t.storeReachable.Load, lastAnswer: t.probes.LastAnswer, reachable: t.probes.Reachable, runAsync: runInGoroutine,
