--- a/review/standin/replaced.go
+++ b/review/standin/replaced.go
@@ -78,8 +78,8 @@
 		rec.note("%s is gone", f.storages[i].name)
 	}
 
-	// The store still lists the last machine that is gone for some seconds, and until then
-	// the entries answer 503 for a turn that they don't find.
+	// By now the entries have removed the first two machines that are gone from the store. As
+	// long as more than one is listed, they answer 503 for a turn that they don't find.
 	rec.at(64)
 	rec.note("chains go on")
 	lost := make([]string, keptChains)
