entry: take over the programs of storage hosts that are gone

Cause: a copy gets from others the programs for which no other copy of its zone ranks first. The host whose place it takes runs on for a second, or counts as lost only after 7 s, so that the new one gets about half, and nothing copies the rest later.

Change: a storage host that finds another one of its zone silent, or reads that it is leaving, copies from all other copies the programs that it holds since then, after 1.2 s and 7 s later. The request names the hosts that are gone. The same for the other hosts of a zone with several (none copied anything) and for those that stay when a host is emptied.

Ruled out: that entries asked too few copies (all listed ones answered, none had the turn); that records had expired (50 s of 60 s). A full copy without the filter was weighed and left, since it had exceeded memory on large zones.

--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// TakeoverFilter returns a function that reports whether a host holds a program's records only
+// because other hosts of its zone are gone: one of these ranks before it, and none of the other
+// copies of the zone does.
+func TakeoverFilter(host string, gone []string, copies []Copy, lost func(host string) bool) func(program string) bool {
+	isGone := func(other string) bool { return slices.Contains(gone, other) }
+	holds := ReplicaFilter(host, copies, func(other string) bool { return isGone(other) || lost(other) })
+	return func(program string) bool {
+		rankedBefore := func(other string) bool { return rank(program, other) > rank(program, host) }
+		return slices.ContainsFunc(gone, rankedBefore) && holds(program)
+	}
+}
+
 // countDown returns the number of copies that can't be reached although their zone has been
 // reachable for so long (see ZoneSettled) that no entry there admits turns without the other
 // zones.
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -62,6 +62,19 @@
 	return m.hosts[host].Ledger
 }
 
+// isCopyIn reports whether a host of a zone has a copy of the ledger.
+func (m *members) isCopyIn(host, zone string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts[host].Ledger && m.hosts[host].Zone == zone
+}
+
+func (m *members) isLeaving(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts[host].Leaving
+}
+
 func (m *members) remove(host string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -49,7 +49,9 @@
 	// needFullCopy holds the addresses of hosts that appeared while this one ran and
 	// whose records haven't been copied yet.
 	needFullCopy map[string]bool
-	sources      *copySources
+	// takeovers holds the hosts whose programs are being taken over.
+	takeovers map[string]bool
+	sources   *copySources
 	// hostsListed is closed after the first complete list of the store.
 	hostsListed chan struct{}
 	listOnce    sync.Once
@@ -57,11 +59,11 @@
 
 // NewStorage opens the ledger and starts to listen for other hosts.
 func NewStorage(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Storage, error) {
-	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), hostsListed: make(chan struct{}), needFullCopy: map[string]bool{}, sources: newCopySources(s.Zone, len(s.Zones))}
+	t := &Storage{settings: s, platform: p, timer: timer, log: log, members: newMembers(timer), hostsListed: make(chan struct{}), needFullCopy: map[string]bool{}, takeovers: map[string]bool{}, sources: newCopySources(s.Zone, len(s.Zones))}
 	t.running, t.end = context.WithCancel(context.Background())
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
-	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, Behind: t.behind, SettledLosses: t.settledLosses})
+	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, TakesOver: t.takesOver, Behind: t.behind, SettledLosses: t.settledLosses})
 	if err != nil {
 		return nil, err
 	}
@@ -232,6 +234,9 @@
 	case change.Host != nil:
 		t.hostAppeared(*change.Host)
 		t.members.set(*change.Host)
+		if change.Host.Leaving {
+			t.startTakeover(change.Host.Host)
+		}
 		t.registry.set(*change.Host, item.Revision)
 		// Entries show whether a zone is in reach whose only storage host is down.
 		t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: change.Host.Ledger})
@@ -248,8 +253,12 @@
 // holds returns a function that reports whether another host is among those that keep a
 // program's records.
 func (t *Storage) holds(host string) func(program string) bool {
-	isDown := func(host string) bool { return t.probes.Down(host) || t.registry.suspectedByOthers(host) }
-	return jkaccount.ReplicaFilter(host, t.members.copies(), isDown)
+	return jkaccount.ReplicaFilter(host, t.members.copies(), t.isDown)
+}
+
+// isDown reports whether a host has been silent for so long that all hosts have noticed.
+func (t *Storage) isDown(host string) bool {
+	return t.probes.Down(host) || t.registry.suspectedByOthers(host)
 }
 
 // hostChanged copies what a storage host has recorded while it was unreachable. When
@@ -258,6 +267,7 @@
 func (t *Storage) hostChanged(p jkprobe.Peer, reachable bool, silent time.Duration) {
 	if !reachable {
 		t.peers.Disconnect(p.Addr)
+		t.startTakeover(p.Host)
 		return
 	}
 	if f := t.follower.Load(); f != nil {
--- /dev/null
+++ b/core/jkentry/takeover.go
@@ -0,0 +1,98 @@
+package jkentry
+
+import (
+	"context"
+	"time"
+
+	"jasmineknot.example/core/jkaccount"
+)
+
+// takeoverDelays are the times before the two rounds of a takeover. Processes that restart at
+// once are back before the first one. The second one copies what entries recorded until all of
+// them noticed the loss, which takes 7 s of silence.
+var takeoverDelays = []time.Duration{1200 * time.Millisecond, 7 * time.Second}
+
+// startTakeover copies the programs of a host of the own zone that is silent or leaving, unless
+// that is in progress. Otherwise this zone would keep no copy of them, and the hosts of the other
+// zones may be replaced next.
+func (t *Storage) startTakeover(host string) {
+	if host == t.settings.Host || !t.members.isCopyIn(host, t.settings.Zone) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.takeovers[host] {
+		return
+	}
+	t.takeovers[host] = true
+	go t.takeOver(t.running, host)
+}
+
+// takeOver copies the programs of a host as long as that is gone.
+func (t *Storage) takeOver(ctx context.Context, host string) {
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.takeovers, host)
+	}()
+	for _, delay := range takeoverDelays {
+		if !t.timer.Wait(delay, ctx.Done()) || !t.isGone(host) {
+			return
+		}
+		t.log.Info("programs are being taken over", "host", host)
+		t.takeOverFromAll(ctx, host)
+	}
+}
+
+// takeOverFromAll copies the programs of a host from each other copy, and tries again with those
+// that are out of reach, while the host is gone.
+func (t *Storage) takeOverFromAll(ctx context.Context, host string) {
+	asked := map[string]bool{}
+	for t.isGone(host) {
+		gone := t.goneHosts(host)
+		missing := 0
+		for _, source := range t.otherCopies() {
+			if asked[source.Host] || gone[source.Host] {
+				continue
+			}
+			if !t.probes.Reachable(source.Host) || !t.vault.TakeOver(ctx, t.settings.Host, source.Addr, hostNames(gone)) {
+				missing++
+				continue
+			}
+			asked[source.Host] = true
+		}
+		if missing == 0 || !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
+			return
+		}
+	}
+}
+
+// isGone reports whether another host of the own zone is silent, is leaving or was removed.
+func (t *Storage) isGone(host string) bool {
+	return !t.members.isCopyIn(host, t.settings.Zone) || !t.probes.Reachable(host) || t.members.isLeaving(host)
+}
+
+// goneHosts returns a host that is gone and all others of the own zone that are out of reach.
+func (t *Storage) goneHosts(host string) map[string]bool {
+	out := map[string]bool{host: true}
+	for _, c := range t.otherCopies() {
+		if c.Zone == t.settings.Zone && !t.probes.Reachable(c.Host) {
+			out[c.Host] = true
+		}
+	}
+	return out
+}
+
+func hostNames(hosts map[string]bool) []string {
+	out := make([]string, 0, len(hosts))
+	for host := range hosts {
+		out = append(out, host)
+	}
+	return out
+}
+
+// takesOver returns a function that reports whether a host keeps a program's records only
+// because other hosts of its zone are gone.
+func (t *Storage) takesOver(host string, gone []string) func(program string) bool {
+	return jkaccount.TakeoverFilter(host, gone, t.members.copies(), t.isDown)
+}
--- /dev/null
+++ b/core/jkentry/takeover_test.go
@@ -0,0 +1,137 @@
+package jkentry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// runningStorage is a storage host that a test stops.
+type runningStorage struct {
+	*Storage
+	stop func()
+}
+
+// announceStorage writes the entry of a storage host that starts later, so that the others know
+// it before it asks them for records.
+func announceStorage(t *testing.T, store *memoryStore, host, zone string) HostEntry {
+	t.Helper()
+	e := HostEntry{Host: host, Zone: zone, Addr: freeAddr(t), Ledger: true}
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.write(host, &e)
+	return e
+}
+
+// runStorage runs an announced storage host. A host that isn't one of the first starts with an
+// empty disk in a fleet that is in use.
+func runStorage(t *testing.T, e HostEntry, first bool, p Platform) runningStorage {
+	t.Helper()
+	s, err := NewStorage(Settings{
+		Host: e.Host, Zone: e.Zone, Zones: []string{"a", "b", "c"}, Inner: e.Addr, Folder: t.TempDir(), First: first, LostDisks: 1,
+	}, p, jktimer.New(), jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() { defer close(done); s.Run(stop) }()
+	stopped := false
+	running := runningStorage{Storage: s, stop: func() {
+		if !stopped {
+			stopped = true
+			close(stop)
+			<-done
+		}
+	}}
+	t.Cleanup(running.stop)
+	return running
+}
+
+// write adds one turn of each program to a storage host.
+func (s runningStorage) write(t *testing.T, programs int) {
+	t.Helper()
+	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "e", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{}})
+	defer pool.Close()
+	m := jkledger.WriteRequest{Sync: true}
+	for i := range programs {
+		name := fmt.Sprint(i)
+		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: name, Program: name, Retention: time.Minute}})
+	}
+	if err := pool.Call(context.Background(), s.settings.Inner, jkledger.TypeWrite, &m, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s runningStorage) turns() int {
+	_, turns, _ := s.vault.Size()
+	return turns
+}
+
+// catchUpLimit is the shortest time after which the users count on a storage host that was
+// started in the place of another one.
+const catchUpLimit = 4 * time.Second
+
+// awaitTurns waits until hosts have a number of turns together, up to catchUpLimit after a time.
+func awaitTurns(t *testing.T, want int, began time.Time, hosts ...runningStorage) {
+	t.Helper()
+	sum := func() int {
+		n := 0
+		for _, s := range hosts {
+			n += s.turns()
+		}
+		return n
+	}
+	for sum() < want && time.Since(began) < catchUpLimit {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := sum(); got != want {
+		t.Errorf("%d of %d turns are there %s after the change", got, want, time.Since(began).Round(time.Millisecond))
+	}
+}
+
+// Guards against turns that are lost after storage hosts were replaced one by one (review/1):
+// a new host got only the programs that it shares with the one whose place it takes.
+func TestReplacementTakesOverAllPrograms(t *testing.T) {
+	const programs = 200
+	store := &memoryStore{items: map[string]jkfollow.Item{}}
+	former := runStorage(t, announceStorage(t, store, "a-1", "a"), true, store.platform())
+	other := runStorage(t, announceStorage(t, store, "b-1", "b"), true, store.platform())
+	former.write(t, programs)
+	other.write(t, programs)
+	next := announceStorage(t, store, "a-2", "a")
+	eventually(t, "listed hosts", func() bool { return len(former.otherCopies()) == 2 && len(other.otherCopies()) == 2 })
+	began := time.Now()
+	replacement := runStorage(t, next, false, store.platform())
+	eventually(t, "copy of the shared programs", replacement.vault.Certain)
+	former.stop()
+	awaitTurns(t, programs, began, replacement)
+}
+
+// Guards against programs of which a zone keeps no copy any more because their host was lost,
+// while the zone has others.
+func TestOtherHostsOfAZoneTakeOverPrograms(t *testing.T) {
+	const programs = 200
+	store := &memoryStore{items: map[string]jkfollow.Item{}}
+	other := runStorage(t, announceStorage(t, store, "b-1", "b"), true, store.platform())
+	other.write(t, programs)
+	var entries []HostEntry
+	for _, host := range []string{"a-1", "a-2", "a-3"} {
+		entries = append(entries, announceStorage(t, store, host, "a"))
+	}
+	eventually(t, "listed hosts", func() bool { return len(other.otherCopies()) == 3 })
+	var hosts []runningStorage
+	began := time.Now()
+	for _, e := range entries {
+		hosts = append(hosts, runStorage(t, e, true, store.platform()))
+	}
+	awaitTurns(t, programs, began, hosts...)
+	hosts[0].stop()
+	awaitTurns(t, programs, time.Now(), hosts[1:]...)
+}
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -69,6 +69,9 @@
 	Within time.Duration `msgpack:"within"`
 	// Have holds the keys of the records that the requesting copy has.
 	Have []uint64 `msgpack:"have"`
+	// Gone limits the answer to the programs that the requesting copy has taken over from
+	// these hosts. Empty means all programs that it holds.
+	Gone []string `msgpack:"gone,omitempty"`
 }
 
 // SyncPart is one part of the records that answer a SyncRequest.
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	// Holds returns a function that reports whether a host keeps a program's records.
 	// Nil means that every host keeps all records.
 	Holds func(host string) func(program string) bool
+	// TakesOver returns a function that reports whether a host keeps a program's records only
+	// because other hosts of its zone are gone. Nil means that it keeps no others.
+	TakesOver func(host string, gone []string) func(program string) bool
 	// Behind reports whether this copy may lack records that others have added while it was
 	// down or out of reach. Nil means that it never does.
 	Behind func() bool
@@ -323,9 +327,14 @@
 	v.mu.Lock()
 	records := v.ledger.Records(v.since(m.Within), have)
 	v.mu.Unlock()
-	if v.Holds != nil {
+	missing := len(records)
+	switch {
+	case len(m.Gone) > 0:
+		records = v.takenOver(records, s.Peer().Host, m.Gone)
+	case v.Holds != nil:
 		records = filterRecords(records, v.Holds(s.Peer().Host))
 	}
+	v.Log.Info("ledger sent", "to", s.Peer().Host, "records", len(records), "withheld", missing-len(records), "gone", strings.Join(m.Gone, ","))
 	certain := v.certain.Load()
 	partStart, size := 0, 0
 	for i, r := range records {
@@ -395,7 +404,13 @@
 	v.mu.Lock()
 	have := v.ledger.Keys(v.since(keyWindow))
 	v.mu.Unlock()
-	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, &jkledger.SyncRequest{Within: within, Have: have})
+	return v.receive(ctx, addr, &jkledger.SyncRequest{Within: within, Have: have})
+}
+
+// receive adds the records that the copy at an address sends in answer to a request, and
+// reports whether that copy is certain.
+func (v *Vault) receive(ctx context.Context, addr string, request *jkledger.SyncRequest) (records int, certain bool, err error) {
+	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, request)
 	if err != nil {
 		return 0, false, err
 	}
