account: take a copy that has answered for one that is up

Cause: an entry that reaches the storage hosts only through relays counted the copies that had just answered as down, since it can't reach them itself. Two of three answers were then enough for "unknown", and for the whole budget; the third copy was that of the cut zone, the only one with the turn.

Change: countDown and isExclusive leave out copies that have answered. Budgets judge each copy that didn't answer by itself, instead of comparing two counts.

Ruled out: a late write of the turn (the record was on the disk of the cut zone); the relays' backoff (both other copies had answered). Other uses of Reachable in the package only choose a way or make the entry more careful.

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -180,17 +180,17 @@
 	r := jkforward.Reservation{Program: "p", Request: fmt.Sprint(f.turns), Tokens: tokens, Budget: budget, Retention: time.Hour}
 	copies := e.client.replicas(r.Program)
 	q := &quorum{spendings: spendings{}, copies: len(copies)}
-	missing := 0
+	answered := map[string]bool{}
 	for _, c := range copies {
 		if !f.answers(e, c) {
-			missing++
 			continue
 		}
+		answered[c.Host] = true
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
 		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host], SettledLosses: f.settledLosses(c)}, e.client.standsIn(r.Program, c))
 	}
-	q.exclusive = e.client.isExclusive(r.Program, copies, missing, q.settledLosses)
+	q.exclusive = e.client.isExclusive(r.Program, copies, answered, q.settledLosses)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -14,7 +14,7 @@
 func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}}
+	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, answered: map[string]bool{}}
 	return w.run(ctx, program, request)
 }
 
@@ -23,6 +23,10 @@
 	client *Client
 	mu     sync.Mutex
 	turns  map[string]jkledger.Turn
+	// answered holds the hosts of the copies that answered, and certain counts those that
+	// are certain.
+	answered map[string]bool
+	certain  int
 }
 
 func (w *chainWalk) run(ctx context.Context, program, request string) ([]byte, error) {
@@ -32,10 +36,10 @@
 	if len(copies) == 0 {
 		return nil, &jkforward.NoQuorumError{Operation: "chain", Needed: 1}
 	}
-	answers := w.fetch(ctx, copies[:1], request)
+	w.fetch(ctx, copies[:1], request)
 	firstMissing := w.firstMissing(request)
 	if firstMissing != "" {
-		answers += w.fetch(ctx, copies[1:], firstMissing)
+		w.fetch(ctx, copies[1:], firstMissing)
 		firstMissing = w.firstMissing(request)
 	}
 	if firstMissing == "" {
@@ -43,20 +47,18 @@
 	}
 	// A partitioned zone keeps its turns on one disk for a while. So a turn is unknown
 	// only if all copies are known and each one that isn't down says so.
-	needed := max(len(copies)-min(w.client.countDown(copies), w.client.MaxLostDisks), 1)
-	if answers < needed || firstMissing != request || !w.client.MembersSettled() {
-		return nil, &jkforward.NoQuorumError{Operation: "chain", Answers: answers, Needed: needed}
+	needed := max(len(copies)-min(w.client.countDown(copies, w.answered), w.client.MaxLostDisks), 1)
+	if w.certain < needed || firstMissing != request || !w.client.MembersSettled() {
+		return nil, &jkforward.NoQuorumError{Operation: "chain", Answers: w.certain, Needed: needed}
 	}
 	return nil, &jkforward.UnknownTurnError{Request: request}
 }
 
-// fetch asks copies for the chain that ends with a request, adds their turns, and returns
-// the number of copies that answered and are certain.
-func (w *chainWalk) fetch(ctx context.Context, copies []Copy, request string) int {
+// fetch asks copies for the chain that ends with a request, and adds their turns and answers.
+func (w *chainWalk) fetch(ctx context.Context, copies []Copy, request string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var done sync.WaitGroup
-	certain := 0
 	for _, target := range copies {
 		done.Add(1)
 		go func() {
@@ -70,13 +72,13 @@
 			for _, t := range a.Turns {
 				w.turns[t.Request] = t
 			}
+			w.answered[target.Host] = true
 			if a.Certain {
-				certain++
+				w.certain++
 			}
 		}()
 	}
 	done.Wait()
-	return certain
 }
 
 // firstMissing returns the request of the newest turn of the chain that isn't known, or
