forward: keep the line breaks at the start of events in chains

Cause: appending an empty first data line to nil leaves nil, so that the next line was taken for the first one.

Change: the event records whether it has a data line. A block without data lines, which is no event, no longer adds an empty line to the chain.

Ruled out: the way to the caller (raw bytes); the daemon's reader (lists of lines).

--- a/core/jkforward/events.go
+++ b/core/jkforward/events.go
@@ -15,8 +15,10 @@
 type event struct {
 	raw []byte
 	id  string
-	// data is the content of the event's data lines.
-	data []byte
+	// data is the content of the event's data lines, joined by line feeds. The first line may be
+	// empty, so that hasData tells whether there was one.
+	data    []byte
+	hasData bool
 	// hasField is false for a block of comment lines only.
 	hasField bool
 	// isEvent is set if the block has a field of an event.
@@ -118,9 +120,10 @@
 		e.id = string(value)
 	case "data":
 		e.isEvent = true
-		if e.data != nil {
+		if e.hasData {
 			e.data = append(e.data, '\n')
 		}
+		e.hasData = true
 		e.data = append(e.data, value...)
 	}
 }
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -206,6 +206,12 @@
 	case "hang":
 		time.Sleep(2 * time.Second)
 		return false
+	case "raw-events":
+		events, err := strconv.Unquote(arg)
+		if err != nil {
+			panic(err)
+		}
+		answer(200, signed+"Content-Type: text/event-stream\r\n", events)
 	case "events", "events-cut":
 		e.writeStream(c, id, arg, kind == "events")
 		return kind == "events"
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -126,7 +126,7 @@
 	if e.id != "" {
 		c.lastEventID = e.id
 	}
-	if c.route.Retain() {
+	if c.route.Retain() && e.hasData {
 		c.output = append(append(c.output, e.data...), '\n')
 	}
 }
