forward: bound what all streams of an entry hold together

Callers see (report of other operators): an endpoint sends without end, the host that called it runs out of memory, and the requests of others end with it.

Can it happen here: yes, where all endpoints are faulty at once.

Cause: the event that is being read and the output of a retained turn have bounds for one call; nothing bounded their sum.

The daemon's client was read, not run.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -204,6 +204,10 @@
 // unreachable until its next probes are answered.
 const zoneExcludedAfter = 300 * time.Millisecond
 
+// heldOutputsShare is the part of the memory limit that the outputs of turns in progress may
+// take: one eighth.
+const heldOutputsShare = 8
+
 // zoneReachable reports whether a zone's copies are still expected to answer.
 func (e *Entry) zoneReachable(zone string) bool {
 	return e.probes.ZoneUnreachableFor(zone) < zoneExcludedAfter
@@ -224,7 +228,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Stop: e.stop,
+		Crashes: e.crashes, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := net.Listen("tcp", e.settings.Inner)
 	if err != nil {
--- a/core/jkforward/events.go
+++ b/core/jkforward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 // middle of an event; such an incomplete event is never forwarded.
 type eventReader struct {
 	lines *bufio.Reader
+	ctx   context.Context //nolint:containedctx // A reader lives as long as one exchange.
+	slot  eventSlot
 	// tooLong returns the error for an event that exceeds the bound.
 	tooLong func(part jkupstream.Part, limit int64) error
 }
@@ -48,13 +51,19 @@
 // eventBufferSize has room for a few events of typical size.
 const eventBufferSize = 2 << 10
 
-func newEventReader(resp *jkupstream.Response) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(resp, eventBufferSize), tooLong: resp.TooLong}
+// newEventReader returns a reader of a response. Large events wait for one of the slots, until
+// the context ends.
+func newEventReader(ctx context.Context, resp *jkupstream.Response, slots chan struct{}) *eventReader {
+	return &eventReader{
+		lines: bufio.NewReaderSize(resp, eventBufferSize), tooLong: resp.TooLong, ctx: ctx, slot: eventSlot{slots: slots},
+	}
 }
 
 // next returns the next event or block of comments, or io.EOF after the last one.
-// If the stream ends with an incomplete event, it returns io.ErrUnexpectedEOF.
+// If the stream ends with an incomplete event, it returns io.ErrUnexpectedEOF. The event before
+// it isn't used any more.
 func (r *eventReader) next() (event, error) {
+	r.slot.release()
 	var e event
 	blank := true
 	for {
@@ -77,6 +86,9 @@
 	}
 }
 
+// close ends the use of the last event.
+func (r *eventReader) close() { r.slot.release() }
+
 // hasBuffered reports whether more of the stream has been read already.
 func (r *eventReader) hasBuffered() bool { return r.lines.Buffered() > 0 }
 
@@ -89,6 +101,11 @@
 		if len(e.raw) > maxEventBytes {
 			return nil, r.tooLong(jkupstream.PartEvent, maxEventBytes)
 		}
+		if len(e.raw) > smallEventBytes {
+			if err := r.slot.hold(r.ctx); err != nil {
+				return nil, err
+			}
+		}
 		if err == nil {
 			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
 		}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -34,13 +34,23 @@
 	Crashes *CrashWatch
 	// Stop is the planned stop of this host.
 	Stop *HostStop
+	// MaxHeldOutputs bounds the sum of the outputs of retained turns in progress, in bytes; zero
+	// means defaultHeldOutputs.
+	MaxHeldOutputs int64
 }
 
 // Handler is the http.Handler that serves callers.
-type Handler struct{ Options }
+type Handler struct {
+	Options
+	outputs *heldOutputs
+	// largeEvents is a semaphore of the large events that are held.
+	largeEvents chan struct{}
+}
 
 // NewHandler returns a handler with the given options.
-func NewHandler(o Options) *Handler { return &Handler{Options: o} }
+func NewHandler(o Options) *Handler {
+	return &Handler{Options: o, outputs: newHeldOutputs(o.MaxHeldOutputs), largeEvents: make(chan struct{}, maxLargeEvents)}
+}
 
 // refusal is a response that the handler generates itself. With status 402, 404, 413
 // or 503 it states that the request didn't run.
@@ -66,6 +76,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
+	defer func() { h.outputs.release(len(c.output)) }()
 	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.readBody, h.Crashes.refusal, h.prependChain, h.reserve} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -24,7 +24,8 @@
 		}
 		c.headerSent = true
 	}
-	events := newEventReader(resp)
+	events := newEventReader(ctx, resp, h.largeEvents)
+	defer events.close()
 	lastEventAt := time.Time{}
 	limit := c.maxEvents()
 	// commentBytes is the size of the blocks of comments since the last event.
@@ -66,7 +67,10 @@
 			return outcomeCallerLeft
 		}
 		commentBytes = 0
-		c.recordEvent(e)
+		if !h.recordEvent(c, e) {
+			h.recordTooLong(c, resp.TooLong(jkupstream.PartOutputs, h.outputs.limit))
+			return outcomeTurnTooLong
+		}
 		c.recordProgress()
 	}
 }
@@ -120,15 +124,21 @@
 	return nextEventStallTimeout
 }
 
-// recordEvent records an event that was sent to the caller.
-func (c *call) recordEvent(e event) {
+// recordEvent records an event that was sent to the caller. It reports false if the turn is
+// retained and there is no room for its output.
+func (h *Handler) recordEvent(c *call, e event) bool {
 	c.events++
 	if e.id != "" {
 		c.lastEventID = e.id
 	}
-	if c.route.Retain() && e.hasData {
-		c.output = append(append(c.output, e.data...), '\n')
+	if !c.route.Retain() || !e.hasData {
+		return true
+	}
+	if !h.outputs.grow(len(c.output), len(c.output)+len(e.data)+1) {
+		return false
 	}
+	c.output = append(append(c.output, e.data...), '\n')
+	return true
 }
 
 // endStream stores a retained turn before the caller sees the end of the stream.
--- a/core/jkupstream/bound.go
+++ b/core/jkupstream/bound.go
@@ -9,7 +9,8 @@
 // Part is a part of a response whose size is bounded.
 type Part string
 
-// Parts of a response. PartOtherAnswer is the body of a response to another request.
+// Parts of a response. PartOtherAnswer is the body of a response to another request, and
+// PartOutputs stands for the outputs of all turns that are in progress.
 const (
 	PartHead          Part = "head"
 	PartInformational Part = "informational"
@@ -17,6 +18,7 @@
 	PartBody          Part = "body"
 	PartEvent         Part = "event"
 	PartEvents        Part = "events"
+	PartOutputs       Part = "outputs"
 )
 
 // TooLongError is the cause of an exchange that was abandoned because a part of the
