--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -177,9 +177,10 @@
 }
 
 // isExclusive reports whether no other part of the fleet can admit turns of a program by
-// itself, or has done so without the given copies. Those that didn't answer are harmless if they are down in a zone that was in reach all the while: the others have what
-// they admitted. The same goes for lost copies in whose place one of the given was chosen. The
-// copies that answered know it as well, and better than a host that has just started.
+// itself, or has done so without the given copies. Those that didn't answer are harmless if they
+// are down in a zone that was in reach all the while: the others have what they admitted. The
+// same goes for lost copies in whose place one of the given was chosen. The copies that answered
+// know it as well, and better than a host that has just started.
 func (c *Client) isExclusive(program string, copies []Copy, answered, settledLosses map[string]bool) bool {
 	settled := func(host string) bool { return settledLosses[host] || c.SettledWhenLost(host) }
 	mayAdmit := func(target Copy) bool {
