--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -184,7 +184,8 @@
 func (c *Client) isExclusive(program string, copies []Copy, answered, settledLosses map[string]bool) bool {
 	settled := func(host string) bool { return settledLosses[host] || c.SettledWhenLost(host) }
 	mayAdmit := func(target Copy) bool {
-		return !answered[target.Host] && !(c.isDown(target, answered) && settled(target.Host))
+		isHarmless := answered[target.Host] || c.isDown(target, answered) && settled(target.Host)
+		return !isHarmless
 	}
 	return !slices.ContainsFunc(copies, mayAdmit) && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
 		return !c.Reachable(other.Host) && !settled(other.Host) && c.isReplaced(program, other, copies)
