--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 
 	"jasmineknot.example/core/jkforward"
@@ -14,7 +16,7 @@
 func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, answered: map[string]bool{}}
+	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, answered: map[string]bool{}, answers: map[string]string{}}
 	return w.run(ctx, program, request)
 }
 
@@ -27,6 +29,8 @@
 	// are certain.
 	answered map[string]bool
 	certain  int
+	// answers describes the answer of each copy, for log lines.
+	answers map[string]string
 }
 
 func (w *chainWalk) run(ctx context.Context, program, request string) ([]byte, error) {
@@ -51,6 +55,7 @@
 	if w.certain < needed || firstMissing != request || !w.client.MembersSettled() {
 		return nil, &jkforward.NoQuorumError{Operation: "chain", Answers: w.certain, Needed: needed}
 	}
+	w.client.Log.Info("turn unknown", "request", request, "program", program, "needed", needed, "copies", w.describe(copies))
 	return nil, &jkforward.UnknownTurnError{Request: request}
 }
 
@@ -64,11 +69,13 @@
 		go func() {
 			defer done.Done()
 			var a jkledger.ChainAnswer
-			if err := w.client.call(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a); err != nil {
-				return
-			}
+			err := w.client.call(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a)
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			w.answers[target.Host] = describeChainAnswer(&a, err)
+			if err != nil {
+				return
+			}
 			for _, t := range a.Turns {
 				w.turns[t.Request] = t
 			}
@@ -81,6 +88,26 @@
 	done.Wait()
 }
 
+// describeChainAnswer returns a copy's answer for a log line.
+func describeChainAnswer(a *jkledger.ChainAnswer, err error) string {
+	switch {
+	case err != nil:
+		return "none"
+	case !a.Certain:
+		return "uncertain"
+	}
+	return fmt.Sprintf("certain turns=%d", len(a.Turns))
+}
+
+// describe returns the answer of each copy with what this host has observed of its host.
+func (w *chainWalk) describe(copies []Copy) string {
+	var out []string
+	for _, target := range copies {
+		out = append(out, fmt.Sprintf("%s=%s %s", target.Host, w.answers[target.Host], w.client.Observed(target.Host)))
+	}
+	return strings.Join(out, ", ")
+}
+
 // firstMissing returns the request of the newest turn of the chain that isn't known, or
 // an empty string.
 func (w *chainWalk) firstMissing(request string) string {
--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -68,6 +68,7 @@
 		Lost:           func(string) bool { return false },
 		ZoneReachable:  func(zone string) bool { return !f.cut[zone] },
 		ZoneSettled:    func(zone string) bool { return !f.cut[zone] },
+		Observed:       func(string) string { return "" },
 		RelayAddrs:     func() []string { return nil },
 	})
 	return f
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -55,6 +55,8 @@
 	// been in reach of each other without a break since some seconds before the last answer
 	// of the unreachable one. The copies then have what it admitted.
 	SettledWhenLost func(host string) bool
+	// Observed describes what this host has observed of another one, for log lines.
+	Observed func(host string) string
 	// RelayAddrs returns the addresses of hosts that may reach copies that this host can't
 	// reach.
 	RelayAddrs func() []string
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -220,6 +220,7 @@
 		Metrics: jkaccount.NewMetrics(e.metrics), MaxLostDisks: e.settings.LostDisks, ZoneCount: len(e.settings.Zones),
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Lost: e.isDown, UnreachableFor: e.probes.UnreachableFor,
 		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, SettledWhenLost: e.probes.SettledWhenLost, RelayAddrs: e.probes.AnsweringAddrs,
+		Observed: func(host string) string { return e.probes.Observe(host).String() },
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
