forward: keep to the last endpoint that a route allows when it refuses

Cause: a request that may have run on as many endpoints as its route allows is sent to the last one again. A refusal excluded it, so that the next choice was any other endpoint. The same went for one at its limit of connections.

Ruled out: the count of attempts (1, as it should be, when the second endpoint was chosen).

--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -48,6 +48,8 @@
 	broken exchangeBreak
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// mayHaveRunAt is the last endpoint that may have run the request.
+	mayHaveRunAt string
 
 	// headerSent is set once the header of a stream was sent to the caller.
 	headerSent  bool
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -301,6 +301,7 @@
 		jkruleset.NewService(jkruleset.ServiceConfig{Name: "s", EventTokens: 5}),
 	}, []*jkruleset.Route{
 		route("safe", jkruleset.KindIdempotent, 2, false, false),
+		route("single", jkruleset.KindIdempotent, 1, false, false),
 		route("once", jkruleset.KindNonIdempotent, 2, false, false),
 		route("stream", jkruleset.KindStream, 2, true, false),
 		route("chat", jkruleset.KindStream, 2, false, true),
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -83,8 +83,12 @@
 			if refusals >= maxRefusals {
 				return c.finalRefusal("endpoints_full", slotRetryAfter)
 			}
+			if c.isTiedTo(to.id) {
+				// The context ends if the caller leaves, which the next attempt notices.
+				h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
+			}
 		case outcomeBroken:
-			c.mayHaveRun = true
+			c.mayHaveRun, c.mayHaveRunAt = true, to.id
 			if c.broken != exchangeWhole {
 				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
@@ -134,6 +138,12 @@
 // endpoints; the last endpoint gets the further attempts.
 const maxSends = 4
 
+// isTiedTo reports whether a request may be sent to no other endpoint than the given one: it may
+// have run there and at as many endpoints as its route allows.
+func (c *call) isTiedTo(id string) bool {
+	return c.attempts >= max(c.route.MaxAttempts(), 1) && c.mayHaveRunAt == id
+}
+
 // chooseEndpoint chooses the endpoint of the next attempt. Once the route's maximum
 // of endpoints was tried, it reuses the last one unless that one is excluded.
 func (h *Handler) chooseEndpoint(c *call) (target, error) {
@@ -214,7 +224,7 @@
 	}
 	outcome := h.forwardResponse(ctx, c, resp, respInfo)
 	h.Fleet.done(id, h.endpointOutcome(c, ctx, outcome), h.Timer.Now().Sub(began))
-	if outcome == outcomeRefused {
+	if outcome == outcomeRefused && !c.isTiedTo(id) {
 		c.excluded = append(c.excluded, id)
 	}
 	if outcome == outcomeBroken && c.request.Context().Err() != nil {
@@ -255,14 +265,20 @@
 		if callerLeft {
 			return outcomeCallerLeft
 		}
-		c.excluded = append(c.excluded, id)
+		outcome := outcomeNotSent
 		switch notSent.Reason {
 		case jkupstream.ReasonUnreachable:
 			h.Fleet.unreachable(id)
 		case jkupstream.ReasonConnectionLimit, jkupstream.ReasonCancelled:
+			if c.isTiedTo(id) {
+				outcome = outcomeRefused
+			}
+		}
+		if outcome == outcomeNotSent {
+			c.excluded = append(c.excluded, id)
 		}
 		h.Log.Info("request not sent to endpoint", "request", c.info.Request, "endpoint", id, "error", err)
-		return outcomeNotSent
+		return outcome
 	}
 	if callerLeft {
 		return outcomeCallerLeft
