--- /dev/null
+++ b/core/jkaccount/budget_fixture_test.go
@@ -0,0 +1,318 @@
+package jkaccount
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
+)
+
+// Timeouts of the prober, after which an entry changes the state of a copy or a zone.
+const (
+	unreachableAfter = 800 * time.Millisecond
+	lostAfter        = 7 * time.Second
+	settledAfter     = 4 * time.Second
+	// probePhase is how much later one host may notice a failure than another.
+	probePhase = 250 * time.Millisecond
+	// copiedAfter is how long copies take to catch up with each other after a partition or
+	// a restart; entries rely on it after settledAfter.
+	copiedAfter = 2 * time.Second
+	// confirmedAfter is the silence after which a host fell silent alone.
+	confirmedAfter = 2 * time.Second
+	// newFor is how long a copy is new.
+	newFor = 8 * time.Second
+)
+
+// budgetFixture simulates a program's copies in several zones, and entries that reserve tokens
+// for it. Hosts go down and zones are partitioned from the others; a host keeps its disk.
+type budgetFixture struct {
+	now     time.Time
+	copies  []Copy
+	ledgers map[string]*jkledger.Ledger
+	// downSince is when a host went down and cutSince when a zone was partitioned; no entry
+	// means that it is up or connected. recoveredAt is when either last ended, by host or
+	// zone.
+	downSince map[string]time.Time
+	cutSince  map[string]time.Time
+	// isolatedSince is since when an entry has been cut off from all copies.
+	isolatedSince map[*budgetEntry]time.Time
+	recoveredAt   map[string]time.Time
+	// partitions holds all partitions, the latest one last.
+	partitions []partition
+	// behind holds the hosts that have been down and haven't copied from another zone since.
+	behind map[string]bool
+	// addedAt is when a host was added.
+	addedAt map[string]time.Time
+	entries []*budgetEntry
+	// granted is the number of tokens of all admitted turns, and turns the number of all
+	// reservations.
+	granted int64
+	turns   int
+}
+
+// budgetEntry is an entry that notices failures a little later than others, by its phase.
+type budgetEntry struct {
+	zone   string
+	phase  time.Duration
+	client *Client
+}
+
+func newBudgetFixture(zones, hosts, entries int) *budgetFixture {
+	f := &budgetFixture{
+		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
+		cutSince: map[string]time.Time{}, isolatedSince: map[*budgetEntry]time.Time{}, recoveredAt: map[string]time.Time{},
+		behind: map[string]bool{}, addedAt: map[string]time.Time{},
+	}
+	for z := range zones {
+		for h := range hosts {
+			c := Copy{Host: fmt.Sprintf("%c%d", 'a'+z, h), Zone: string(rune('a' + z))}
+			f.copies = append(f.copies, c)
+			f.ledgers[c.Host] = jkledger.New()
+		}
+	}
+	for i := range entries {
+		e := &budgetEntry{zone: string(rune('a' + i%zones)), phase: probePhase * time.Duration(i) / time.Duration(entries)}
+		e.client = &Client{Options: Options{
+			Zone: e.zone, MaxLostDisks: 1, ZoneCount: zones, MembersSettled: func() bool { return true },
+			Copies:        func() []Copy { return slices.Clone(f.copies) },
+			Reachable:     func(host string) bool { return f.unreachableFor(e, host) <= unreachableAfter+e.phase },
+			Lost:          func(host string) bool { return f.unreachableFor(e, host) > lostAfter+e.phase },
+			ZoneReachable: func(zone string) bool { return f.cutFor(e.zone, zone) <= unreachableAfter+e.phase },
+			ZoneSettled: func(zone string) bool {
+				return zone == e.zone || f.cutFor(e.zone, zone) <= unreachableAfter+e.phase && f.now.Sub(f.lastCut(e.zone, zone)) >= settledAfter
+			},
+			LossConfirmed: func(host string) bool { return f.lossConfirmed(e, host) },
+		}}
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// areCut reports whether two zones can't reach each other.
+func (f *budgetFixture) areCut(a, b string) bool {
+	_, cutA := f.cutSince[a]
+	_, cutB := f.cutSince[b]
+	return a != b && (cutA || cutB)
+}
+
+// cutFor returns how long two zones haven't been able to reach each other.
+func (f *budgetFixture) cutFor(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, zone := range []string{a, b} {
+		if since, ok := f.cutSince[zone]; ok {
+			longest = max(longest, f.now.Sub(since))
+		}
+	}
+	return longest
+}
+
+// lastCut returns when the last partition between two zones ended.
+func (f *budgetFixture) lastCut(a, b string) time.Time {
+	if f.recoveredAt[a].After(f.recoveredAt[b]) {
+		return f.recoveredAt[a]
+	}
+	return f.recoveredAt[b]
+}
+
+// unreachableFor returns how long a host hasn't answered an entry.
+func (f *budgetFixture) unreachableFor(e *budgetEntry, host string) time.Duration {
+	c := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })]
+	longest := f.cutFor(e.zone, c.Zone)
+	if since, ok := f.isolatedSince[e]; ok {
+		longest = max(longest, f.now.Sub(since))
+	}
+	if since, ok := f.downSince[host]; ok {
+		longest = max(longest, f.now.Sub(since))
+	}
+	return longest
+}
+
+// lossConfirmed reports whether an entry has confirmed that a host fell silent alone.
+func (f *budgetFixture) lossConfirmed(e *budgetEntry, host string) bool {
+	return f.unreachableFor(e, host) >= confirmedAfter+e.phase && f.settledWhenLost(e, host)
+}
+
+// settledWhenLost reports whether an entry noticed no partition of its zone from that of a
+// host, or from any zone if they are the same, from settledAfter before the host's last answer
+// until confirmedAfter after it.
+func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
+	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
+	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
+	return !slices.ContainsFunc(f.partitions, func(p partition) bool {
+		concerns := p.zone == e.zone || p.zone == own || own == e.zone
+		end := p.to
+		if end.IsZero() {
+			end = f.now
+		}
+		noticed := !p.to.IsZero() || end.Sub(p.from) > unreachableAfter+e.phase
+		return concerns && noticed && end.Sub(lastAnswer) > -settledAfter && p.from.Sub(lastAnswer) < confirmedAfter
+	})
+}
+
+// partition is a zone that is cut off from the others for a time; to is zero while it is.
+type partition struct {
+	zone     string
+	from, to time.Time
+}
+
+// losses returns what a copy's host observes of the others. One that was down itself has observed
+// them for too short a time.
+func (f *budgetFixture) losses(c Copy) jkledger.Losses {
+	var out jkledger.Losses
+	own := &budgetEntry{zone: c.Zone}
+	startedAt := latest(f.recoveredAt[c.Host], f.addedAt[c.Host])
+	for _, other := range f.copies {
+		lastAnswer := f.now.Add(-f.unreachableFor(own, other.Host))
+		switch {
+		case f.unreachableFor(own, other.Host) <= unreachableAfter:
+		case lastAnswer.Sub(startedAt) >= settledAfter && f.lossConfirmed(own, other.Host):
+			out.Confirmed = append(out.Confirmed, other.Host)
+		case lastAnswer.Before(startedAt):
+			out.NeverReached = append(out.NeverReached, other.Host)
+		}
+	}
+	return out
+}
+
+// answers reports whether a copy answers an entry's message.
+func (f *budgetFixture) answers(e *budgetEntry, c Copy) bool {
+	_, down := f.downSince[c.Host]
+	reaches := func(other *budgetEntry) bool {
+		_, isolated := f.isolatedSince[other]
+		return !isolated && !f.areCut(e.zone, other.zone) && !f.areCut(other.zone, c.Zone)
+	}
+	return !down && (reaches(e) || slices.ContainsFunc(f.entries, reaches))
+}
+
+// isolate cuts an entry off from all copies. Other entries relay its messages.
+func (f *budgetFixture) isolate(e *budgetEntry) {
+	if _, isolated := f.isolatedSince[e]; !isolated {
+		f.isolatedSince[e] = f.now
+	}
+}
+
+// reserve admits a turn as Client.Reserve does.
+func (f *budgetFixture) reserve(e *budgetEntry, tokens, budget int64) {
+	f.turns++
+	r := jkforward.Reservation{Program: "p", Request: fmt.Sprint(f.turns), Tokens: tokens, Budget: budget, Retention: time.Hour}
+	copies := e.client.replicas(r.Program)
+	q := &quorum{spendings: spendings{}, copies: len(copies)}
+	reports := newLossReports()
+	for _, c := range copies {
+		if !f.answers(e, c) {
+			continue
+		}
+		losses := f.losses(c)
+		reports.add(c.Host, losses)
+		l := f.ledgers[c.Host]
+		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
+		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host], Losses: losses}, e.client.standsIn(r.Program, c))
+	}
+	q.exclusive = e.client.isExclusive(r.Program, copies, reports)
+	err := q.decide(r)
+	if err == nil {
+		f.granted += tokens
+		return
+	}
+	for _, c := range copies {
+		if f.answers(e, c) {
+			f.ledgers[c.Host].Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Settled: true, Retention: r.Retention}})
+		}
+	}
+}
+
+// advance lets time pass. Hosts that have been connected for copiedAfter copy the records
+// that they lack from each other.
+func (f *budgetFixture) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	for i, c := range f.copies {
+		if at, added := f.addedAt[c.Host]; added {
+			f.copies[i].New = f.now.Sub(at) < newFor
+		}
+	}
+	for _, to := range f.copies {
+		for _, from := range f.copies {
+			_, downTo := f.downSince[to.Host]
+			_, downFrom := f.downSince[from.Host]
+			together := f.now.Sub(latest(f.lastCut(to.Zone, from.Zone), latest(f.recoveredAt[to.Host], f.recoveredAt[from.Host])))
+			if downTo || downFrom || f.areCut(to.Zone, from.Zone) || together < copiedAfter {
+				continue
+			}
+			if from.Zone != to.Zone {
+				delete(f.behind, to.Host)
+			}
+			for _, s := range f.ledgers[from.Host].Spendings("p") {
+				f.ledgers[to.Host].Apply(f.now, jkledger.Record{Spending: &s})
+			}
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+const (
+	turnTokens = 10
+	turnBudget = 45
+)
+
+func (f *budgetFixture) down(host string) {
+	f.downSince[host] = f.now
+	f.behind[host] = true
+}
+
+func (f *budgetFixture) cut(zone string) {
+	f.cutSince[zone] = f.now
+	f.partitions = append(f.partitions, partition{zone: zone, from: f.now})
+}
+
+// up starts all hosts that are down.
+func (f *budgetFixture) up() {
+	for host := range f.downSince {
+		delete(f.downSince, host)
+		f.recoveredAt[host] = f.now
+	}
+}
+
+// heal ends all partitions.
+func (f *budgetFixture) heal() {
+	for zone := range f.cutSince {
+		delete(f.cutSince, zone)
+		f.recoveredAt[zone] = f.now
+		f.partitions[len(f.partitions)-1].to = f.now
+	}
+}
+
+// copyIn returns the host of the program's copy in a zone, as an entry chooses it.
+func (f *budgetFixture) copyIn(e *budgetEntry, zone string) string {
+	copies := e.client.replicas("p")
+	return copies[slices.IndexFunc(copies, func(c Copy) bool { return c.Zone == zone })].Host
+}
+
+// check fails if more is granted than the budget and one turn.
+func (f *budgetFixture) check(t interface{ Errorf(string, ...any) }) {
+	if f.granted > turnBudget+turnTokens {
+		t.Errorf("%d tokens are handed out of a budget of %d and one turn of %d", f.granted, turnBudget, turnTokens)
+	}
+}
+
+// add adds a host with a copy to a zone. All entries hear of it.
+func (f *budgetFixture) add(zone string) {
+	c := Copy{Host: fmt.Sprintf("%s-added-%d", zone, len(f.copies)), Zone: zone, New: true}
+	f.copies = append(f.copies, c)
+	f.ledgers[c.Host] = jkledger.New()
+	f.behind[c.Host] = true
+	f.addedAt[c.Host] = f.now
+	for _, e := range f.entries {
+		e.client.Observe()
+	}
+}
