home: take the turns of a former home that returns before the program has run again

Cause: a second read of the copies preferred the epoch of the first takeover, which lacked the turns, and the second takeover was left out since its epoch wasn't higher. A longer history of the former home that continues an unused takeover is now adopted under a higher epoch, and what both granted counts as spent. Copies of a program that hasn't run since its takeover aren't written after a restart of their host, and one at the former home's host that wasn't read isn't written by the takeover, since either would overwrite the turns.

Ruled out: the routing, which did ask the home again (IsBehind).

--- a/core/jkhome/copies.go
+++ b/core/jkhome/copies.go
@@ -95,7 +95,8 @@
 
 // Adopt takes over a program whose home has ended. Copies are the hosts that the
 // caller's token names; if there are none, Transport.DiskHosts are read. The host of the
-// former home is read too: it may be up again and hold more turns.
+// former home is read too: it may be up again and hold more turns. These replace a takeover
+// by this home on which no call has run yet.
 func (h *Home) Adopt(ctx context.Context, program string, former jktoken.Incarnation, copies []string, epoch uint64) error {
 	h.mu.Lock()
 	draining := h.draining
@@ -109,10 +110,11 @@
 	if !slices.Contains(copies, former.Host) {
 		copies = append(slices.Clone(copies), former.Host)
 	}
-	best, fence, err := h.readCopies(ctx, program, former, copies, epoch)
+	r, err := h.readCopies(ctx, program, former, copies, epoch)
 	if err != nil {
 		return err
 	}
+	best, fence := r.best, r.fence
 	// This check must follow the read of the copy set: a successor of this home may
 	// have changed the set since, but only after this home was declared ended.
 	if ended, err := h.options.Transport.IsEnded(ctx); err != nil || ended {
@@ -130,7 +132,7 @@
 		return err
 	}
 	h.options.Log.Info("program taken over", "program", program, "epoch", fence, "turn", best.Turn())
-	if h.appendAll(ctx, record) == jkprogram.CopyFenced {
+	if h.appendAdopted(ctx, record, former.Host, r.readFormer) == jkprogram.CopyFenced {
 		h.mu.Lock()
 		h.core.Supersede(program)
 		h.mu.Unlock()
@@ -138,10 +140,32 @@
 	return nil
 }
 
+// appendAdopted writes the record of a takeover to the program's copies. A copy at the former
+// home's host that wasn't read may hold more turns, so that it isn't overwritten.
+func (h *Home) appendAdopted(ctx context.Context, r jkprogram.Record, formerHost string, readFormer bool) jkprogram.CopyResult {
+	hosts := r.Snapshot.Copies
+	if !readFormer && slices.Contains(hosts, formerHost) {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == formerHost })
+		h.mu.Lock()
+		h.missed.record(formerHost, r, false)
+		h.mu.Unlock()
+	}
+	return h.appendTo(ctx, hosts, r)
+}
+
+// copyRead is what the copies of a program hold.
+type copyRead struct {
+	// best is the newest state, and fence the fence of all copies that were read.
+	best  jkprogram.State
+	fence uint64
+	// readFormer is set if the copy at the former home's host was read.
+	readFormer bool
+}
+
 // readCopies raises the fence at every copy that can be reached and returns the newest
 // state and the fence. It fails unless at least one copy is certain to be complete; one
 // that may have lost records can then still have the newest state.
-func (h *Home) readCopies(ctx context.Context, program string, former jktoken.Incarnation, copies []string, epoch uint64) (jkprogram.State, uint64, error) {
+func (h *Home) readCopies(ctx context.Context, program string, former jktoken.Incarnation, copies []string, epoch uint64) (copyRead, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*copyTimeout)
 	defer cancel()
 	answers := make([]jkmsg.CopyReadResult, len(copies))
@@ -158,24 +182,52 @@
 			})
 		}
 		_ = group.Wait()
+		h.discardRemovedHosts(ctx, former, answers)
 	}
 	read(epoch)
-	h.discardRemovedHosts(ctx, former, answers)
 	best, fence, certain := newestState(answers)
 	if !certain {
-		return best, 0, jkproblem.Newf(jkproblem.TypeUnavailable, "no copy of program %s can be reached that is certain to be complete", program).WithRetryAfter(time.Second)
+		return copyRead{}, jkproblem.Newf(jkproblem.TypeUnavailable, "no copy of program %s can be reached that is certain to be complete", program).WithRetryAfter(time.Second)
 	}
-	for _, a := range answers {
-		if a.Held && a.Fence < fence {
-			// Give all copies the same fence, so that a later reader finds it at
-			// any of them.
-			read(fence)
-			h.discardRemovedHosts(ctx, former, answers)
-			best, fence, _ = newestState(answers)
-			break
+	// A longer history of the former home replaces the takeover under an epoch of its own.
+	if h.longerHistory(best, former, answers) != nil {
+		fence = max(fence, best.Epoch+1)
+	}
+	if slices.ContainsFunc(answers, func(a jkmsg.CopyReadResult) bool { return a.Held && a.Fence < fence }) {
+		// Give all copies the same fence, so that a later reader finds it at any of them.
+		read(fence)
+		best, fence, _ = newestState(answers)
+	}
+	if longer := h.longerHistory(best, former, answers); longer != nil && fence > best.Epoch {
+		longer.Granted, longer.Spent = max(longer.Granted, best.Granted), max(longer.Spent, best.Spent)
+		best = *longer
+	}
+	readFormer := slices.ContainsFunc(answers, func(a jkmsg.CopyReadResult) bool { return a.Held && a.Host.Host == former.Host })
+	return copyRead{best: best, fence: fence, readFormer: readFormer}, nil
+}
+
+// longerHistory returns the former home's state if it continues the best one, which this home has
+// taken over and on which no call has run since; else nil.
+func (h *Home) longerHistory(best jkprogram.State, former jktoken.Incarnation, answers []jkmsg.CopyReadResult) *jkprogram.State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if best.Home != h.self || !h.core.IsUnusedSinceAdoption(best.Program) {
+		return nil
+	}
+	var longer *jkprogram.State
+	for i := range answers {
+		state := &answers[i].State
+		if answers[i].Held && state.Home == former && state.Turn() > best.Turn() && continues(*state, best) && (longer == nil || state.Seq > longer.Seq) {
+			longer = state
 		}
 	}
-	return best, fence, nil
+	return longer
+}
+
+// continues reports whether the turns of a state begin with those of another one.
+func continues(longer, shorter jkprogram.State) bool {
+	n := shorter.Turn()
+	return n == 0 || longer.Turns[n-1].Digest == shorter.Digest()
 }
 
 // discardRemovedHosts discards the answers of hosts that the former home removed from
--- a/core/jkhome/copyset.go
+++ b/core/jkhome/copyset.go
@@ -81,11 +81,13 @@
 }
 
 // confirmCopies writes a record without a change to the copies of programs. A copy that
-// missed records gets a snapshot; one that is complete becomes certain again.
+// missed records gets a snapshot; one that is complete becomes certain again. A program that was
+// taken over and has not run since is excluded, as from repairs (see needsRepair).
 func (h *Home) confirmCopies(ctx context.Context, programs []string) {
 	for _, id := range programs {
 		h.mu.Lock()
 		record, ok := h.core.NoOp(id)
+		ok = ok && !h.core.IsUnusedSinceAdoption(id)
 		h.mu.Unlock()
 		if ok && ctx.Err() == nil {
 			h.appendAll(ctx, record)
--- a/core/jkhome/copyset_test.go
+++ b/core/jkhome/copyset_test.go
@@ -221,6 +221,7 @@
 	if !next.IsBehind(former.program, 1) {
 		t.Fatal("the turn is known without the former home's disk")
 	}
+	takenOver, _ := next.core.Info(former.program)
 	back = true
 	if err := next.Adopt(ctx, former.program, first, copies, 1); err != nil {
 		t.Fatal(err)
@@ -228,4 +229,30 @@
 	if next.IsBehind(former.program, 1) {
 		t.Error("the turn of the former home's disk is not found")
 	}
+	if info, _ := next.core.Info(former.program); info.Epoch <= takenOver.Epoch || info.Spent < takenOver.Granted {
+		t.Errorf("epoch %d with %d tokens spent, want more than %d with all %d granted ones spent", info.Epoch, info.Spent, takenOver.Epoch, takenOver.Granted)
+	}
+}
+
+// Guards against the same turns that are overwritten once their host has restarted, or by a
+// takeover during which that host comes back.
+func TestTurnsOfReturnedFormerHomeAreNotOverwritten(t *testing.T) {
+	s := newCopyFixture(t)
+	state, _ := s.home.core.State(s.program)
+	s.home.core.Supersede(s.program)
+	record, err := s.home.core.Adopt(time.Unix(1000, 0), state, state.Epoch+1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := s.appends
+	s.home.appendAdopted(context.Background(), record, "copy", false)
+	s.home.options.Transport.HostState = func(string) (jktoken.Incarnation, bool) { return jktoken.Incarnation{Host: "copy", Start: 2}, true }
+	s.home.MaintainCopies(context.Background())
+	if s.appends != before {
+		t.Error("the copy at the former home's host was written, which hasn't been read")
+	}
+	s.home.appendAdopted(context.Background(), record, "copy", true)
+	if s.appends == before {
+		t.Error("a copy that was read wasn't written")
+	}
 }
