--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -39,10 +39,9 @@
 	// because other hosts of its zone are gone. Nil means that it keeps no others.
 	TakesOver func(host string, gone []string) func(program string) bool
 	// Behind reports whether this copy may lack records that others have added while it was
-	// down or out of reach. Nil means that it never does.
+	// down or out of reach. Nil means never.
 	Behind func() bool
-	// Losses returns the hosts of other copies that don't answer this one. Nil means that all
-	// of them do.
+	// Losses returns the hosts of other copies that don't answer; nil means that all do.
 	Losses func() jkledger.Losses
 	// First is set when the whole system starts for the first time, so that an empty
 	// folder isn't a lost disk.
