account: keep a turn of a cut zone on as many disks as may be lost, and one more

Callers saw 404 and 503 for turns that had been answered whole, if all hosts were killed as a cut ended and two storage hosts of the zone that had been cut off lost their disks.

Cause: the zones that hold a turn were counted, and those in reach were enough. In a zone that is cut off one disk was enough, though the zone has three storage hosts. The other zones get the turn from the entry's outbox, which ends with its process.

Change: a turn counts once MaxLostDisks+1 disks hold it as well, as far as that many are in reach. Other copies of the zones in reach take it, as they do for copies that don't answer; Chain asks all copies.

The new unit test fails before: one of three disks holds the turn.

A zone with fewer storage hosts than that keeps turns on those it has.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -39,33 +39,12 @@
 	t.Helper()
 	f := &fixture{lost: map[string]bool{}, cut: map[string]bool{}, unsettled: map[string]bool{}}
 	f.confirmed = f.lost
-	losses := func() jkledger.Losses {
-		return jkledger.Losses{Confirmed: slices.Collect(maps.Keys(f.confirmed)), NeverReached: slices.Collect(maps.Keys(f.neverReached))}
-	}
 	timer := jktimer.New()
-	control := func(string) bool { return false }
 	for _, zone := range []string{"a", "b", "c"} {
-		vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: jklog.Discard(), Folder: t.TempDir(), First: true, Losses: losses})
-		if err != nil {
-			t.Fatal(err)
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := jkwire.NewServer(l, jkwire.ServerOptions{
-			Self: jkwire.Hello{Host: zone, Version: jkwire.ProtocolVersion}, Handle: vault.Handle, IsControl: control, Counters: &jkwire.Counters{},
-		})
-		t.Cleanup(func() {
-			server.Close()
-			if err := vault.Close(); err != nil {
-				t.Error(err)
-			}
-		})
-		f.copies = append(f.copies, Copy{Host: zone, Addr: l.Addr().String(), Zone: zone})
+		f.startCopy(t, zone, zone)
 	}
 	pool := jkwire.NewPool(jkwire.PoolOptions{
-		Self: jkwire.Hello{Host: "entry", Version: jkwire.ProtocolVersion}, IsControl: control, Counters: &jkwire.Counters{},
+		Self: jkwire.Hello{Host: "entry", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{},
 	})
 	t.Cleanup(pool.Close)
 	f.client = NewClient(Options{
@@ -85,6 +64,34 @@
 	return f
 }
 
+func isControl(string) bool { return false }
+
+// startCopy starts a copy on a host of a zone.
+func (f *fixture) startCopy(t *testing.T, host, zone string) {
+	t.Helper()
+	losses := func() jkledger.Losses {
+		return jkledger.Losses{Confirmed: slices.Collect(maps.Keys(f.confirmed)), NeverReached: slices.Collect(maps.Keys(f.neverReached))}
+	}
+	vault, err := jkvault.Open(jkvault.Options{Timer: jktimer.New(), Log: jklog.Discard(), Folder: t.TempDir(), First: true, Losses: losses})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: host, Version: jkwire.ProtocolVersion}, Handle: vault.Handle, IsControl: isControl, Counters: &jkwire.Counters{},
+	})
+	t.Cleanup(func() {
+		server.Close()
+		if err := vault.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	f.copies = append(f.copies, Copy{Host: host, Addr: l.Addr().String(), Zone: zone})
+}
+
 // keep keeps a turn of program p.
 func (f *fixture) keep(t *testing.T, turn jkforward.Turn) {
 	t.Helper()
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -46,9 +46,9 @@
 	ended bool
 }
 
-// Keep writes a turn and its spending to copies, and returns once the number of zones given
-// by requiredZones holds them. It retries until the context ends. A copy that doesn't answer
-// is replaced by another one of its zone.
+// Keep writes a turn and its spending to copies, and returns once as many zones and disks hold
+// them as requiredSpread says. It retries until the context ends. A copy that doesn't answer is
+// replaced by another one of its zone.
 func (c *Client) Keep(ctx context.Context, t jkforward.Turn) error {
 	began := c.Timer.Now()
 	k := c.newKeepOperation(t)
@@ -98,22 +98,23 @@
 	stop := c.Timer.Every(recheckInterval, func() { notify(recheck) })
 	defer stop()
 	for {
-		k.sendToSubstitutes()
+		needed := c.requiredSpread()
+		k.sendToSubstitutes(needed)
 		// Read before the zones are counted: a copy may write the turn between the two, and
 		// a written turn must not be given up.
 		exhausted := k.isExhausted()
-		writtenZones, needed := k.writtenZones(), c.requiredZones()
-		if writtenZones >= needed {
+		written := k.written()
+		if written.covers(needed) {
 			return nil
 		}
 		if exhausted {
-			return &jkforward.NoQuorumError{Operation: "keep", Answers: writtenZones, Needed: needed}
+			return &jkforward.NoQuorumError{Operation: "keep", Answers: written.disks, Needed: needed.disks}
 		}
 		select {
 		case <-k.changed:
 		case <-recheck:
 		case <-ctx.Done():
-			return &jkforward.NoQuorumError{Operation: "keep", Answers: writtenZones, Needed: needed}
+			return &jkforward.NoQuorumError{Operation: "keep", Answers: written.disks, Needed: needed.disks}
 		}
 	}
 }
@@ -156,15 +157,18 @@
 	return k.outcomes[host]
 }
 
-// writtenZones returns the number of zones in which a copy has written the turn.
-func (k *keepOperation) writtenZones() int {
+// written returns the zones and disks that hold the turn.
+func (k *keepOperation) written() spread {
+	var out spread
 	zones := map[string]bool{}
 	for _, target := range k.targets {
 		if k.outcome(target.Host) == outcomeWritten {
+			out.disks++
 			zones[target.Zone] = true
 		}
 	}
-	return len(zones)
+	out.zones = len(zones)
+	return out
 }
 
 // isExhausted reports whether no write is retried any more.
@@ -178,25 +182,40 @@
 }
 
 // sendToSubstitutes sends the turn to another copy of each zone whose copies so far don't
-// answer. Any copy may hold a turn, since Chain asks all copies.
-func (k *keepOperation) sendToSubstitutes() {
-	answering := map[string]bool{}
+// answer, and to further copies until enough disks may answer. Any copy may hold a turn, since
+// Chain asks all copies.
+func (k *keepOperation) sendToSubstitutes(needed spread) {
+	answering, disks := map[string]int{}, 0
 	for _, target := range k.targets {
-		answering[target.Zone] = answering[target.Zone] || k.mayAnswer(target)
+		if k.mayAnswer(target) {
+			answering[target.Zone]++
+			disks++
+		}
+	}
+	for {
+		best, ok := k.nextSubstitute(answering)
+		if !ok || answering[best.Zone] > 0 && disks >= needed.disks {
+			return
+		}
+		k.sendTo(best)
+		answering[best.Zone]++
+		disks++
 	}
-	best := map[string]Copy{}
+}
+
+// nextSubstitute returns the copy that the turn is sent to next: one in reach that it wasn't sent
+// to, of the zone in which the fewest copies may answer.
+func (k *keepOperation) nextSubstitute(answering map[string]int) (best Copy, ok bool) {
 	for _, candidate := range k.client.Copies() {
-		if answering[candidate.Zone] || !k.client.Reachable(candidate.Host) || k.outcome(candidate.Host) != "" {
+		if !k.client.Reachable(candidate.Host) || k.outcome(candidate.Host) != "" {
 			continue
 		}
-		chosen, ok := best[candidate.Zone]
-		if !ok || ranksBefore(k.turn.Program, candidate, chosen) {
-			best[candidate.Zone] = candidate
+		n, fewest := answering[candidate.Zone], answering[best.Zone]
+		if !ok || n < fewest || n == fewest && ranksBefore(k.turn.Program, candidate, best) {
+			best, ok = candidate, true
 		}
 	}
-	for _, target := range best {
-		k.sendTo(target)
-	}
+	return best, ok
 }
 
 // mayAnswer reports whether a copy has written the turn or is likely to do so.
@@ -230,13 +249,21 @@
 	return strings.Join(out, ", ")
 }
 
-// requiredZones returns the number of zones that have to hold a turn before it counts as
-// kept: MaxLostDisks+1, so that the loss of MaxLostDisks disks leaves one copy. If fewer
-// zones can be reached during a network partition, a turn counts as kept once these hold it,
-// and the outbox continues to deliver it to the others.
-func (c *Client) requiredZones() int {
-	reachable := map[string]bool{}
+// spread is the number of zones and of disks that hold a turn.
+type spread struct{ zones, disks int }
+
+func (s spread) covers(needed spread) bool { return s.zones >= needed.zones && s.disks >= needed.disks }
+
+// requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
+// MaxLostDisks+1 each, so that the loss of MaxLostDisks disks leaves one copy. During a network
+// partition the zones that can be reached have to do, each with several copies if it has them,
+// and the outbox continues to deliver the turn to the others.
+func (c *Client) requiredSpread() spread {
+	reachable, disks := map[string]bool{}, 0
 	for _, target := range c.knownCopies() {
+		if c.Reachable(target.Host) {
+			disks++
+		}
 		reachable[target.Zone] = reachable[target.Zone] || c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
 	}
 	zones := 0
@@ -245,5 +272,6 @@
 			zones++
 		}
 	}
-	return max(min(c.MaxLostDisks+1, zones), 1)
+	most := c.MaxLostDisks + 1
+	return spread{zones: max(min(most, zones), 1), disks: max(min(most, disks), 1)}
 }
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
 )
 
 // keepWithin keeps a turn of a program for a caller that waits for a limited time.
@@ -173,6 +174,28 @@
 	}
 }
 
+// Guards against a turn that a zone keeps on one disk while it is cut off, though it has three, and
+// that is lost with that disk (LOST on bulles-pull-grown).
+func TestTurnOfACutZoneIsOnAsManyDisksAsItNeeds(t *testing.T) {
+	f := newFixture(t)
+	f.startCopy(t, "a-2", "a")
+	f.startCopy(t, "a-3", "a")
+	f.client.MaxLostDisks = 2
+	f.cut["b"], f.cut["c"] = true, true
+	if err := f.keepWithin(t, "p", 3*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, known := range f.copies {
+		var a jkledger.ChainAnswer
+		if err := f.client.Pool.Call(t.Context(), known.Addr, jkledger.TypeChain, &jkledger.ChainRequest{Request: "1"}, &a); err != nil {
+			t.Fatal(err)
+		}
+		if holds := a.Missing == ""; holds != (known.Zone == "a") {
+			t.Errorf("copy on %s holds the turn: %t", known.Host, holds)
+		}
+	}
+}
+
 // Guards against two hosts of one zone that count as two zones.
 func TestHostsOfOneZoneCountOnce(t *testing.T) {
 	k := newFixture(t).client.newKeepOperation(jkforward.Turn{})
@@ -180,8 +203,8 @@
 		k.targets = append(k.targets, Copy{Host: host, Zone: "a"})
 		k.set(host, outcomeWritten)
 	}
-	if n := k.writtenZones(); n != 1 {
-		t.Errorf("%d zones hold the turn, want 1", n)
+	if n := k.written(); n != (spread{zones: 1, disks: 2}) {
+		t.Errorf("%d zones and %d disks hold the turn, want 1 and 2", n.zones, n.disks)
 	}
 }
 
