account: log and count the turns that are kept in few zones

The logs of an incident couldn't tell whether a lost turn had been on as many disks as it needs: only failures were logged. A turn that counts with fewer zones than disks may be lost, and one more, now has a line with the zones, the disks and each copy's outcome, and a result of its own in jk_turns_kept_total.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -53,18 +53,26 @@
 	began := c.Timer.Now()
 	k := c.newKeepOperation(t)
 	err := k.run(ctx)
+	written := k.written()
 	k.end()
 	took := c.Timer.Now().Sub(began)
-	c.Metrics.observeKeep(keepResultOf(ctx, err), took)
-	if err != nil {
+	result := c.keepResultOf(ctx, written, err)
+	c.Metrics.observeKeep(result, took)
+	switch {
+	case err != nil:
 		c.Log.Warn("turn reached too few copies", "request", t.Request, "program", t.Program,
 			"copies", k.describe(), "took", took, "error", err)
+	case result == keepFewZones:
+		c.Log.Info("turn kept in few zones", "request", t.Request, "program", t.Program,
+			"zones", written.zones, "disks", written.disks, "copies", k.describe(), "took", took)
 	}
 	return err
 }
 
-func keepResultOf(ctx context.Context, err error) keepResult {
+func (c *Client) keepResultOf(ctx context.Context, written spread, err error) keepResult {
 	switch {
+	case err == nil && written.zones < min(c.MaxLostDisks+1, c.ZoneCount):
+		return keepFewZones
 	case err == nil:
 		return keepWritten
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
--- a/core/jkaccount/metrics.go
+++ b/core/jkaccount/metrics.go
@@ -17,7 +17,9 @@
 type keepResult string
 
 const (
-	keepWritten    keepResult = "kept"
+	keepWritten keepResult = "kept"
+	// The zones in reach hold the turn, which are fewer than usual.
+	keepFewZones   keepResult = "kept_in_few_zones"
 	keepTooFew     keepResult = "too_few_copies"
 	keepTimedOut   keepResult = "time_used_up"
 	keepCallerLeft keepResult = "caller_left"
