account: refuse turns that can't be on as many disks as they need

Callers saw 404 and 503 for turns that had been answered whole, if all hosts were killed as a cut ended, and the disks of the zone that had been cut off were lost: a zone with no more disks than may be lost at once took them for enough.

Cause: as before, a turn counted with the copies that happened to be in reach.

Change: a turn counts with MaxLostDisks+1 disks only. An entry whose zones in reach have fewer refuses it before it runs (503 with a Retry-After); a stream that has run isn't completed. Routes that don't keep turns are served as before. Copies that only others reach count, since messages are relayed.

--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -78,7 +78,7 @@
 
 // Account returns the client's functions for a request handler.
 func (c *Client) Account() jkforward.Account {
-	return jkforward.Account{Reserve: c.Reserve, Settle: c.Settle, Chain: c.Chain, Keep: c.Keep}
+	return jkforward.Account{Reserve: c.Reserve, Settle: c.Settle, Chain: c.Chain, CanKeep: c.CanKeep, Keep: c.Keep}
 }
 
 // callTimeout bounds one call of a copy. It covers some round trips between zones and a
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -264,22 +264,31 @@
 
 // requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
 // MaxLostDisks+1 each, so that the loss of MaxLostDisks disks leaves one copy. During a network
-// partition the zones that can be reached have to do, each with several copies if it has them,
-// and the outbox continues to deliver the turn to the others.
+// partition the zones that can be reached have to do, with several copies in one zone, and the
+// outbox continues to deliver the turn to the others.
 func (c *Client) requiredSpread() spread {
-	reachable, disks := map[string]bool{}, 0
-	for _, target := range c.knownCopies() {
-		if c.Reachable(target.Host) {
-			disks++
+	copies := c.knownCopies()
+	zones := map[string]bool{}
+	for _, target := range copies {
+		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+			zones[target.Zone] = true
 		}
-		reachable[target.Zone] = reachable[target.Zone] || c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
 	}
-	zones := 0
-	for _, isReachable := range reachable {
-		if isReachable {
-			zones++
+	most := c.MaxLostDisks + 1
+	return spread{zones: max(min(most, len(zones)), 1), disks: max(min(most, len(copies)), 1)}
+}
+
+// CanKeep returns a *jkforward.NoQuorumError if the zones in reach have fewer copies than have to
+// hold a turn.
+func (c *Client) CanKeep() error {
+	inReach := 0
+	for _, target := range c.knownCopies() {
+		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+			inReach++
 		}
 	}
-	most := c.MaxLostDisks + 1
-	return spread{zones: max(min(most, zones), 1), disks: max(min(most, disks), 1)}
+	if needed := c.requiredSpread().disks; inReach < needed {
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: inReach, Needed: needed}
+	}
+	return nil
 }
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -97,6 +98,7 @@
 // before the entry has noticed.
 func TestTurnIsKeptOnceACutIsNoticed(t *testing.T) {
 	f := newFixture(t)
+	f.startCopy(t, "a-2", "a")
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -104,7 +106,7 @@
 	t.Cleanup(func() { _ = silent.Close() })
 	f.copies[1].Addr, f.copies[2].Addr = silent.Addr().String(), silent.Addr().String()
 	var noticed atomic.Bool
-	f.client.Reachable = func(host string) bool { return host == "a" || !noticed.Load() }
+	f.client.Reachable = func(host string) bool { return host == "a" || host == "a-2" || !noticed.Load() }
 	f.client.ZoneReachable = func(zone string) bool { return zone == "a" || !noticed.Load() }
 	time.AfterFunc(800*time.Millisecond, func() { noticed.Store(true) })
 	if err := f.keepWithin(t, "p", 3*time.Second); err != nil {
@@ -116,8 +118,9 @@
 // one message.
 func TestBacklogLargerThanAMessageIsDelivered(t *testing.T) {
 	f := newFixture(t)
+	f.startCopy(t, "a-2", "a")
 	var back atomic.Bool
-	f.client.Reachable = func(host string) bool { return host == "a" && !back.Load() || host == "c" && back.Load() }
+	f.client.Reachable = func(host string) bool { return (host == "c") == back.Load() && host != "b" }
 	f.client.ZoneReachable = func(zone string) bool { return zone == "a" || back.Load() }
 	const turns = 20
 	for i := range turns {
@@ -196,6 +199,33 @@
 	}
 }
 
+// Guards against a turn that a zone keeps on too few disks while it is cut off, and that is lost
+// with them: it is refused before it runs, and a stream that has run isn't completed.
+func TestTurnOfACutZoneWithTooFewDisksIsNotAccepted(t *testing.T) {
+	f := newFixture(t)
+	f.cut["b"], f.cut["c"] = true, true
+	var noQuorum *jkforward.NoQuorumError
+	if err := f.client.CanKeep(); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+		t.Errorf("error is %v, want a *NoQuorumError with 1 of 2", err)
+	}
+	if err := f.keepWithin(t, "p", 300*time.Millisecond); err == nil {
+		t.Error("the turn counts as kept on one disk")
+	}
+	f.cut["b"] = false
+	if err := f.client.CanKeep(); err != nil {
+		t.Errorf("with two zones in reach: %v", err)
+	}
+}
+
+// Guards against turns that are refused at an entry that reaches the copies through other hosts only.
+func TestTurnIsAcceptedIfOthersReachTheCopies(t *testing.T) {
+	f := newFixture(t)
+	f.client.Reachable = func(string) bool { return false }
+	if err := f.client.CanKeep(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against two hosts of one zone that count as two zones.
 func TestHostsOfOneZoneCountOnce(t *testing.T) {
 	k := newFixture(t).client.newKeepOperation(jkforward.Turn{})
--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -32,8 +32,9 @@
 // written.
 func TestRecordsReachACopyThatReturns(t *testing.T) {
 	f := newFixture(t)
+	f.startCopy(t, "a-2", "a")
 	var back atomic.Bool
-	f.client.Reachable = func(host string) bool { return host == "a" && !back.Load() || host == "c" && back.Load() }
+	f.client.Reachable = func(host string) bool { return (host == "c") == back.Load() && host != "b" }
 	f.client.ZoneReachable = func(zone string) bool { return zone == "a" || back.Load() }
 	f.keep(t, jkforward.Turn{Request: "1", Input: []byte("in "), Output: []byte("out\n")})
 	back.Store(true)
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -46,6 +46,8 @@
 	// given request, which usually belongs to the program. It fails with an
 	// *UnknownTurnError or a *NoQuorumError.
 	Chain func(ctx context.Context, program, request string) ([]byte, error)
+	// CanKeep fails with a *NoQuorumError if Keep would wait for copies that are out of reach.
+	CanKeep func() error
 	// Keep returns once the turn is on enough copies to survive the tolerated
 	// number of failures, and retries until the context ends. It also settles the
 	// turn's reservation.
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -247,6 +247,7 @@
 	settled    []string
 	kept       []string
 	failKeep   bool
+	canKeepErr error
 	// keep, if set, replaces the result of failKeep.
 	keep func(ctx context.Context) error
 }
@@ -265,6 +266,7 @@
 			}
 			return nil, &UnknownTurnError{Request: request}
 		},
+		CanKeep: func() error { return m.canKeepErr },
 		Keep: func(ctx context.Context, t Turn) error {
 			if m.keep != nil {
 				return m.keep(ctx)
@@ -438,6 +440,9 @@
 				if d.HasArg("spent") {
 					f.memoryAccount.reserveErr = &BudgetSpentError{Program: "p"}
 				}
+				if d.HasArg("unkeepable") {
+					f.memoryAccount.canKeepErr = &NoQuorumError{Operation: "keep", Answers: 1, Needed: 2}
+				}
 				if d.HasArg("uncertain") {
 					f.memoryAccount.reserveErr = &NoQuorumError{Operation: "reserve", Needed: 2}
 				}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -77,7 +77,7 @@
 	}
 	defer h.finish(c)
 	defer func() { h.outputs.release(len(c.output)) }()
-	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.readBody, h.Crashes.refusal, h.prependChain, h.reserve} {
+	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.readBody, h.Crashes.refusal, h.checkCopies, h.prependChain, h.reserve} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
@@ -149,6 +149,18 @@
 	return body, err
 }
 
+// checkCopies refuses a turn that couldn't be stored at its end.
+func (h *Handler) checkCopies(c *call) *refusal {
+	if !c.route.Retain() {
+		return nil
+	}
+	if err := h.Account.CanKeep(); err != nil {
+		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
+		return refusalForError(err)
+	}
+	return nil
+}
+
 // prependChain sets the body to the earlier turns of the chain, followed by the
 // turn's own input.
 func (h *Handler) prependChain(c *call) *refusal {
