vault: count a copy as complete only with the records of all hosts that it needs

Callers got a 404 for a turn that had been answered whole, or could get one after the next loss of disks: a copy that had lost its disk was certain, and wrote its marker, once one certain source had been copied. Where a zone has several storage hosts, each of them has a part of the records, so that the copy answered for records that it didn't have. After a restart in between it asked for the last ten seconds only. A source that didn't answer was tried once. With one storage host a zone, a copy was certain although a host was down whose disk had the turn.

The vault now tracks of which other copies it has copied everything since it opened without its marker. It is certain once one of them was certain and all known storage hosts were copied but MaxLostDisks-1, less the copied ones that weren't certain: a turn is on MaxLostDisks+1 disks, its own is one of those lost, and an uncertain source is another. A host that the store's first list doesn't name is new, has lost nothing and may do without one more, so that the replacement of a host that is gone doesn't wait for the removal of its entry. To tell, a copy that isn't certain writes its own entry after the first list. Leaving hosts count until their entry says that they have handed over. Copying from an incomplete source counts as copied, so that copies without disks don't wait for each other. The second catch-up reaches back to the start of the recovery.

Tests that call CatchUp with one source are unchanged.

--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -100,6 +100,20 @@
 	return out
 }
 
+// sources returns the other hosts whose copies of the ledger may have records that no other host
+// has. Those that are leaving count until they have handed theirs over.
+func (m *members) sources(self string) []HostEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []HostEntry
+	for _, h := range m.hosts {
+		if h.Ledger && !h.HandedOver && h.Host != self {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // senders returns the entries that send requests to endpoints, ordered by name: those that
 // are reachable, and always the given one.
 func (m *members) senders(self jkforward.Host, reachable func(host string) bool) []jkforward.Host {
--- /dev/null
+++ b/core/jkentry/recovery.go
@@ -0,0 +1,105 @@
+package jkentry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"jasmineknot.example/core/jkvault"
+)
+
+// uncertainRetryInterval is the time between two attempts to copy all records of a host whose
+// own copy is incomplete.
+const uncertainRetryInterval = 2 * time.Second
+
+// recovery copies all records of the other storage hosts to a copy that is incomplete.
+type recovery struct {
+	*Storage
+	// uncertainAt is when the incomplete copies were last asked again.
+	uncertainAt time.Time
+	// logged describes the progress that was last logged.
+	logged string
+}
+
+// recover copies all records of the other storage hosts until this copy is certain. It goes on
+// in the background with those that didn't answer.
+func (t *Storage) recover(ctx context.Context) {
+	r := &recovery{Storage: t, uncertainAt: t.timer.Now()}
+	for {
+		r.copyMissing(ctx)
+		if t.vault.CheckComplete() {
+			break
+		}
+		r.logProgress()
+		if !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
+			return
+		}
+	}
+	go r.copyRest(ctx)
+}
+
+// copyRest copies the records of the hosts that the copy could do without, until each of them
+// was copied or removed.
+func (r *recovery) copyRest(ctx context.Context) {
+	for {
+		p := r.vault.Recovery()
+		if len(p.Missing)+len(p.Uncertain) == 0 || !r.timer.Wait(catchUpRetryInterval, ctx.Done()) {
+			return
+		}
+		r.copyMissing(ctx)
+	}
+}
+
+// copyMissing tries once to copy from each host in reach of which records are missing.
+func (r *recovery) copyMissing(ctx context.Context) {
+	p := r.vault.Recovery()
+	sources := p.Missing
+	if r.timer.Now().Sub(r.uncertainAt) >= uncertainRetryInterval {
+		r.uncertainAt = r.timer.Now()
+		sources = append(sources, p.Uncertain...)
+	}
+	for _, source := range sources {
+		if r.probes.Reachable(source.Host) && r.vault.CatchUp(ctx, []string{source.Addr}, 0) {
+			r.sources.copied(source.Host)
+		}
+	}
+}
+
+// logProgress logs what the copy waits for, if that has changed.
+func (r *recovery) logProgress() {
+	p := r.vault.Recovery()
+	missing, uncertain := sourceNames(p.Missing), sourceNames(p.Uncertain)
+	if progress := missing + ";" + uncertain; progress != r.logged {
+		r.logged = progress
+		r.log.Info("ledger incomplete", "missing", missing, "uncertain", uncertain)
+	}
+}
+
+func sourceNames(sources []jkvault.Source) string {
+	var out []string
+	for _, s := range sources {
+		out = append(out, s.Host)
+	}
+	return strings.Join(out, ",")
+}
+
+// recoverySources returns the other hosts whose records an incomplete copy needs, and whether
+// all of them are known. Hosts of a zone with few of them come first, since each has more, and
+// those of the own zone last.
+func (t *Storage) recoverySources() (sources []jkvault.Source, allKnown bool) {
+	hosts := t.members.sources(t.settings.Host)
+	inZone := map[string]int{}
+	for _, h := range hosts {
+		inZone[h.Zone]++
+	}
+	inZone[t.settings.Zone] = len(hosts) + 1
+	slices.SortFunc(hosts, func(a, b HostEntry) int {
+		return cmp.Or(cmp.Compare(inZone[a.Zone], inZone[b.Zone]), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Host, b.Host))
+	})
+	for _, h := range hosts {
+		sources = append(sources, jkvault.Source{Host: h.Host, Addr: h.Addr})
+	}
+	return sources, t.isListed()
+}
--- /dev/null
+++ b/core/jkentry/recovery_test.go
@@ -0,0 +1,215 @@
+package jkentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkaccount"
+	"jasmineknot.example/core/jkfollow"
+)
+
+// recoveryFixture is a fleet of storage hosts whose programs are spread over the hosts of zone
+// b, so that none of these has all of them.
+type recoveryFixture struct {
+	t         *testing.T
+	store     *memoryStore
+	entries   map[string]HostEntry
+	lostDisks int
+}
+
+const recoveryPrograms = 200
+
+func newRecoveryFixture(t *testing.T, lostDisks int, hosts ...string) *recoveryFixture {
+	f := &recoveryFixture{t: t, store: &memoryStore{items: map[string]jkfollow.Item{}}, entries: map[string]HostEntry{}, lostDisks: lostDisks}
+	for _, host := range hosts {
+		f.entries[host] = announceStorage(t, f.store, host, host[:1])
+	}
+	return f
+}
+
+// settings returns the settings of a storage host whose disk is new.
+func (f *recoveryFixture) settings(host string, first bool) Settings {
+	s := storageSettings(f.t, f.entries[host], first)
+	s.LostDisks = f.lostDisks
+	return s
+}
+
+// source returns the settings of a storage host that is down and whose disk has its part of the
+// programs.
+func (f *recoveryFixture) source(host string) Settings {
+	f.t.Helper()
+	s := f.settings(host, true)
+	var copies []jkaccount.Copy
+	for _, e := range f.entries {
+		copies = append(copies, jkaccount.Copy{Host: e.Host, Addr: e.Addr, Zone: e.Zone})
+	}
+	alone := runStorageWith(f.t, s, (&memoryStore{items: map[string]jkfollow.Item{}}).platform())
+	alone.writeHeld(f.t, recoveryPrograms, jkaccount.ReplicaFilter(host, copies, func(string) bool { return false }))
+	alone.stop()
+	s.First = false
+	return s
+}
+
+func (f *recoveryFixture) run(s Settings) runningStorage {
+	f.t.Helper()
+	return runStorageWith(f.t, s, f.store.platform())
+}
+
+// down occupies the address of a host that never runs, so that no other process gets it.
+func (f *recoveryFixture) down(host string) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", f.entries[host].Addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+}
+
+// put writes a host's entry, or removes it if next is nil.
+func (f *recoveryFixture) put(host string, next *HostEntry) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.write(host, next)
+}
+
+// entry returns a host's entry in the store.
+func (f *recoveryFixture) entry(host string) HostEntry {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var e HostEntry
+	if err := json.Unmarshal(f.store.items[host].Value, &e); err != nil {
+		f.t.Error(err)
+	}
+	return e
+}
+
+// awaitComplete waits until a copy is certain and has all programs.
+func awaitComplete(t *testing.T, s runningStorage) {
+	t.Helper()
+	eventually(t, "complete copy on "+s.settings.Host, s.vault.Certain)
+	if s.turns() != recoveryPrograms {
+		t.Errorf("%s is certain with %d turns, want %d", s.settings.Host, s.turns(), recoveryPrograms)
+	}
+}
+
+// staysUncertain checks that a copy isn't certain although it has copied what it reaches.
+func staysUncertain(t *testing.T, s runningStorage, turns int) {
+	t.Helper()
+	eventually(t, fmt.Sprint(turns, " copied turns"), func() bool { return s.turns() >= turns })
+	for end := time.Now().Add(2 * catchUpRetryInterval); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.vault.Certain() {
+			t.Fatalf("%s is certain with %d of %d turns", s.settings.Host, s.turns(), recoveryPrograms)
+		}
+	}
+}
+
+// Guards against a copy that counts as complete after one of several sources, and that never
+// asks those again that didn't answer (inc39).
+func TestCopyWithLostDiskWaitsForAllHosts(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2")
+	first, second := f.run(f.source("b-1")), f.source("b-2")
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, first.turns())
+	f.run(second)
+	awaitComplete(t, wiped)
+}
+
+// Guards against two copies with lost disks that wait for each other without end.
+func TestTwoHostsWithLostDisksRecoverTogether(t *testing.T) {
+	f := newRecoveryFixture(t, 2, "a-1", "b-1", "b-2", "c-1")
+	f.run(f.source("b-1"))
+	f.run(f.source("b-2"))
+	x, y := f.run(f.settings("a-1", false)), f.run(f.settings("c-1", false))
+	awaitComplete(t, x)
+	awaitComplete(t, y)
+}
+
+// Guards against a copy that isn't certain as long as a host is down, although it needs none
+// but those that answer, and against one that never asks that host when it is back.
+func TestCopyWithLostDiskDoesWithoutAnExcusedHost(t *testing.T) {
+	f := newRecoveryFixture(t, 2, "a-1", "b-1", "b-2")
+	first, second := f.run(f.source("b-1")), f.source("b-2")
+	wiped := f.run(f.settings("a-1", false))
+	eventually(t, "certain copy", wiped.vault.Certain)
+	if wiped.turns() != first.turns() {
+		t.Errorf("%d turns, want the %d of the host that is up", wiped.turns(), first.turns())
+	}
+	f.run(second)
+	eventually(t, "turns of the excused host", func() bool { return wiped.turns() == recoveryPrograms })
+}
+
+// Guards against the replacement of a host that is gone for good, which isn't certain until the
+// entry of the former host is removed.
+func TestNewHostDoesWithoutAHostThatIsGone(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1")
+	f.down("a-1")
+	f.run(f.source("b-1"))
+	f.entries["a-2"] = HostEntry{Host: "a-2", Zone: "a", Addr: freeAddr(t), Ledger: true}
+	replacement := f.run(f.settings("a-2", false))
+	eventually(t, "certain copy on a new host", replacement.vault.Certain)
+}
+
+// Guards against copies that wait for hosts that were removed.
+func TestCopyWithLostDiskIgnoresRemovedHosts(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	f.down("c-1")
+	source := f.run(f.source("b-1"))
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, source.turns())
+	f.put("c-1", nil)
+	awaitComplete(t, wiped)
+}
+
+// Guards against a copy that is certain without the records of a leaving host that is down, and
+// against one that waits for a host that was emptied.
+func TestCopyWithLostDiskWaitsForALeavingHost(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	f.down("c-1")
+	source := f.run(f.source("b-1"))
+	leaving := f.entries["c-1"]
+	leaving.Leaving = true
+	f.put("c-1", &leaving)
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, source.turns())
+	leaving.HandedOver = true
+	f.put("c-1", &leaving)
+	awaitComplete(t, wiped)
+}
+
+// Guards against an emptied host for whose records others wait after it was removed.
+func TestEmptiedHostSaysThatItHasHandedOver(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	retiring := f.run(f.source("a-1"))
+	f.run(f.settings("b-1", true))
+	f.run(f.settings("c-1", true))
+	completed := make(chan HostEntry, 1)
+	retiring.platform.PutRetireStatus = func(_ context.Context, host string, isCompleted bool) error {
+		if isCompleted {
+			completed <- f.entry(host)
+		}
+		return nil
+	}
+	eventually(t, "listed hosts", func() bool { return len(retiring.otherCopies()) == 2 })
+	go retiring.retire(retiring.running, time.Minute)
+	select {
+	case e := <-completed:
+		if !e.Leaving || !e.HandedOver {
+			t.Errorf("entry is %+v when the host is reported as emptied, want leaving and handed over", e)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("not emptied within 3s")
+	}
+}
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -68,6 +68,8 @@
 	Ledger bool `json:"ledger"`
 	// Leaving is set while the host hands its records over before it is removed.
 	Leaving bool `json:"leaving"`
+	// HandedOver is set once a leaving host has handed its records over.
+	HandedOver bool `json:"handed_over,omitempty"`
 	// Suspected is set by another host that gets no answer from this one. A host that is
 	// alive refutes it by writing its entry again.
 	Suspected bool `json:"suspected,omitempty"`
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -53,6 +53,8 @@
 	// takeovers holds the hosts whose programs are being taken over.
 	takeovers map[string]bool
 	sources   *copySources
+	// wasListed is set if the first list of the store had an entry of this host.
+	wasListed atomic.Bool
 	// hostsListed is closed after the first complete list of the store.
 	hostsListed chan struct{}
 	listOnce    sync.Once
@@ -64,7 +66,11 @@
 	t.running, t.end = context.WithCancel(context.Background())
 	self := jkwire.Hello{Host: s.Host, Zone: s.Zone, Version: jkwire.ProtocolVersion}
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
-	vault, err := jkvault.Open(jkvault.Options{Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First, Holds: t.holds, TakesOver: t.takesOver, Behind: t.behind, Losses: t.losses})
+	vault, err := jkvault.Open(jkvault.Options{
+		Timer: timer, Log: log.Part("ledger"), Folder: s.Folder, Pool: t.peers, First: s.First,
+		Holds: t.holds, TakesOver: t.takesOver, Behind: t.behind, Losses: t.losses,
+		Sources: t.recoverySources, MaxLostDisks: s.LostDisks, IsNew: func() bool { return !t.wasListed.Load() },
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -143,7 +149,7 @@
 	})
 	t.follower.Store(follower)
 	go follower.Run(ctx)
-	go t.registry.run(ctx)
+	go t.announce(ctx)
 	go t.catchUp(ctx)
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
 	<-stop
@@ -158,6 +164,36 @@
 	t.log.Info("storage stopped")
 }
 
+// announce writes and maintains the host's entry. The entry of a copy that isn't certain would
+// hide whether the store's first list has an earlier one.
+func (t *Storage) announce(ctx context.Context) {
+	if !t.vault.Certain() && !t.waitForList(ctx) {
+		return
+	}
+	t.registry.run(ctx)
+}
+
+// waitForList waits for the first complete list of the store and reports whether there is one
+// before the context ends.
+func (t *Storage) waitForList(ctx context.Context) bool {
+	select {
+	case <-t.hostsListed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isListed reports whether there has been a complete list of the store.
+func (t *Storage) isListed() bool {
+	select {
+	case <-t.hostsListed:
+		return true
+	default:
+		return false
+	}
+}
+
 // hostEntry returns the host's own entry for the store.
 func (t *Storage) hostEntry(leaving bool) HostEntry {
 	return HostEntry{Host: t.settings.Host, Zone: t.settings.Zone, Addr: t.settings.Inner, Ledger: true, Leaving: leaving}
@@ -175,30 +211,32 @@
 // flight when it became unreachable is retried for a second, and a few times after that.
 const catchUpMargin = 3 * time.Second
 
-// catchUp copies the records of the other storage hosts once they are known. A host that
-// has lost its disk retries until another copy has answered.
+// catchUp copies the records of the other storage hosts once they are known, and a second time
+// after secondCatchUpDelay.
 func (t *Storage) catchUp(ctx context.Context) {
-	select {
-	case <-t.hostsListed:
-	case <-ctx.Done():
+	if !t.waitForList(ctx) {
 		return
 	}
-	for ctx.Err() == nil {
-		certain := false
-		for _, c := range t.otherCopies() {
-			if t.vault.CatchUp(ctx, []string{c.Addr}, t.vault.CatchUpWindow()) {
-				certain = true
-				t.sources.copied(c.Host)
-			}
-		}
-		if certain || t.vault.Certain() {
-			break
-		}
-		t.timer.Wait(catchUpRetryInterval, ctx.Done())
+	window := secondCatchUpDelay
+	if t.vault.Certain() {
+		t.copyFromAll(ctx)
+	} else {
+		began := t.timer.Now()
+		t.recover(ctx)
+		window += t.timer.Now().Sub(began)
 	}
 	t.timer.Wait(secondCatchUpDelay, ctx.Done())
 	if ctx.Err() == nil {
-		t.vault.CatchUp(ctx, t.otherCopyAddrs(), secondCatchUpDelay+catchUpMargin)
+		t.vault.CatchUp(ctx, t.otherCopyAddrs(), window+catchUpMargin)
+	}
+}
+
+// copyFromAll copies what the other storage hosts have recorded while this one was down.
+func (t *Storage) copyFromAll(ctx context.Context) {
+	for _, c := range t.otherCopies() {
+		if t.vault.CatchUp(ctx, []string{c.Addr}, t.vault.CatchUpWindow()) {
+			t.sources.copied(c.Host)
+		}
 	}
 }
 
@@ -235,6 +273,9 @@
 	}
 	switch {
 	case change.Host != nil:
+		if change.Host.Host == t.settings.Host && !t.isListed() {
+			t.wasListed.Store(true)
+		}
 		t.hostAppeared(*change.Host)
 		t.members.set(*change.Host)
 		if change.Host.Leaving {
@@ -289,9 +330,7 @@
 	if !h.Ledger || h.Host == t.settings.Host || t.members.has(h.Host) {
 		return
 	}
-	select {
-	case <-t.hostsListed:
-	default:
+	if !t.isListed() {
 		// catchUp copies from the hosts of the first list.
 		t.sources.add(h, !t.settings.First)
 		return
@@ -357,6 +396,9 @@
 		t.log.Warn("host not emptied", "error", err)
 		t.timer.Wait(catchUpRetryInterval, ctx.Done())
 	}
+	handedOver := t.hostEntry(true)
+	handedOver.HandedOver = true
+	t.registry.setOwn(ctx, handedOver)
 	t.reportRetire(ctx, true)
 }
 
--- a/core/jkentry/takeover_test.go
+++ b/core/jkentry/takeover_test.go
@@ -1,8 +1,10 @@
 package jkentry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,9 +36,45 @@
 // empty disk in a fleet that is in use.
 func runStorage(t *testing.T, e HostEntry, first bool, p Platform) runningStorage {
 	t.Helper()
-	s, err := NewStorage(Settings{
+	return runStorageWith(t, storageSettings(t, e, first), p)
+}
+
+func storageSettings(t *testing.T, e HostEntry, first bool) Settings {
+	t.Helper()
+	return Settings{
 		Host: e.Host, Zone: e.Zone, Zones: []string{"a", "b", "c"}, Inner: e.Addr, Folder: t.TempDir(), First: first, LostDisks: 1,
-	}, p, jktimer.New(), jklog.Discard())
+	}
+}
+
+// logBuffer collects the log of one host.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(line)
+}
+
+// failureLog returns a logger whose lines are printed if the test fails.
+func failureLog(t *testing.T, host string, timer *jktimer.Service) jklog.Logger {
+	var b logBuffer
+	t.Cleanup(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", host, b.buf.String())
+		}
+	})
+	return jklog.New(&b, timer.Now)
+}
+
+func runStorageWith(t *testing.T, settings Settings, p Platform) runningStorage {
+	t.Helper()
+	timer := jktimer.New()
+	s, err := NewStorage(settings, p, timer, failureLog(t, settings.Host, timer))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,12 +94,21 @@
 
 // write adds one turn of each program to a storage host.
 func (s runningStorage) write(t *testing.T, programs int) {
+	t.Helper()
+	s.writeHeld(t, programs, func(string) bool { return true })
+}
+
+// writeHeld adds one turn of each program that is held to a storage host.
+func (s runningStorage) writeHeld(t *testing.T, programs int, isHeld func(program string) bool) {
 	t.Helper()
 	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "e", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{}})
 	defer pool.Close()
 	m := jkledger.WriteRequest{Sync: true}
 	for i := range programs {
 		name := fmt.Sprint(i)
+		if !isHeld(name) {
+			continue
+		}
 		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: name, Program: name, Retention: time.Minute}})
 	}
 	if err := pool.Call(context.Background(), s.settings.Inner, jkledger.TypeWrite, &m, nil); err != nil {
--- /dev/null
+++ b/core/jkvault/recovery_test.go
@@ -0,0 +1,142 @@
+package jkvault
+
+import (
+	"context"
+	"testing"
+)
+
+// copyFrom copies all records of other nodes, one after the other.
+func (n *node) copyFrom(others ...*node) {
+	for _, other := range others {
+		n.vault.CatchUp(context.Background(), []string{other.addr}, 0)
+	}
+}
+
+// knows sets the other copies that a node knows, and the number of disks that may be lost.
+func (n *node) knows(lostDisks int, others ...*node) {
+	var sources []Source
+	for _, other := range others {
+		sources = append(sources, Source{Host: other.folder, Addr: other.addr})
+	}
+	n.vault.Sources = func() ([]Source, bool) { return sources, true }
+	n.vault.MaxLostDisks = lostDisks
+}
+
+// Guards against a copy that counts as complete with the records of the first certain source,
+// while each of several sources has other ones (inc39), also after a restart in between.
+func TestCopyIsCertainOnlyWithTheRecordsOfAllSources(t *testing.T) {
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	wiped := start(t, t.TempDir(), false)
+	a.writeTurns(t, wiped, "1", "2")
+	b.writeTurns(t, wiped, "3", "4")
+	wiped.knows(1, a, b)
+	wiped.copyFrom(a)
+	if wiped.vault.Certain() {
+		t.Errorf("the copy is certain with %d of 4 turns", wiped.turns())
+	}
+	wiped.stop()
+	again := start(t, wiped.folder, false)
+	again.knows(1, a, b)
+	if again.vault.Certain() || again.vault.CatchUpWindow() != 0 {
+		t.Errorf("certain %t after a restart with a window of %s, want false without a limit", again.vault.Certain(), again.vault.CatchUpWindow())
+	}
+	again.copyFrom(b)
+	if again.vault.Certain() {
+		t.Error("the copy is certain without what the first source added during the restart")
+	}
+	again.copyFrom(a)
+	if !again.vault.Certain() || again.turns() != 4 {
+		t.Errorf("certain %t with %d turns, want true with 4", again.vault.Certain(), again.turns())
+	}
+	again.stop()
+	if !start(t, wiped.folder, false).vault.Certain() {
+		t.Error("the complete copy isn't certain after a restart")
+	}
+}
+
+// Guards against two copies with lost disks that never become certain because each waits for
+// the other one.
+func TestTwoCopiesWithLostDisksBecomeCertain(t *testing.T) {
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	x, y := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	a.writeTurns(t, x, "1", "2")
+	b.writeTurns(t, x, "3", "4")
+	x.knows(2, a, b, y)
+	y.knows(2, a, b, x)
+	x.copyFrom(a, y, b)
+	y.copyFrom(x, b, a)
+	for name, n := range map[string]*node{"x": x, "y": y} {
+		if !n.vault.Certain() || n.turns() != 4 {
+			t.Errorf("%s is certain %t with %d turns, want true with 4", name, n.vault.Certain(), n.turns())
+		}
+	}
+}
+
+// Guards against turns that are reported as unknown while they are on a disk of a host that is
+// only down (inc39), and against copies that wait for hosts that they don't need.
+func TestCopyIsCertainWithoutAsManySourcesAsMayBeLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		lostDisks, copied, uncertain, missing int
+		isNew, want                           bool
+	}{
+		"one disk may be lost":                   {lostDisks: 1, copied: 2, missing: 1},
+		"one disk may be lost, all copied":       {lostDisks: 1, copied: 2, want: true},
+		"two disks may be lost":                  {lostDisks: 2, copied: 2, missing: 1, want: true},
+		"two disks may be lost, two missing":     {lostDisks: 2, copied: 1, missing: 2},
+		"another disk was lost":                  {lostDisks: 2, copied: 2, uncertain: 1, missing: 1},
+		"another disk was lost, all copied":      {lostDisks: 2, copied: 1, uncertain: 1, want: true},
+		"more disks than allowed are lost":       {lostDisks: 1, copied: 1, uncertain: 2, want: true},
+		"no source is certain":                   {lostDisks: 3, uncertain: 1},
+		"new host":                               {lostDisks: 1, copied: 1, missing: 1, isNew: true, want: true},
+		"new host, two missing":                  {lostDisks: 1, copied: 1, missing: 2, isNew: true},
+		"new host, another disk was lost":        {lostDisks: 1, copied: 1, uncertain: 1, missing: 1, isNew: true},
+		"no disk may be lost, one source is off": {lostDisks: 0, copied: 1, missing: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sources []*node
+			for range c.copied {
+				sources = append(sources, start(t, t.TempDir(), true))
+			}
+			for range c.uncertain {
+				sources = append(sources, start(t, t.TempDir(), false))
+			}
+			for range c.missing {
+				down := start(t, t.TempDir(), true)
+				down.stop()
+				sources = append(sources, down)
+			}
+			n := start(t, t.TempDir(), false)
+			n.knows(c.lostDisks, sources...)
+			n.vault.IsNew = func() bool { return c.isNew }
+			n.copyFrom(sources...)
+			if got := n.vault.Certain(); got != c.want {
+				t.Errorf("certain %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a copy that counts as complete before it knows from which hosts it has to copy.
+func TestCopyIsNotCertainBeforeItsSourcesAreKnown(t *testing.T) {
+	a, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	allKnown := false
+	n.vault.Sources = func() ([]Source, bool) { return nil, allKnown }
+	n.copyFrom(a)
+	if n.vault.Certain() {
+		t.Error("the copy is certain before its sources are known")
+	}
+	allKnown = true
+	if !n.vault.CheckComplete() {
+		t.Error("the copy isn't certain with the records of all sources")
+	}
+}
+
+// Guards against a copy that counts as complete after it has copied recent records only.
+func TestRecentRecordsDoNotCompleteACopy(t *testing.T) {
+	a, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	n.knows(1, a)
+	n.vault.CatchUp(context.Background(), []string{a.addr}, catchUpMargin)
+	if n.vault.Certain() {
+		t.Error("the copy is certain without older records")
+	}
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -43,6 +43,13 @@
 	Behind func() bool
 	// Losses returns the hosts of other copies that don't answer; nil means that all do.
 	Losses func() jkledger.Losses
+	// Sources returns the other copies that may have records which this one lacks, and whether
+	// all of them are known. Nil means that there are none.
+	Sources func() (sources []Source, allKnown bool)
+	// MaxLostDisks is the number of disks that may be lost at once without losing records.
+	MaxLostDisks int
+	// IsNew reports whether the host of this copy had none before. Nil means that it had one.
+	IsNew func() bool
 	// First is set when the whole system starts for the first time, so that an empty
 	// folder isn't a lost disk.
 	First bool
@@ -53,8 +60,11 @@
 	Options
 
 	openedAt time.Time
-	// certain is set while the copy has all records that it ever acknowledged.
-	certain atomic.Bool
+	// openedCertain is set if the copy had all records that it ever acknowledged when it was
+	// opened, and certain once it has.
+	openedCertain bool
+	certain       atomic.Bool
+	recovery      recovery
 	// catchUpMu is held by the one call of CatchUp that runs.
 	catchUpMu sync.Mutex
 
@@ -82,7 +92,7 @@
 
 // Open reads the log in the folder and starts the vault.
 func Open(o Options) (*Vault, error) {
-	v := &Vault{Options: o, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	v := &Vault{Options: o, recovery: recovery{copied: map[string]bool{}}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
 	records := 0
 	var recent []jkledger.Record
 	log, err := jkledger.OpenLog(o.Folder, func(r jkledger.Record) {
@@ -100,7 +110,9 @@
 		v.ledger.Apply(o.Timer.Now(), r)
 	}
 	if o.First || v.hasCertainMarker() {
-		v.setCertain()
+		v.openedCertain = true
+		v.certain.Store(true)
+		v.writeCertainMarker()
 	}
 	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load())
 	o.Timer.Every(expireInterval, v.expire)
@@ -117,8 +129,7 @@
 	return err == nil
 }
 
-func (v *Vault) setCertain() {
-	v.certain.Store(true)
+func (v *Vault) writeCertainMarker() {
 	if err := v.log.WriteMarker(certainMarker); err != nil {
 		// Without the marker, the copy copies all records again after its next start.
 		v.Log.Error("ledger not marked as certain", err)
@@ -126,7 +137,7 @@
 }
 
 // Certain reports whether the copy has all records that it ever acknowledged. A copy
-// that lost its disk isn't certain until it has copied the records of one that is.
+// that lost its disk isn't certain until it has copied those of enough others.
 func (v *Vault) Certain() bool { return v.certain.Load() }
 
 // catchUpMargin is added to the time since the last use of the log, to cover clocks that
@@ -138,7 +149,7 @@
 func (v *Vault) CatchUpWindow() time.Duration {
 	lastUsed := v.log.LastUsed()
 	down := v.openedAt.Sub(lastUsed)
-	if !v.certain.Load() || lastUsed.IsZero() || down < 0 {
+	if !v.openedCertain || lastUsed.IsZero() || down < 0 {
 		return 0
 	}
 	return v.Timer.Now().Sub(v.openedAt) + down + catchUpMargin
@@ -308,7 +319,11 @@
 	v.mu.Lock()
 	turns, _, missing := v.ledger.Chain(m.Request)
 	v.mu.Unlock()
-	return s.End(&jkledger.ChainAnswer{Turns: turns, Missing: missing, Certain: v.certain.Load(), Losses: v.losses()})
+	certain := v.certain.Load()
+	if missing != "" && !certain {
+		v.logMiss(missing)
+	}
+	return s.End(&jkledger.ChainAnswer{Turns: turns, Missing: missing, Certain: certain, Losses: v.losses()})
 }
 
 // Bounds of one SyncPart message.
@@ -459,8 +474,8 @@
 
 // CatchUp copies the records that the vaults at the addresses have added within a
 // duration, or all their records if it is zero, and reports whether one of the vaults was
-// certain. Only one call runs at a time, which leaves the processor to the requests of
-// entries.
+// certain. The copy becomes certain once it has copied all records of enough vaults. Only one
+// call runs at a time, which leaves the processor to the requests of entries.
 func (v *Vault) CatchUp(ctx context.Context, addrs []string, within time.Duration) bool {
 	requested := v.Timer.Now()
 	v.catchUpMu.Lock()
@@ -480,15 +495,16 @@
 			continue
 		}
 		foundCertain = foundCertain || certain
+		if within == 0 && !v.openedCertain {
+			v.recovery.noteCopied(addr, n, certain)
+			v.CheckComplete()
+		}
 		if v.certain.Load() {
 			// Requests of entries wait while this host is busy copying.
 			v.Timer.Wait(min(pauseRatio*v.Timer.Now().Sub(began), maxPause), ctx.Done())
 		}
 		v.Log.Info("ledger copied", "from", addr, "records", n, "certain", certain, "within", window)
 	}
-	if foundCertain && !v.certain.Load() {
-		v.setCertain()
-	}
 	return foundCertain
 }
 
