vault: read whether a copy is certain before its records

A copy that became complete while it answered could say that it is certain of records that it had collected before: a chain that was missing a moment earlier then counted towards a 404, and an incomplete part of the ledger as that of a certain source.

Answers now read the flag first, then the records, so that a copy vouches for no less than it has.

Test, on the code before: go test ./jkvault, failed: TestSourceThatCompletesWhileItAnswersIsUncertain: certain true, want false Passes after it. Chains and reservations have no seam between the two reads and no test of their own.

--- a/core/jkvault/recovery_test.go
+++ b/core/jkvault/recovery_test.go
@@ -140,3 +140,16 @@
 		t.Error("the copy is certain without older records")
 	}
 }
+
+// Guards against a copy that counts as a certain source although it collected its records before
+// it was complete.
+func TestSourceThatCompletesWhileItAnswersIsUncertain(t *testing.T) {
+	source, n := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	source.vault.Holds = func(string) func(string) bool {
+		source.vault.certain.Store(true)
+		return func(string) bool { return true }
+	}
+	if _, certain, err := n.vault.pull(context.Background(), source.addr, 0); err != nil || certain {
+		t.Errorf("certain %t, %v; want false", certain, err)
+	}
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -61,7 +61,8 @@
 
 	openedAt time.Time
 	// openedCertain is set if the copy had all records that it ever acknowledged when it was
-	// opened, and certain once it has.
+	// opened, and certain once it has. Answers read certain before the records that it vouches
+	// for.
 	openedCertain bool
 	certain       atomic.Bool
 	recovery      recovery
@@ -271,9 +272,10 @@
 	if err := s.Decode(&m); err != nil {
 		return err
 	}
+	certain := v.certain.Load()
 	v.mu.Lock()
 	done, err := v.add([]jkledger.Record{{Spending: &m.Spending}})
-	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: v.certain.Load(), Behind: v.Behind != nil && v.Behind()}
+	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: certain, Behind: v.Behind != nil && v.Behind()}
 	v.mu.Unlock()
 	if err != nil {
 		return err
@@ -316,10 +318,10 @@
 	if err := s.Decode(&m); err != nil {
 		return err
 	}
+	certain := v.certain.Load()
 	v.mu.Lock()
 	turns, _, missing := v.ledger.Chain(m.Request)
 	v.mu.Unlock()
-	certain := v.certain.Load()
 	if missing != "" && !certain {
 		v.logMiss(missing)
 	}
@@ -343,6 +345,7 @@
 	for _, key := range m.Have {
 		have[key] = true
 	}
+	certain := v.certain.Load()
 	v.mu.Lock()
 	records := v.ledger.Records(v.since(m.Within), have)
 	v.mu.Unlock()
@@ -354,7 +357,6 @@
 		records = filterRecords(records, v.Holds(s.Peer().Host))
 	}
 	v.Log.Info("ledger sent", "to", s.Peer().Host, "records", len(records), "withheld", missing-len(records), "gone", strings.Join(m.Gone, ","))
-	certain := v.certain.Load()
 	partStart, size := 0, 0
 	for i, r := range records {
 		if r.Turn != nil {
