retire: report a host as emptied only once its records are on enough disks

A turn could be lost with the next disk after a host was emptied and removed. The host counted the others that had copied from it, and was done with one more than disks may be lost. But hosts of one zone share its programs, so that two of them make one copy. And a host that hadn't yet seen its own leaving mark in the store still counted itself, so that its neighbours got nothing of its programs although they counted.

The others are now grouped by zone. A zone counts once all of its hosts that aren't down have copied; as many zones are needed as disks may be lost, and one more, or all that there are, besides the number of hosts as before. A host that is emptied leaves itself out when it chooses who holds a program.

Ruled out: waiting for the takeover within the own zone only. It shows that the neighbours have the programs, not that a zone with one host has a second copy.

Tests, on the code before: go test ./jkentry, failed: TestEmptiedHostLeavesTurnsOnEnoughDisks: 200 turns, 200 copies, want two each TestEmptiedHostLeavesItsProgramsToItsZone: 96 turns, 96 copies Both pass after it. HandOver takes groups of addresses now; TestHandOverNeedsEnoughCopies passes its one taker as one group and asks for the same. TestHandOverNeedsAllVaultsOfEnoughZones is new.

--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -1,7 +1,6 @@
 package jkentry
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -188,28 +187,3 @@
 	f.put("c-1", &leaving)
 	awaitComplete(t, wiped)
 }
-
-// Guards against an emptied host for whose records others wait after it was removed.
-func TestEmptiedHostSaysThatItHasHandedOver(t *testing.T) {
-	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
-	retiring := f.run(f.source("a-1"))
-	f.run(f.settings("b-1", true))
-	f.run(f.settings("c-1", true))
-	completed := make(chan HostEntry, 1)
-	retiring.platform.PutRetireStatus = func(_ context.Context, host string, isCompleted bool) error {
-		if isCompleted {
-			completed <- f.entry(host)
-		}
-		return nil
-	}
-	eventually(t, "listed hosts", func() bool { return len(retiring.otherCopies()) == 2 })
-	go retiring.retire(retiring.running, time.Minute)
-	select {
-	case e := <-completed:
-		if !e.Leaving || !e.HandedOver {
-			t.Errorf("entry is %+v when the host is reported as emptied, want leaving and handed over", e)
-		}
-	case <-time.After(3 * time.Second):
-		t.Error("not emptied within 3s")
-	}
-}
--- /dev/null
+++ b/core/jkentry/retire_test.go
@@ -0,0 +1,93 @@
+package jkentry
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// retireWithin bounds the time in which a host is emptied in these tests.
+const retireWithin = 3 * time.Second
+
+// startRetire empties a host and returns the channel on which it is reported as emptied.
+func startRetire(t *testing.T, s runningStorage, hosts int) <-chan struct{} {
+	t.Helper()
+	completed := make(chan struct{})
+	s.platform.PutRetireStatus = func(_ context.Context, _ string, isCompleted bool) error {
+		if isCompleted {
+			close(completed)
+		}
+		return nil
+	}
+	eventually(t, "listed hosts", func() bool { return len(s.otherCopies()) == hosts })
+	go s.retire(s.running, time.Minute)
+	return completed
+}
+
+// awaitEmptied waits until a host is reported as emptied and checks that each of its turns is on
+// two other disks then.
+func awaitEmptied(t *testing.T, completed <-chan struct{}, turns int, others ...runningStorage) {
+	t.Helper()
+	select {
+	case <-completed:
+	case <-time.After(retireWithin):
+		t.Fatalf("not emptied within %s", retireWithin)
+	}
+	copies := 0
+	for _, s := range others {
+		copies += s.turns()
+	}
+	if copies < 2*turns {
+		t.Errorf("%d turns have %d copies on other hosts, want two each", turns, copies)
+	}
+}
+
+// Guards against turns that are lost with the next disk after a host was emptied: other hosts
+// took its records, but one of them only each.
+func TestEmptiedHostLeavesTurnsOnEnoughDisks(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2", "c-1")
+	last := f.settings("c-1", true)
+	retiring := f.run(f.source("a-1"))
+	first, second := f.run(f.settings("b-1", true)), f.run(f.settings("b-2", true))
+	completed := startRetire(t, retiring, 3)
+	time.Sleep(leavingPropagation + 2*catchUpRetryInterval)
+	awaitEmptied(t, completed, retiring.turns(), first, second, f.run(last))
+}
+
+// Guards against the same loss if the host learns late from the store that it is leaving, and
+// still counts itself among the hosts that keep its programs.
+func TestEmptiedHostLeavesItsProgramsToItsZone(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1", "c-1")
+	f.down("c-1")
+	settings, p := f.source("a-1"), f.store.platform()
+	p.PutHost = func(context.Context, HostEntry) error { return nil }
+	retiring := runStorageWith(t, settings, p)
+	neighbour, other := f.run(f.settings("a-2", true)), f.run(f.settings("b-1", true))
+	completed := startRetire(t, retiring, 3)
+	awaitEmptied(t, completed, retiring.turns(), neighbour, other)
+}
+
+// Guards against an emptied host for whose records others wait after it was removed.
+func TestEmptiedHostSaysThatItHasHandedOver(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	retiring := f.run(f.source("a-1"))
+	f.run(f.settings("b-1", true))
+	f.run(f.settings("c-1", true))
+	completed := make(chan HostEntry, 1)
+	retiring.platform.PutRetireStatus = func(_ context.Context, host string, isCompleted bool) error {
+		if isCompleted {
+			completed <- f.entry(host)
+		}
+		return nil
+	}
+	eventually(t, "listed hosts", func() bool { return len(retiring.otherCopies()) == 2 })
+	go retiring.retire(retiring.running, time.Minute)
+	select {
+	case e := <-completed:
+		if !e.Leaving || !e.HandedOver {
+			t.Errorf("entry is %+v when the host is reported as emptied, want leaving and handed over", e)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("not emptied within 3s")
+	}
+}
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -295,9 +296,15 @@
 }
 
 // holds returns a function that reports whether another host is among those that keep a
-// program's records.
+// program's records. A host that is emptied isn't one of them, even if it hasn't learned that
+// from the store yet.
 func (t *Storage) holds(host string) func(program string) bool {
-	return jkaccount.ReplicaFilter(host, t.members.copies(), t.isDown)
+	t.mu.Lock()
+	retiring := t.retiring
+	t.mu.Unlock()
+	return jkaccount.ReplicaFilter(host, t.members.copies(), func(other string) bool {
+		return t.isDown(other) || retiring && other == t.settings.Host
+	})
 }
 
 // isDown reports whether a host has been silent for so long that all hosts have noticed.
@@ -389,7 +396,7 @@
 	// Entries learn that the host is leaving within one watch of the store.
 	t.timer.Wait(leavingPropagation, ctx.Done())
 	for ctx.Err() == nil {
-		err := t.vault.HandOver(ctx, t.settings.Inner, t.otherCopyAddrs(), t.settings.LostDisks+1)
+		err := t.vault.HandOver(ctx, t.settings.Inner, t.takers(), t.settings.LostDisks+1)
 		if err == nil {
 			break
 		}
@@ -402,6 +409,21 @@
 	t.reportRetire(ctx, true)
 }
 
+// takers returns the addresses of the other hosts with a copy of the ledger, grouped by zone: the
+// hosts of one zone hold all programs together. Others of the zone hold those of a host that is
+// down, so that it isn't among them.
+func (t *Storage) takers() [][]string {
+	byZone := map[string][]string{}
+	for _, c := range t.otherCopies() {
+		addrs := byZone[c.Zone]
+		if !t.isDown(c.Host) {
+			addrs = append(addrs, c.Addr)
+		}
+		byZone[c.Zone] = addrs
+	}
+	return slices.Collect(maps.Values(byZone))
+}
+
 // leavingPropagation is how long entries may still write to a host after it was marked as
 // leaving.
 const leavingPropagation = 500 * time.Millisecond
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -16,8 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"jasmineknot.example/core/jkledger"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jktimer"
@@ -510,31 +507,6 @@
 	return foundCertain
 }
 
-// errTooFewAdopted is returned if too few other vaults have copied the records.
-var errTooFewAdopted = errors.New("too few other copies took the records")
-
-// HandOver asks the vaults at the addresses to copy all records of this one, which they
-// reach at the address self. It fails if fewer than needed have done so.
-func (v *Vault) HandOver(ctx context.Context, self string, addrs []string, needed int) error {
-	adopted := 0
-	for _, addr := range addrs {
-		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-		var answer jkledger.AdoptAnswer
-		err := v.Pool.Call(ctx, addr, jkledger.TypeAdopt, &jkledger.AdoptRequest{Addr: self}, &answer)
-		cancel()
-		if err != nil {
-			v.Log.Warn("records not handed over", "to", addr, "error", err)
-			continue
-		}
-		adopted++
-		v.Log.Info("records handed over", "to", addr, "records", answer.Records)
-	}
-	if adopted < needed {
-		return eris.Wrapf(errTooFewAdopted, "%d of %d", adopted, needed)
-	}
-	return nil
-}
-
 // Close writes the buffered records to disk and stops the vault. No message may be
 // handled any more.
 func (v *Vault) Close() error {
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -165,17 +165,42 @@
 	leaving, taker := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
 	leaving.writeTurns(t, taker, "1")
 	ctx := context.Background()
-	if err := leaving.vault.HandOver(ctx, leaving.addr, []string{taker.addr}, 2); err == nil {
+	if err := leaving.vault.HandOver(ctx, leaving.addr, [][]string{{taker.addr}}, 2); err == nil {
 		t.Error("the hand-over succeeded with one copy of two")
 	}
 	if taker.turns() != 1 {
 		t.Errorf("taker has %d turns, want 1", taker.turns())
 	}
-	if err := leaving.vault.HandOver(ctx, leaving.addr, []string{taker.addr}, 1); err != nil {
+	if err := leaving.vault.HandOver(ctx, leaving.addr, [][]string{{taker.addr}}, 1); err != nil {
 		t.Error(err)
 	}
 }
 
+// Guards against a host that is removed while some of its records are on one other disk only:
+// two vaults of one zone have a part of them each.
+func TestHandOverNeedsAllVaultsOfEnoughZones(t *testing.T) {
+	leaving, down := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	down.stop()
+	for name, c := range map[string]struct {
+		groups [][]string
+		needed int
+		want   bool
+	}{
+		"two of one zone":             {[][]string{{a.addr, b.addr}, {down.addr}}, 2, false},
+		"one of each zone":            {[][]string{{a.addr}, {b.addr}}, 2, true},
+		"a part of a zone":            {[][]string{{a.addr, down.addr}, {b.addr}}, 2, false},
+		"a zone without vaults":       {[][]string{{a.addr, b.addr}, {}}, 2, false},
+		"more zones than are needed":  {[][]string{{a.addr}, {b.addr}, {down.addr}}, 2, true},
+		"fewer zones than are needed": {[][]string{{a.addr, b.addr}}, 2, true},
+	} {
+		err := leaving.vault.HandOver(context.Background(), leaving.addr, c.groups, c.needed)
+		if got := err == nil; got != c.want {
+			t.Errorf("%s: %v, want success %t", name, err, c.want)
+		}
+	}
+}
+
 // Guards against slow reservations after a network partition, while copies exchange the
 // keys of all their records (grown bulles-pull, trouble-1 at 40 s: 48 exchanges of 28,000
 // keys each, and 200 ms for a reservation). The keys of records from before the partition
