retire: refuse records after they were handed over

A turn that counted with the disk of a host that was being emptied could be lost with it. Entries that learn late of its leaving, as happens while the store is slow or refuses them, went on to write to it after the others had copied from it, and got their acknowledgement.

The host now refuses the records of entries once it has handed over, and then hands over again what came in between, before it reports that it may be removed. A refused write counts as that of a copy that fails: the entry needs others.

Ruled out: a longer wait before the hand-over. There is no bound on how late an entry that the store refuses learns of a change. Refusing from the start: the hand-over may take long if a zone is out of reach.

Test, on the code before: go test ./jkentry, failed: TestEmptiedHostTakesNoMoreTurns: the others have 240 turns, want 242 Passes after it.

--- a/core/jkentry/retire_test.go
+++ b/core/jkentry/retire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -91,3 +92,28 @@
 		t.Error("not emptied within 3s")
 	}
 }
+
+// Guards against turns that are lost with a host that was emptied: an entry that learned late of
+// its leaving went on to write to it after it had handed its records over.
+func TestEmptiedHostTakesNoMoreTurns(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	retiring := f.run(f.source("a-1"))
+	first, second := f.run(f.settings("b-1", true)), f.run(f.settings("c-1", true))
+	completed := startRetire(t, retiring, 2)
+	written := 0
+	for isCompleted := false; !isCompleted; {
+		select {
+		case <-completed:
+			isCompleted = true
+		case <-time.After(10 * time.Millisecond):
+		}
+		if retiring.tryWrite(fmt.Sprint("late", written)) == nil {
+			written++
+		}
+	}
+	for _, s := range []runningStorage{first, second} {
+		if want := recoveryPrograms + written; s.turns() != want {
+			t.Errorf("%s has %d turns, want %d", s.settings.Host, s.turns(), want)
+		}
+	}
+}
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -381,7 +381,8 @@
 }
 
 // retire hands all records over to the other copies and then reports that the host may be
-// removed. A second call does nothing.
+// removed. Entries that don't know yet that it is leaving may write to it until the first time
+// that all has been handed over, so that the second one is short. A second call does nothing.
 func (t *Storage) retire(ctx context.Context, within time.Duration) {
 	t.mu.Lock()
 	alreadyRetiring := t.retiring
@@ -395,18 +396,26 @@
 	t.registry.setOwn(ctx, t.hostEntry(true))
 	// Entries learn that the host is leaving within one watch of the store.
 	t.timer.Wait(leavingPropagation, ctx.Done())
+	t.handOver(ctx)
+	t.log.Info("entries can't write any more")
+	t.vault.Seal()
+	t.handOver(ctx)
+	handedOver := t.hostEntry(true)
+	handedOver.HandedOver = true
+	t.registry.setOwn(ctx, handedOver)
+	t.reportRetire(ctx, true)
+}
+
+// handOver hands all records over to the other copies, with retries until enough have them.
+func (t *Storage) handOver(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := t.vault.HandOver(ctx, t.settings.Inner, t.takers(), t.settings.LostDisks+1)
 		if err == nil {
-			break
+			return
 		}
 		t.log.Warn("host not emptied", "error", err)
 		t.timer.Wait(catchUpRetryInterval, ctx.Done())
 	}
-	handedOver := t.hostEntry(true)
-	handedOver.HandedOver = true
-	t.registry.setOwn(ctx, handedOver)
-	t.reportRetire(ctx, true)
 }
 
 // takers returns the addresses of the other hosts with a copy of the ledger, grouped by zone: the
--- a/core/jkentry/takeover_test.go
+++ b/core/jkentry/takeover_test.go
@@ -101,21 +101,28 @@
 // writeHeld adds one turn of each program that is held to a storage host.
 func (s runningStorage) writeHeld(t *testing.T, programs int, isHeld func(program string) bool) {
 	t.Helper()
-	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "e", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{}})
-	defer pool.Close()
-	m := jkledger.WriteRequest{Sync: true}
+	var names []string
 	for i := range programs {
-		name := fmt.Sprint(i)
-		if !isHeld(name) {
-			continue
+		if name := fmt.Sprint(i); isHeld(name) {
+			names = append(names, name)
 		}
-		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: name, Program: name, Retention: time.Minute}})
 	}
-	if err := pool.Call(context.Background(), s.settings.Inner, jkledger.TypeWrite, &m, nil); err != nil {
+	if err := s.tryWrite(names...); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// tryWrite sends one turn of each program to a storage host, as an entry does.
+func (s runningStorage) tryWrite(programs ...string) error {
+	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "e", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{}})
+	defer pool.Close()
+	m := jkledger.WriteRequest{Sync: true}
+	for _, name := range programs {
+		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: name, Program: name, Retention: time.Minute}})
+	}
+	return pool.Call(context.Background(), s.settings.Inner, jkledger.TypeWrite, &m, nil)
+}
+
 func (s runningStorage) turns() int {
 	_, turns, _ := s.vault.Size()
 	return turns
--- a/core/jkvault/handover.go
+++ b/core/jkvault/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"jasmineknot.example/core/jkledger"
@@ -18,6 +19,17 @@
 	return fmt.Sprintf("%d other copies in %d complete groups took the records, want %d", e.Vaults, e.Groups, e.Needed)
 }
 
+// errSealed is the answer to an entry that writes to a sealed copy.
+var errSealed = errors.New("the copy is being removed and takes no more records")
+
+// Seal makes the copy refuse the records of entries. What it has acknowledged before is in the
+// next HandOver.
+func (v *Vault) Seal() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sealed = true
+}
+
 // HandOver asks the vaults at the addresses to copy the records of this one, which they reach at
 // the address self. The vaults of one group hold all programs together, so that a group without
 // one of its vaults has only a part of the records. It fails with a *HandOverError if fewer
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -66,9 +66,11 @@
 	// catchUpMu is held by the one call of CatchUp that runs.
 	catchUpMu sync.Mutex
 
-	// mu guards ledger, the buffer of log and syncWaiters.
+	// mu guards ledger, sealed, the buffer of log and syncWaiters.
 	mu     sync.Mutex
 	ledger *jkledger.Ledger
+	// sealed is set by Seal.
+	sealed bool
 	log    *jkledger.Log
 	// syncWaiters get the result of the next write to disk.
 	syncWaiters []chan error
@@ -190,6 +192,15 @@
 	return done, nil
 }
 
+// addForEntry is add for the message of an entry, which a sealed copy refuses. The caller holds
+// mu.
+func (v *Vault) addForEntry(records []jkledger.Record) (chan error, error) {
+	if v.sealed {
+		return nil, errSealed
+	}
+	return v.add(records)
+}
+
 // commit is the group commit: it writes all records that were added since the last write
 // with one sync and reports the result to all that wait for it, until wake is closed.
 func (v *Vault) commit() {
@@ -271,7 +282,7 @@
 	}
 	certain := v.certain.Load()
 	v.mu.Lock()
-	done, err := v.add([]jkledger.Record{{Spending: &m.Spending}})
+	done, err := v.addForEntry([]jkledger.Record{{Spending: &m.Spending}})
 	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: certain, Behind: v.Behind != nil && v.Behind()}
 	v.mu.Unlock()
 	if err != nil {
@@ -297,7 +308,7 @@
 		return err
 	}
 	v.mu.Lock()
-	done, err := v.add(m.Records)
+	done, err := v.addForEntry(m.Records)
 	v.mu.Unlock()
 	if err != nil {
 		return err
