probe: take a pause of this process for no loss of a zone

Callers saw resumable streams that ended in the middle (status 599, reason=no_endpoint in the log), and calls that were answered 502, all at the moment at which an entry ran again after it had got no processor for over 0.8 s.

The entry was silent for 1.6 s, then its prober reported all three other zones as unreachable within the same millisecond.

Cause: Prober.tick treats all hosts as silent since their last answers once a tick comes late (notePause), which is right for the ledger: what happened meanwhile isn't known. But it also told the fleet that all other zones are lost, and Fleet.SetZoneReachable cancels all repeatable exchanges there. The endpoints were sound, and none was left to go on at.

Change: after a pause a zone has as long to answer as at other times before OnZoneChange reports it. What the ledger asks (Reachable, ZoneReachable, ZoneUnreachableFor, ZoneSettled) is as before.

Ruled out: the watchdog of exchanges (the cause in the log is the unreachable zone); the endpoint (it had sent the events); a planned stop (SIGTERM came 1.7 s later).

TestPauseIsNoLossOfAZone fails before ("change {c false} right after a pause").

--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -48,7 +48,8 @@
 	OnNews func(data []byte)
 	// CurrentNews returns the news for a host that asks for them; if nil, it gets none.
 	CurrentNews func() []byte
-	// OnZoneChange is called when a zone becomes unreachable or reachable again.
+	// OnZoneChange is called when a zone becomes unreachable or reachable again. A pause of this
+	// process is no sign of an unreachable zone.
 	OnZoneChange func(zone string, reachable bool)
 	// OnHostChange is called when a host becomes unreachable or reachable again, with
 	// the time for which it had not answered.
@@ -78,8 +79,10 @@
 
 	mu    sync.Mutex
 	peers map[string]*peerRow
-	// tickedAt is the time of the latest tick.
-	tickedAt time.Time
+	// tickedAt is the time of the latest tick, and resumedAt when this process ran again after
+	// its latest pause.
+	tickedAt  time.Time
+	resumedAt time.Time
 	// alwaysInterval is the interval at which hosts that are always probed are.
 	alwaysInterval time.Duration
 	// unreachableHosts is the number of unreachable hosts.
@@ -91,6 +94,8 @@
 	zones map[string]bool
 	// zoneChangedAt is when a zone last became unreachable or reachable again.
 	zoneChangedAt map[string]time.Time
+	// lostZones holds the zones of which OnZoneChange was told last that they are unreachable.
+	lostZones map[string]bool
 }
 
 // peerRow is a peer with the state of its probes.
@@ -135,7 +140,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for probes")
 	}
-	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, stop: func() {}}
+	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, lostZones: map[string]bool{}, stop: func() {}}
 	p.sendTo = p.send
 	if o.First {
 		p.startedAt = time.Time{}
@@ -340,7 +345,8 @@
 		}
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
 	}
-	zones := p.updateZones()
+	p.updateZones()
+	zones := p.zoneChanges(now)
 	for _, row := range p.peers {
 		p.confirmLoss(now, row)
 	}
@@ -366,10 +372,9 @@
 	return b
 }
 
-// updateZones updates the reachability of the other zones and returns those for which it
-// changed. A zone is unreachable if none of its probed hosts answers. The caller holds
-// the lock.
-func (p *Prober) updateZones() map[string]bool {
+// updateZones updates the reachability of the other zones. A zone is unreachable if none of
+// its probed hosts answers. The caller holds the lock.
+func (p *Prober) updateZones() {
 	answers := map[string]bool{}
 	now := p.Timer.Now()
 	for _, row := range p.peers {
@@ -381,14 +386,26 @@
 			answers[row.peer.Zone] = answers[row.peer.Zone] || !silent
 		}
 	}
-	changed := map[string]bool{}
 	for zone, reachable := range answers {
 		if was, known := p.zones[zone]; (known || !reachable) && was != reachable {
-			changed[zone] = reachable
 			p.zoneChangedAt[zone] = now
 		}
 		p.zones[zone] = reachable
 	}
+}
+
+// zoneChanges returns the zones that OnZoneChange has to be told of. After a pause of this
+// process a zone has as long to answer as at other times. The caller holds the lock.
+func (p *Prober) zoneChanges(now time.Time) map[string]bool {
+	changed := map[string]bool{}
+	mayMissAnswers := now.Sub(p.resumedAt) < unreachableAfter
+	for zone, reachable := range p.zones {
+		if p.lostZones[zone] == !reachable || !reachable && mayMissAnswers {
+			continue
+		}
+		p.lostZones[zone] = !reachable
+		changed[zone] = reachable
+	}
 	return changed
 }
 
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -280,7 +280,8 @@
 				}
 			},
 		},
-		zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{},
+		zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, lostZones: map[string]bool{},
+		peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{},
 		tickedAt: timer.Now(),
 	}
 	p.sendTo = func(_ byte, key uint64, _ netip.AddrPort) { p.recordAnswer(key) }
@@ -300,3 +301,56 @@
 		t.Errorf("host is back after %s, want 3 s", returned["a2"])
 	}
 }
+
+// Guards against a pause of this process that is taken for the loss of all other zones, which ends
+// the exchanges there, and against a zone whose loss during the pause is never noticed.
+func TestPauseIsNoLossOfAZone(t *testing.T) {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	zones := make(chan change, 8)
+	p, err := Listen(Options{
+		Timer: timer, Log: jklog.Discard(), Host: "e", Zone: "a", Addr: "127.0.0.1:0",
+		OnZoneChange: func(zone string, reachable bool) { zones <- change{zone, reachable} },
+		OnHostChange: func(Peer, bool, time.Duration) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	silent := uint64(0)
+	p.sendTo = func(_ byte, key uint64, _ netip.AddrPort) {
+		if key != silent {
+			p.recordAnswer(key)
+		}
+	}
+	for _, zone := range []string{"b", "c"} {
+		p.SetPeer(Peer{Host: zone + "1", Addr: "127.0.0.1:9", Zone: zone, AlwaysProbed: true})
+	}
+	tickAfter := func(d time.Duration) { clock.Advance(d); p.tick() }
+	for range 4 {
+		tickAfter(probeInterval)
+	}
+	silent = hostHash("c1")
+	tickAfter(3 * time.Second)
+	if p.ZoneReachable("b") {
+		t.Error("a zone that couldn't be heard for 3 s counts as reachable")
+	}
+	if len(zones) > 0 {
+		t.Errorf("change %v right after a pause", <-zones)
+	}
+	for range 1 + unreachableAfter/probeInterval {
+		tickAfter(probeInterval)
+	}
+	if len(zones) != 1 {
+		t.Fatalf("%d changes after a pause, want the loss of the silent zone", len(zones))
+	}
+	if got, want := <-zones, (change{"c", false}); got != want {
+		t.Errorf("change %v, want %v", got, want)
+	}
+	silent = 0
+	for range 2 {
+		tickAfter(probeInterval)
+	}
+	if len(zones) != 1 || <-zones != (change{"c", true}) {
+		t.Error("the zone that is back isn't reported once")
+	}
+}
