forward: send a test endpoint's extra answer at once

TestForward/answers failed once beside a load of 120 ('200 "extra"' where '200 "second"' is expected), and 4 times in 120 runs beside a load of 115. The test's endpoint sent an answer and another one behind it in two writes. If the second write came after the next request had been sent on the connection, the bytes were its answer, as both requests of the test have the same id. On the users' platform each attempt has its own id, by which such an answer is told.

Both answers are one write now, so that the bytes are always there before the connection is used again, which is what the test guards against.

--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -136,9 +136,10 @@
 // playStep performs a step and reports whether the connection stays open.
 func (e *scriptedEndpoint) playStep(c net.Conn, id, step string) bool {
 	kind, arg, _ := strings.Cut(step, " ")
-	answer := func(status int, header, body string) {
-		fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, testRequest, id, header, len(body), body)
+	message := func(status int, header, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, testRequest, id, header, len(body), body)
 	}
+	answer := func(status int, header, body string) { fmt.Fprint(c, message(status, header, body)) }
 	signed := testSigned + ": 1\r\n"
 	switch kind {
 	case "ok":
@@ -190,8 +191,9 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: other\r\n%sContent-Length: 7\r\n\r\nforeign", testRequest, signed)
 		answer(200, signed, arg)
 	case "extra":
-		answer(200, signed, arg)
-		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%sContent-Length: 5\r\n\r\nextra", testRequest, id, signed)
+		// One write: of two, the second one may arrive when the next request has been sent, whose
+		// answer it would be by its request id.
+		fmt.Fprint(c, message(200, signed, arg)+message(200, signed, "extra"))
 	case "garbage":
 		fmt.Fprintf(c, "\x00\x01 no answer at all\r\n\r\n")
 		return false
