entry: test of a copy with a lost disk whose entry was removed

Callers may get a 404 for a turn that is on a disk of a host that is only down: a copy that lost its disk is certain without the records of that host.

Cause: takes a host that the store's first list doesn't name for new, so that it may do without one source more. The entry of a host that is silent for 20 s is removed as well, so that the same host, back at its old address with an empty disk, counts as new. Its disk is one of those lost.

The test removes the entry as an observer does (registry.apply), so that a mark which the observer leaves in its place counts.

The 404 itself is by reading: jkaccount's Chain counts the host as down and the copy as certain.

--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -9,6 +9,8 @@
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
 )
 
 // recoveryFixture is a fleet of storage hosts whose programs are spread over the hosts of zone
@@ -187,3 +189,22 @@
 	f.put("c-1", &leaving)
 	awaitComplete(t, wiped)
 }
+
+// Guards against a copy with a lost disk that counts as new, and does without a host that it
+// needs, because its entry was removed while it was down.
+func TestCopyWhoseEntryWasRemovedWaitsForAllHosts(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2")
+	source, down := f.run(f.source("b-1")), f.source("b-2")
+	p := f.store.platform()
+	observer := newRegistry(registryOptions{timer: jktimer.New(), log: jklog.Discard(), swap: p.SwapHost})
+	for range 2 {
+		f.store.mu.Lock()
+		revision := f.store.items["a-1"].Revision
+		f.store.mu.Unlock()
+		observer.apply(t.Context(), entryChange{f.entry("a-1"), revision})
+	}
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, source.turns())
+	f.run(down)
+	awaitComplete(t, wiped)
+}
