entry: test of turns that a copy took in place of another one

A turn is lost with the next disk after one was lost: the copy that lost its disk is certain, though it lacks a turn that it had acknowledged.

Cause: where the copy that ranks first in a zone doesn't answer, Keep counts the turn with another copy of the zone; a zone that is cut off counts it with several. The first one gets it from the entry's outbox only, which ends with the entry. If the other copy then loses its disk, the sources withhold the turn from it (ReplicaFilter: the first one ranks before it), and the first one doesn't ask, since nothing tells it that it lacks something. The turn is on one disk less from then on, without end.

Ruled out: the takeover. The copy that is gone doesn't rank before the first one, so that TakeoverFilter leaves these programs out.

The test writes the turns to the other copy and to another zone, as Keep does for an entry that ends before its outbox has delivered.

--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -208,3 +208,26 @@
 	f.run(down)
 	awaitComplete(t, wiped)
 }
+
+// Guards against a turn that is on too few disks after one was lost: the copy that lost it took the
+// turn in place of another one of its zone, so that it doesn't get it back, and is certain.
+func TestCopyGetsBackTheTurnsThatItTookForAnother(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1")
+	settings := f.settings("a-2", true)
+	substitute := f.run(settings)
+	first, other := f.run(f.settings("a-1", true)), f.run(f.settings("b-1", true))
+	time.Sleep(secondCatchUpDelay + time.Second)
+	hosts := []jkaccount.Copy{{Host: "a-1", Zone: "a"}, {Host: "a-2", Zone: "a"}, {Host: "b-1", Zone: "b"}}
+	isHeld := jkaccount.ReplicaFilter("a-1", hosts, func(string) bool { return false })
+	substitute.writeHeld(t, recoveryPrograms, isHeld)
+	other.writeHeld(t, recoveryPrograms, isHeld)
+	turns := other.turns()
+	substitute.stop()
+	settings.First, settings.Folder = false, t.TempDir()
+	wiped := f.run(settings)
+	eventually(t, "certain copy", wiped.vault.Certain)
+	time.Sleep(2 * catchUpRetryInterval)
+	if copies := first.turns() + wiped.turns() + other.turns(); copies < 2*turns {
+		t.Errorf("%d turns have %d copies once the lost disk counts as complete, want two each", turns, copies)
+	}
+}
