account: test of a budget that a cut zone grants on one disk

A program may be handed more than its budget and one turn (RULES.md, BUDGET: over restarts, attempts that broke off included) if a zone is cut off and one of its disks is lost before the others have its records.

Reserve asks one copy a zone, so that a zone that is cut off records it on one disk, though it has three. The turns themselves are on MaxLostDisks+1 disks since, with their spending; reservations of attempts that broke off or that still run aren't.

The test takes the copy away after the cut, which stands for one that lost its disk and copied from the others.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -222,6 +223,35 @@
 	}
 }
 
+// Guards against tokens that a zone grants on one disk while it is cut off, though it has three,
+// and that are granted again once that disk is lost.
+func TestBudgetOfACutZoneOutlivesADisk(t *testing.T) {
+	f := newFixture(t)
+	f.startCopy(t, "a-2", "a")
+	f.startCopy(t, "a-3", "a")
+	f.client.MaxLostDisks = 2
+	const tokens, budget = 100, 500
+	granted, requests := int64(0), 0
+	reserve := func(n int) {
+		for range n {
+			requests++
+			r := jkforward.Reservation{Program: "p", Request: fmt.Sprint(requests), Tokens: tokens, Budget: budget, Retention: time.Minute}
+			if f.client.Reserve(t.Context(), r) == nil {
+				granted += tokens
+			}
+		}
+	}
+	lost := f.client.replicas("p")[0]
+	f.cut["b"], f.cut["c"] = true, true
+	reserve(5)
+	clear(f.cut)
+	f.copies = slices.DeleteFunc(f.copies, func(c Copy) bool { return c == lost })
+	reserve(8)
+	if granted > budget+tokens {
+		t.Errorf("%d tokens of %d and one turn of %d were granted", granted, budget, tokens)
+	}
+}
+
 // Guards against majorities that don't intersect (BUDGET in the soak test on scale-2 of
 // bulles-pull: 2349 tokens of 1740 and one turn): hosts that see a new copy, or can't reach
 // one for a moment, have to choose the same copies as the others.
