--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -9,6 +9,8 @@
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
 )
 
 // recoveryFixture is a fleet of storage hosts whose programs are spread over the hosts of zone
@@ -187,3 +189,45 @@
 	f.put("c-1", &leaving)
 	awaitComplete(t, wiped)
 }
+
+// Guards against a copy with a lost disk that counts as new, and does without a host that it
+// needs, because its entry was removed while it was down.
+func TestCopyWhoseEntryWasRemovedWaitsForAllHosts(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2")
+	source, down := f.run(f.source("b-1")), f.source("b-2")
+	p := f.store.platform()
+	observer := newRegistry(registryOptions{timer: jktimer.New(), log: jklog.Discard(), swap: p.SwapHost})
+	for range 2 {
+		f.store.mu.Lock()
+		revision := f.store.items["a-1"].Revision
+		f.store.mu.Unlock()
+		observer.apply(t.Context(), entryChange{f.entry("a-1"), revision})
+	}
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, source.turns())
+	f.run(down)
+	awaitComplete(t, wiped)
+}
+
+// Guards against a turn that is on too few disks after one was lost: the copy that lost it took the
+// turn in place of another one of its zone, so that it doesn't get it back, and is certain.
+func TestCopyGetsBackTheTurnsThatItTookForAnother(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1")
+	settings := f.settings("a-2", true)
+	substitute := f.run(settings)
+	first, other := f.run(f.settings("a-1", true)), f.run(f.settings("b-1", true))
+	time.Sleep(secondCatchUpDelay + time.Second)
+	hosts := []jkaccount.Copy{{Host: "a-1", Zone: "a"}, {Host: "a-2", Zone: "a"}, {Host: "b-1", Zone: "b"}}
+	isHeld := jkaccount.ReplicaFilter("a-1", hosts, func(string) bool { return false })
+	substitute.writeHeld(t, recoveryPrograms, isHeld)
+	other.writeHeld(t, recoveryPrograms, isHeld)
+	turns := other.turns()
+	substitute.stop()
+	settings.First, settings.Folder = false, t.TempDir()
+	wiped := f.run(settings)
+	eventually(t, "certain copy", wiped.vault.Certain)
+	time.Sleep(2 * catchUpRetryInterval)
+	if copies := first.turns() + wiped.turns() + other.turns(); copies < 2*turns {
+		t.Errorf("%d turns have %d copies once the lost disk counts as complete, want two each", turns, copies)
+	}
+}
