account: record the spendings of a cut zone on as many disks as it has

A program could be handed more than its budget and one turn: a zone that is cut off granted up to half of it on one disk, though it has three. If that disk is lost before the others have its records, they grant the same again. Found by the review, by a test; no real process has shown it.

Change: if fewer of a program's copies are in reach than disks may be lost, and one more, further copies of the zones in reach record the reservation and its settlement. Their answers add what they know and have no vote, since other hosts don't ask them.

Ruled out: to refuse turns whose spendings aren't on as many disks as turns need. Programs without kept turns would get nothing in a zone that is cut off and has one disk.

--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -1,7 +1,9 @@
 package jkaccount
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
@@ -31,13 +33,15 @@
 	}}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	copies := c.replicas(r.Program)
+	extra := c.extraCopies(r.Program, copies)
 	q := &quorum{spendings: spendings{}, copies: len(copies)}
 	type reserveAnswer struct {
 		from    Copy
 		content *jkledger.ReserveAnswer
 	}
-	answers := make(chan reserveAnswer, len(copies))
-	for _, target := range copies {
+	asked := slices.Concat(copies, extra)
+	answers := make(chan reserveAnswer, len(asked))
+	for _, target := range asked {
 		go func() {
 			var a jkledger.ReserveAnswer
 			if err := c.call(ctx, target, jkledger.TypeReserve, request, &a); err != nil {
@@ -48,7 +52,7 @@
 		}()
 	}
 	reports := newLossReports()
-	for range copies {
+	for range asked {
 		var a reserveAnswer
 		select {
 		case a = <-answers:
@@ -58,6 +62,10 @@
 			continue
 		}
 		reports.add(a.from.Host, a.content.Losses)
+		if slices.Contains(extra, a.from) {
+			q.spendings.merge(a.content.Spendings)
+			continue
+		}
 		q.add(a.content, c.standsIn(r.Program, a.from))
 		if q.isEnough(r) {
 			// The calls of the other copies go on, so that these get the reservation too.
@@ -77,7 +85,28 @@
 	records := []jkledger.Record{{Spending: &jkledger.Spending{
 		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
 	}}}
-	for _, target := range c.replicas(s.Program) {
+	copies := c.replicas(s.Program)
+	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
 		c.outbox.send(target, records, nil)
 	}
 }
+
+// extraCopies returns further copies that record the spendings of a program if so few of its own
+// are in reach that these may all lose their disks. They have no vote, since other hosts don't ask
+// them.
+func (c *Client) extraCopies(program string, chosen []Copy) []Copy {
+	missing := c.MaxLostDisks + 1
+	for _, target := range chosen {
+		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+			missing--
+		}
+	}
+	if missing <= 0 {
+		return nil
+	}
+	extra := slices.DeleteFunc(slices.Clone(c.knownCopies()), func(known Copy) bool {
+		return !c.Reachable(known.Host) || slices.Contains(chosen, known)
+	})
+	slices.SortFunc(extra, func(a, b Copy) int { return cmp.Compare(rank(program, b.Host), rank(program, a.Host)) })
+	return extra[:min(missing, len(extra))]
+}
