account: test of turns that an entry refuses though relays reach the copies

Callers get 503 for turns at an entry that is cut off from the other zones, for as long as the cut lasts, where the turns were kept before: another host of its zone relays its messages.

Cause: CanKeep counts the copies that the entry reaches, and those of zones of which it reaches some host. The copies that only relays reach aren't counted, unlike in Keep, which writes to all chosen copies through relays. TestTurnIsAcceptedIfOthersReachTheCopies doesn't show that: its zones are in reach, and it has no relay.

The test keeps a turn through a relay, then asks CanKeep.

--- a/core/jkaccount/relay_test.go
+++ b/core/jkaccount/relay_test.go
@@ -64,3 +64,19 @@
 		t.Errorf("error beyond half of the budget is %v, want a *NoQuorumError", err)
 	}
 }
+
+// Guards against turns that an entry refuses for as long as it is cut off from the other zones,
+// though another host relays its messages to their copies.
+func TestTurnIsAcceptedIfRelaysReachTheCopies(t *testing.T) {
+	f := newRelayedFixture(t)
+	clear(f.lost)
+	clear(f.cut)
+	f.client.Reachable = func(host string) bool { return host == "a" }
+	f.client.ZoneReachable = func(zone string) bool { return zone == "a" }
+	if err := f.keepWithin(t, "p", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.client.CanKeep(); err != nil {
+		t.Errorf("a turn is refused after another one was kept: %v", err)
+	}
+}
