storage: keep the addresses of hosts that are down in tests; test of ten sources

Tests of recovery used addresses on which nothing listens. The fixture now listens on the address of each host that is down and closes what connects to it. What the tests check is the same.

TestHostsWithTheMostRecordsAreCopiedFirst holds the order of the sources.

--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
+	"jasmineknot.example/core/jktimer"
 )
 
 // recoveryFixture is a fleet of storage hosts whose programs are spread over the hosts of zone
@@ -18,18 +20,62 @@
 	store     *memoryStore
 	entries   map[string]HostEntry
 	lostDisks int
+	// held are the addresses of hosts that are down.
+	held map[string]net.Listener
 }
 
 const recoveryPrograms = 200
 
 func newRecoveryFixture(t *testing.T, lostDisks int, hosts ...string) *recoveryFixture {
-	f := &recoveryFixture{t: t, store: &memoryStore{items: map[string]jkfollow.Item{}}, entries: map[string]HostEntry{}, lostDisks: lostDisks}
+	f := &recoveryFixture{
+		t: t, store: &memoryStore{items: map[string]jkfollow.Item{}}, entries: map[string]HostEntry{},
+		lostDisks: lostDisks, held: map[string]net.Listener{},
+	}
+	t.Cleanup(func() {
+		for host := range f.held {
+			f.release(host)
+		}
+	})
 	for _, host := range hosts {
-		f.entries[host] = announceStorage(t, f.store, host, host[:1])
+		f.add(host)
+		e := f.entries[host]
+		f.put(host, &e)
 	}
 	return f
 }
 
+// add adds a host that is down and has no entry in the store.
+func (f *recoveryFixture) add(host string) {
+	f.t.Helper()
+	f.hold(host, "127.0.0.1:0")
+	f.entries[host] = HostEntry{Host: host, Zone: host[:1], Addr: f.held[host].Addr().String(), Ledger: true}
+}
+
+// hold occupies the address of a host that is down, so that no other process gets it, and closes
+// all connections to it.
+func (f *recoveryFixture) hold(host, addr string) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.held[host] = l
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+}
+
+func (f *recoveryFixture) release(host string) {
+	_ = f.held[host].Close()
+	delete(f.held, host)
+}
+
 // settings returns the settings of a storage host whose disk is new.
 func (f *recoveryFixture) settings(host string, first bool) Settings {
 	s := storageSettings(f.t, f.entries[host], first)
@@ -46,35 +92,24 @@
 	for _, e := range f.entries {
 		copies = append(copies, jkaccount.Copy{Host: e.Host, Addr: e.Addr, Zone: e.Zone})
 	}
+	f.release(host)
 	alone := runStorageWith(f.t, s, (&memoryStore{items: map[string]jkfollow.Item{}}).platform())
 	alone.writeHeld(f.t, recoveryPrograms, jkaccount.ReplicaFilter(host, copies, func(string) bool { return false }))
 	alone.stop()
+	f.hold(host, s.Inner)
 	s.First = false
 	return s
 }
 
 func (f *recoveryFixture) run(s Settings) runningStorage {
 	f.t.Helper()
-	return runStorageWith(f.t, s, f.store.platform())
+	return f.runOn(s, f.store.platform())
 }
 
-// down occupies the address of a host that never runs, so that no other process gets it.
-func (f *recoveryFixture) down(host string) {
+func (f *recoveryFixture) runOn(s Settings, p Platform) runningStorage {
 	f.t.Helper()
-	l, err := net.Listen("tcp", f.entries[host].Addr)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = conn.Close()
-		}
-	}()
+	f.release(s.Host)
+	return runStorageWith(f.t, s, p)
 }
 
 // put writes a host's entry, or removes it if next is nil.
@@ -154,9 +189,8 @@
 // entry of the former host is removed.
 func TestNewHostDoesWithoutAHostThatIsGone(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "b-1")
-	f.down("a-1")
 	f.run(f.source("b-1"))
-	f.entries["a-2"] = HostEntry{Host: "a-2", Zone: "a", Addr: freeAddr(t), Ledger: true}
+	f.add("a-2")
 	replacement := f.run(f.settings("a-2", false))
 	eventually(t, "certain copy on a new host", replacement.vault.Certain)
 }
@@ -164,7 +198,6 @@
 // Guards against copies that wait for hosts that were removed.
 func TestCopyWithLostDiskIgnoresRemovedHosts(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
-	f.down("c-1")
 	source := f.run(f.source("b-1"))
 	wiped := f.run(f.settings("a-1", false))
 	staysUncertain(t, wiped, source.turns())
@@ -176,7 +209,6 @@
 // against one that waits for a host that was emptied.
 func TestCopyWithLostDiskWaitsForALeavingHost(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
-	f.down("c-1")
 	source := f.run(f.source("b-1"))
 	leaving := f.entries["c-1"]
 	leaving.Leaving = true
@@ -187,3 +219,41 @@
 	f.put("c-1", &leaving)
 	awaitComplete(t, wiped)
 }
+
+// Guards against a copy that isn't certain in time because it has to copy from many hosts.
+func TestCopyWithLostDiskIsCertainInTime(t *testing.T) {
+	full, empty := []string{"b-1", "b-2", "b-3"}, []string{"a-2", "a-3", "c-1", "c-2", "c-3", "d-1", "d-2"}
+	f := newRecoveryFixture(t, 2, slices.Concat([]string{"a-1"}, full, empty)...)
+	for _, host := range full {
+		f.run(f.source(host))
+	}
+	for _, host := range empty {
+		f.run(f.settings(host, true))
+	}
+	began := time.Now()
+	wiped := f.run(f.settings("a-1", false))
+	for !wiped.vault.Certain() && time.Since(began) < catchUpLimit {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !wiped.vault.Certain() {
+		t.Errorf("not certain within %s: %+v", catchUpLimit, wiped.vault.Recovery())
+	}
+	t.Logf("ended after %s", time.Since(began).Round(time.Millisecond))
+}
+
+// Guards against a recovery that begins with hosts that have little: those of the own zone, and of
+// zones with many hosts.
+func TestHostsWithTheMostRecordsAreCopiedFirst(t *testing.T) {
+	s := &Storage{settings: Settings{Host: "a-1", Zone: "a"}, members: newMembers(jktimer.New()), hostsListed: make(chan struct{})}
+	for _, host := range []string{"a-1", "a-2", "b-2", "b-1", "b-3", "c-1", "c-2"} {
+		s.members.set(HostEntry{Host: host, Zone: host[:1], Ledger: true})
+	}
+	s.members.set(HostEntry{Host: "d-1", Zone: "d"})
+	sources, allKnown := s.recoverySources()
+	if allKnown {
+		t.Error("all sources are known before the first list of the store")
+	}
+	if got, want := sourceNames(sources), "c-1,c-2,b-1,b-2,b-3,a-2"; got != want {
+		t.Errorf("sources are %s, want %s", got, want)
+	}
+}
--- a/core/jkentry/retire_test.go
+++ b/core/jkentry/retire_test.go
@@ -59,10 +59,9 @@
 // still counts itself among the hosts that keep its programs.
 func TestEmptiedHostLeavesItsProgramsToItsZone(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1", "c-1")
-	f.down("c-1")
 	settings, p := f.source("a-1"), f.store.platform()
 	p.PutHost = func(context.Context, HostEntry) error { return nil }
-	retiring := runStorageWith(t, settings, p)
+	retiring := f.runOn(settings, p)
 	neighbour, other := f.run(f.settings("a-2", true)), f.run(f.settings("b-1", true))
 	completed := startRetire(t, retiring, 3)
 	awaitEmptied(t, completed, retiring.turns(), neighbour, other)
