follow: log the age of what is known when a host watches the store itself

Operators saw "peer not followed" for peers that failed, and nothing when a host turned to the store because its peers answered too late or knew nothing newer.

Change: a line with the age when a host that has peers to follow watches the store, and the age in the lines about each peer. A host without peers, or whose peers are all avoided, logs nothing new.

--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -161,7 +161,8 @@
 }
 
 func (r *WatchRelay) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
-	for _, peer := range r.peerCandidates() {
+	peers := r.peerCandidates()
+	for _, peer := range peers {
 		timeout := r.peerBudget()
 		if timeout < minPeerTimeout {
 			break
@@ -178,7 +179,10 @@
 		if r.record(page, confirmedAt) {
 			return page, nil
 		}
-		r.Log.Debug("peer knows nothing newer of the store", "peer", peer.Host, "after", after)
+		r.Log.Debug("peer knows nothing newer of the store", "peer", peer.Host, "after", after, "age", r.age())
+	}
+	if len(peers) > 0 {
+		r.Log.Info("store watched in place of peers", "peers", len(peers), "after", after, "age", r.age())
 	}
 	return r.watchStore(ctx, prefix, after, wait)
 }
@@ -197,7 +201,7 @@
 // peerFailed counts and logs a watch through a peer that brought nothing. A peer that
 // didn't answer isn't followed for a while.
 func (r *WatchRelay) peerFailed(p Peer, after int64, err error) {
-	r.Log.Info("peer not followed", "peer", p.Host, "after", after, "error", err)
+	r.Log.Info("peer not followed", "peer", p.Host, "after", after, "age", r.age(), "error", err)
 	var answered *jkwire.RemoteError
 	if errors.As(err, &answered) {
 		r.OnWatch(WayPeer, WatchLost)
