--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -44,6 +44,8 @@
 	IsControl func(messageType string) bool
 	Counters  *Counters
 	Faults    *Faults
+	// Dial opens a connection to an address; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// ReceiveTimeout bounds how long nothing may be received on a connection on which a
 	// stream reached its deadline without a response. The connection is then closed, as it
 	// may be stalled for good while a new one works. It also replaces the default write
@@ -55,21 +57,26 @@
 
 // NewPool returns a pool without connections.
 func NewPool(o PoolOptions) *Pool {
-	var d net.Dialer
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	return &Pool{
-		self:      o.Self,
-		isControl: o.IsControl,
-		counters:  o.Counters,
-		faults:    o.Faults,
-		dial: func(ctx context.Context, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", addr)
-		},
+		self:           o.Self,
+		isControl:      o.IsControl,
+		counters:       o.Counters,
+		faults:         o.Faults,
+		dial:           o.Dial,
 		timer:          o.Timer,
 		receiveTimeout: o.ReceiveTimeout,
 		conns:          map[string]*clientConn{},
 	}
 }
 
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // Close closes all connections. Their streams end with a *ConnectionError.
 func (p *Pool) Close() {
 	p.mu.Lock()
