follow: test of the other peer waits for its peers and runs on a bubble's time

They answered store_lost at once, and the host turned to the store with knowledge 16 ms old. And all three hosts run in one process on the machine's time: without a processor for 0.7 s what they know ages beyond the 1.3 s at which a host asks the store itself (traced at 1.225 s, with 75 ms left for the second peer). Both are what a host is meant to do.

Change: the test starts the follower once the peers have listed the store, for all tests with such a peer, and runs in a bubble of testing/synctest, where time passes only while all hosts wait. Its steps, bounds and checks are the same.

Ruled out: a delay of a peer in the product; in the natural failure the answers took 9 ms and 1 ms.

--- a/core/jkfollow/relay_test.go
+++ b/core/jkfollow/relay_test.go
@@ -7,9 +7,11 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkpipe"
 	"jasmineknot.example/core/jktimer"
 	"jasmineknot.example/core/jkwire"
 )
@@ -45,17 +47,25 @@
 	}
 }
 
-// watcher starts a host that watches the store and answers followers.
-func watcher(t *testing.T, store *storeStub) (*WatchRelay, Peer) {
-	return watcherNamed(t, "watcher", store)
-}
-
-func watcherNamed(t *testing.T, name string, store *storeStub) (*WatchRelay, Peer) {
+// listenTCP returns a listener on a free loopback port.
+func listenTCP(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+// watcher starts a host that watches the store and answers followers. It returns once the
+// host has listed the store, since it answers none of them before that.
+func watcher(t *testing.T, store *storeStub) (*WatchRelay, Peer) {
+	t.Helper()
+	return watcherOn(t, listenTCP(t), "watcher", store)
+}
+
+func watcherOn(t *testing.T, l net.Listener, name string, store *storeStub) (*WatchRelay, Peer) {
+	t.Helper()
 	peer := Peer{Host: name, Addr: l.Addr().String()}
 	r := NewWatchRelay(WatchRelayOptions{
 		Timer: jktimer.New(), Log: jklog.Discard(), Host: peer.Host, Source: store.source(),
@@ -73,13 +83,21 @@
 	})
 	t.Cleanup(server.Close)
 	run(t, r.ThroughPeers())
+	waitFor(t, func() bool { _, complete, _ := r.changesSince(1); return complete })
 	return r, peer
 }
 
 func follower(t *testing.T, store *storeStub, peers ...Peer) <-chan Item {
+	t.Helper()
+	return followerOver(t, nil, store, peers...)
+}
+
+// followerOver starts a host that reaches its peers by a dial function; nil means TCP.
+func followerOver(t *testing.T, dial func(context.Context, string) (net.Conn, error), store *storeStub, peers ...Peer) <-chan Item {
 	t.Helper()
 	pool := jkwire.NewPool(jkwire.PoolOptions{
 		Self: jkwire.Hello{Host: "f", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, IsControl: func(string) bool { return true },
+		Dial: dial,
 	})
 	t.Cleanup(pool.Close)
 	return run(t, NewWatchRelay(WatchRelayOptions{
@@ -123,27 +141,31 @@
 // access to it. In the enlarged scenario bulles-pull 102 hosts watched the store for
 // 4 s each.
 func TestFollowerTriesOtherPeerBeforeStore(t *testing.T) {
-	stores := []*storeStub{{changes: make(chan Item, 1)}, {changes: make(chan Item, 1)}}
-	_, one := watcherNamed(t, "one", stores[0])
-	_, two := watcherNamed(t, "two", stores[1])
-	own := &storeStub{}
-	items := follower(t, own, one, two)
-	next(t, items, time.Second)
-	for i, store := range stores {
-		store.down.Store(true)
-		other := stores[1-i]
-		time.Sleep(2 * (watchWait + watchSlack))
-		revision := int64(2 + i)
-		other.changes <- Item{Key: "op/config", Revision: revision}
-		if got := next(t, items, applyBound); got.Revision != revision {
-			t.Errorf("revision %d, want %d", got.Revision, revision)
+	// What the host knows ages only while all hosts wait.
+	synctest.Test(t, func(t *testing.T) {
+		stores := []*storeStub{{changes: make(chan Item, 1)}, {changes: make(chan Item, 1)}}
+		network := jkpipe.NewNetwork()
+		_, one := watcherOn(t, network.Listen("one"), "one", stores[0])
+		_, two := watcherOn(t, network.Listen("two"), "two", stores[1])
+		own := &storeStub{}
+		items := followerOver(t, network.Dial, own, one, two)
+		next(t, items, time.Second)
+		for i, store := range stores {
+			store.down.Store(true)
+			other := stores[1-i]
+			time.Sleep(2 * (watchWait + watchSlack))
+			revision := int64(2 + i)
+			other.changes <- Item{Key: "op/config", Revision: revision}
+			if got := next(t, items, applyBound); got.Revision != revision {
+				t.Errorf("revision %d, want %d", got.Revision, revision)
+			}
+			store.down.Store(false)
+			time.Sleep(2 * (watchWait + watchSlack))
 		}
-		store.down.Store(false)
-		time.Sleep(2 * (watchWait + watchSlack))
-	}
-	if n := own.calls.Load(); n != 1 {
-		t.Errorf("%d calls to the store, want the list only", n)
-	}
+		if n := own.calls.Load(); n != 1 {
+			t.Errorf("%d calls to the store, want the list only", n)
+		}
+	})
 }
 
 // Guards against a call to the store for each change of a burst. In the enlarged
