follow: test of a start by the seeds' state runs on a bubble's time

The test failed with 'no change within 1.1s' beside other work.

Cause, traced: the seed's answer, 900 kB under the race detector, took more than the 400 ms of seedTimeout ('receive: context deadline exceeded' after 401 to 551 ms in five failures; the seed wrote for up to 606 ms). The next list asks the seeds only after a pause, beyond the test's bound.

Change: the hosts run in a bubble of testing/synctest and are connected in memory, so that the processor time of an answer takes none of the limit. Steps, bounds and checks are the same.

The test fails on scratch copies that ask no seeds, that claim a later revision with the state, and that don't watch the store after it.

--- a/core/jkfollow/state_test.go
+++ b/core/jkfollow/state_test.go
@@ -7,20 +7,18 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkpipe"
 	"jasmineknot.example/core/jktimer"
 	"jasmineknot.example/core/jkwire"
 )
 
 // serveState runs a host that follows the store and serves its state to others.
-func serveState(t *testing.T, store Source) (addr string) {
+func serveState(t *testing.T, l net.Listener, store Source) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := NewWatchRelay(WatchRelayOptions{Timer: jktimer.New(), Log: jklog.Discard(), Source: store, Peers: func() []Peer { return nil }})
 	server := jkwire.NewServer(l, jkwire.ServerOptions{
 		Self: jkwire.Hello{Host: "seed", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
@@ -33,11 +31,13 @@
 	return l.Addr().String()
 }
 
-// startWithSeeds follows a store on a host that has just started and knows only the seeds.
-func startWithSeeds(t *testing.T, store Source, seeds ...string) <-chan Item {
+// startWithSeeds follows a store on a host that has just started and knows only the seeds. A
+// nil dial function means TCP.
+func startWithSeeds(t *testing.T, dial func(context.Context, string) (net.Conn, error), store Source, seeds ...string) <-chan Item {
 	t.Helper()
 	pool := jkwire.NewPool(jkwire.PoolOptions{
 		Self: jkwire.Hello{Host: "started", Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{}, IsControl: func(string) bool { return true },
+		Dial: dial,
 	})
 	t.Cleanup(pool.Close)
 	r := NewWatchRelay(WatchRelayOptions{
@@ -98,48 +98,51 @@
 // the cut ends, although its neighbours have them, and against rules that it keeps after that.
 func TestStartedHostTakesTheStateOfItsSeeds(t *testing.T) {
 	t.Parallel()
-	large := make([]byte, 300<<10)
-	seed := serveState(t, listedStore(Item{Key: "op/config", Revision: 4, Value: large}, Item{Key: "servers/a", Revision: 5, Value: large}, Item{Key: "servers/b", Revision: 6, Value: large}))
-	var released atomic.Bool
-	store := Source{}
-	// The configuration has changed and an endpoint has left since the seed lost the store.
-	store.List = func(context.Context, string) (Page, error) { t.Error("listed again"); return Page{}, nil }
-	store.Watch = func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
-		if after < 8 {
-			return Page{Items: []Item{{Key: "op/config", Revision: 7}, {Key: "servers/a", Revision: 8, Deleted: true}}, Revision: 8}, nil
+	synctest.Test(t, func(t *testing.T) {
+		large := make([]byte, 300<<10)
+		network := jkpipe.NewNetwork()
+		seed := serveState(t, network.Listen("seed"), listedStore(Item{Key: "op/config", Revision: 4, Value: large}, Item{Key: "servers/a", Revision: 5, Value: large}, Item{Key: "servers/b", Revision: 6, Value: large}))
+		var released atomic.Bool
+		store := Source{}
+		// The configuration has changed and an endpoint has left since the seed lost the store.
+		store.List = func(context.Context, string) (Page, error) { t.Error("listed again"); return Page{}, nil }
+		store.Watch = func(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+			if after < 8 {
+				return Page{Items: []Item{{Key: "op/config", Revision: 7}, {Key: "servers/a", Revision: 8, Deleted: true}}, Revision: 8}, nil
+			}
+			return listedStore().Watch(ctx, "", after, wait)
 		}
-		return listedStore().Watch(ctx, "", after, wait)
-	}
-	items := startWithSeeds(t, silentStore(&released, store), "127.0.0.1:1", seed)
-	var keys []string
-	for range 3 {
-		keys = append(keys, next(t, items, seedDelay+2*seedTimeout).Key)
-	}
-	slices.Sort(keys)
-	if want := []string{"op/config", "servers/a", "servers/b"}; !slices.Equal(keys, want) {
-		t.Fatalf("keys of the seed's state: %v, want %v", keys, want)
-	}
-	released.Store(true)
-	if got := next(t, items, 4*time.Second); got.Key != "op/config" || got.Revision != 7 {
-		t.Errorf("first change of the store: %s at %d", got.Key, got.Revision)
-	}
-	if got := next(t, items, time.Second); got.Key != "servers/a" || !got.Deleted {
-		t.Errorf("second change of the store: %s, deleted %t", got.Key, got.Deleted)
-	}
+		items := startWithSeeds(t, network.Dial, silentStore(&released, store), "none", seed)
+		var keys []string
+		for range 3 {
+			keys = append(keys, next(t, items, seedDelay+2*seedTimeout).Key)
+		}
+		slices.Sort(keys)
+		if want := []string{"op/config", "servers/a", "servers/b"}; !slices.Equal(keys, want) {
+			t.Fatalf("keys of the seed's state: %v, want %v", keys, want)
+		}
+		released.Store(true)
+		if got := next(t, items, 4*time.Second); got.Key != "op/config" || got.Revision != 7 {
+			t.Errorf("first change of the store: %s at %d", got.Key, got.Revision)
+		}
+		if got := next(t, items, time.Second); got.Key != "servers/a" || !got.Deleted {
+			t.Errorf("second change of the store: %s, deleted %t", got.Key, got.Deleted)
+		}
+	})
 }
 
 // Guards against the state of a seed in place of the store's, and against seeds that delay a
 // start: one that hangs, one that knows nothing and one that is older than the other.
 func TestSeedsDelayNoStart(t *testing.T) {
 	t.Parallel()
-	old := serveState(t, listedStore(Item{Key: "op/config", Revision: 1}))
-	newer := serveState(t, listedStore(Item{Key: "op/config", Revision: 2}))
+	old := serveState(t, listenTCP(t), listedStore(Item{Key: "op/config", Revision: 1}))
+	newer := serveState(t, listenTCP(t), listedStore(Item{Key: "op/config", Revision: 2}))
 	var never atomic.Bool
-	empty := serveState(t, silentStore(&never, Source{}))
+	empty := serveState(t, listenTCP(t), silentStore(&never, Source{}))
 	hung, _ := hungPeer(t, "hung")
 	seeds := []string{empty, old, hung.Addr, newer}
 	began := time.Now()
-	items := startWithSeeds(t, listedStore(Item{Key: "op/config", Revision: 9}), seeds...)
+	items := startWithSeeds(t, nil, listedStore(Item{Key: "op/config", Revision: 9}), seeds...)
 	if got := next(t, items, time.Second); got.Revision != 9 || time.Since(began) > seedDelay {
 		t.Errorf("revision %d after %s, want that of the store at once", got.Revision, time.Since(began))
 	}
@@ -149,7 +152,7 @@
 			return Page{}, fmt.Errorf("store is down")
 		},
 	}
-	if got := next(t, startWithSeeds(t, down, seeds...), seedDelay+2*seedTimeout); got.Revision != 2 {
+	if got := next(t, startWithSeeds(t, nil, down, seeds...), seedDelay+2*seedTimeout); got.Revision != 2 {
 		t.Errorf("revision %d, want that of the seed that knows most", got.Revision)
 	}
 }
