--- a/core/jkendpoint/client.go
+++ b/core/jkendpoint/client.go
@@ -19,6 +19,8 @@
 
 // Options configure a client.
 type Options struct {
+	// Dial opens a connection; nil means that of net.Dialer.
+	Dial             func(ctx context.Context, network, addr string) (net.Conn, error)
 	DialTimeout      time.Duration
 	IdleTimeout      time.Duration // of pooled connections
 	IdlePerAddress   int
@@ -96,10 +98,13 @@
 }
 
 func newTransport(o Options, keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/core/jkstandin/server.go
+++ b/core/jkstandin/server.go
@@ -19,6 +19,7 @@
 	handler http.Handler
 	timer   *jktimer.Service
 	address string
+	open    func(address string) (net.Listener, error)
 
 	mu            sync.Mutex
 	httpServer    *http.Server
@@ -29,7 +30,14 @@
 // Serve starts a server for a handler; port 0 selects a free port. If the handler is an
 // Engine, its crashes close the address for as long as the engine is down.
 func Serve(address string, handler http.Handler, timer *jktimer.Service) (*Server, error) {
-	s := &Server{handler: handler, timer: timer, address: address}
+	return serveOn(openTCP, address, handler, timer)
+}
+
+func openTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// serveOn starts a server that opens its listeners by a function.
+func serveOn(open func(string) (net.Listener, error), address string, handler http.Handler, timer *jktimer.Service) (*Server, error) {
+	s := &Server{handler: handler, timer: timer, address: address, open: open}
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -42,7 +50,7 @@
 // listen starts an HTTP server on the address. The caller holds mu, or no other
 // goroutine has the server yet.
 func (s *Server) listen() error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := s.open(s.address)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
