--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -254,6 +254,7 @@
 	other.writeHeld(t, recoveryPrograms, isHeld)
 	turns := other.turns()
 	substitute.stop()
+	f.hold("a-2", settings.Inner)
 	settings.First, settings.Folder = false, t.TempDir()
 	wiped := f.run(settings)
 	eventually(t, "certain copy", wiped.vault.Certain)
