account: accept turns whose copies only relays reach

Callers got 503 for turns at an entry that is cut off from the other zones, for as long as the cut lasts, though another host of its zone reaches them and would relay.

Cause: CanKeep counted the copies that the entry reaches, and those of zones of which it reaches some host.

Change: if these are too few, CanKeep asks the program's other copies through relays before it refuses.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -270,7 +271,7 @@
 	copies := c.knownCopies()
 	zones := map[string]bool{}
 	for _, target := range copies {
-		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+		if c.isInReach(target) {
 			zones[target.Zone] = true
 		}
 	}
@@ -278,17 +279,48 @@
 	return spread{zones: max(min(most, len(zones)), 1), disks: max(min(most, len(copies)), 1)}
 }
 
-// CanKeep returns a *jkforward.NoQuorumError if the zones in reach have fewer copies than have to
-// hold a turn.
-func (c *Client) CanKeep() error {
+// CanKeep returns a *jkforward.NoQuorumError if fewer copies than have to hold a turn of a program
+// are in reach, or answer through other hosts.
+func (c *Client) CanKeep(ctx context.Context, program string) error {
 	inReach := 0
 	for _, target := range c.knownCopies() {
-		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+		if c.isInReach(target) {
 			inReach++
 		}
 	}
-	if needed := c.requiredSpread().disks; inReach < needed {
+	needed := c.requiredSpread().disks
+	if inReach < needed {
+		inReach += c.countRelayed(ctx, program)
+	}
+	if inReach < needed {
 		return &jkforward.NoQuorumError{Operation: "keep", Answers: inReach, Needed: needed}
 	}
 	return nil
 }
+
+// isInReach reports whether a copy is expected to take records: its host is in reach, or others of
+// its zone are, which relay them.
+func (c *Client) isInReach(target Copy) bool {
+	return c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
+}
+
+// countRelayed returns the number of a program's copies that are out of reach and answer through
+// other hosts.
+func (c *Client) countRelayed(ctx context.Context, program string) int {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var answered atomic.Int64
+	var asking sync.WaitGroup
+	for _, target := range c.replicas(program) {
+		if c.isInReach(target) {
+			continue
+		}
+		asking.Go(func() {
+			if c.relay(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{}, &jkledger.ChainAnswer{}) == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	asking.Wait()
+	return int(answered.Load())
+}
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -205,23 +205,23 @@
 	f := newFixture(t)
 	f.cut["b"], f.cut["c"] = true, true
 	var noQuorum *jkforward.NoQuorumError
-	if err := f.client.CanKeep(); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+	if err := f.client.CanKeep(t.Context(), "p"); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
 		t.Errorf("error is %v, want a *NoQuorumError with 1 of 2", err)
 	}
 	if err := f.keepWithin(t, "p", 300*time.Millisecond); err == nil {
 		t.Error("the turn counts as kept on one disk")
 	}
 	f.cut["b"] = false
-	if err := f.client.CanKeep(); err != nil {
+	if err := f.client.CanKeep(t.Context(), "p"); err != nil {
 		t.Errorf("with two zones in reach: %v", err)
 	}
 }
 
-// Guards against turns that are refused at an entry that reaches the copies through other hosts only.
+// Guards against turns that are refused at an entry that reaches other hosts of the copies' zones only.
 func TestTurnIsAcceptedIfOthersReachTheCopies(t *testing.T) {
 	f := newFixture(t)
 	f.client.Reachable = func(string) bool { return false }
-	if err := f.client.CanKeep(); err != nil {
+	if err := f.client.CanKeep(t.Context(), "p"); err != nil {
 		t.Error(err)
 	}
 }
--- a/core/jkaccount/relay_test.go
+++ b/core/jkaccount/relay_test.go
@@ -76,7 +76,7 @@
 	if err := f.keepWithin(t, "p", time.Second); err != nil {
 		t.Fatal(err)
 	}
-	if err := f.client.CanKeep(); err != nil {
+	if err := f.client.CanKeep(t.Context(), "p"); err != nil {
 		t.Errorf("a turn is refused after another one was kept: %v", err)
 	}
 }
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -97,7 +97,7 @@
 func (c *Client) extraCopies(program string, chosen []Copy) []Copy {
 	missing := c.MaxLostDisks + 1
 	for _, target := range chosen {
-		if c.Reachable(target.Host) || c.ZoneReachable(target.Zone) {
+		if c.isInReach(target) {
 			missing--
 		}
 	}
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -47,7 +47,7 @@
 	// *UnknownTurnError or a *NoQuorumError.
 	Chain func(ctx context.Context, program, request string) ([]byte, error)
 	// CanKeep fails with a *NoQuorumError if Keep would wait for copies that are out of reach.
-	CanKeep func() error
+	CanKeep func(ctx context.Context, program string) error
 	// Keep returns once the turn is on enough copies to survive the tolerated
 	// number of failures, and retries until the context ends. It also settles the
 	// turn's reservation.
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -268,7 +268,7 @@
 			}
 			return nil, &UnknownTurnError{Request: request}
 		},
-		CanKeep: func() error { return m.canKeepErr },
+		CanKeep: func(context.Context, string) error { return m.canKeepErr },
 		Keep: func(ctx context.Context, t Turn) error {
 			if m.keep != nil {
 				return m.keep(ctx)
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -154,7 +154,7 @@
 	if !c.route.Retain() {
 		return nil
 	}
-	if err := h.Account.CanKeep(); err != nil {
+	if err := h.Account.CanKeep(c.request.Context(), c.info.Program); err != nil {
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
 		return refusalForError(err)
 	}
