probe: take a late tick for no loss of a zone either

Cause: silence counts from the first probe without an answer, plus one interval. If a tick comes 0.6 s after the one before, and the answers to that one's probes are still unread, all hosts have been silent for 0.85 s. Where more than 12 hosts are always probed, half a second is enough for a zone whose entries are down.

Change: the time to answer anew, after which OnZoneChange reports a zone, also follows each tick that comes over half an interval late.

Ruled out: a lower bound for notePause, which would forget more of what the ledger knows.

Measured: TestPauseIsNoLossOfAZone/600ms fails before ("change {b false} right after a pause").

--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -63,6 +63,9 @@
 	unreachableAfter = 800 * time.Millisecond
 )
 
+// maxTickInterval is the time between two ticks of a process that isn't short of processor time.
+const maxTickInterval = probeInterval * 3 / 2
+
 // witnessesPerZone is the number of hosts in each zone that are probed to tell whether
 // the zone is reachable, besides those that are always probed.
 const witnessesPerZone = 2
@@ -79,10 +82,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peerRow
-	// tickedAt is the time of the latest tick, and resumedAt when this process ran again after
-	// its latest pause.
-	tickedAt  time.Time
-	resumedAt time.Time
+	// tickedAt is the time of the latest tick, and lateAt that of the latest one that came late.
+	tickedAt time.Time
+	lateAt   time.Time
 	// alwaysInterval is the interval at which hosts that are always probed are.
 	alwaysInterval time.Duration
 	// unreachableHosts is the number of unreachable hosts.
@@ -326,6 +328,9 @@
 	if now.Sub(p.tickedAt) > unreachableAfter {
 		p.notePause()
 	}
+	if now.Sub(p.tickedAt) > maxTickInterval {
+		p.lateAt = now
+	}
 	p.tickedAt = now
 	for _, row := range p.peers {
 		if !row.isProbed {
@@ -394,11 +399,12 @@
 	}
 }
 
-// zoneChanges returns the zones that OnZoneChange has to be told of. After a pause of this
-// process a zone has as long to answer as at other times. The caller holds the lock.
+// zoneChanges returns the zones that OnZoneChange has to be told of. After a late tick, whose
+// answers may be unread, a zone has as long to answer as at other times. The caller holds the
+// lock.
 func (p *Prober) zoneChanges(now time.Time) map[string]bool {
 	changed := map[string]bool{}
-	mayMissAnswers := now.Sub(p.resumedAt) < unreachableAfter
+	mayMissAnswers := now.Sub(p.lateAt) < unreachableAfter
 	for zone, reachable := range p.zones {
 		if p.lostZones[zone] == !reachable || !reachable && mayMissAnswers {
 			continue
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -305,6 +305,12 @@
 // Guards against a pause of this process that is taken for the loss of all other zones, which ends
 // the exchanges there, and against a zone whose loss during the pause is never noticed.
 func TestPauseIsNoLossOfAZone(t *testing.T) {
+	for _, paused := range []time.Duration{600 * time.Millisecond, 3 * time.Second} {
+		t.Run(paused.String(), func(t *testing.T) { testPause(t, paused) })
+	}
+}
+
+func testPause(t *testing.T, paused time.Duration) {
 	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
 	zones := make(chan change, 8)
 	p, err := Listen(Options{
@@ -329,10 +335,14 @@
 	for range 4 {
 		tickAfter(probeInterval)
 	}
+	// The answers to the latest probes aren't read before the tick.
 	silent = hostHash("c1")
-	tickAfter(3 * time.Second)
+	for _, row := range p.peers {
+		row.unansweredSince = row.probedAt
+	}
+	tickAfter(paused)
 	if p.ZoneReachable("b") {
-		t.Error("a zone that couldn't be heard for 3 s counts as reachable")
+		t.Errorf("a zone that couldn't be heard for %s counts as reachable", paused)
 	}
 	if len(zones) > 0 {
 		t.Errorf("change %v right after a pause", <-zones)
--- a/core/jkprobe/schedule.go
+++ b/core/jkprobe/schedule.go
@@ -15,7 +15,7 @@
 // paused and may have missed what they sent. They are back with their next answers.
 func (p *Prober) notePause() {
 	// What happened to the zones meanwhile isn't known either.
-	p.startedAt, p.resumedAt = p.Timer.Now(), p.Timer.Now()
+	p.startedAt = p.Timer.Now()
 	for _, row := range p.peers {
 		if row.unansweredSince.IsZero() {
 			row.unansweredSince = later(row.lastAnswer, row.addedAt)
