entry: send responses to their end before a planned stop closes connections

The kernel had acknowledged all bytes of the request and the connection ended without a reset, so that the entry had read it.

Cause: Entry.drain waits until no request is in flight. That number falls when the handler returns, but net/http sends the rest of a response after that. With little processor time, or a caller that reads slowly, front.Close comes first.

Change: after the listener is closed, drain waits until no connection has a request that was read and whose response isn't sent (StateActive), within the same time as before.

Ruled out: Shutdown of net/http, which closes connections whose request arrives later. Not covered: a request whose head is being read at that moment, which net/http doesn't report.

Measured: TestStopSendsResponsesToTheirEnd fails before ("response: unexpected EOF") and passes after.

--- /dev/null
+++ b/core/jkentry/conns_test.go
@@ -0,0 +1,70 @@
+package jkentry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+)
+
+// pipeListener accepts connections that are in memory, whose writes wait for the reader.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error {
+	l.closed.Do(func() { close(l.conns) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a stopping entry that closes a connection whose response is written by the handler
+// and not sent yet: with little processor time that takes longer than the last requests have.
+func TestStopSendsResponsesToTheirEnd(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Inner: freeAddr(t), Front: freeAddr(t), Grace: grace},
+		stopTestPlatform(nil), jktimer.New(), jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &pipeListener{conns: make(chan net.Conn)}
+	defer func() { _ = l.Close() }()
+	go e.serve(e.front, l)
+	caller, served := net.Pipe()
+	defer caller.Close()
+	l.conns <- served
+	stop, done := make(chan struct{}), make(chan struct{})
+	close(stop)
+	go func() { defer close(done); e.Run(stop) }()
+	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: stop.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// Half of the grace is for callers that still open connections.
+	time.Sleep(grace/2 + 2*lastRequestTime)
+	res, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatalf("response: %v", err)
+	}
+	defer res.Body.Close()
+	if _, err := io.ReadAll(res.Body); err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v, want the whole response", res.StatusCode, err)
+	}
+	<-done
+}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -56,6 +56,7 @@
 
 	front         *http.Server
 	frontListener net.Listener
+	busy          *busyConns
 	// closers release listeners and connections when the process stops.
 	closers []func()
 }
@@ -65,7 +66,7 @@
 func NewEntry(s Settings, p Platform, timer *jktimer.Service, log jklog.Logger) (*Entry, error) {
 	e := &Entry{
 		settings: s, platform: p, timer: timer, log: log, metrics: metrics.NewSet(),
-		members: newMembers(timer), endpoints: map[string]EndpointState{}, stop: jkforward.NewHostStop(),
+		members: newMembers(timer), endpoints: map[string]EndpointState{}, stop: jkforward.NewHostStop(), busy: newBusyConns(),
 	}
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = s.Zone
@@ -245,7 +246,7 @@
 	}
 	e.front = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: nil,
+		MaxHeaderBytes: maxHeader, ErrorLog: nil, ConnState: e.busy.observe,
 	}
 	e.frontListener = l
 	go e.serve(e.front, l)
@@ -400,12 +401,13 @@
 	_ = e.frontListener.Close()
 	e.front.SetKeepAlivesEnabled(false)
 	e.timer.Wait(lastRequestTime, nil)
-	// A request that was taken just before has its own time limit within the grace.
-	for e.counts.InFlight() > 0 && e.timer.Now().Before(endsAt.Add(lastRequestTime)) {
+	// A request that was taken just before has its own time limit within the grace. Its response
+	// is sent only after it has left the requests in flight.
+	for e.busy.count() > 0 && e.timer.Now().Before(endsAt.Add(lastRequestTime)) {
 		e.timer.Wait(drainInterval, nil)
 	}
-	if n := e.counts.InFlight(); n > 0 {
-		e.log.Warn("requests cut off by the end of the process", "in_flight", n)
+	if n := e.busy.count(); n > 0 {
+		e.log.Warn("requests cut off by the end of the process", "connections", n)
 	}
 	_ = e.front.Close()
 	e.account.Flush(flushTimeout)
