account: ask the copies right after a pause of the entry

Callers got 503 at once for turns that a sound fleet had ('chain: 0 of 11 needed copies answered' after 0 ms), for a quarter of a second or more after each pause of an entry that gets no processor for a while: all hosts count as unreachable then, since what was heard last is as old as the pause, and the client didn't try to call them.

Change: while the prober says that this process was paused just now, messages go to the copies directly. What is concluded from silence stays as it was.

Ruled out: to count the hosts as reachable. A 404 or a grant relies on what isn't known after a pause.

TestCopiesAreAskedAfterAPause failed before ('0 of 3 needed copies answered') and passes after.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -55,6 +55,7 @@
 		MembersSettled: func() bool { return !f.starting },
 		Copies:         func() []Copy { return f.copies },
 		Reachable:      func(host string) bool { return !f.lost[host] && !f.cut[host] },
+		Paused:         func() bool { return false },
 		Lost:           func(string) bool { return false },
 		ZoneReachable:  func(zone string) bool { return !f.cut[zone] },
 		ZoneSettled:    func(zone string) bool { return !f.cut[zone] && !f.unsettled[zone] },
@@ -136,6 +137,23 @@
 	}
 }
 
+// Guards against turns that are refused right after a pause of the entry, though the copies would
+// answer: what it heard last is as old as the pause.
+func TestCopiesAreAskedAfterAPause(t *testing.T) {
+	f := newFixture(t)
+	f.keep(t, jkforward.Turn{Request: "1", Input: []byte("in "), Output: []byte("out\n")})
+	f.client.Reachable = func(string) bool { return false }
+	f.client.Paused = func() bool { return true }
+	got, err := f.client.Chain(t.Context(), "p", "1")
+	if err != nil || string(got) != "in out\n" {
+		t.Errorf("chain is %q, %v", got, err)
+	}
+	r := jkforward.Reservation{Program: "p", Request: "2", Tokens: 1, Budget: 10, Retention: time.Minute}
+	if err := f.client.Reserve(t.Context(), r); err != nil {
+		t.Error(err)
+	}
+}
+
 // expectUncertain fails unless it isn't known whether a turn exists.
 func (f *fixture) expectUncertain(t *testing.T) {
 	t.Helper()
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -44,6 +44,9 @@
 	Copies    func() []Copy
 	Reachable func(host string) bool
 	Lost      func(host string) bool
+	// Paused reports whether this process was paused just now, so that Reachable may be out of
+	// date.
+	Paused func() bool
 	// UnreachableFor returns the time since the last answer of an unreachable host, and zero
 	// for a reachable one.
 	UnreachableFor func(host string) time.Duration
@@ -87,7 +90,7 @@
 
 // call sends a message to a copy, through another host if this one can't reach the copy.
 func (c *Client) call(ctx context.Context, target Copy, messageType string, request, answer any) error {
-	if !c.Reachable(target.Host) {
+	if !c.Reachable(target.Host) && !c.Paused() {
 		return c.relay(ctx, target, messageType, request, answer)
 	}
 	err := c.Pool.Call(ctx, target.Addr, messageType, request, answer)
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -61,7 +61,7 @@
 		Copies: func() []jkaccount.Copy {
 			return []jkaccount.Copy{{Host: s.settings.Host, Addr: s.settings.Inner, Zone: s.settings.Zone}}
 		},
-		Reachable: yes, Lost: func(string) bool { return false }, ZoneReachable: yes, ZoneSettled: yes,
+		Reachable: yes, Paused: func() bool { return false }, Lost: func(string) bool { return false }, ZoneReachable: yes, ZoneSettled: yes,
 		RelayAddrs: func() []string { return nil },
 	})
 	if err := client.Keep(context.Background(), turn); err != nil {
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -344,12 +344,18 @@
 	if p.ZoneReachable("b") {
 		t.Errorf("a zone that couldn't be heard for %s counts as reachable", paused)
 	}
+	if !p.JustPaused() {
+		t.Errorf("a pause of %s isn't noticed", paused)
+	}
 	if len(zones) > 0 {
 		t.Errorf("change %v right after a pause", <-zones)
 	}
 	for range 1 + unreachableAfter/probeInterval {
 		tickAfter(probeInterval)
 	}
+	if p.JustPaused() {
+		t.Error("the process still counts as paused after it has heard from the others")
+	}
 	if len(zones) != 1 {
 		t.Fatalf("%d changes after a pause, want the loss of the silent zone", len(zones))
 	}
--- a/core/jkprobe/schedule.go
+++ b/core/jkprobe/schedule.go
@@ -23,6 +23,14 @@
 	}
 }
 
+// JustPaused reports whether this process has been short of processor time within
+// unreachableAfter, so that answers of other hosts may be unread.
+func (p *Prober) JustPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Timer.Now().Sub(p.lateAt) < unreachableAfter
+}
+
 // silence returns for how long a host hasn't answered, not counting the time in which it
 // wasn't probed. It is zero for a host whose last probe was answered.
 func (r *peerRow) silence(now time.Time) time.Duration {
