vault: don't wait for a host whose zone has taken its programs over

Since a copy without its records waits for all hosts but those that may be lost, the second of two replacements wasn't certain until the entry of the first machine was removed, 20 s after that was gone, and reservations lacked a majority as soon as another copy was down.

A host of another zone isn't missing any more once the store has it marked as suspected, which takes 8 s of silence, it doesn't answer this host either, and all others of its zone were copied and were certain: they take its programs over 1.2 s and 8.2 s after it fell silent. A host that is alone in its zone stays missing, and one of the own zone, since this copy may have been the one that took over.

What it costs: a host that is only down counts for 8 to 11 s instead of 20 to 23 s, if its zone has others and a disk elsewhere was lost before these could take over.

Tests, on the code before: go test ./jkentry, failed: TestCopyDoesWithoutAHostWhoseZoneHasTakenOver: no certain copy within 3 s Passes after it, and so do TestCopyWaitsForASilentHostThatIsAloneInItsZone and TestHostThatIsGoneIsMissingUntilItsSuccessorsWereCopied, which hold the limits.

--- a/core/jkentry/recovery.go
+++ b/core/jkentry/recovery.go
@@ -99,7 +99,23 @@
 		return cmp.Or(cmp.Compare(inZone[a.Zone], inZone[b.Zone]), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Host, b.Host))
 	})
 	for _, h := range hosts {
-		sources = append(sources, jkvault.Source{Host: h.Host, Addr: h.Addr})
+		sources = append(sources, jkvault.Source{Host: h.Host, Addr: h.Addr, TakenOverBy: t.successors(h, hosts)})
 	}
 	return sources, t.isListed()
 }
+
+// successors returns the addresses of the hosts that have taken over the programs of a host of
+// another zone: the others of its zone, once it has been silent for so long that it is suspected.
+// Its own zone's programs may be among those that this copy has lost.
+func (t *Storage) successors(gone HostEntry, hosts []HostEntry) []string {
+	if !gone.Suspected || gone.Zone == t.settings.Zone || t.probes.Reachable(gone.Host) {
+		return nil
+	}
+	var out []string
+	for _, h := range hosts {
+		if h.Zone == gone.Zone && !h.Suspected {
+			out = append(out, h.Addr)
+		}
+	}
+	return out
+}
--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -119,6 +119,13 @@
 	f.store.write(host, next)
 }
 
+// suspect marks the entry of a host as suspected.
+func (f *recoveryFixture) suspect(host string) {
+	e := f.entries[host]
+	e.Suspected = true
+	f.put(host, &e)
+}
+
 // entry returns a host's entry in the store.
 func (f *recoveryFixture) entry(host string) HostEntry {
 	f.store.mu.Lock()
@@ -257,3 +264,28 @@
 		t.Errorf("sources are %s, want %s", got, want)
 	}
 }
+
+// Guards against a second replacement of a host that isn't certain until the entry of the first
+// one is removed, 20 s after that was gone (replaced storage in the soak, seeds 2 and 3).
+func TestCopyDoesWithoutAHostWhoseZoneHasTakenOver(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2", "c-1")
+	f.suspect("b-1")
+	f.run(f.source("b-2"))
+	f.run(f.settings("c-1", true))
+	wiped := f.run(f.settings("a-1", false))
+	eventually(t, "certain copy", wiped.vault.Certain)
+}
+
+// Guards against a copy that is certain without the records of a silent host that no other host
+// has taken over.
+func TestCopyWaitsForASilentHostThatIsAloneInItsZone(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	f.suspect("c-1")
+	source := f.run(f.source("b-1"))
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, source.turns())
+	time.Sleep(time.Second)
+	if wiped.vault.Certain() {
+		t.Error("the copy is certain without the host that is silent")
+	}
+}
--- a/core/jkvault/recovery.go
+++ b/core/jkvault/recovery.go
@@ -10,6 +10,9 @@
 type Source struct {
 	Host string
 	Addr string
+	// TakenOverBy are the addresses of the copies that have taken over the programs of a host
+	// that is gone. Its records aren't missing once all of these were copied.
+	TakenOverBy []string
 }
 
 // recovery tracks of which other copies a vault has copied all records since it opened
@@ -52,6 +55,7 @@
 	for _, s := range sources {
 		certain, copied := r.copied[s.Addr]
 		switch {
+		case !copied && r.isTakenOver(s):
 		case !copied:
 			out.Missing = append(out.Missing, s)
 		case !certain:
@@ -61,6 +65,17 @@
 	return out
 }
 
+// isTakenOver reports whether the copies that have taken over from a source were certain when
+// their records were copied. The caller holds the lock.
+func (r *recovery) isTakenOver(s Source) bool {
+	for _, addr := range s.TakenOverBy {
+		if !r.copied[addr] {
+			return false
+		}
+	}
+	return len(s.TakenOverBy) > 0
+}
+
 // isComplete reports whether the copied records include all that were acknowledged, if as many
 // other disks as given are lost at most. Each acknowledged record is on one disk more than may
 // be lost, and an uncertain source is one of the losses.
--- a/core/jkvault/recovery_test.go
+++ b/core/jkvault/recovery_test.go
@@ -153,3 +153,27 @@
 		t.Errorf("certain %t, %v; want false", certain, err)
 	}
 }
+
+// Guards against a copy that does without a host that is gone before it has copied from those that
+// have taken over from it, or while these lack records themselves.
+func TestHostThatIsGoneIsMissingUntilItsSuccessorsWereCopied(t *testing.T) {
+	first, second := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	other, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	n.vault.MaxLostDisks = 1
+	n.vault.Sources = func() ([]Source, bool) {
+		return []Source{{Addr: "gone", TakenOverBy: []string{first.addr, second.addr}}, {Addr: first.addr}, {Addr: second.addr}, {Addr: other.addr}}, true
+	}
+	n.copyFrom(other, first)
+	if n.vault.Certain() {
+		t.Error("the copy is certain before it has copied from both successors")
+	}
+	n.copyFrom(second)
+	if n.vault.Certain() {
+		t.Error("the copy is certain although a successor isn't")
+	}
+	second.copyFrom(other)
+	n.copyFrom(second)
+	if !n.vault.Certain() {
+		t.Error("the copy isn't certain after it has copied from both successors")
+	}
+}
