vault: refuse records that arrive after its end

A storage host that is stopped while it copies records panicked ('send on closed channel'): CatchUp runs on until its context ends, and what it had received could reach the vault after Close.

Records that come after Close get an error now.

--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -66,11 +67,12 @@
 	// catchUpMu is held by the one call of CatchUp that runs.
 	catchUpMu sync.Mutex
 
-	// mu guards ledger, sealed, the buffer of log and syncWaiters.
+	// mu guards ledger, sealed, closed, the buffer of log and syncWaiters.
 	mu     sync.Mutex
 	ledger *jkledger.Ledger
-	// sealed is set by Seal.
+	// sealed is set by Seal, and closed by Close.
 	sealed bool
+	closed bool
 	log    *jkledger.Log
 	// syncWaiters get the result of the next write to disk.
 	syncWaiters []chan error
@@ -168,9 +170,16 @@
 	v.ledger.Expire(v.Timer.Now())
 }
 
+// errClosed is returned for records that arrive after Close, as those that CatchUp is still
+// copying do.
+var errClosed = errors.New("the vault is closed")
+
 // add applies records to the ledger and appends those that changed it to the log. The
 // returned channel gets the result of the next write to disk. The caller holds mu.
 func (v *Vault) add(records []jkledger.Record) (chan error, error) {
+	if v.closed {
+		return nil, errClosed
+	}
 	now := v.Timer.Now()
 	if err := v.log.Stamp(now); err != nil {
 		return nil, err
@@ -522,6 +531,7 @@
 // handled any more.
 func (v *Vault) Close() error {
 	v.mu.Lock()
+	v.closed = true
 	close(v.wake)
 	v.mu.Unlock()
 	<-v.stopped
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -298,3 +299,14 @@
 		t.Errorf("the holders were looked up %d times and %d programs, want one each", hosts, programs)
 	}
 }
+
+// Guards against a process that panics while it stops, because records arrive that it was copying.
+func TestClosedVaultTakesNoRecords(t *testing.T) {
+	a := start(t, t.TempDir(), true)
+	a.stop()
+	a.vault.mu.Lock()
+	defer a.vault.mu.Unlock()
+	if _, err := a.vault.add([]jkledger.Record{{Turn: &jkledger.Turn{Request: "1"}}}); !errors.Is(err, errClosed) {
+		t.Errorf("error is %v, want %v", err, errClosed)
+	}
+}
