--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -211,7 +211,8 @@
 	if err := f.keepWithin(t, "p", 300*time.Millisecond); err == nil {
 		t.Error("the turn counts as kept on one disk")
 	}
-	f.cut["b"] = false
+	f = newFixture(t)
+	f.cut["c"] = true
 	if err := f.client.CanKeep(t.Context(), "p"); err != nil {
 		t.Errorf("with two zones in reach: %v", err)
 	}
