--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -7,6 +7,8 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,6 +250,14 @@
 	f.startCopy(t, "a-2", "a")
 	f.startCopy(t, "a-3", "a")
 	f.client.MaxLostDisks = 2
+	lost := f.client.replicas("p")[0]
+	var cut, gone atomic.Bool
+	f.client.Reachable = func(host string) bool { return !cut.Load() || strings.HasPrefix(host, "a") }
+	f.client.ZoneReachable = func(zone string) bool { return !cut.Load() || zone == "a" }
+	f.client.ZoneSettled = f.client.ZoneReachable
+	f.client.Copies = func() []Copy {
+		return slices.DeleteFunc(slices.Clone(f.copies), func(c Copy) bool { return c == lost && gone.Load() })
+	}
 	const tokens, budget = 100, 500
 	granted, requests := int64(0), 0
 	reserve := func(n int) {
@@ -259,11 +269,10 @@
 			}
 		}
 	}
-	lost := f.client.replicas("p")[0]
-	f.cut["b"], f.cut["c"] = true, true
+	cut.Store(true)
 	reserve(5)
-	clear(f.cut)
-	f.copies = slices.DeleteFunc(f.copies, func(c Copy) bool { return c == lost })
+	cut.Store(false)
+	gone.Store(true)
 	reserve(8)
 	if granted > budget+tokens {
 		t.Errorf("%d tokens of %d and one turn of %d were granted", granted, budget, tokens)
