--- a/core/jkentry/retire_test.go
+++ b/core/jkentry/retire_test.go
@@ -110,6 +110,9 @@
 			written++
 		}
 	}
+	if written == 0 {
+		t.Error("no turn was written while the host was emptied")
+	}
 	for _, s := range []runningStorage{first, second} {
 		if want := recoveryPrograms + written; s.turns() != want {
 			t.Errorf("%s has %d turns, want %d", s.settings.Host, s.turns(), want)
