account: refuse turns while too few copies are known to keep them

Callers saw a stream that ran and was broken off after some tens of milliseconds, at an entry that had just started and had listed fewer copies than have to hold a turn: Keep fails at once then, after the endpoint has done the work. Turns without a budget have no Reserve that would refuse them before.

TestTurnIsRefusedWhileTooFewCopiesAreKnown failed before (error is nil).

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -280,8 +280,11 @@
 }
 
 // CanKeep returns a *jkforward.NoQuorumError if fewer copies than have to hold a turn of a program
-// are in reach, or answer through other hosts.
+// are known or in reach, or answer through other hosts.
 func (c *Client) CanKeep(ctx context.Context, program string) error {
+	if err := c.checkKnownCopies("keep", c.replicas(program)); err != nil {
+		return err
+	}
 	inReach := 0
 	for _, target := range c.knownCopies() {
 		if c.isInReach(target) {
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -218,6 +218,17 @@
 	}
 }
 
+// Guards against a turn that runs and is then broken off, because an entry that has just started
+// knows too few copies to keep it.
+func TestTurnIsRefusedWhileTooFewCopiesAreKnown(t *testing.T) {
+	f := newFixture(t)
+	f.copies, f.starting = f.copies[:1], true
+	var noQuorum *jkforward.NoQuorumError
+	if err := f.client.CanKeep(t.Context(), "p"); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+		t.Errorf("error is %v, want a *NoQuorumError with 1 of 2", err)
+	}
+}
+
 // Guards against turns that are refused at an entry that reaches other hosts of the copies' zones only.
 func TestTurnIsAcceptedIfOthersReachTheCopies(t *testing.T) {
 	f := newFixture(t)
