forward: log whether a request that broke off may be sent again, and if the attempt counts

The logs can't tell an attempt that wasn't counted, because the zone of the endpoint was taken for cut off or the endpoint had left the registry, from a counted one after which the last endpoint couldn't be connected to. Hypotheses 1 and 2 now show as counted=false, the third one as counted=true followed by 'request not sent to endpoint'.

--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -92,9 +92,12 @@
 			if c.broken != exchangeWhole {
 				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
+			before := c.attempts
 			if !h.Stop.hasEnded() && (!h.mayRetry(c, to.id) || h.Crashes.refusal(c) != nil) {
 				return c.finalRefusal("endpoint_failed", 0)
 			}
+			h.Log.Info("request may be sent again", "request", c.info.Request, "endpoint", to.id, "broken", c.broken,
+				"counted", c.attempts > before, "attempts", c.attempts, "max_attempts", c.route.MaxAttempts(), "excluded", len(c.excluded))
 		case outcomeNotSent:
 		}
 	}
