forward: find out from endpoints themselves whether they are cut off

Cause: what is known of hosts was taken for knowledge of endpoints. Once the probes of a zone's hosts weren't answered, all repeatable exchanges with the zone's endpoints were cancelled, the attempt wasn't counted, and the zone got no requests. Endpoints run on other machines, and nothing of ours runs there.

Change: while a zone's hosts are silent, an entry goes by what arrives from the zone's endpoints, and connects to two of them if nothing has arrived for 400 ms. Only if these don't answer either, the zone's endpoints count as cut off, until one answers or a host does. Placement, readiness, delayed requests and the count of attempts follow that. Copies of turns are on hosts and still go by the hosts.

Ruled out: the log said counted=false with the zone as the cause for every such request.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -45,6 +45,7 @@
 	follower   *jkfollow.Follower
 	registry   *registry
 	crashes    *jkforward.CrashWatch
+	zones      *jkforward.ZoneWatch
 	news       *news
 	// settled caches that membersSettled has been true.
 	settled atomic.Bool
@@ -72,6 +73,8 @@
 	opt.Zone = s.Zone
 	opt.Delay = assumedDelay
 	e.fleet = jkforward.NewFleet(s.Host, opt, timer)
+	e.zones = jkforward.NewZoneWatch(e.fleet, timer, log.Part("forward"))
+	e.closers = append(e.closers, e.zones.Close)
 	e.crashes = jkforward.NewCrashWatch(timer, log.Part("crash"))
 	e.news = &news{self: s.Host, timer: timer, log: log.Part("news"), crashes: e.crashes, fleet: e.fleet, startedAt: timer.Now()}
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
@@ -80,7 +83,7 @@
 	e.closers = append(e.closers, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
 		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First, SendProbes: true,
-		OnZoneChange: e.fleet.SetZoneReachable, OnHostChange: e.hostChanged, OnDigest: e.receiveDigest,
+		OnZoneChange: e.zones.SetHostsReachable, OnHostChange: e.hostChanged, OnDigest: e.receiveDigest,
 		OnNews: e.news.receive, CurrentNews: e.news.current,
 	})
 	if err != nil {
--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -89,6 +89,9 @@
 	return c.Close()
 }
 
+// refusesConnections reports whether a connection attempt failed because no process listens.
+func refusesConnections(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // lifeOf identifies one start of an endpoint by its id and start time.
 func lifeOf(id string, born int64) jkcrash.Life {
 	var h xxhash.Digest
@@ -236,7 +239,7 @@
 	defer w.mu.Unlock()
 	delete(w.checks, life)
 	close(check.done)
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if refusesConnections(err) {
 		if row.life == life {
 			row.endedAt = w.timer.Now()
 		}
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -10,9 +10,9 @@
 	"jasmineknot.example/core/jktimer"
 )
 
-// errZoneUnreachable is the cause of exchanges that are cancelled because the zone of
-// their endpoint has become unreachable.
-var errZoneUnreachable = errors.New("zone of the endpoint is unreachable")
+// errCutOff is the cause of exchanges that are cancelled because the endpoints of the zone
+// can't be reached anymore.
+var errCutOff = errors.New("endpoint is cut off")
 
 // Fleet places calls on endpoints and tracks the calls in flight. It is safe for
 // concurrent use.
@@ -23,8 +23,11 @@
 	direct *jksched.DirectPlacer
 	addrs  map[string]string
 	// cancels holds the cancel functions of repeatable calls in flight by endpoint.
-	cancels          map[string]map[*call]context.CancelCauseFunc
-	unreachableZones map[string]bool
+	cancels map[string]map[*call]context.CancelCauseFunc
+	// cutOffZones holds the zones whose endpoints can't be reached, and heardAt when bytes of
+	// an endpoint last arrived, by its zone.
+	cutOffZones map[string]bool
+	heardAt     map[string]time.Time
 	// reportedLoads holds the loads that endpoints reported to this host since the
 	// last digest.
 	reportedLoads map[string]reportedLoad
@@ -49,7 +52,7 @@
 		self:    Host{Name: host, Zone: opt.Zone},
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
-		cancels: map[string]map[*call]context.CancelCauseFunc{}, unreachableZones: map[string]bool{},
+		cancels: map[string]map[*call]context.CancelCauseFunc{}, cutOffZones: map[string]bool{}, heardAt: map[string]time.Time{},
 		reportedLoads: map[string]reportedLoad{},
 	}
 }
@@ -82,19 +85,19 @@
 	return f.direct.Endpoints()
 }
 
-// SetZoneReachable records whether a zone can be reached. When a zone becomes
-// unreachable, the repeatable calls in flight there are cancelled, so that they are
-// retried elsewhere.
-func (f *Fleet) SetZoneReachable(zone string, reachable bool) {
+// SetEndpointsReachable records whether the endpoints of a zone can be reached, and reports
+// whether that is news. When they become unreachable, the repeatable calls in flight there
+// are cancelled, so that they are retried elsewhere.
+func (f *Fleet) SetEndpointsReachable(zone string, reachable bool) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unreachableZones[zone] == !reachable {
-		return
+	if f.cutOffZones[zone] == !reachable {
+		return false
 	}
-	f.unreachableZones[zone] = !reachable
+	f.cutOffZones[zone] = !reachable
 	f.direct.SetZoneReachable(zone, reachable)
 	if reachable {
-		return
+		return true
 	}
 	for id, calls := range f.cancels {
 		e, ok := f.direct.Endpoint(id)
@@ -102,9 +105,10 @@
 			continue
 		}
 		for _, cancel := range calls {
-			cancel(errZoneUnreachable)
+			cancel(errCutOff)
 		}
 	}
+	return true
 }
 
 // HasUnreachableService reports whether all live endpoints of at least one of the
@@ -120,12 +124,11 @@
 	return false
 }
 
-// zoneReachable reports whether the endpoint's zone can be reached.
-func (f *Fleet) zoneReachable(id string) bool {
+// isCutOff reports whether the endpoints of a zone can't be reached.
+func (f *Fleet) isCutOff(zone string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e, ok := f.direct.Endpoint(id)
-	return ok && !f.unreachableZones[e.Zone]
+	return f.cutOffZones[zone]
 }
 
 // place chooses an endpoint and returns its id and address.
@@ -140,12 +143,14 @@
 		f.recentPlacements = append(f.recentPlacements, placement{Endpoint: p.Endpoint, Part: c.Prefix[n-1].Hash})
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
-	return target{id: p.Endpoint, addr: f.addrs[p.Endpoint], delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+	e, _ := f.direct.Endpoint(p.Endpoint)
+	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], delay: p.SendDelay, uncached: p.UncachedTokens}, nil
 }
 
 // target is the endpoint of one attempt. The request is sent to it after the delay.
 type target struct {
 	id    string
+	zone  string
 	addr  string
 	delay time.Duration
 	// uncached is the number of prompt tokens that the endpoint is expected to read.
@@ -169,7 +174,7 @@
 	if !ok {
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLimited}
 	}
-	return target{id: id, addr: f.addrs[id], delay: delay, uncached: -1}, nil
+	return target{id: id, zone: e.Zone, addr: f.addrs[id], delay: delay, uncached: -1}, nil
 }
 
 // takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
@@ -178,13 +183,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.direct.Endpoint(t.id)
-	return ok && e.State == jksched.StateLive && f.addrs[t.id] == t.addr && !f.unreachableZones[e.Zone]
+	return ok && e.State == jksched.StateLive && f.addrs[t.id] == t.addr && !f.cutOffZones[e.Zone]
 }
 
 func (f *Fleet) reportLoad(id string, l jksched.DirectLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timer.Now()
+	f.noteHeard(id)
 	f.direct.Report(now, id, l)
 	f.reportedLoads[id] = reportedLoad{load: l, at: now}
 }
@@ -198,6 +204,7 @@
 func (f *Fleet) progress(id string, tokens int64, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteHeard(id)
 	f.direct.Progress(f.timer.Now(), id, tokens, took)
 }
 
@@ -212,6 +219,9 @@
 func (f *Fleet) done(id string, outcome jksched.DirectOutcome, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if outcome == jksched.DirectServed || outcome == jksched.DirectRefused {
+		f.noteHeard(id)
+	}
 	f.direct.Done(f.timer.Now(), id, outcome, took)
 }
 
@@ -221,7 +231,7 @@
 	f.direct.Unreachable(f.timer.Now(), id)
 }
 
-// track registers the cancel function of a call, for SetZoneReachable.
+// track registers the cancel function of a call, for SetEndpointsReachable.
 func (f *Fleet) track(id string, c *call, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -93,7 +93,7 @@
 				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
 			before := c.attempts
-			if !h.Stop.hasEnded() && (!h.mayRetry(c, to.id) || h.Crashes.refusal(c) != nil) {
+			if !h.Stop.hasEnded() && (!h.mayRetry(c, to) || h.Crashes.refusal(c) != nil) {
 				return c.finalRefusal("endpoint_failed", 0)
 			}
 			h.Log.Info("request may be sent again", "request", c.info.Request, "endpoint", to.id, "broken", c.broken,
@@ -119,19 +119,19 @@
 	return &refusal{status: http.StatusBadGateway, reason: reason}
 }
 
-// mayRetry reports whether a request that may have run is sent again.
-// Endpoints that can't be reached don't count as attempts.
-func (h *Handler) mayRetry(c *call, id string) bool {
+// mayRetry reports whether a request that may have run is sent again. Endpoints that are
+// cut off don't count as attempts.
+func (h *Handler) mayRetry(c *call, to target) bool {
 	if !c.route.Repeatable() {
 		return false
 	}
-	if !h.Fleet.zoneReachable(id) {
-		c.excluded = append(c.excluded, id)
+	if h.Fleet.isCutOff(to.zone) {
+		c.excluded = append(c.excluded, to.id)
 		return true
 	}
 	c.attempts++
 	if c.attempts < max(c.route.MaxAttempts(), 1) {
-		c.excluded = append(c.excluded, id)
+		c.excluded = append(c.excluded, to.id)
 		return true
 	}
 	return c.attempts < maxSends
@@ -244,7 +244,7 @@
 	case outcomeRefused:
 		return jksched.DirectRefused
 	}
-	if c.request.Context().Err() != nil || errors.Is(context.Cause(ctx), errZoneUnreachable) {
+	if c.request.Context().Err() != nil || errors.Is(context.Cause(ctx), errCutOff) {
 		return jksched.DirectAbandoned
 	}
 	return jksched.DirectFault
@@ -286,7 +286,7 @@
 	if callerLeft {
 		return outcomeCallerLeft
 	}
-	if !errors.Is(context.Cause(ctx), errZoneUnreachable) {
+	if !errors.Is(context.Cause(ctx), errCutOff) {
 		h.Fleet.fault(id)
 	}
 	c.recordBroken(ctx)
