forward: go beyond max_attempts only where the last endpoint has ended or is cut off

An endpoint whose entry lapsed or was removed serves on for seconds, and the opening of a connection may be lost on the way to one that is at work.

Change: such a request goes elsewhere only if the endpoint refuses connections, which a process that has ended does, if its zone is cut off, or if it left two connections unanswered and no other request was answered there meanwhile. Otherwise it is sent there once more, or fails at once so that its caller can retry.

TestLastEndpointThatLeavesIsNotReplaced demanded that an endpoint without an entry is replaced.

TestUnansweredConnectionIsNotTakenForAnEnd fails without the change in its first two cases ('outcome not_sent, excluded true, want refused').

--- a/core/jkforward/bound.go
+++ b/core/jkforward/bound.go
@@ -66,5 +66,5 @@
 		return
 	}
 	h.Metrics.countTooLong(string(long.Part))
-	h.Log.Warn("answer too long", "request", c.info.Request, "endpoint", c.lastEndpoint, "part", string(long.Part), "limit", long.Limit)
+	h.Log.Warn("answer too long", "request", c.info.Request, "endpoint", c.last.id, "part", string(long.Part), "limit", long.Limit)
 }
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -37,8 +37,10 @@
 	// request.
 	attempts int
 	excluded []string
-	// lastEndpoint is the endpoint of the latest attempt.
-	lastEndpoint string
+	// unconnected counts the endpoints' connections that were not established.
+	unconnected int
+	// last is the endpoint of the latest attempt.
+	last target
 	// uncached is the number of prompt tokens that the endpoint of the latest attempt is
 	// expected to read, or -1 if that isn't known.
 	uncached int64
--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -203,20 +203,48 @@
 		// registry doesn't show that yet.
 		row.life, row.endedAt = lifeOf(id, int64(row.life)), time.Time{}
 	}
-	life := row.life
-	w.addPending(life, pendingCrash{key: c.key(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
+	w.addPending(row.life, pendingCrash{key: c.key(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
 	if !byEndpoint {
 		w.mu.Unlock()
 		return
 	}
-	check := w.checks[life]
+	check := w.startCheck(row, id, addr)
+	w.mu.Unlock()
+	w.timer.Wait(endedWait, check.done)
+}
+
+// startCheck starts to check whether an endpoint has ended, or returns the check in progress.
+// The caller holds the lock.
+func (w *CrashWatch) startCheck(row *endpointLife, id, addr string) *endedCheck {
+	check := w.checks[row.life]
 	if check == nil {
 		check = &endedCheck{done: make(chan struct{})}
-		w.checks[life] = check
-		go w.check(check, row, life, id, addr)
+		w.checks[row.life] = check
+		go w.check(check, row, row.life, id, addr)
+	}
+	return check
+}
+
+// hasEnded reports whether an endpoint is known to have ended since a time.
+func (w *CrashWatch) hasEnded(id string, since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	row := w.lives[id]
+	return row != nil && row.endedAt.After(since)
+}
+
+// awaitEnd checks whether an endpoint has ended, and waits for the result for a short while.
+func (w *CrashWatch) awaitEnd(id, addr string, since time.Time) bool {
+	w.mu.Lock()
+	row := w.lives[id]
+	if row == nil {
+		w.mu.Unlock()
+		return false
 	}
+	check := w.startCheck(row, id, addr)
 	w.mu.Unlock()
 	w.timer.Wait(endedWait, check.done)
+	return w.hasEnded(id, since)
 }
 
 // addPending adds an exchange and drops those that are too old. The caller holds the lock.
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -25,7 +25,7 @@
 	// cancels holds the cancel functions of repeatable calls in flight by endpoint.
 	cancels map[string]map[*call]context.CancelCauseFunc
 	// cutOffZones holds the zones whose endpoints can't be reached, and heardAt when bytes of
-	// an endpoint last arrived, by its zone.
+	// an endpoint last arrived.
 	cutOffZones map[string]bool
 	heardAt     map[string]time.Time
 	// reportedLoads holds the loads that endpoints reported to this host since the
@@ -73,6 +73,7 @@
 	defer f.mu.Unlock()
 	f.direct.RemoveEndpoint(id)
 	delete(f.addrs, id)
+	delete(f.heardAt, id)
 	if n := f.notices[id]; n != nil {
 		n.removedAt = f.timer.Now()
 	}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -269,7 +269,7 @@
 	}
 	return []any{
 		"request", c.info.Request, "program", c.info.Program, "route", route, "status", c.status,
-		"reason", c.reason, "endpoint", c.lastEndpoint, "attempts", c.attempts, "events", c.events,
+		"reason", c.reason, "endpoint", c.last.id, "attempts", c.attempts, "events", c.events,
 		"may_have_run", c.mayHaveRun, "sent_ms", millisSince(c.receivedAt, c.firstSentAt), "first_ms", millisSince(c.receivedAt, c.firstEventAt),
 		"took_ms", took.Milliseconds(),
 	}
--- a/core/jkforward/notice_test.go
+++ b/core/jkforward/notice_test.go
@@ -1,15 +1,22 @@
 package jkforward
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkupstream"
 )
 
 var noticeStart = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
@@ -135,13 +142,21 @@
 }
 
 // Guards against a request that reaches more endpoints than its route allows because the
-// last one takes no more requests (BUDGET); one that is gone doesn't count.
+// last one takes no more requests, or has left the registry while it is at work (BUDGET); one
+// that has ended doesn't count.
 func TestLastEndpointThatLeavesIsNotReplaced(t *testing.T) {
-	f, _ := newNoticeFleet("a", "z1", []Host{{"a", "z1"}})
-	f.SetEndpoint(jksched.Endpoint{ID: "other", Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}, "10.0.0.2:80", 1)
-	h := NewHandler(Options{Fleet: f})
+	timer := jktimer.New()
+	f := NewFleet("a", jksched.DefaultDirectOptions(), timer)
+	crashes := NewCrashWatch(timer, jklog.Discard())
+	dialErr := error(nil)
+	crashes.dial = func(context.Context, string) error { return dialErr }
+	for id, addr := range map[string]string{"e": "10.0.0.1:80", "other": "10.0.0.2:80"} {
+		f.SetEndpoint(jksched.Endpoint{ID: id, Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}, addr, 1)
+		crashes.SetEndpoint(id, addr, 1)
+	}
+	h := NewHandler(Options{Fleet: f, Crashes: crashes})
 	c := &call{
-		attempts: 2, lastEndpoint: "e",
+		attempts: 2, last: target{id: "e", addr: "10.0.0.1:80", zone: "z1"}, sentAt: timer.Now(),
 		route:   jkruleset.NewRoute(jkruleset.RouteConfig{Kind: jkruleset.KindIdempotent, MaxAttempts: 2}),
 		service: jkruleset.NewService(jkruleset.ServiceConfig{Name: "s"}),
 	}
@@ -153,7 +168,50 @@
 		t.Errorf("chosen %+v after the last endpoint began to leave, want none", to)
 	}
 	f.RemoveEndpoint("e")
+	crashes.RemoveEndpoint("e")
+	if to, err := h.chooseEndpoint(c); err == nil {
+		t.Errorf("chosen %+v after the entry of the last endpoint was removed, though it accepts connections, want none", to)
+	}
+	dialErr = os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	if to, err := h.chooseEndpoint(c); err != nil || to.id != "other" {
-		t.Errorf("chosen %+v, error %v, want the other one", to, err)
+		t.Errorf("chosen %+v, error %v after the last endpoint ended, want the other one", to, err)
+	}
+}
+
+// Guards against a request that runs on one endpoint more than its route allows since one
+// connection to an endpoint at work was not established in time (BUDGET). A process that
+// refuses connections has ended, and one that doesn't answer them at all is cut off.
+func TestUnansweredConnectionIsNotTakenForAnEnd(t *testing.T) {
+	refused := os.NewSyscallError("connect", syscall.ECONNREFUSED)
+	for _, c := range []struct {
+		name     string
+		causes   []error
+		answered bool
+		want     attemptOutcome
+	}{
+		{"one connection is lost", []error{context.DeadlineExceeded}, false, outcomeRefused},
+		{"two are lost, other requests are answered", []error{context.DeadlineExceeded, context.DeadlineExceeded}, true, outcomeRefused},
+		{"two are lost and nothing arrives", []error{context.DeadlineExceeded, context.DeadlineExceeded}, false, outcomeNotSent},
+		{"the process has ended", []error{refused}, true, outcomeNotSent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, clock := newNoticeFleet("a", "z1", []Host{{"a", "z1"}})
+			h := NewHandler(Options{Fleet: f, Timer: f.timer, Log: jklog.Discard()})
+			one := &call{
+				attempts: 1, mayHaveRunAt: "e", last: target{id: "e", zone: "z1"}, sentAt: f.timer.Now(), request: httptest.NewRequest("POST", "/", nil),
+				route: jkruleset.NewRoute(jkruleset.RouteConfig{Kind: jkruleset.KindIdempotent, MaxAttempts: 1}),
+			}
+			clock.Advance(time.Millisecond)
+			if c.answered {
+				f.reportLoad("e", jksched.DirectLoad{Running: 1, Slots: 4})
+			}
+			var got attemptOutcome
+			for _, cause := range c.causes {
+				got = h.handleSendError(one, context.Background(), "e", &jkupstream.NotSentError{Reason: jkupstream.ReasonUnreachable, Cause: cause})
+			}
+			if excluded := slices.Contains(one.excluded, "e"); got != c.want || excluded != (c.want == outcomeNotSent) {
+				t.Errorf("outcome %s, excluded %t, want %s", got, excluded, c.want)
+			}
+		})
 	}
 }
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -35,6 +35,11 @@
 // refusals the service counts as full, and the caller gets a refusal.
 const maxRefusals = 3
 
+// minUnconnected is the number of connections that an endpoint must leave unanswered before a
+// request that may have run there goes to another one than its route allows: a single one may
+// be lost on the way to an endpoint that is at work.
+const minUnconnected = 2
+
 // minAttemptTime is the least remaining time in which a further attempt is made.
 const minAttemptTime = 20 * time.Millisecond
 
@@ -57,7 +62,7 @@
 		if err != nil {
 			return h.placementRefusal(c, err)
 		}
-		c.lastEndpoint, c.uncached = to.id, to.uncached
+		c.last, c.uncached = to, to.uncached
 		outcome := outcomeNotSent
 		if h.awaitPlace(c, to) {
 			outcome = h.attempt(c, to.id, to.addr, min(left, c.deadline.Sub(h.Timer.Now())))
@@ -130,7 +135,7 @@
 		return true
 	}
 	c.attempts++
-	if c.attempts < max(c.route.MaxAttempts(), 1) {
+	if c.attempts < max(c.route.MaxAttempts(), 1) || h.Crashes.hasEnded(to.id, c.sentAt) {
 		c.excluded = append(c.excluded, to.id)
 		return true
 	}
@@ -148,17 +153,37 @@
 }
 
 // chooseEndpoint chooses the endpoint of the next attempt. Once the route's maximum
-// of endpoints was tried, it reuses the last one unless that one is excluded.
+// of endpoints was tried, it reuses the last one unless that one has ended or is cut off:
+// another one would be one more than the route allows.
 func (h *Handler) chooseEndpoint(c *call) (target, error) {
-	if c.attempts >= max(c.route.MaxAttempts(), 1) && !slices.Contains(c.excluded, c.lastEndpoint) {
-		// Another endpoint would be one more than the route allows.
-		if to, err := h.Fleet.reuse(c.lastEndpoint); err != nil || to.id != "" {
-			return to, err
+	if c.attempts < max(c.route.MaxAttempts(), 1) || slices.Contains(c.excluded, c.last.id) {
+		return h.Fleet.place(c.schedulerCall(), c.excluded)
+	}
+	if !h.isGone(c) {
+		to, err := h.Fleet.reuse(c.last.id)
+		// An endpoint that has left the registry may still be at work.
+		if err != nil || to.id != "" || !h.Crashes.awaitEnd(c.last.id, c.last.addr, c.sentAt) {
+			return orLeaving(to, err)
 		}
 	}
+	c.excluded = append(c.excluded, c.last.id)
 	return h.Fleet.place(c.schedulerCall(), c.excluded)
 }
 
+// isGone reports whether the last endpoint is cut off, or has ended since the request was sent
+// to it.
+func (h *Handler) isGone(c *call) bool {
+	return h.Fleet.isCutOff(c.last.zone) || h.Crashes.hasEnded(c.last.id, c.sentAt)
+}
+
+// orLeaving returns the endpoint, or the refusal of a request for which there is none.
+func orLeaving(to target, err error) (target, error) {
+	if err == nil && to.id == "" {
+		return to, &jksched.RefusedError{Reason: jksched.ReasonLeaving}
+	}
+	return to, err
+}
+
 // awaitPlace waits until the request may be sent to an endpoint that limits the rate of
 // requests. It reports false if the caller has left, or if the endpoint takes no new calls
 // by then.
@@ -272,6 +297,10 @@
 		switch notSent.Reason {
 		case jkupstream.ReasonUnreachable:
 			h.Fleet.unreachable(id)
+			c.unconnected++
+			if c.isTiedTo(id) && !refusesConnections(err) && (c.unconnected < minUnconnected || h.Fleet.hasAnswered(id, c.sentAt)) {
+				outcome = outcomeRefused
+			}
 		case jkupstream.ReasonConnectionLimit, jkupstream.ReasonCancelled:
 			if c.isTiedTo(id) {
 				outcome = outcomeRefused
@@ -311,7 +340,7 @@
 	if c.isStream() && success {
 		if c.headerSent && mediaType(resp.Header) != mediaType(c.writer.Header()) {
 			// The text of an error must not become a part of the stream.
-			h.Log.Info("stream not continued", "request", c.info.Request, "endpoint", c.lastEndpoint, "content_type", resp.Header.Get("Content-Type"))
+			h.Log.Info("stream not continued", "request", c.info.Request, "endpoint", c.last.id, "content_type", resp.Header.Get("Content-Type"))
 			return outcomeBroken
 		}
 		return h.forwardStream(ctx, c, resp)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			c.recordBroken(ctx)
 			h.recordTooLong(c, err)
-			h.Log.Info("stream broke off", "request", c.info.Request, "endpoint", c.lastEndpoint, "events", c.events, "error", err)
+			h.Log.Info("stream broke off", "request", c.info.Request, "endpoint", c.last.id, "events", c.events, "error", err)
 			return outcomeBroken
 		}
 		if !e.hasField {
@@ -55,7 +55,7 @@
 			continue
 		}
 		if continued && !followsID(e.id, c.lastEventID) {
-			h.Log.Info("stream started over", "request", c.info.Request, "endpoint", c.lastEndpoint, "event", e.id, "after", c.lastEventID)
+			h.Log.Info("stream started over", "request", c.info.Request, "endpoint", c.last.id, "event", e.id, "after", c.lastEventID)
 			return outcomeBroken
 		}
 		if c.events >= limit {
@@ -91,10 +91,10 @@
 		c.firstEventAt = now
 	}
 	if c.events == 0 && c.reportedLoad != nil {
-		h.Fleet.firstEvent(c.lastEndpoint, c.uncached, now.Sub(c.sentAt), *c.reportedLoad)
+		h.Fleet.firstEvent(c.last.id, c.uncached, now.Sub(c.sentAt), *c.reportedLoad)
 	}
 	if !last.IsZero() {
-		h.Fleet.progress(c.lastEndpoint, c.service.EventTokens(), now.Sub(last))
+		h.Fleet.progress(c.last.id, c.service.EventTokens(), now.Sub(last))
 	}
 	return now
 }
--- a/core/jkforward/zones.go
+++ b/core/jkforward/zones.go
@@ -162,13 +162,25 @@
 func (f *Fleet) heardFrom(zone string, since time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heardAt[zone].After(since)
+	for id, at := range f.heardAt {
+		if e, ok := f.direct.Endpoint(id); ok && e.Zone == zone && at.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasAnswered reports whether an endpoint has answered since a time.
+func (f *Fleet) hasAnswered(id string, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heardAt[id].After(since)
 }
 
 // noteHeard records that bytes of an endpoint have arrived. The caller holds the lock.
 func (f *Fleet) noteHeard(id string) {
-	if e, ok := f.direct.Endpoint(id); ok {
-		f.heardAt[e.Zone] = f.timer.Now()
+	if _, ok := f.direct.Endpoint(id); ok {
+		f.heardAt[id] = f.timer.Now()
 	}
 }
 
--- a/core/jkforward/zones_test.go
+++ b/core/jkforward/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"syscall"
 	"testing"
@@ -89,7 +90,7 @@
 			f := newZonesFixture()
 			f.dialErr = context.DeadlineExceeded
 			f.SetHostsReachable("b", false)
-			if f.cancelled != errCutOff || !f.fleet.isCutOff("b") {
+			if !errors.Is(f.cancelled, errCutOff) || !f.fleet.isCutOff("b") {
 				t.Fatalf("cancelled by %v, cut off %t", f.cancelled, f.fleet.isCutOff("b"))
 			}
 			if to, err := f.fleet.place(jksched.Call{ID: "r", Service: "s", Kind: jksched.KindModel}, []string{"e1"}); err == nil {
