registry: leave a mark of a removed storage host

What callers saw: a 404 for a turn that exists, or a turn on too few disks. A storage host that is down for over 20 s, so that its entry is removed, and returns without its disk counted as new. It was excused from one host more, and was certain without the records that only that one has.

Cause: the removal leaves nothing by which the host could know that it had a copy.

Change: the entry of a storage host that hasn't handed its records over isn't deleted but replaced by a mark in the same key, by the same compare-and-swap. The first list of the store then has it, so that the host isn't new. Its own entry replaces the mark, and counts from then on. All else treats a mark as a removed entry. The 16 newest marks are kept; an observer deletes the oldest one beyond. A removal costs one call as before.

Ruled out: a key of its own, which needs a second call to clean it up when the host returns. Marks that end after a time: the turns of a chain that goes on are kept longer than the retention of its first turn.

--- a/core/jkentry/apply.go
+++ b/core/jkentry/apply.go
@@ -31,6 +31,10 @@
 		e.setEndpoint(*change.Endpoint, item.Revision)
 	case change.RemovedEndpoint != "":
 		e.removeEndpoint(change.RemovedEndpoint, item.Revision)
+	case change.Host != nil && change.Host.Removed:
+		e.members.remove(change.Host.Host)
+		e.registry.set(*change.Host, item.Revision)
+		e.probes.RemovePeer(change.Host.Host)
 	case change.Host != nil:
 		e.members.set(*change.Host)
 		e.updateSenders()
--- a/core/jkentry/registry.go
+++ b/core/jkentry/registry.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,10 @@
 	observerSpread      = 3 * time.Second
 )
 
+// maxRemovedMarks is the number of removed storage hosts of which a mark stays in the store. The
+// oldest ones are deleted first.
+const maxRemovedMarks = 16
+
 // callCooldown is the least time between two store calls about the same host.
 const callCooldown = 5 * time.Second
 
@@ -155,7 +160,7 @@
 		return false
 	}
 	row := r.rows[r.own.Host]
-	if row == nil {
+	if row == nil || row.entry.Removed {
 		r.log.Warn("own host entry is missing", "host", r.own.Host)
 		return true
 	}
@@ -218,7 +223,7 @@
 	now := r.timer.Now()
 	var out []entryChange
 	for host, row := range r.rows {
-		if host == r.own.Host {
+		if host == r.own.Host || row.entry.Removed {
 			continue
 		}
 		row.cooldown = max(0, row.cooldown-observeInterval)
@@ -235,6 +240,33 @@
 			out = append(out, entryChange{row.entry, row.revision})
 		}
 	}
+	if storeReachable {
+		out = append(out, r.surplusMarks()...)
+	}
+	return out
+}
+
+// surplusMarks returns the oldest marks of removed hosts if there are too many. The caller holds
+// the lock.
+func (r *registry) surplusMarks() []entryChange {
+	var marks []*registryRow
+	for _, row := range r.rows {
+		if row.entry.Removed {
+			row.cooldown = max(0, row.cooldown-observeInterval)
+			marks = append(marks, row)
+		}
+	}
+	if len(marks) <= maxRemovedMarks {
+		return nil
+	}
+	slices.SortFunc(marks, func(a, b *registryRow) int { return cmp.Compare(a.revision, b.revision) })
+	var out []entryChange
+	for _, row := range marks[:len(marks)-maxRemovedMarks] {
+		if row.cooldown == 0 && r.isObserver(row.entry) {
+			row.cooldown = callCooldown
+			out = append(out, entryChange{row.entry, row.revision})
+		}
+	}
 	return out
 }
 
@@ -311,18 +343,28 @@
 	return xxhash.Sum64String(observer + "\x00" + host)
 }
 
-// apply marks an entry as suspected, or removes one that is marked already.
+// apply takes the next step towards the removal of an entry: it marks it as suspected, removes it or
+// deletes the mark that remained of it.
 func (r *registry) apply(ctx context.Context, change entryChange) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	message := "silent host suspected"
-	var next *HostEntry
-	if change.entry.Suspected {
+	var (
+		message string
+		next    *HostEntry
+		e       = change.entry
+	)
+	switch {
+	case e.Removed:
+		message = "mark of removed host deleted"
+	case !e.Suspected:
+		message = "silent host suspected"
+		next = &e
+		next.Suspected = true
+	case e.Ledger && !e.HandedOver:
+		message = "entry of silent host removed"
+		next = &HostEntry{Host: e.Host, Zone: e.Zone, Addr: e.Addr, Ledger: true, Removed: true}
+	default:
 		message = "entry of silent host removed"
-	} else {
-		marked := change.entry
-		marked.Suspected = true
-		next = &marked
 	}
 	err := r.swap(ctx, change.entry.Host, next, change.revision)
 	var changed *EntryChangedError
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -73,6 +73,9 @@
 	// Suspected is set by another host that gets no answer from this one. A host that is
 	// alive refutes it by writing its entry again.
 	Suspected bool `json:"suspected,omitempty"`
+	// Removed is set in what remains of the entry of a storage host that was removed while it was
+	// silent. A host that returns without its disk learns from it that it isn't new.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // Change is one decoded change of the platform's store. It is about rules, an endpoint, a
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -272,11 +272,14 @@
 		t.log.Warn("store change can't be decoded", "key", item.Key, "error", err)
 		return
 	}
+	if change.Host != nil && change.Host.Host == t.settings.Host && !t.isListed() {
+		t.wasListed.Store(true)
+	}
 	switch {
+	case change.Host != nil && change.Host.Removed:
+		t.hostRemoved(change.Host.Host)
+		t.registry.set(*change.Host, item.Revision)
 	case change.Host != nil:
-		if change.Host.Host == t.settings.Host && !t.isListed() {
-			t.wasListed.Store(true)
-		}
 		t.hostAppeared(*change.Host)
 		t.members.set(*change.Host)
 		if change.Host.Leaving {
@@ -286,15 +289,20 @@
 		// Entries show whether a zone is in reach whose only storage host is down.
 		t.probes.SetPeer(jkprobe.Peer{Host: change.Host.Host, Addr: change.Host.Addr, Zone: change.Host.Zone, AlwaysProbed: change.Host.Ledger})
 	case change.RemovedHost != "":
-		t.members.remove(change.RemovedHost)
-		t.sources.remove(change.RemovedHost)
+		t.hostRemoved(change.RemovedHost)
 		t.registry.remove(change.RemovedHost)
-		t.probes.RemovePeer(change.RemovedHost)
 	case change.RetireHost == t.settings.Host:
 		go t.retire(ctx, change.RetireWithin)
 	}
 }
 
+// hostRemoved forgets a host whose entry was removed.
+func (t *Storage) hostRemoved(host string) {
+	t.members.remove(host)
+	t.sources.remove(host)
+	t.probes.RemovePeer(host)
+}
+
 // holds returns a function that reports whether another host is among those that keep a
 // program's records. A host that is emptied isn't one of them, even if it hasn't learned that
 // from the store yet.
