vault: get back the turns that were taken for a neighbour

What callers saw: a turn that is lost with the next disks. A copy takes turns in place of another one of its zone while that one is down, new or out of an entry's reach. If it then lost its disk, it was certain again without them: the other zones' copies withhold them from it, since the neighbour ranks first, and the neighbour never had them. The turn stayed on one disk less.

Cause: what a copy without its disk asks for is what it should hold by rank, not what it may have acknowledged.

Change: a copy that is incomplete asks its neighbours in reach which records they have (ledger_keys), and asks the others for the records of the neighbours' programs that these lack (Neighbours and NeighboursHave of ledger_sync). An uncertain neighbour is left out: it copies what it lacks itself. A source that was copied before a neighbour was in reach counts as missing again once that neighbour was copied.

Ruled out: asking for all programs of the zone, which triples what a copy of a zone with three holds (TestCopyDoesNotGetWhatItsNeighboursHave holds the limit); having the neighbours copy what they lack, for which the copy can't tell when it is complete.

Cost: one list of keys from each neighbour every 2 s while a copy recovers, and these keys with each request for records. Certain copies exchange nothing more.

--- /dev/null
+++ b/core/jkentry/neighbour_test.go
@@ -0,0 +1,33 @@
+package jkentry
+
+import (
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkaccount"
+)
+
+// heldBy returns a function that reports whether a host holds a program among the hosts of a fleet.
+func (f *recoveryFixture) heldBy(host string) func(program string) bool {
+	var copies []jkaccount.Copy
+	for _, e := range f.entries {
+		copies = append(copies, jkaccount.Copy{Host: e.Host, Addr: e.Addr, Zone: e.Zone})
+	}
+	return jkaccount.ReplicaFilter(host, copies, func(string) bool { return false })
+}
+
+// Guards against a copy with a lost disk that fills its memory with the programs of all hosts of its
+// zone, although these have them.
+func TestCopyDoesNotGetWhatItsNeighboursHave(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1")
+	neighbour, other := f.run(f.settings("a-1", true)), f.run(f.settings("b-1", true))
+	neighbour.writeHeld(t, recoveryPrograms, f.heldBy("a-1"))
+	other.write(t, recoveryPrograms)
+	want := recoveryPrograms - neighbour.turns()
+	wiped := f.run(f.settings("a-2", false))
+	eventually(t, "certain copy", wiped.vault.Certain)
+	time.Sleep(2 * catchUpRetryInterval)
+	if wiped.turns() != want {
+		t.Errorf("%d turns, want the %d of the copy's own programs", wiped.turns(), want)
+	}
+}
--- a/core/jkentry/recovery.go
+++ b/core/jkentry/recovery.go
@@ -99,7 +99,7 @@
 		return cmp.Or(cmp.Compare(inZone[a.Zone], inZone[b.Zone]), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Host, b.Host))
 	})
 	for _, h := range hosts {
-		sources = append(sources, jkvault.Source{Host: h.Host, Addr: h.Addr, TakenOverBy: t.successors(h, hosts)})
+		sources = append(sources, jkvault.Source{Host: h.Host, Addr: h.Addr, TakenOverBy: t.successors(h, hosts), Neighbour: h.Zone == t.settings.Zone})
 	}
 	return sources, t.isListed()
 }
@@ -119,3 +119,28 @@
 	}
 	return out
 }
+
+// neighbours returns the other copies of the own zone that are in reach.
+func (t *Storage) neighbours() []jkvault.Source {
+	var out []jkvault.Source
+	for _, c := range t.otherCopies() {
+		if c.Zone == t.settings.Zone && t.probes.Reachable(c.Host) {
+			out = append(out, jkvault.Source{Host: c.Host, Addr: c.Addr, Neighbour: true})
+		}
+	}
+	return out
+}
+
+// anyHolds returns a function that reports whether one of several hosts is among those that keep a
+// program's records.
+func (t *Storage) anyHolds(hosts []string) func(program string) bool {
+	var filters []func(program string) bool
+	for _, host := range hosts {
+		if t.members.isCopy(host) && !t.members.isLeaving(host) {
+			filters = append(filters, t.holds(host))
+		}
+	}
+	return func(program string) bool {
+		return slices.ContainsFunc(filters, func(isHeld func(string) bool) bool { return isHeld(program) })
+	}
+}
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -14,6 +14,8 @@
 	TypeSync = "ledger_sync"
 	// TypeAdopt sends an AdoptRequest.
 	TypeAdopt = "ledger_adopt"
+	// TypeKeys sends a KeysRequest.
+	TypeKeys = "ledger_keys"
 )
 
 // ReserveRequest reserves tokens of a program's budget for one request.
@@ -81,6 +83,10 @@
 	// Gone limits the answer to the programs that the requesting copy has taken over from
 	// these hosts. Empty means all programs that it holds.
 	Gone []string `msgpack:"gone,omitempty"`
+	// Neighbours are other hosts of the requesting copy's zone. The answer includes what they
+	// hold, except for the records with the keys in NeighboursHave.
+	Neighbours     []string `msgpack:"neighbours,omitempty"`
+	NeighboursHave []uint64 `msgpack:"neighbours_have,omitempty"`
 }
 
 // SyncPart is one part of the records that answer a SyncRequest.
@@ -101,3 +107,13 @@
 	// Records is the number of records that were copied.
 	Records int `msgpack:"records"`
 }
+
+// KeysRequest asks a copy which records it has.
+type KeysRequest struct{}
+
+// KeysAnswer holds the keys of all records of a copy.
+type KeysAnswer struct {
+	Keys []uint64 `msgpack:"keys"`
+	// Certain has the meaning of ReserveAnswer.Certain.
+	Certain bool `msgpack:"certain"`
+}
--- a/core/jkvault/catchup.go
+++ b/core/jkvault/catchup.go
@@ -19,10 +19,15 @@
 	if within > 0 {
 		keyWindow += keyWindowSlack
 	}
+	return v.receive(ctx, addr, &jkledger.SyncRequest{Within: within, Have: v.keys(keyWindow)})
+}
+
+// keys returns the keys of the records that this copy has added within a duration, or of all of
+// them if it is zero.
+func (v *Vault) keys(within time.Duration) []uint64 {
 	v.mu.Lock()
-	have := v.ledger.Keys(v.since(keyWindow))
-	v.mu.Unlock()
-	return v.receive(ctx, addr, &jkledger.SyncRequest{Within: within, Have: have})
+	defer v.mu.Unlock()
+	return v.ledger.Keys(v.since(within))
 }
 
 // receive adds the records that the copy at an address sends in answer to a request, and
@@ -87,17 +92,17 @@
 		}
 		began := v.Timer.Now()
 		pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-		n, certain, err := v.pull(pullCtx, addr, window)
+		pull := v.pull
+		if within == 0 && !v.openedCertain {
+			pull = v.pullLost
+		}
+		n, certain, err := pull(pullCtx, addr, window)
 		cancel()
 		if err != nil {
 			v.Log.Warn("ledger not copied", "from", addr, "error", err)
 			continue
 		}
 		foundCertain = foundCertain || certain
-		if within == 0 && !v.openedCertain {
-			v.recovery.noteCopied(addr, n, certain)
-			v.CheckComplete()
-		}
 		if v.certain.Load() {
 			// Requests of entries wait while this host is busy copying.
 			v.Timer.Wait(min(pauseRatio*v.Timer.Now().Sub(began), maxPause), ctx.Done())
--- a/core/jkvault/recovery.go
+++ b/core/jkvault/recovery.go
@@ -1,9 +1,14 @@
 package jkvault
 
 import (
+	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jkwire"
 )
 
 // Source is another copy of the ledger that may have records which this one lacks.
@@ -13,20 +18,30 @@
 	// TakenOverBy are the addresses of the copies that have taken over the programs of a host
 	// that is gone. Its records aren't missing once all of these were copied.
 	TakenOverBy []string
+	// Neighbour is set if the copy is in the zone of this one.
+	Neighbour bool
 }
 
 // recovery tracks of which other copies a vault has copied all records since it opened
 // without those that it ever acknowledged.
 type recovery struct {
 	mu sync.Mutex
-	// copied reports by address whether the copy was certain.
-	copied  map[string]bool
+	// copied holds by address the copies whose records were copied.
+	copied  map[string]copiedSource
 	records int
 	// openMisses is the number of chains that the copy lacked and that weren't logged yet.
 	openMisses   int
 	missLoggedAt time.Time
 }
 
+// copiedSource is a copy of which all records were copied that this copy may have acknowledged.
+type copiedSource struct {
+	// certain is set if the copy was certain.
+	certain bool
+	// neighbours are the hosts of this copy's zone in whose place it may have taken records.
+	neighbours []string
+}
+
 // RecoveryProgress is what an incomplete copy has copied from the known sources.
 type RecoveryProgress struct {
 	// Missing are the sources of which not all records were copied.
@@ -37,11 +52,13 @@
 	foundCertain bool
 }
 
-// noteCopied records that all records of the copy at an address were copied.
-func (r *recovery) noteCopied(addr string, records int, certain bool) {
+// noteCopied records that all records of the copy at an address were copied, also those that were
+// taken in place of neighbours.
+func (r *recovery) noteCopied(addr string, records int, certain bool, neighbours []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.copied[addr] = r.copied[addr] || certain
+	known := r.copied[addr]
+	r.copied[addr] = copiedSource{certain: known.certain || certain, neighbours: append(known.neighbours, neighbours...)}
 	r.records += records
 }
 
@@ -49,33 +66,111 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out RecoveryProgress
-	for _, certain := range r.copied {
-		out.foundCertain = out.foundCertain || certain
+	for _, s := range r.copied {
+		out.foundCertain = out.foundCertain || s.certain
 	}
 	for _, s := range sources {
-		certain, copied := r.copied[s.Addr]
 		switch {
-		case !copied && r.isTakenOver(s):
-		case !copied:
+		case !r.isCopied(s, sources) && r.isTakenOver(s):
+		case !r.isCopied(s, sources):
 			out.Missing = append(out.Missing, s)
-		case !certain:
+		case !r.copied[s.Addr].certain:
 			out.Uncertain = append(out.Uncertain, s)
 		}
 	}
 	return out
 }
 
+// isCopied reports whether the records of a source were copied, also those that this copy may have
+// taken in place of the neighbours that were copied since. The caller holds the lock.
+func (r *recovery) isCopied(s Source, sources []Source) bool {
+	known, copied := r.copied[s.Addr]
+	if !copied || s.Neighbour {
+		return copied
+	}
+	return !slices.ContainsFunc(sources, func(n Source) bool {
+		return n.Neighbour && r.copied[n.Addr].certain && !slices.Contains(known.neighbours, n.Host)
+	})
+}
+
 // isTakenOver reports whether the copies that have taken over from a source were certain when
 // their records were copied. The caller holds the lock.
 func (r *recovery) isTakenOver(s Source) bool {
 	for _, addr := range s.TakenOverBy {
-		if !r.copied[addr] {
+		if !r.copied[addr].certain {
 			return false
 		}
 	}
 	return len(s.TakenOverBy) > 0
 }
 
+// pullLost copies what this copy may have acknowledged before it lost its records from the one at
+// an address. That includes records that it took in place of a neighbour, unless that one has
+// them as well. An uncertain neighbour copies what it lacks itself. There is no limit of time.
+func (v *Vault) pullLost(ctx context.Context, addr string, _ time.Duration) (records int, certain bool, err error) {
+	neighbours, err := v.neighbours(ctx, addr)
+	if err != nil {
+		return 0, false, err
+	}
+	request := &jkledger.SyncRequest{Have: v.keys(0)}
+	var hosts []string
+	for host, answer := range neighbours {
+		hosts = append(hosts, host)
+		if answer.Certain {
+			request.Neighbours = append(request.Neighbours, host)
+			request.NeighboursHave = append(request.NeighboursHave, answer.Keys...)
+		}
+	}
+	records, certain, err = v.receive(ctx, addr, request)
+	if err != nil {
+		return 0, false, err
+	}
+	v.recovery.noteCopied(addr, records, certain, hosts)
+	v.CheckComplete()
+	return records, certain, nil
+}
+
+// neighbourKeysLifetime is how long the keys of a neighbour are used. With older keys, other copies
+// send records that the neighbour has added since.
+const neighbourKeysLifetime = 2 * time.Second
+
+// neighbours returns what the neighbours in reach have, by their hosts. A neighbour that is the
+// source itself needs none, since what it has is on another disk already.
+func (v *Vault) neighbours(ctx context.Context, source string) (map[string]jkledger.KeysAnswer, error) {
+	if v.Neighbours == nil {
+		return nil, nil
+	}
+	out := map[string]jkledger.KeysAnswer{}
+	now := v.Timer.Now()
+	for _, n := range v.Neighbours() {
+		if n.Addr == source {
+			return nil, nil
+		}
+		known, ok := v.neighbourKeys[n.Host]
+		if !ok || now.Sub(known.at) > neighbourKeysLifetime {
+			known = neighbourKeys{at: now}
+			if err := v.Pool.Call(ctx, n.Addr, jkledger.TypeKeys, &jkledger.KeysRequest{}, &known.answer); err != nil {
+				return nil, err
+			}
+			v.neighbourKeys[n.Host] = known
+		}
+		out[n.Host] = known.answer
+	}
+	return out, nil
+}
+
+// neighbourKeys is what a neighbour had at a time.
+type neighbourKeys struct {
+	answer jkledger.KeysAnswer
+	at     time.Time
+}
+
+// handleKeys sends the keys of all records.
+func (v *Vault) handleKeys(s *jkwire.ServerStream) error {
+	certain := v.certain.Load()
+	return s.End(&jkledger.KeysAnswer{Keys: v.keys(0), Certain: certain})
+}
+
 // isComplete reports whether the copied records include all that were acknowledged, if as many
 // other disks as given are lost at most. Each acknowledged record is on one disk more than may
 // be lost, and an uncertain source is one of the losses.
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -33,6 +33,12 @@
 	// Holds returns a function that reports whether a host keeps a program's records.
 	// Nil means that every host keeps all records.
 	Holds func(host string) func(program string) bool
+	// AnyHolds returns a function that reports whether one of several hosts keeps a program's
+	// records. Hosts that aren't known keep none. Nil means that none does.
+	AnyHolds func(hosts []string) func(program string) bool
+	// Neighbours returns the other copies in the zone of this one that are in reach. Nil means
+	// that there are none.
+	Neighbours func() []Source
 	// TakesOver returns a function that reports whether a host keeps a program's records only
 	// because other hosts of its zone are gone. Nil means that it keeps no others.
 	TakesOver func(host string, gone []string) func(program string) bool
@@ -66,6 +72,8 @@
 	recovery      recovery
 	// catchUpMu is held by the one call of CatchUp that runs.
 	catchUpMu sync.Mutex
+	// neighbourKeys holds the newest answers of the neighbours by host. catchUpMu guards it.
+	neighbourKeys map[string]neighbourKeys
 
 	// mu guards ledger, sealed, closed, the buffer of log and syncWaiters.
 	mu     sync.Mutex
@@ -94,7 +102,7 @@
 
 // Open reads the log in the folder and starts the vault.
 func Open(o Options) (*Vault, error) {
-	v := &Vault{Options: o, recovery: recovery{copied: map[string]bool{}}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	v := &Vault{Options: o, recovery: recovery{copied: map[string]copiedSource{}}, neighbourKeys: map[string]neighbourKeys{}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
 	records := 0
 	var recent []jkledger.Record
 	log, err := jkledger.OpenLog(o.Folder, func(r jkledger.Record) {
@@ -275,6 +283,8 @@
 		err = v.handleSync(s)
 	case jkledger.TypeAdopt:
 		err = v.handleAdopt(ctx, s)
+	case jkledger.TypeKeys:
+		err = v.handleKeys(s)
 	default:
 		err = s.Fail("unknown_type", "the message type is not known")
 	}
@@ -358,20 +368,15 @@
 	if err := s.Decode(&m); err != nil {
 		return err
 	}
-	have := make(map[uint64]bool, len(m.Have))
-	for _, key := range m.Have {
-		have[key] = true
-	}
 	certain := v.certain.Load()
 	v.mu.Lock()
-	records := v.ledger.Records(v.since(m.Within), have)
+	records := v.ledger.Records(v.since(m.Within), keySet(m.Have))
 	v.mu.Unlock()
 	missing := len(records)
-	switch {
-	case len(m.Gone) > 0:
+	if len(m.Gone) > 0 {
 		records = v.takenOver(records, s.Peer().Host, m.Gone)
-	case v.Holds != nil:
-		records = filterRecords(records, v.Holds(s.Peer().Host))
+	} else {
+		records = v.requested(records, s.Peer().Host, &m)
 	}
 	v.Log.Info("ledger sent", "to", s.Peer().Host, "records", len(records), "withheld", missing-len(records), "gone", strings.Join(m.Gone, ","))
 	partStart, size := 0, 0
@@ -390,19 +395,49 @@
 	return s.End(&jkledger.SyncPart{Records: records[partStart:], Certain: certain})
 }
 
-// filterRecords returns the records whose programs are held. It calls isHeld once for
-// each program, since a program has several records.
-func filterRecords(records []jkledger.Record, isHeld func(program string) bool) []jkledger.Record {
-	keepsProgram := map[string]bool{}
+func keySet(keys []uint64) map[uint64]bool {
+	out := make(map[uint64]bool, len(keys))
+	for _, key := range keys {
+		out[key] = true
+	}
+	return out
+}
+
+// requested returns the records that another copy asks for: those of the programs that its host
+// holds, and those of its neighbours' programs that these lack.
+func (v *Vault) requested(records []jkledger.Record, host string, m *jkledger.SyncRequest) []jkledger.Record {
+	if v.Holds == nil {
+		return records
+	}
+	if v.AnyHolds == nil || len(m.Neighbours) == 0 {
+		return filterRecords(records, v.Holds(host))
+	}
+	isHeld, isNeighbours := oncePerProgram(v.Holds(host)), oncePerProgram(v.AnyHolds(m.Neighbours))
+	have := keySet(m.NeighboursHave)
 	return slices.DeleteFunc(records, func(r jkledger.Record) bool {
 		program := r.Program()
-		keeps, ok := keepsProgram[program]
+		return !isHeld(program) && (!isNeighbours(program) || have[r.Key()])
+	})
+}
+
+// filterRecords returns the records whose programs are held.
+func filterRecords(records []jkledger.Record, isHeld func(program string) bool) []jkledger.Record {
+	isHeld = oncePerProgram(isHeld)
+	return slices.DeleteFunc(records, func(r jkledger.Record) bool { return !isHeld(r.Program()) })
+}
+
+// oncePerProgram returns a function that calls isHeld once for each program, since a program has
+// several records.
+func oncePerProgram(isHeld func(program string) bool) func(program string) bool {
+	known := map[string]bool{}
+	return func(program string) bool {
+		held, ok := known[program]
 		if !ok {
-			keeps = isHeld(program)
-			keepsProgram[program] = keeps
+			held = isHeld(program)
+			known[program] = held
 		}
-		return !keeps
-	})
+		return held
+	}
 }
 
 // handleAdopt copies all records of the copy at the requested address.
