vault: keep the seal of an emptied host over a restart

What callers saw: nothing yet; by reading, a turn that is lost with a host that is removed after it was reported as emptied. The copy refuses the records of entries once it has handed all over, but only in memory. A restart before the removal let it take turns again, and its entry wasn't marked as leaving until the host had read the store.

Change: a marker in the folder of the ledger, synced before the last hand-over, from which the host also announces itself as leaving. If the first list of the store doesn't ask to empty the host any more, the marker is removed and the host is a copy again.

Ruled out: to report the host as emptied only with its next start in mind (the platform removes it at once).

Measured: cd core && go test ./jkentry -run TestEmptiedHostTakesNoTurnsAfterARestart before: 'the emptied host takes a turn after a restart', 1 of 1 run; after: passes cd core && go test ./jkentry -run 'Emptied|Retire|Leaving': 4 of 5 runs pass. In the first one two older tests said 'not emptied within 3s' in 12 and 24 s; the machine's disk stalled again and again at that time (up to 40% of the time in /proc/pressure/io). That this was the cause isn't shown: open.

--- a/core/jkentry/retire_test.go
+++ b/core/jkentry/retire_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"jasmineknot.example/core/jkfollow"
 )
 
 // retireWithin bounds the time in which a host is emptied in these tests.
@@ -119,3 +121,48 @@
 		}
 	}
 }
+
+// retirePlatform is the platform of a fleet whose store may ask to empty host a-1.
+func (f *recoveryFixture) retirePlatform() Platform {
+	p := f.store.platform()
+	decode := p.Decode
+	p.Decode = func(item jkfollow.Item) (Change, error) {
+		if item.Key == "retire" {
+			return Change{RetireHost: "a-1", RetireWithin: time.Minute}, nil
+		}
+		return decode(item)
+	}
+	p.PutRetireStatus = func(context.Context, string, bool) error { return nil }
+	return p
+}
+
+// Guards against turns that are lost with a host that was emptied: it was restarted before it was
+// removed, and took turns again. A host that isn't to be emptied any more takes them.
+func TestEmptiedHostTakesNoTurnsAfterARestart(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "c-1")
+	settings := f.source("a-1")
+	f.runOn(f.settings("b-1", true), f.retirePlatform())
+	f.runOn(f.settings("c-1", true), f.retirePlatform())
+	retiring := f.runOn(settings, f.retirePlatform())
+	eventually(t, "listed hosts", func() bool { return len(retiring.otherCopies()) == 2 })
+	f.put("retire", &HostEntry{})
+	eventually(t, "emptied host", func() bool { return f.entry("a-1").HandedOver })
+	retiring.stop()
+	f.hold("a-1", settings.Inner)
+	restarted := f.runOn(settings, f.retirePlatform())
+	for i := 0; i < 20; i++ {
+		if err := restarted.tryWrite(fmt.Sprint("late", i)); err == nil {
+			t.Fatal("the emptied host takes a turn after a restart")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if e := f.entry("a-1"); !e.Leaving {
+		t.Errorf("entry is %+v after a restart, want a leaving host", e)
+	}
+	restarted.stop()
+	f.hold("a-1", settings.Inner)
+	f.put("retire", nil)
+	kept := f.runOn(settings, f.store.platform())
+	eventually(t, "turn on a host that isn't emptied", func() bool { return kept.tryWrite("later") == nil })
+	eventually(t, "entry of a host that isn't leaving", func() bool { return !f.entry("a-1").Leaving })
+}
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -54,6 +53,8 @@
 	// takeovers holds the hosts whose programs are being taken over.
 	takeovers map[string]bool
 	sources   *copySources
+	// retireRequested is set once the store asks to empty this host.
+	retireRequested atomic.Bool
 	// wasListed is set if the first list of the store had an entry of this host.
 	wasListed atomic.Bool
 	// hostsListed is closed after the first complete list of the store.
@@ -95,7 +96,7 @@
 	// Answers of the ledger say what the prober knows, so that it has to be there first.
 	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.registry = newRegistry(registryOptions{
-		timer: timer, log: log.Part("hosts"), own: t.hostEntry(false), put: p.PutHost, swap: p.SwapHost,
+		timer: timer, log: log.Part("hosts"), own: t.hostEntry(vault.Sealed()), put: p.PutHost, swap: p.SwapHost,
 		storeReachable: t.storeReachable.Load, lastAnswer: t.probes.LastAnswer, reachable: t.probes.Reachable, runAsync: runInGoroutine,
 	})
 	return t, t.serveMetrics()
@@ -144,7 +145,10 @@
 		OnReachable: func(storeReachable bool) {
 			t.storeReachable.Store(storeReachable)
 			if storeReachable {
-				t.listOnce.Do(func() { close(t.hostsListed) })
+				t.listOnce.Do(func() {
+					close(t.hostsListed)
+					go t.endStaleSeal(ctx)
+				})
 			}
 		},
 	})
@@ -292,6 +296,7 @@
 		t.hostRemoved(change.RemovedHost)
 		t.registry.remove(change.RemovedHost)
 	case change.RetireHost == t.settings.Host:
+		t.retireRequested.Store(true)
 		go t.retire(ctx, change.RetireWithin)
 	}
 }
@@ -387,76 +392,3 @@
 		}
 	}
 }
-
-// retire hands all records over to the other copies and then reports that the host may be
-// removed. Entries that don't know yet that it is leaving may write to it until the first time
-// that all has been handed over, so that the second one is short. A second call does nothing.
-func (t *Storage) retire(ctx context.Context, within time.Duration) {
-	t.mu.Lock()
-	alreadyRetiring := t.retiring
-	t.retiring = true
-	t.mu.Unlock()
-	if alreadyRetiring {
-		return
-	}
-	t.log.Info("host is being emptied", "within", within)
-	t.reportRetire(ctx, false)
-	t.registry.setOwn(ctx, t.hostEntry(true))
-	// Entries learn that the host is leaving within one watch of the store.
-	t.timer.Wait(leavingPropagation, ctx.Done())
-	t.handOver(ctx)
-	t.log.Info("entries can't write any more")
-	t.vault.Seal()
-	t.handOver(ctx)
-	handedOver := t.hostEntry(true)
-	handedOver.HandedOver = true
-	t.registry.setOwn(ctx, handedOver)
-	t.reportRetire(ctx, true)
-}
-
-// handOver hands all records over to the other copies, with retries until enough have them.
-func (t *Storage) handOver(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := t.vault.HandOver(ctx, t.settings.Inner, t.takers(), t.settings.LostDisks+1)
-		if err == nil {
-			return
-		}
-		t.log.Warn("host not emptied", "error", err)
-		t.timer.Wait(catchUpRetryInterval, ctx.Done())
-	}
-}
-
-// takers returns the addresses of the other hosts with a copy of the ledger, grouped by zone: the
-// hosts of one zone hold all programs together. Others of the zone hold those of a host that is
-// down, so that it isn't among them.
-func (t *Storage) takers() [][]string {
-	byZone := map[string][]string{}
-	for _, c := range t.otherCopies() {
-		addrs := byZone[c.Zone]
-		if !t.isDown(c.Host) {
-			addrs = append(addrs, c.Addr)
-		}
-		byZone[c.Zone] = addrs
-	}
-	return slices.Collect(maps.Values(byZone))
-}
-
-// leavingPropagation is how long entries may still write to a host after it was marked as
-// leaving.
-const leavingPropagation = 500 * time.Millisecond
-
-// reportRetire writes to the store whether the host has been emptied, with retries until the
-// store accepts it.
-func (t *Storage) reportRetire(ctx context.Context, completed bool) {
-	for ctx.Err() == nil {
-		tryCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		err := t.platform.PutRetireStatus(tryCtx, t.settings.Host, completed)
-		cancel()
-		if err == nil {
-			t.log.Info("retire status written", "completed", completed)
-			return
-		}
-		t.log.Warn("retire status not written", "error", err)
-		t.timer.Wait(announceRetryInterval, ctx.Done())
-	}
-}
--- a/core/jkvault/handover.go
+++ b/core/jkvault/handover.go
@@ -4,6 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
 
 	"jasmineknot.example/core/jkledger"
 )
@@ -22,12 +26,37 @@
 // errSealed is the answer to an entry that writes to a sealed copy.
 var errSealed = errors.New("the copy is being removed and takes no more records")
 
-// Seal makes the copy refuse the records of entries. What it has acknowledged before is in the
-// next HandOver.
-func (v *Vault) Seal() {
+// sealedMarker is the file that shows after a restart that the copy was sealed.
+const sealedMarker = "sealed"
+
+// Seal makes the copy refuse the records of entries, also after a restart. What it has acknowledged
+// before is in the next HandOver.
+func (v *Vault) Seal() error {
+	if err := v.log.WriteMarker(sealedMarker); err != nil {
+		return err
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.sealed = true
+	return nil
+}
+
+// Unseal makes a sealed copy take the records of entries again.
+func (v *Vault) Unseal() error {
+	if err := os.Remove(filepath.Join(v.Folder, sealedMarker)); err != nil {
+		return eris.Wrap(err, "remove marker of the seal")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sealed = false
+	return nil
+}
+
+// Sealed reports whether the copy refuses the records of entries.
+func (v *Vault) Sealed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.sealed
 }
 
 // HandOver asks the vaults at the addresses to copy the records of this one, which they reach at
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -119,12 +119,13 @@
 	for _, r := range recent {
 		v.ledger.Apply(o.Timer.Now(), r)
 	}
-	if o.First || v.hasCertainMarker() {
+	v.sealed = v.hasMarker(sealedMarker)
+	if o.First || v.hasMarker(certainMarker) {
 		v.openedCertain = true
 		v.certain.Store(true)
 		v.writeCertainMarker()
 	}
-	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load())
+	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load(), "sealed", v.sealed)
 	o.Timer.Every(expireInterval, v.expire)
 	go v.commit()
 	return v, nil
@@ -134,8 +135,8 @@
 // that the copy ever acknowledged. A lost or replaced disk doesn't have it.
 const certainMarker = "certain"
 
-func (v *Vault) hasCertainMarker() bool {
-	_, err := os.Stat(filepath.Join(v.Folder, certainMarker))
+func (v *Vault) hasMarker(name string) bool {
+	_, err := os.Stat(filepath.Join(v.Folder, name))
 	return err == nil
 }
 
