known red: a host that is down with its disk is done without too early

A host falls silent with its disk, and another zone's disk is lost before the others of the host's zone could take over what only these two have. 8 s later the copy with the lost disk does without the host, since its entry is marked as suspected and the others of its zone were copied and are certain, and says of these turns that there are none. They are on a disk that isn't lost, which the users' pages don't allow to be answered with 404.

Not mended: it needs to be known from whom the others of a zone have taken over, and when. Without that, reverting brings back copies that aren't certain for 20 s after each host that is gone. The mend is beside the entry.

--- a/core/jkentry/neighbour_test.go
+++ b/core/jkentry/neighbour_test.go
@@ -31,3 +31,20 @@
 		t.Errorf("%d turns, want the %d of the copy's own programs", wiped.turns(), want)
 	}
 }
+
+// Guards against a copy with a lost disk that is certain without the records of a host that is down
+// with its disk, although that host's zone couldn't take them over: the disk was lost before.
+func TestCopyWaitsForASilentHostThatWasNotTakenOver(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2", "c-1")
+	down, successor := f.source("b-1"), f.run(f.source("b-2"))
+	f.run(f.settings("c-1", true))
+	f.suspect("b-1")
+	wiped := f.run(f.settings("a-1", false))
+	staysUncertain(t, wiped, successor.turns())
+	time.Sleep(2 * time.Second)
+	if wiped.vault.Certain() {
+		t.Fatalf("the copy is certain with %d of %d turns, the others are on %s", wiped.turns(), recoveryPrograms, down.Host)
+	}
+	f.run(down)
+	awaitComplete(t, wiped)
+}
