ledger: read the log in its own time, so that a start holds what is kept

Change: a replay follows the timestamps of the log, expires as it goes and holds the recent records by name only. The last use of a record is that of the log, with 10 s more before it expires, to cover clocks that were set. Records of a log without timestamps count as new, as before.

--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -51,7 +51,7 @@
 	Spending *Spending
 	Turn     *Turn
 	// Time is a Unix time in milliseconds. It is written to the log only and never sent
-	// to other copies.
+	// to other copies. OpenLog sets it on each record to that of the last timestamp before.
 	Time int64
 }
 
@@ -70,7 +70,9 @@
 	// total is the sum of the tokens of all spendings.
 	total     int64
 	retention time.Duration
-	lastUsed  time.Time
+	lastUse   use
+	// lastAdded is the latest time in spendings.
+	lastAdded time.Time
 }
 
 type spendingRow struct {
@@ -79,9 +81,23 @@
 }
 
 type turnRow struct {
-	turn     Turn
-	added    time.Time
-	lastUsed time.Time
+	turn    Turn
+	added   time.Time
+	lastUse use
+}
+
+// use is the last use of a program or a turn.
+type use struct {
+	at time.Time
+	// fromLog is set if the time was read from the log. The clock may have been set since.
+	fromLog bool
+}
+
+func (u use) isExpired(now time.Time, retention time.Duration) bool {
+	if u.fromLog {
+		retention += clockSlack
+	}
+	return now.Sub(u.at) > retention+retentionSlack
 }
 
 // New returns an empty ledger.
@@ -90,64 +106,99 @@
 }
 
 // Apply adds a record and reports whether it changed the ledger.
-func (l *Ledger) Apply(now time.Time, r Record) bool { return l.apply(now, now, r) }
+func (l *Ledger) Apply(now time.Time, r Record) bool { return l.apply(use{at: now}, now, r) }
 
-// Restore adds a record that was read from the log. Records and Keys return it only
-// without a time limit, since other copies have had time to receive it.
-func (l *Ledger) Restore(now time.Time, r Record) { l.apply(now, time.Time{}, r) }
+// restore adds a record that was read from the log, with the time of its last use. Records and
+// Keys return it only without a time limit, unless markAdded is called for it.
+func (l *Ledger) restore(at time.Time, r Record) {
+	l.apply(use{at: at, fromLog: true}, time.Time{}, r)
+}
 
-func (l *Ledger) apply(now, added time.Time, r Record) bool {
+func (l *Ledger) apply(u use, added time.Time, r Record) bool {
 	switch {
 	case r.Spending != nil:
-		return l.addSpending(now, added, *r.Spending)
+		return l.addSpending(u, added, *r.Spending)
 	case r.Turn != nil:
-		return l.addTurn(now, added, *r.Turn)
+		return l.addTurn(u, added, *r.Turn)
 	}
 	return false
 }
 
 // addSpending reports whether the spending is new or settles a reserved one.
-func (l *Ledger) addSpending(now, added time.Time, s Spending) bool {
+func (l *Ledger) addSpending(u use, added time.Time, s Spending) bool {
 	row := l.programs[s.Program]
 	if row == nil {
 		row = &programRow{spendings: map[string]spendingRow{}}
 		l.programs[s.Program] = row
 	}
-	row.lastUsed = now
+	if u.at.After(row.lastUse.at) {
+		row.lastUse = u
+	}
 	row.retention = max(row.retention, s.Retention)
 	existing, ok := row.spendings[s.Request]
 	if ok && (existing.spending.Settled || !s.Settled) {
 		return false
 	}
 	row.total += s.Tokens - existing.spending.Tokens
-	row.spendings[s.Request] = spendingRow{spending: s, added: added}
+	row.add(spendingRow{spending: s, added: added})
 	return true
 }
 
+func (p *programRow) add(s spendingRow) {
+	p.spendings[s.spending.Request] = s
+	if s.added.After(p.lastAdded) {
+		p.lastAdded = s.added
+	}
+}
+
 // addTurn adds a turn unless it is known, and reports whether it did.
-func (l *Ledger) addTurn(now, added time.Time, t Turn) bool {
+func (l *Ledger) addTurn(u use, added time.Time, t Turn) bool {
 	if _, ok := l.turns[t.Request]; ok {
 		return false
 	}
-	l.turns[t.Request] = &turnRow{turn: t, added: added, lastUsed: now}
+	l.turns[t.Request] = &turnRow{turn: t, added: added, lastUse: u}
 	l.bytes += int64(len(t.Input) + len(t.Output))
-	l.touch(now, t.Previous)
+	l.touch(u, t.Previous)
 	return true
 }
 
 // touch renews the retention of a turn and of all turns before it, since a turn is
 // of use only together with its chain.
-func (l *Ledger) touch(now time.Time, request string) {
+func (l *Ledger) touch(u use, request string) {
 	for request != "" {
 		row, ok := l.turns[request]
-		if !ok || row.lastUsed.Equal(now) {
+		if !ok || !u.at.After(row.lastUse.at) {
 			return
 		}
-		row.lastUsed = now
+		row.lastUse = u
 		request = row.turn.Previous
 	}
 }
 
+// recordID identifies a record without holding its content.
+type recordID struct {
+	isTurn           bool
+	program, request string
+}
+
+// markAdded makes Records and Keys return a record as one that was added at a time.
+func (l *Ledger) markAdded(added time.Time, id recordID) {
+	if id.isTurn {
+		if row := l.turns[id.request]; row != nil {
+			row.added = added
+		}
+		return
+	}
+	row := l.programs[id.program]
+	if row == nil {
+		return
+	}
+	if s, ok := row.spendings[id.request]; ok {
+		s.added = added
+		row.add(s)
+	}
+}
+
 // Spendings returns what the program's requests have reserved or used.
 func (l *Ledger) Spendings(program string) []Spending {
 	row := l.programs[program]
@@ -228,7 +279,7 @@
 		}
 	}
 	for _, row := range l.programs {
-		if row.lastUsed.Before(since) {
+		if row.lastAdded.Before(since) {
 			continue
 		}
 		for _, s := range row.spendings {
@@ -245,15 +296,19 @@
 // different times.
 const retentionSlack = 5 * time.Second
 
+// clockSlack is added to the retention of what was read from the log, to cover clocks that were
+// set.
+const clockSlack = 10 * time.Second
+
 // Expire removes the programs and turns that were not used within their retention.
 func (l *Ledger) Expire(now time.Time) {
 	for name, row := range l.programs {
-		if now.Sub(row.lastUsed) > row.retention+retentionSlack {
+		if row.lastUse.isExpired(now, row.retention) {
 			delete(l.programs, name)
 		}
 	}
 	for request, row := range l.turns {
-		if now.Sub(row.lastUsed) > row.turn.Retention+retentionSlack {
+		if row.lastUse.isExpired(now, row.turn.Retention) {
 			l.bytes -= int64(len(row.turn.Input) + len(row.turn.Output))
 			delete(l.turns, request)
 		}
--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -75,14 +75,17 @@
 	return l, l.roll()
 }
 
-// replayTo returns a function that passes records to apply and saves timestamps in
-// lastUsed.
+// replayTo returns a function that passes records to apply, with the time of the last timestamp
+// before, and saves timestamps in lastUsed.
 func (l *Log) replayTo(apply func(Record)) func(Record) {
 	return func(r Record) {
 		if r.Time != 0 {
 			l.lastUsed = time.UnixMilli(r.Time)
 			return
 		}
+		if !l.lastUsed.IsZero() {
+			r.Time = l.lastUsed.UnixMilli()
+		}
 		apply(r)
 	}
 }
--- /dev/null
+++ b/core/jkledger/replay_test.go
@@ -0,0 +1,89 @@
+package jkledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against kept turns and spent tokens that a restart forgets, and against ended ones that
+// it keeps: a ledger that is read from its log has what the process before it had to keep, while
+// the clock was set back and forth by up to five seconds.
+func TestReplayKeepsWhatIsWithinItsRetention(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		folder := t.TempDir()
+		log, err := OpenLog(folder, func(Record) {})
+		if err != nil {
+			rt.Fatal(err)
+		}
+		ledger, now := New(), time.Unix(1e9, 0)
+		skew := time.Duration(0)
+		retention := time.Duration(rapid.IntRange(10, 30).Draw(rt, "retention")) * time.Second
+		add := func(r Record) {
+			if err := log.Stamp(now.Add(skew)); err != nil {
+				rt.Fatal(err)
+			}
+			if err := log.Append(r); err != nil {
+				rt.Fatal(err)
+			}
+			ledger.Apply(now, r)
+		}
+		for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "pause")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"turn", "turn", "spending", "clock"}).Draw(rt, "step") {
+			case "turn":
+				previous := fmt.Sprint(rapid.IntRange(-1, i-1).Draw(rt, "previous"))
+				if ledger.turns[previous] == nil {
+					previous = ""
+				}
+				add(Record{Turn: &Turn{Request: fmt.Sprint(i), Previous: previous, Program: "p", Retention: retention}})
+			case "spending":
+				program := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(rt, "program")
+				add(Record{Spending: &Spending{Program: program, Request: fmt.Sprint(i), Tokens: 1, Settled: true, Retention: retention}})
+			case "clock":
+				skew = time.Duration(rapid.IntRange(-5, 5).Draw(rt, "skew")) * time.Second
+			}
+			ledger.Expire(now)
+		}
+		if err := log.Write(log.TakeBuffer()); err != nil {
+			rt.Fatal(err)
+		}
+		if err := log.Close(); err != nil {
+			rt.Fatal(err)
+		}
+		again := New()
+		replay := NewReplay(now.Add(skew), again, 10)
+		if _, err := OpenLog(folder, replay.Add); err != nil {
+			rt.Fatal(err)
+		}
+		replay.End(now.Add(skew))
+		compareReplayed(rt, now, ledger, again)
+	})
+}
+
+// compareReplayed checks that a ledger has what another one has to keep, and nothing that has
+// expired for long.
+func compareReplayed(t *rapid.T, now time.Time, want, got *Ledger) {
+	for request, row := range want.turns {
+		if now.Sub(row.lastUse.at) > row.turn.Retention {
+			continue
+		}
+		if _, complete, missing := got.Chain(request); !complete {
+			t.Fatalf("the chain of %s lacks %q", request, missing)
+		}
+	}
+	for name, row := range want.programs {
+		if now.Sub(row.lastUse.at) <= row.retention && got.Total(name) < row.total {
+			t.Fatalf("%d tokens of %s, want %d", got.Total(name), name, row.total)
+		}
+	}
+	const maxSkews = 10 * time.Second
+	const latest = retentionSlack + clockSlack + maxSkews + stampInterval
+	for request, row := range got.turns {
+		if want.turns[request] == nil && now.Sub(row.lastUse.at) > row.turn.Retention+latest {
+			t.Fatalf("turn %s is kept, last used at %s of %s", request, row.lastUse.at, now)
+		}
+	}
+}
--- /dev/null
+++ b/core/jkvault/restart_test.go
@@ -0,0 +1,138 @@
+package jkvault
+
+import (
+	"fmt"
+	"runtime/debug"
+	"runtime/metrics"
+	"sync"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkwire"
+)
+
+// Limits of a storage host in the users' smallest fleet (memory_mb, disk_mb), of which the
+// process may hold the part from which the garbage collector runs more often.
+const (
+	memoryLimit = 144 << 20
+	diskLimit   = 260 << 20
+	maxHeld     = memoryLimit * 60 / 100
+)
+
+// Load of the log: chains of two turns.
+const (
+	turnBytes      = 100_000
+	turnsASecond   = 15
+	turnsRetention = 10 * time.Second
+	// secondTurnAfter is the number of turns after which a chain goes on.
+	secondTurnAfter = 5 * turnsASecond
+	// writeEvery is the number of turns that are written to disk together.
+	writeEvery = 100
+)
+
+// loadTurn returns the turn with a number. Each one continues the one that lies secondTurnAfter
+// before it, in every other stretch of secondTurnAfter turns.
+func loadTurn(i int) jkledger.Record {
+	t := &jkledger.Turn{Request: fmt.Sprint(i), Program: "p", Input: make([]byte, turnBytes), Retention: turnsRetention}
+	if i/secondTurnAfter%2 == 1 {
+		t.Previous = fmt.Sprint(i - secondTurnAfter)
+	}
+	return jkledger.Record{Turn: t}
+}
+
+// writeLoad writes a log of the given size that ends at a time, and returns the number of turns.
+func writeLoad(t *testing.T, folder string, size int64, end time.Time) int {
+	t.Helper()
+	log, err := jkledger.OpenLog(folder, func(jkledger.Record) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := int(size / turnBytes)
+	began := end.Add(-time.Duration(n) * time.Second / turnsASecond)
+	for i := range n {
+		if err := log.Stamp(began.Add(time.Duration(i) * time.Second / turnsASecond)); err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Append(loadTurn(i)); err != nil {
+			t.Fatal(err)
+		}
+		if i%writeEvery == 0 || i == n-1 {
+			if err := log.Write(log.TakeBuffer()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// peakHeld returns the largest number of bytes that the garbage collector has found in use while
+// a function ran.
+func peakHeld(do func()) uint64 {
+	defer debug.SetGCPercent(debug.SetGCPercent(20))
+	stop := make(chan struct{})
+	var peak uint64
+	var sampled sync.WaitGroup
+	sampled.Go(func() {
+		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+		for {
+			metrics.Read(live)
+			peak = max(peak, live[0].Value.Uint64())
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+	do()
+	close(stop)
+	sampled.Wait()
+	return peak
+}
+
+func openWith(t *testing.T, folder string, timer *jktimer.Service) *Vault {
+	t.Helper()
+	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "a"}, IsControl: func(string) bool { return true }, Counters: &jkwire.Counters{}})
+	t.Cleanup(pool.Close)
+	v, err := Open(Options{Timer: timer, Log: jklog.Discard(), Folder: folder, Pool: pool})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := v.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return v
+}
+
+// checkLoad checks that the last turns of a load are there, together with their chains.
+func checkLoad(t *testing.T, v *Vault, n, last int) {
+	t.Helper()
+	for i := n - last; i < n; i++ {
+		if _, complete, missing := v.ledger.Chain(fmt.Sprint(i)); !complete {
+			t.Fatalf("the chain of turn %d of %d lacks %q", i, n, missing)
+		}
+	}
+}
+
+// Guards against a storage process that passes its memory limit while it reads its log, again
+// and again (review/4): the log is as large as the disk, most of it has expired.
+func TestLogThatFillsTheDiskIsReadWithinMemory(t *testing.T) {
+	folder := t.TempDir()
+	timer, _ := jktimer.NewManual(time.Now())
+	n := writeLoad(t, folder, diskLimit, timer.Now())
+	var v *Vault
+	held := peakHeld(func() { v = openWith(t, folder, timer) })
+	if held > maxHeld {
+		t.Errorf("%d bytes were held, want at most %d of a log of %d", held, maxHeld, diskLimit)
+	}
+	t.Logf("%d bytes were held, %d bytes after the start", held, v.ledger.Bytes())
+	checkLoad(t, v, n, turnsASecond*int(turnsRetention/time.Second))
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -95,28 +95,19 @@
 // Open reads the log in the folder and starts the vault.
 func Open(o Options) (*Vault, error) {
 	v := &Vault{Options: o, recovery: recovery{copied: map[string]bool{}}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
-	records := 0
-	var recent []jkledger.Record
-	log, err := jkledger.OpenLog(o.Folder, func(r jkledger.Record) {
-		records++
-		if recent = append(recent, r); len(recent) > recentRecords {
-			v.ledger.Restore(o.Timer.Now(), recent[0])
-			recent = recent[1:]
-		}
-	})
+	replay := jkledger.NewReplay(o.Timer.Now(), v.ledger, recentRecords)
+	log, err := jkledger.OpenLog(o.Folder, replay.Add)
 	if err != nil {
 		return nil, err
 	}
 	v.log, v.openedAt = log, o.Timer.Now()
-	for _, r := range recent {
-		v.ledger.Apply(o.Timer.Now(), r)
-	}
+	replay.End(v.openedAt)
 	if o.First || v.hasCertainMarker() {
 		v.openedCertain = true
 		v.certain.Store(true)
 		v.writeCertainMarker()
 	}
-	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load())
+	o.Log.Info("ledger opened", "records", replay.Records(), "turns", v.ledger.Turns(), "first", o.First, "certain", v.certain.Load())
 	o.Timer.Every(expireInterval, v.expire)
 	go v.commit()
 	return v, nil
