ledger: compact in pieces, with the times of the last uses, also after restarts

Cause: only the bytes that one process wrote counted towards a compaction. A compaction encoded all records into one buffer, which grows by doubling, and wrote no timestamps, so that the next start gave all of them their full retention anew, and CatchUpWindow had no time of the last use. Change: what had expired at the start counts towards the next compaction. A compaction writes pieces of 4 MB, each with its sync, and the records in the order of their last uses after timestamps; a replay gives the same ledger. Old segments are removed after the last sync, as before. Ruled out: a compaction before the start is done (it holds up the start, and entries wait); counting the whole log at the start (it would be compacted after each start once 64 MB are kept).

--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -9,6 +9,8 @@
 package jkledger
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -292,6 +294,35 @@
 	return out
 }
 
+// Snapshot returns all records in the order of their last uses, each after its timestamp, and
+// ends with the timestamp of now. A Replay of it gives a ledger with the same content.
+func (l *Ledger) Snapshot(now time.Time) []Record {
+	type used struct {
+		at int64
+		r  Record
+	}
+	var rows []used
+	for _, row := range l.programs {
+		for _, s := range row.spendings {
+			rows = append(rows, used{row.lastUse.at.UnixMilli(), Record{Spending: &s.spending}})
+		}
+	}
+	for _, row := range l.turns {
+		rows = append(rows, used{row.lastUse.at.UnixMilli(), Record{Turn: &row.turn}})
+	}
+	slices.SortFunc(rows, func(a, b used) int { return cmp.Compare(a.at, b.at) })
+	var out []Record
+	last := int64(0)
+	for _, u := range rows {
+		if u.at != last {
+			out = append(out, Record{Time: u.at})
+			last = u.at
+		}
+		out = append(out, u.r)
+	}
+	return append(out, Record{Time: now.UnixMilli()})
+}
+
 // retentionSlack is added to the retention, since copies receive a turn at slightly
 // different times.
 const retentionSlack = 5 * time.Second
--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -31,6 +31,8 @@
 	file    *os.File
 	segment int
 	size    int64
+	// readBytes is the size of the segments that OpenLog read.
+	readBytes int64
 	// buffer holds the encoded records that TakeBuffer hasn't returned yet.
 	buffer []byte
 	// lastUsed is the last timestamp read by OpenLog, lastStamp the last one appended.
@@ -43,6 +45,9 @@
 // that time, which may have been set since.
 func (l *Log) LastUsed() time.Time { return l.lastUsed }
 
+// ReadBytes returns the size of the log when it was opened.
+func (l *Log) ReadBytes() int64 { return l.readBytes }
+
 // stampInterval is the time between two timestamps in the log.
 const stampInterval = time.Second
 
@@ -67,9 +72,11 @@
 	}
 	l := &Log{folder: folder}
 	for _, n := range numbers {
-		if err := readSegment(l.segmentPath(n), l.replayTo(apply)); err != nil {
+		size, err := readSegment(l.segmentPath(n), l.replayTo(apply))
+		if err != nil {
 			return nil, err
 		}
+		l.readBytes += size
 		l.segment = n
 	}
 	return l, l.roll()
@@ -114,18 +121,23 @@
 	return filepath.Join(l.folder, strconv.Itoa(n)+".ledger")
 }
 
-func readSegment(path string, apply func(Record)) error {
+// readSegment calls apply for each record of a segment and returns the size of its file.
+func readSegment(path string, apply func(Record)) (size int64, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return eris.Wrap(err, "open ledger segment")
+		return 0, eris.Wrap(err, "open ledger segment")
 	}
 	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return 0, eris.Wrap(err, "read size of ledger segment")
+	}
 	reader := bufio.NewReaderSize(file, 256<<10)
 	for {
 		r, err := readRecord(reader)
 		if err != nil {
 			// What follows was never acknowledged.
-			return nil
+			return info.Size(), nil
 		}
 		apply(r)
 	}
@@ -173,6 +185,15 @@
 	return eris.Wrap(l.file.Sync(), "sync ledger")
 }
 
+// writeBuffer writes the buffered bytes and keeps the buffer for the next ones.
+func (l *Log) writeBuffer() error {
+	if err := l.Write(l.buffer); err != nil {
+		return err
+	}
+	l.buffer = l.buffer[:0]
+	return nil
+}
+
 // IsFull reports whether the segment has reached maxSegmentBytes.
 func (l *Log) IsFull() bool { return l.size >= maxSegmentBytes }
 
@@ -199,6 +220,9 @@
 	return eris.Wrap(folder.Sync(), "sync ledger folder")
 }
 
+// compactPieceBytes is the size of the pieces in which Compact encodes and writes.
+const compactPieceBytes = 4 << 20
+
 // Compact writes the given records to a new segment and, once they are on disk, removes
 // all older segments.
 func (l *Log) Compact(records []Record) error {
@@ -210,8 +234,14 @@
 		if err := l.Append(r); err != nil {
 			return err
 		}
+		if len(l.buffer) < compactPieceBytes {
+			continue
+		}
+		if err := l.writeBuffer(); err != nil {
+			return err
+		}
 	}
-	if err := l.Write(l.TakeBuffer()); err != nil {
+	if err := l.writeBuffer(); err != nil {
 		return err
 	}
 	numbers, err := listSegments(l.folder)
--- a/core/jkledger/replay_test.go
+++ b/core/jkledger/replay_test.go
@@ -9,18 +9,38 @@
 )
 
 // Guards against kept turns and spent tokens that a restart forgets, and against ended ones that
-// it keeps: a ledger that is read from its log has what the process before it had to keep, while
-// the clock was set back and forth by up to five seconds.
+// it keeps: a ledger that is read from its log has what the processes before it had to keep, while
+// the clock was set back and forth by up to five seconds and the log was compacted.
 func TestReplayKeepsWhatIsWithinItsRetention(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		folder := t.TempDir()
-		log, err := OpenLog(folder, func(Record) {})
-		if err != nil {
-			rt.Fatal(err)
-		}
 		ledger, now := New(), time.Unix(1e9, 0)
 		skew := time.Duration(0)
 		retention := time.Duration(rapid.IntRange(10, 30).Draw(rt, "retention")) * time.Second
+		// running is the ledger of the process that writes the log.
+		var running *Ledger
+		var log *Log
+		write := func() {
+			if err := log.Write(log.TakeBuffer()); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		restart := func() {
+			if log != nil {
+				write()
+				if err := log.Close(); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			running = New()
+			replay := NewReplay(now.Add(skew), running, 10)
+			var err error
+			if log, err = OpenLog(folder, replay.Add); err != nil {
+				rt.Fatal(err)
+			}
+			replay.End(now.Add(skew))
+		}
+		restart()
 		add := func(r Record) {
 			if err := log.Stamp(now.Add(skew)); err != nil {
 				rt.Fatal(err)
@@ -29,10 +49,11 @@
 				rt.Fatal(err)
 			}
 			ledger.Apply(now, r)
+			running.Apply(now, r)
 		}
 		for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "pause")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"turn", "turn", "spending", "clock"}).Draw(rt, "step") {
+			switch rapid.SampledFrom([]string{"turn", "turn", "spending", "clock", "restart", "compact"}).Draw(rt, "step") {
 			case "turn":
 				previous := fmt.Sprint(rapid.IntRange(-1, i-1).Draw(rt, "previous"))
 				if ledger.turns[previous] == nil {
@@ -44,22 +65,22 @@
 				add(Record{Spending: &Spending{Program: program, Request: fmt.Sprint(i), Tokens: 1, Settled: true, Retention: retention}})
 			case "clock":
 				skew = time.Duration(rapid.IntRange(-5, 5).Draw(rt, "skew")) * time.Second
+			case "restart":
+				restart()
+			case "compact":
+				write()
+				if err := log.Compact(running.Snapshot(now.Add(skew))); err != nil {
+					rt.Fatal(err)
+				}
 			}
 			ledger.Expire(now)
+			running.Expire(now)
 		}
-		if err := log.Write(log.TakeBuffer()); err != nil {
-			rt.Fatal(err)
-		}
+		restart()
 		if err := log.Close(); err != nil {
 			rt.Fatal(err)
 		}
-		again := New()
-		replay := NewReplay(now.Add(skew), again, 10)
-		if _, err := OpenLog(folder, replay.Add); err != nil {
-			rt.Fatal(err)
-		}
-		replay.End(now.Add(skew))
-		compareReplayed(rt, now, ledger, again)
+		compareReplayed(rt, now, ledger, running)
 	})
 }
 
--- a/core/jkvault/restart_test.go
+++ b/core/jkvault/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"runtime/debug"
 	"runtime/metrics"
 	"sync"
@@ -136,3 +137,100 @@
 	t.Logf("%d bytes were held, %d bytes after the start", held, v.ledger.Bytes())
 	checkLoad(t, v, n, turnsASecond*int(turnsRetention/time.Second))
 }
+
+// write adds turns to the vault and waits until they are on disk.
+func (v *Vault) write(t *testing.T, records ...jkledger.Record) {
+	t.Helper()
+	v.mu.Lock()
+	done, err := v.add(records)
+	v.mu.Unlock()
+	if err == nil {
+		err = <-done
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func folderBytes(t *testing.T, folder string) int64 {
+	t.Helper()
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := int64(0)
+	for _, f := range files {
+		info, err := f.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += info.Size()
+	}
+	return sum
+}
+
+// Guards against a log that grows with each restart of the process until it fills the disk
+// (review/4): no process writes enough for a compaction.
+func TestLogStaysBoundedOverRestarts(t *testing.T) {
+	const (
+		restarts  = 7
+		batches   = 20
+		batchSize = 20
+		written   = batches * batchSize * turnBytes
+	)
+	folder := t.TempDir()
+	timer, clock := jktimer.NewManual(time.Now())
+	largest := int64(0)
+	for p := range restarts {
+		t.Run(fmt.Sprint(p), func(t *testing.T) {
+			v := openWith(t, folder, timer)
+			for i := range batches {
+				clock.Advance(time.Second)
+				var batch []jkledger.Record
+				for j := range batchSize {
+					batch = append(batch, loadTurn(2*secondTurnAfter*((p*batches+i)*batchSize+j)))
+				}
+				v.write(t, batch...)
+			}
+			largest = max(largest, folderBytes(t, folder))
+		})
+	}
+	// What is kept at the last compaction, what may be written until the next one, and what a
+	// process writes after it was opened with a little less.
+	const live = batchSize * turnBytes * int64((turnsRetention+20*time.Second)/time.Second)
+	if limit := live + compactThreshold + written; largest > limit {
+		t.Errorf("the log took %d bytes, want at most %d", largest, limit)
+	}
+	t.Logf("the log took at most %d bytes, each process wrote %d", largest, written)
+}
+
+// Guards against a compaction that needs the ledger's size in memory once more, and against one
+// after which a restart keeps what has expired: review/4 without restarts passed memory_mb.
+func TestCompactionIsWrittenInPieces(t *testing.T) {
+	const maxPieces = 24 << 20
+	folder := t.TempDir()
+	timer, clock := jktimer.NewManual(time.Now())
+	n := writeLoad(t, folder, diskLimit/2, timer.Now())
+	t.Run("compaction", func(t *testing.T) {
+		v := openWith(t, folder, timer)
+		v.uncompacted = compactThreshold
+		kept := uint64(v.ledger.Bytes())
+		held := peakHeld(func() { v.write(t, loadTurn(n)) })
+		if held > kept+maxPieces {
+			t.Errorf("%d bytes were held to compact %d, want at most %d more", held, kept, maxPieces)
+		}
+		t.Logf("%d bytes were held to compact %d", held, kept)
+		if size := folderBytes(t, folder); size > int64(kept)*11/10 {
+			t.Errorf("the log has %d bytes after the compaction, want little more than %d", size, kept)
+		}
+	})
+	t.Run("restart", func(t *testing.T) {
+		checkLoad(t, openWith(t, folder, timer), n+1, turnsASecond*int(turnsRetention/time.Second))
+	})
+	clock.Advance(turnsRetention + 30*time.Second)
+	t.Run("restart after the retention", func(t *testing.T) {
+		if v := openWith(t, folder, timer); v.ledger.Turns() > 0 {
+			t.Errorf("%d turns are kept, want none", v.ledger.Turns())
+		}
+	})
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -80,7 +80,7 @@
 	stopped     chan struct{}
 
 	// writeErr is the first failure to write the log, and uncompacted the number of
-	// bytes written since the last compaction. Only commit uses them.
+	// bytes that the next compaction may free. Only commit uses them.
 	writeErr    error
 	uncompacted int64
 }
@@ -102,6 +102,7 @@
 	}
 	v.log, v.openedAt = log, o.Timer.Now()
 	replay.End(v.openedAt)
+	v.uncompacted = max(log.ReadBytes()-v.ledger.Bytes(), 0)
 	if o.First || v.hasCertainMarker() {
 		v.openedCertain = true
 		v.certain.Store(true)
@@ -217,8 +218,8 @@
 	}
 }
 
-// compactThreshold is the number of written bytes after which the log is compacted to
-// the records that are still kept.
+// compactThreshold is the number of bytes that were written, or had expired at the start,
+// after which the log is compacted to the records that are still kept.
 const compactThreshold = 64 << 20
 
 // writeLog writes and syncs buffered bytes, and compacts the log when it is due.
@@ -245,7 +246,7 @@
 		v.writeErr = err
 		return err
 	}
-	if err := v.log.Compact(v.ledger.Records(time.Time{}, nil)); err != nil {
+	if err := v.log.Compact(v.ledger.Snapshot(v.Timer.Now())); err != nil {
 		v.writeErr = err
 		v.Log.Error("ledger can't be compacted", err)
 	}
