upstream: count the bytes of bodies that are read, and bound these in the test

What callers saw: nothing. Cause: the test took the heap, which counts what isn't collected yet. Change: the pool counts the buffers of the bodies that it reads (gauge jk_response_body_bytes), the old one as well while it is copied to a larger one. The test bounds their peak by what the constants allow, 65,470,464 bytes, which is less than the heap was allowed; each change is seen, where the heap was looked at each millisecond. It wants the large bodies to be counted, and none at the end. Memory besides bodies stays with TestEndlessAnswer and the soak's TestFloodsOfAllEndpointsFitIntoMemory. Ruled out: a larger bound; the heap after a collection (takes the bytes that are allocated meanwhile for held ones).

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -225,6 +225,7 @@
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
+	e.metrics.NewGauge("jk_response_body_bytes", func() float64 { return float64(e.pool.BodyBytes()) })
 	e.metrics.NewGauge("jk_limited_endpoints", func() float64 { return float64(e.fleet.LimitedEndpoints()) })
 	e.metrics.NewGauge("jk_crash_refused", func() float64 { _, n := e.crashes.Suspects(); return float64(n) })
 	handler := jkforward.NewHandler(jkforward.Options{
--- a/core/jkupstream/endless_test.go
+++ b/core/jkupstream/endless_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -216,7 +215,9 @@
 func TestManyEndlessBodies(t *testing.T) {
 	const (
 		requests = 40
-		maxHeap  = 96 << 20
+		// A full buffer is held until its bytes were copied to one of twice its size, which is
+		// rounded up by an eighth at most.
+		maxBytes = (requests*smallBodyBytes + maxLargeBodies*DefaultMaxBody) * (1 + 2) * 9 / 8
 	)
 	e := newEndlessEndpoint(t, ownHead+"\r\n", "b")
 	// All bodies grow at the same time.
@@ -228,25 +229,20 @@
 	for range requests {
 		go func() { done <- readAll(ctx, pool, e.listener.Addr().String()) }()
 	}
-	peak, left := uint64(0), requests
-	for left > 0 {
-		select {
-		case err := <-done:
-			left--
-			var long *TooLongError
-			if !errors.As(err, &long) {
-				t.Errorf("error is %v, want a body too long", err)
-			}
-		case <-time.After(time.Millisecond):
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			peak = max(peak, m.HeapAlloc)
+	for range requests {
+		var long *TooLongError
+		if err := <-done; !errors.As(err, &long) {
+			t.Errorf("error is %v, want a body too long", err)
 		}
 	}
-	if peak > maxHeap {
-		t.Errorf("the heap took %d bytes, want at most %d", peak, maxHeap)
+	peak := pool.bodies.peak.Load()
+	if peak > maxBytes {
+		t.Errorf("the bodies took %d bytes, want at most %d", peak, maxBytes)
+	}
+	if peak < maxLargeBodies*DefaultMaxBody || pool.BodyBytes() != 0 {
+		t.Errorf("the bodies took %d bytes, and %d at the end, want at least the large ones, and none", peak, pool.BodyBytes())
 	}
-	t.Logf("the heap took at most %d bytes", peak)
+	t.Logf("the bodies took at most %d bytes", peak)
 }
 
 func readAll(ctx context.Context, pool *Pool, addr string) error {
--- a/core/jkupstream/pool.go
+++ b/core/jkupstream/pool.go
@@ -50,6 +50,8 @@
 	opened func()
 	// largeBodies is a semaphore of the large bodies that are being read.
 	largeBodies chan struct{}
+	// bodies counts the buffers of the bodies that are being read.
+	bodies heldBytes
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -70,6 +72,9 @@
 	return p
 }
 
+// BodyBytes returns the size of the buffers of the bodies that are being read.
+func (p *Pool) BodyBytes() int64 { return p.bodies.now.Load() }
+
 // acquire returns an idle connection to the address or opens one. Of the idle
 // connections, only a recently used one carries a request that can't be repeated.
 func (p *Pool) acquire(ctx context.Context, addr string, repeatable bool) (*conn, error) {
