--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -88,7 +88,7 @@
 	stopped     chan struct{}
 
 	// writeErr is the first failure to write the log, and uncompacted the number of
-	// bytes written since the last compaction. Only commit uses them.
+	// bytes that the next compaction may free. Only commit uses them.
 	writeErr    error
 	uncompacted int64
 }
@@ -103,29 +103,21 @@
 // Open reads the log in the folder and starts the vault.
 func Open(o Options) (*Vault, error) {
 	v := &Vault{Options: o, recovery: recovery{copied: map[string]copiedSource{}}, neighbourKeys: map[string]neighbourKeys{}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
-	records := 0
-	var recent []jkledger.Record
-	log, err := jkledger.OpenLog(o.Folder, func(r jkledger.Record) {
-		records++
-		if recent = append(recent, r); len(recent) > recentRecords {
-			v.ledger.Restore(o.Timer.Now(), recent[0])
-			recent = recent[1:]
-		}
-	})
+	replay := jkledger.NewReplay(o.Timer.Now(), v.ledger, recentRecords)
+	log, err := jkledger.OpenLog(o.Folder, replay.Add)
 	if err != nil {
 		return nil, err
 	}
 	v.log, v.openedAt = log, o.Timer.Now()
-	for _, r := range recent {
-		v.ledger.Apply(o.Timer.Now(), r)
-	}
+	replay.End(v.openedAt)
+	v.uncompacted = max(log.ReadBytes()-v.ledger.Bytes(), 0)
 	v.sealed = v.hasMarker(sealedMarker)
 	if o.First || v.hasMarker(certainMarker) {
 		v.openedCertain = true
 		v.certain.Store(true)
 		v.writeCertainMarker()
 	}
-	o.Log.Info("ledger opened", "records", records, "first", o.First, "certain", v.certain.Load(), "sealed", v.sealed)
+	o.Log.Info("ledger opened", "records", replay.Records(), "turns", v.ledger.Turns(), "first", o.First, "certain", v.certain.Load(), "sealed", v.sealed)
 	o.Timer.Every(expireInterval, v.expire)
 	go v.commit()
 	return v, nil
@@ -235,8 +227,8 @@
 	}
 }
 
-// compactThreshold is the number of written bytes after which the log is compacted to
-// the records that are still kept.
+// compactThreshold is the number of bytes that were written, or had expired at the start,
+// after which the log is compacted to the records that are still kept.
 const compactThreshold = 64 << 20
 
 // writeLog writes and syncs buffered bytes, and compacts the log when it is due.
@@ -263,7 +255,7 @@
 		v.writeErr = err
 		return err
 	}
-	if err := v.log.Compact(v.ledger.Records(time.Time{}, nil)); err != nil {
+	if err := v.log.Compact(v.ledger.Snapshot(v.Timer.Now())); err != nil {
 		v.writeErr = err
 		v.Log.Error("ledger can't be compacted", err)
 	}
