account: log what each copy answered to a refused turn, and when

Callers see 503 'account_uncertain' beside planned work. The log had 'reserve: 0 of 3 needed copies answered' and nothing that tells an entry that gave up from a copy that was late, or was certain of nothing.

Now a refused reservation and a chain that isn't found log each copy with its answer, the time that it took and what the entry observes of its host. A copy logs messages of entries that it answers after 100 ms or later, and writes to disk that take as long.

--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 
 	"jasmineknot.example/core/jkforward"
@@ -16,7 +15,7 @@
 func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, reports: newLossReports(), answers: map[string]string{}}
+	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, reports: newLossReports(), answers: newAnswerLog(c)}
 	return w.run(ctx, program, request)
 }
 
@@ -29,8 +28,7 @@
 	// that are certain.
 	reports *lossReports
 	certain int
-	// answers describes the answer of each copy, for log lines.
-	answers map[string]string
+	answers *answerLog
 }
 
 func (w *chainWalk) run(ctx context.Context, program, request string) ([]byte, error) {
@@ -53,9 +51,10 @@
 	// only if all copies are known and each one that isn't down says so.
 	needed := max(len(copies)-min(w.client.countDown(copies, w.reports), w.client.MaxLostDisks), 1)
 	if w.certain < needed || firstMissing != request || !w.client.MembersSettled() {
+		w.client.Log.Warn("chain not found", "previous", request, "missing", firstMissing, "program", program, "needed", needed, "copies", w.answers.describe(copies))
 		return nil, &jkforward.NoQuorumError{Operation: "chain", Answers: w.certain, Needed: needed}
 	}
-	w.client.Log.Info("turn unknown", "request", request, "program", program, "needed", needed, "copies", w.describe(copies))
+	w.client.Log.Info("turn unknown", "request", request, "program", program, "needed", needed, "copies", w.answers.describe(copies))
 	return nil, &jkforward.UnknownTurnError{Request: request}
 }
 
@@ -72,7 +71,7 @@
 			err := w.client.call(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.answers[target.Host] = describeChainAnswer(&a, err)
+			w.answers.add(target.Host, describeChainAnswer(&a, err))
 			if err != nil {
 				return
 			}
@@ -92,22 +91,13 @@
 func describeChainAnswer(a *jkledger.ChainAnswer, err error) string {
 	switch {
 	case err != nil:
-		return "none"
+		return describeFailure(err)
 	case !a.Certain:
-		return "uncertain"
+		return fmt.Sprintf("uncertain turns=%d", len(a.Turns))
 	}
 	return fmt.Sprintf("certain turns=%d", len(a.Turns))
 }
 
-// describe returns the answer of each copy with what this host has observed of its host.
-func (w *chainWalk) describe(copies []Copy) string {
-	var out []string
-	for _, target := range copies {
-		out = append(out, fmt.Sprintf("%s=%s %s", target.Host, w.answers[target.Host], w.client.Observed(target.Host)))
-	}
-	return strings.Join(out, ", ")
-}
-
 // firstMissing returns the request of the newest turn of the chain that isn't known, or
 // an empty string.
 func (w *chainWalk) firstMissing(request string) string {
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -17,9 +17,12 @@
 	if err := c.checkKnownCopies("reserve", c.replicas(r.Program)); err != nil {
 		return err
 	}
-	q := c.collectReservation(ctx, r)
+	answers := newAnswerLog(c)
+	q := c.collectReservation(ctx, r, answers)
 	err := q.decide(r)
 	if err != nil {
+		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err,
+			"exclusive", q.exclusive, "copies", answers.describe(c.replicas(r.Program)))
 		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
 	}
 	return err
@@ -27,7 +30,7 @@
 
 // collectReservation sends a reservation to the program's copies and collects their answers
 // until these are enough, all have answered or the timeout has passed.
-func (c *Client) collectReservation(ctx context.Context, r jkforward.Reservation) *quorum {
+func (c *Client) collectReservation(ctx context.Context, r jkforward.Reservation, log *answerLog) *quorum {
 	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
@@ -45,9 +48,11 @@
 		go func() {
 			var a jkledger.ReserveAnswer
 			if err := c.call(ctx, target, jkledger.TypeReserve, request, &a); err != nil {
+				log.add(target.Host, describeFailure(err))
 				answers <- reserveAnswer{from: target}
 				return
 			}
+			log.add(target.Host, describeReserveAnswer(&a))
 			answers <- reserveAnswer{from: target, content: &a}
 		}()
 	}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -235,7 +235,12 @@
 	if v.writeErr != nil {
 		return v.writeErr
 	}
-	if err := v.log.Write(data); err != nil {
+	began := v.Timer.Now()
+	err := v.log.Write(data)
+	if took := v.Timer.Now().Sub(began); took >= slowAnswer {
+		v.Log.Info("slow write to disk", "bytes", len(data), "took", took)
+	}
+	if err != nil {
 		// It isn't known whether the bytes are on disk, so that nothing more is
 		// acknowledged until a restart has read the log again.
 		v.writeErr = err
@@ -263,6 +268,7 @@
 
 // Handle answers one message from another host.
 func (v *Vault) Handle(ctx context.Context, s *jkwire.ServerStream) {
+	began := v.Timer.Now()
 	var err error
 	switch s.Type() {
 	case jkledger.TypeReserve:
@@ -282,6 +288,20 @@
 		v.Log.Warn("message not answered", "type", s.Type(), "host", s.Peer().Host, "error", err)
 		_ = s.Fail("failed", err.Error())
 	}
+	v.logSlow(s, v.Timer.Now().Sub(began))
+}
+
+// slowAnswer is the time after which the answer to a message of an entry is logged as slow.
+const slowAnswer = 100 * time.Millisecond
+
+// logSlow logs a message of an entry whose answer took long.
+func (v *Vault) logSlow(s *jkwire.ServerStream, took time.Duration) {
+	switch s.Type() {
+	case jkledger.TypeReserve, jkledger.TypeWrite, jkledger.TypeChain:
+		if took >= slowAnswer {
+			v.Log.Info("message answered late", "type", s.Type(), "host", s.Peer().Host, "took", took)
+		}
+	}
 }
 
 func (v *Vault) handleReserve(s *jkwire.ServerStream) error {
