account: wait for copies that are in reach and slow to answer

Callers saw 503 'account_uncertain' in five tries and more, beside planned work: 'reserve: 0 of 3 needed copies answered', seldom 'chain: 0 of 12'.

Cause: a copy answers a reservation once it is on disk. An entry gave up after one round of 300 ms of the clock of the machine, be it that a sync took longer or that the entry itself was paused, and then the answers were there unread. The next tries met the same sync, so that a stall of two seconds used up five tries.

The walk for a chain keeps its calls open instead of ending them, calls again where a connection broke, asks the other copies after 150 ms, and no longer waits for all of them once the chain is there. Time limits of calls count steps of the timer, so that a pause of the entry takes one step. The pool takes them for deadlines by the cause of the context.

Ruled out: the clients, the proxies and the load of the test process.

--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -4,87 +4,144 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
+	"time"
 
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
 )
 
+// hedgeDelay is how long the nearest copy may take before the others are asked too.
+const hedgeDelay = 150 * time.Millisecond
+
 // Chain returns the inputs and outputs of a chain, the oldest turn first. It asks the
-// nearest of the program's copies and, if that lacks a turn, all others.
+// nearest of the program's copies and, if that lacks a turn or is slow, all others.
 func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	ctx, cancel := c.withTimeout(ctx, answerTimeout)
 	defer cancel()
-	w := &chainWalk{client: c, turns: map[string]jkledger.Turn{}, reports: newLossReports(), answers: newAnswerLog(c)}
-	return w.run(ctx, program, request)
+	w := &chainWalk{
+		client: c, program: program, request: request, turns: map[string]jkledger.Turn{}, reports: newLossReports(),
+		certain: map[string]bool{}, pending: map[string]int{}, answers: make(chan chainAnswer), log: newAnswerLog(c),
+	}
+	chain, err := w.run(ctx)
+	if isNoQuorum(err) {
+		c.Log.Warn("chain not found", "request", request, "program", program, "error", err, "copies", w.log.describe(w.copies))
+	}
+	return chain, err
 }
 
 // chainWalk collects the turns of one chain from several copies.
 type chainWalk struct {
-	client *Client
-	mu     sync.Mutex
-	turns  map[string]jkledger.Turn
-	// reports holds what the copies that answered say of the others, and certain counts those
-	// that are certain.
+	client  *Client
+	program string
+	request string
+	copies  []Copy
+	turns   map[string]jkledger.Turn
+	// reports holds what the copies that answered say of the others, and certain those that
+	// are certain.
 	reports *lossReports
-	certain int
-	answers *answerLog
+	certain map[string]bool
+	answers chan chainAnswer
+	// pending counts the calls of each host that haven't ended.
+	pending map[string]int
+	log     *answerLog
 }
 
-func (w *chainWalk) run(ctx context.Context, program, request string) ([]byte, error) {
-	copies := w.client.replicas(program)
-	others := slices.DeleteFunc(slices.Clone(w.client.knownCopies()), func(o Copy) bool { return slices.Contains(copies, o) })
-	copies = append(copies, others...)
-	if len(copies) == 0 {
+// chainAnswer is the answer of a copy; content is nil if there is none.
+type chainAnswer struct {
+	from    Copy
+	content *jkledger.ChainAnswer
+}
+
+func (w *chainWalk) run(ctx context.Context) ([]byte, error) {
+	w.copies = w.client.replicas(w.program)
+	others := slices.DeleteFunc(slices.Clone(w.client.knownCopies()), func(o Copy) bool { return slices.Contains(w.copies, o) })
+	w.copies = append(w.copies, others...)
+	if len(w.copies) == 0 {
 		return nil, &jkforward.NoQuorumError{Operation: "chain", Needed: 1}
 	}
-	w.fetch(ctx, copies[:1], request)
-	firstMissing := w.firstMissing(request)
-	if firstMissing != "" {
-		w.fetch(ctx, copies[1:], firstMissing)
-		firstMissing = w.firstMissing(request)
-	}
-	if firstMissing == "" {
-		return w.concatenate(request), nil
-	}
-	// A partitioned zone keeps its turns on one disk for a while. So a turn is unknown
-	// only if all copies are known and each one that isn't down says so.
-	needed := max(len(copies)-min(w.client.countDown(copies, w.reports), w.client.MaxLostDisks), 1)
-	if w.certain < needed || firstMissing != request || !w.client.MembersSettled() {
-		w.client.Log.Warn("chain not found", "previous", request, "missing", firstMissing, "program", program, "needed", needed, "copies", w.answers.describe(copies))
-		return nil, &jkforward.NoQuorumError{Operation: "chain", Answers: w.certain, Needed: needed}
+	ticks := make(chan struct{}, 1)
+	defer w.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
+	w.ask(ctx, w.copies[:1], w.request)
+	waited := time.Duration(0)
+	// missing is the turn that all copies were asked for last.
+	for missing := ""; ; {
+		next := w.firstMissing()
+		if next == "" {
+			return w.concatenate(), nil
+		}
+		if missing == "" && (len(w.pending) == 0 || waited >= hedgeDelay) {
+			w.ask(ctx, w.copies[1:], next)
+			missing, waited = next, 0
+		}
+		if missing != "" && (len(w.pending) == 0 || waited >= callTimeout) {
+			if err := w.decide(next); !w.mayGetAnswer() || !isNoQuorum(err) {
+				return nil, err
+			}
+		}
+		select {
+		case a := <-w.answers:
+			w.add(a)
+		case <-ticks:
+			waited += timeoutStep
+		case <-ctx.Done():
+			return nil, w.decide(next)
+		}
 	}
-	w.client.Log.Info("turn unknown", "request", request, "program", program, "needed", needed, "copies", w.answers.describe(copies))
-	return nil, &jkforward.UnknownTurnError{Request: request}
 }
 
-// fetch asks copies for the chain that ends with a request, and adds their turns and answers.
-func (w *chainWalk) fetch(ctx context.Context, copies []Copy, request string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var done sync.WaitGroup
+// ask asks copies for the chain that ends with a turn.
+func (w *chainWalk) ask(ctx context.Context, copies []Copy, request string) {
 	for _, target := range copies {
-		done.Add(1)
+		w.pending[target.Host]++
 		go func() {
-			defer done.Done()
 			var a jkledger.ChainAnswer
-			err := w.client.call(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.answers.add(target.Host, describeChainAnswer(&a, err))
-			if err != nil {
-				return
+			out := chainAnswer{from: target}
+			err := w.client.callUntilAnswered(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{Request: request}, &a)
+			w.log.add(target.Host, describeChainAnswer(&a, err))
+			if err == nil {
+				out.content = &a
 			}
-			for _, t := range a.Turns {
-				w.turns[t.Request] = t
-			}
-			w.reports.add(target.Host, a.Losses)
-			if a.Certain {
-				w.certain++
+			select {
+			case w.answers <- out:
+			case <-ctx.Done():
 			}
 		}()
 	}
-	done.Wait()
+}
+
+func (w *chainWalk) add(a chainAnswer) {
+	if w.pending[a.from.Host]--; w.pending[a.from.Host] == 0 {
+		delete(w.pending, a.from.Host)
+	}
+	if a.content == nil {
+		return
+	}
+	for _, t := range a.content.Turns {
+		w.turns[t.Request] = t
+	}
+	w.reports.add(a.from.Host, a.content.Losses)
+	if a.content.Certain {
+		w.certain[a.from.Host] = true
+	}
+}
+
+// mayGetAnswer reports whether a copy that hasn't answered is in reach.
+func (w *chainWalk) mayGetAnswer() bool {
+	return slices.ContainsFunc(w.copies, func(target Copy) bool {
+		return w.pending[target.Host] > 0 && w.client.mayAnswer(target)
+	})
+}
+
+// decide returns why the chain isn't found. A partitioned zone keeps its turns on one disk for a
+// while. So a turn is unknown only if all copies are known and each one that isn't down says so.
+func (w *chainWalk) decide(missing string) error {
+	c := w.client
+	needed := max(len(w.copies)-min(c.countDown(w.copies, w.reports), c.MaxLostDisks), 1)
+	if len(w.certain) < needed || missing != w.request || !c.MembersSettled() {
+		return &jkforward.NoQuorumError{Operation: "chain", Answers: len(w.certain), Needed: needed}
+	}
+	c.Log.Info("turn unknown", "request", w.request, "program", w.program, "needed", needed, "copies", w.log.describe(w.copies))
+	return &jkforward.UnknownTurnError{Request: w.request}
 }
 
 // describeChainAnswer returns a copy's answer for a log line.
@@ -100,7 +157,8 @@
 
 // firstMissing returns the request of the newest turn of the chain that isn't known, or
 // an empty string.
-func (w *chainWalk) firstMissing(request string) string {
+func (w *chainWalk) firstMissing() string {
+	request := w.request
 	for request != "" {
 		t, ok := w.turns[request]
 		if !ok {
@@ -112,10 +170,10 @@
 }
 
 // concatenate returns the inputs and outputs of a chain whose turns are all known.
-func (w *chainWalk) concatenate(request string) []byte {
+func (w *chainWalk) concatenate() []byte {
 	var chain []jkledger.Turn
 	size := 0
-	for request != "" {
+	for request := w.request; request != ""; {
 		t := w.turns[request]
 		chain = append(chain, t)
 		size += len(t.Input) + len(t.Output)
--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,14 +36,33 @@
 	confirmed, neverReached map[string]bool
 	// starting is set while the client's host may not know all copies.
 	starting bool
+	// clock drives the client's timer if newManualFixture returned the fixture.
+	clock *jktimer.Manual
+	// stalls holds the copies of hosts whose locks are held: they take messages and don't handle
+	// them.
+	stalls map[string]*sync.RWMutex
 }
 
 // newFixture starts the copies, each in a vault with a folder of its own.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{lost: map[string]bool{}, cut: map[string]bool{}, unsettled: map[string]bool{}}
+	return newTimedFixture(t, jktimer.New())
+}
+
+// newManualFixture is newFixture with a timer of the client that stands still unless a test advances
+// its clock.
+func newManualFixture(t *testing.T) *fixture {
+	t.Helper()
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	f := newTimedFixture(t, timer)
+	f.clock = clock
+	return f
+}
+
+func newTimedFixture(t *testing.T, timer *jktimer.Service) *fixture {
+	t.Helper()
+	f := &fixture{lost: map[string]bool{}, cut: map[string]bool{}, unsettled: map[string]bool{}, stalls: map[string]*sync.RWMutex{}}
 	f.confirmed = f.lost
-	timer := jktimer.New()
 	for _, zone := range []string{"a", "b", "c"} {
 		f.startCopy(t, zone, zone)
 	}
@@ -84,8 +104,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	stall := &sync.RWMutex{}
+	f.stalls[host] = stall
+	handle := func(ctx context.Context, s *jkwire.ServerStream) {
+		stall.RLock()
+		defer stall.RUnlock()
+		vault.Handle(ctx, s)
+	}
 	server := jkwire.NewServer(l, jkwire.ServerOptions{
-		Self: jkwire.Hello{Host: host, Version: jkwire.ProtocolVersion}, Handle: vault.Handle, IsControl: isControl, Counters: &jkwire.Counters{},
+		Self: jkwire.Hello{Host: host, Version: jkwire.ProtocolVersion}, Handle: handle, IsControl: isControl, Counters: &jkwire.Counters{},
 	})
 	t.Cleanup(func() {
 		server.Close()
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -84,10 +85,34 @@
 	return jkforward.Account{Reserve: c.Reserve, Settle: c.Settle, Chain: c.Chain, CanKeep: c.CanKeep, Keep: c.Keep}
 }
 
-// callTimeout bounds one call of a copy. It covers some round trips between zones and a
-// slow sync, and is well within the time that a caller waits.
+// callTimeout is how long copies are waited for before an operation is decided by the answers
+// so far. It covers some round trips between zones and a slow sync.
 const callTimeout = 300 * time.Millisecond
 
+// answerTimeout bounds how long an operation waits for copies that are in reach and may still
+// answer. It covers a stalled disk, and leaves a caller the time to ask again.
+const answerTimeout = time.Second
+
+// timeoutStep is the step in which withTimeout counts.
+const timeoutStep = 50 * time.Millisecond
+
+// withTimeout returns a context that ends with context.DeadlineExceeded as its cause. It counts
+// steps of the timer, so that a pause of this process, during which answers can't be read, takes
+// one of them at most.
+func (c *Client) withTimeout(parent context.Context, d time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	left := d
+	stop := c.Timer.Every(min(timeoutStep, d), func() {
+		if left -= timeoutStep; left <= 0 {
+			cancel(context.DeadlineExceeded)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // call sends a message to a copy, through another host if this one can't reach the copy.
 func (c *Client) call(ctx context.Context, target Copy, messageType string, request, answer any) error {
 	if !c.Reachable(target.Host) && !c.Paused() {
@@ -99,3 +124,30 @@
 	}
 	return err
 }
+
+// mayAnswer reports whether a copy that hasn't answered may still do so.
+func (c *Client) mayAnswer(target Copy) bool { return c.Reachable(target.Host) || c.Paused() }
+
+// callRetryPause is the time between two calls of a copy whose connection broke.
+const callRetryPause = 100 * time.Millisecond
+
+// callUntilAnswered calls a copy until it answers, and again while it is in reach and its
+// connection breaks.
+func (c *Client) callUntilAnswered(ctx context.Context, target Copy, messageType string, request, answer any) error {
+	for {
+		err := c.call(ctx, target, messageType, request, answer)
+		var refused *jkwire.RemoteError
+		if err == nil || ctx.Err() != nil || errors.As(err, &refused) || !c.mayAnswer(target) {
+			return err
+		}
+		if !c.Timer.Wait(callRetryPause, ctx.Done()) {
+			return err
+		}
+	}
+}
+
+// isNoQuorum reports whether an operation failed since too few copies answered.
+func isNoQuorum(err error) bool {
+	var noQuorum *jkforward.NoQuorumError
+	return errors.As(err, &noQuorum)
+}
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -310,7 +310,7 @@
 // countRelayed returns the number of a program's copies that are out of reach and answer through
 // other hosts.
 func (c *Client) countRelayed(ctx context.Context, program string) int {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := c.withTimeout(ctx, callTimeout)
 	defer cancel()
 	var answered atomic.Int64
 	var asking sync.WaitGroup
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -277,7 +277,7 @@
 		request.Records = append(request.Records, p.records...)
 		request.Sync = request.Sync || p.sync
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	ctx, cancel := o.client.withTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	return o.client.call(ctx, target, jkledger.TypeWrite, request, nil)
 }
--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -102,7 +102,7 @@
 		if target.Host != m.Host || !c.Reachable(m.Host) {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := c.withTimeout(ctx, callTimeout)
 		defer cancel()
 		var answer msgpack.RawMessage
 		if err := c.Pool.Call(ctx, target.Addr, m.Type, m.Body, &answer); err != nil {
--- /dev/null
+++ b/core/jkaccount/stall_test.go
@@ -0,0 +1,142 @@
+package jkaccount
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
+)
+
+// stallTime is longer than callTimeout by the clock of the machine too.
+const stallTime = 700 * time.Millisecond
+
+// stall keeps copies from handling messages and returns the function that ends that.
+func (f *fixture) stall(hosts ...string) (end func()) {
+	for _, host := range hosts {
+		f.stalls[host].Lock()
+	}
+	return func() {
+		for _, host := range hosts {
+			f.stalls[host].Unlock()
+		}
+	}
+}
+
+// awaitStalled lets the time of the client and of the machine pass, and fails if an operation ends
+// meanwhile.
+func (f *fixture) awaitStalled(t *testing.T, d time.Duration, result <-chan error) {
+	t.Helper()
+	for range d / timeoutStep {
+		select {
+		case err := <-result:
+			t.Fatalf("ended while the copies were stalled: %v", err)
+		case <-time.After(timeoutStep):
+			f.clock.Advance(timeoutStep)
+		}
+	}
+}
+
+// write writes a turn to one copy.
+func (f *fixture) write(t *testing.T, to Copy, turn jkledger.Turn) {
+	t.Helper()
+	message := &jkledger.WriteRequest{Records: []jkledger.Record{{Turn: &turn}}, Sync: true}
+	if err := f.client.Pool.Call(t.Context(), to.Addr, jkledger.TypeWrite, message, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// reservation returns one whose tokens are most of the budget that a partition may grant.
+func reservation(request string) jkforward.Reservation {
+	return jkforward.Reservation{Program: "p", Request: request, Tokens: 100, Budget: 150, Retention: time.Minute}
+}
+
+// Guards against turns that are refused in all tries while the disks of the copies are slow: a
+// reservation is on disk before it is answered.
+func TestTokensAreReservedOnceStalledCopiesAnswer(t *testing.T) {
+	f := newManualFixture(t)
+	end := sync.OnceFunc(f.stall("a", "b", "c"))
+	defer end()
+	result := make(chan error, 1)
+	go func() { result <- f.client.Reserve(t.Context(), reservation("1")) }()
+	f.awaitStalled(t, stallTime, result)
+	end()
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against the same refusal of turns that go on.
+func TestChainIsFoundOnceStalledCopiesAnswer(t *testing.T) {
+	f := newManualFixture(t)
+	for _, c := range f.copies {
+		f.write(t, c, jkledger.Turn{Request: "1", Program: "p", Input: []byte("in"), Retention: time.Minute})
+	}
+	end := sync.OnceFunc(f.stall("a", "b", "c"))
+	defer end()
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.client.Chain(t.Context(), "p", "1")
+		result <- err
+	}()
+	f.awaitStalled(t, stallTime, result)
+	end()
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a turn that waits for a stalled copy though another one has the chain.
+func TestChainIsFoundBesideAStalledCopy(t *testing.T) {
+	f := newManualFixture(t)
+	for _, c := range f.copies {
+		f.write(t, c, jkledger.Turn{Request: "1", Program: "p", Input: []byte("in"), Retention: time.Minute})
+	}
+	defer f.stall("a")()
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.client.Chain(t.Context(), "p", "1")
+		result <- err
+	}()
+	for {
+		select {
+		case err := <-result:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		case <-time.After(timeoutStep):
+			f.clock.Advance(timeoutStep)
+		}
+	}
+}
+
+// Guards against turns that are held though they can't be admitted: nobody reaches the copies.
+func TestTurnIsRefusedAtOnceIfNoCopyIsInReach(t *testing.T) {
+	f := newManualFixture(t)
+	f.lost["a"], f.lost["b"], f.lost["c"], f.confirmed = true, true, true, nil
+	f.client.LossConfirmed = func(string) bool { return false }
+	if err := f.client.Reserve(t.Context(), reservation("1")); !isNoQuorum(err) {
+		t.Errorf("error of a reservation is %v, want a *NoQuorumError", err)
+	}
+	if _, err := f.client.Chain(t.Context(), "p", "1"); !isNoQuorum(err) {
+		t.Errorf("error of a chain is %v, want a *NoQuorumError", err)
+	}
+}
+
+// Guards against a reservation that outlives its caller.
+func TestReservationEndsWithItsCaller(t *testing.T) {
+	f := newManualFixture(t)
+	defer f.stall("a", "b", "c")()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- f.client.Reserve(ctx, reservation("1")) }()
+	cancel(context.DeadlineExceeded)
+	var noQuorum *jkforward.NoQuorumError
+	if err := <-result; !errors.As(err, &noQuorum) {
+		t.Errorf("error is %v, want a *NoQuorumError", err)
+	}
+}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -6,6 +6,7 @@
 package jkforward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -149,12 +150,24 @@
 	return body, err
 }
 
+// admissionShare is the part of a request's time limit within which it is admitted: one half, so
+// that its endpoint has the other.
+const admissionShare = 2
+
+// admissionContext returns the context for the admission of a turn by the Account.
+func (h *Handler) admissionContext(c *call) (context.Context, func()) {
+	ends := c.receivedAt.Add(c.deadline.Sub(c.receivedAt) / admissionShare)
+	return h.deadlineContext(c, ends.Sub(h.Timer.Now()))
+}
+
 // checkCopies refuses a turn that couldn't be stored at its end.
 func (h *Handler) checkCopies(c *call) *refusal {
 	if !c.route.Retain() {
 		return nil
 	}
-	if err := h.Account.CanKeep(c.request.Context(), c.info.Program); err != nil {
+	ctx, cancel := h.admissionContext(c)
+	defer cancel()
+	if err := h.Account.CanKeep(ctx, c.info.Program); err != nil {
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
 		return refusalForError(err)
 	}
@@ -167,7 +180,9 @@
 	if !c.route.Retain() || c.info.Previous == "" {
 		return nil
 	}
-	earlier, err := h.Account.Chain(c.request.Context(), c.info.Program, c.info.Previous)
+	ctx, cancel := h.admissionContext(c)
+	defer cancel()
+	earlier, err := h.Account.Chain(ctx, c.info.Program, c.info.Previous)
 	if err != nil {
 		h.Log.Warn("turn not continued", "request", c.info.Request, "previous", c.info.Previous, "error", err)
 		return refusalForError(err)
@@ -184,7 +199,9 @@
 	}
 	perEvent := max(c.service.EventTokens(), 1)
 	tokens := (c.info.MaxTokens + perEvent - 1) / perEvent * perEvent
-	err := h.Account.Reserve(c.request.Context(), Reservation{
+	ctx, cancel := h.admissionContext(c)
+	defer cancel()
+	err := h.Account.Reserve(ctx, Reservation{
 		Program: c.info.Program, Request: c.info.Request, Tokens: tokens,
 		Budget: c.info.Budget, Retention: c.route.Retention(),
 	})
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -172,8 +172,13 @@
 // keepContext returns the context for storing a turn. It ends at the request's
 // deadline, or when the caller closes its connection.
 func (h *Handler) keepContext(c *call) (context.Context, func()) {
+	return h.deadlineContext(c, max(c.deadline.Sub(h.Timer.Now()), minKeepTime))
+}
+
+// deadlineContext returns a context that ends after a time, or when the caller closes its
+// connection.
+func (h *Handler) deadlineContext(c *call, left time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(c.request.Context())
-	left := max(c.deadline.Sub(h.Timer.Now()), minKeepTime)
 	stop := h.Timer.After(left, func() { cancel(context.DeadlineExceeded) })
 	return ctx, func() {
 		stop()
--- a/core/jkwire/pool.go
+++ b/core/jkwire/pool.go
@@ -519,7 +519,7 @@
 			}
 			return Message{}, s.failure
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 				s.conn.checkReceiveTimeout(s)
 			}
 			return Message{}, eris.Wrap(ctx.Err(), "receive")
