account: ask all copies for the turn that is missing next

Callers would see 503 without end for a turn whose chain lies on several disks so that no copy has two turns in a row. No caller was seen to; found by reading while the walk was changed.

Cause: all copies were asked once, for the newest turn that the nearest copy lacks. A copy that lacks that turn sends nothing, though it may have an earlier one, which those that answered lack.

Change: once the answers have moved the missing turn, all copies are asked for that one.

Before: TestChainIsFoundOnSeveralCopies fails with 'chain: 3 of 3 needed copies answered'. After: passes. Command: cd core && go test ./jkaccount -run SeveralCopies.

--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -69,9 +69,14 @@
 		if next == "" {
 			return w.concatenate(), nil
 		}
-		if missing == "" && (len(w.pending) == 0 || waited >= hedgeDelay) {
+		switch {
+		case missing == "" && (len(w.pending) == 0 || waited >= hedgeDelay):
 			w.ask(ctx, w.copies[1:], next)
 			missing, waited = next, 0
+		case missing != "" && missing != next:
+			// Copies that lack a newer turn weren't asked for this one.
+			w.ask(ctx, w.copies, next)
+			missing, waited = next, 0
 		}
 		if missing != "" && (len(w.pending) == 0 || waited >= callTimeout) {
 			if err := w.decide(next); !w.mayGetAnswer() || !isNoQuorum(err) {
--- a/core/jkaccount/stall_test.go
+++ b/core/jkaccount/stall_test.go
@@ -127,6 +127,24 @@
 	}
 }
 
+// Guards against a chain that is never found because the copies that have its last turn lack an
+// earlier one, which others have.
+func TestChainIsFoundOnSeveralCopies(t *testing.T) {
+	f := newManualFixture(t)
+	turns := []jkledger.Turn{
+		{Request: "1", Program: "p", Input: []byte("one "), Retention: time.Minute},
+		{Request: "2", Previous: "1", Program: "p", Input: []byte("two "), Retention: time.Minute},
+		{Request: "3", Previous: "2", Program: "p", Input: []byte("three"), Retention: time.Minute},
+	}
+	for i, host := range []int{1, 0, 2} {
+		f.write(t, f.copies[host], turns[i])
+	}
+	got, err := f.client.Chain(t.Context(), "p", "3")
+	if err != nil || string(got) != "one two three" {
+		t.Errorf("chain is %q, %v", got, err)
+	}
+}
+
 // Guards against a reservation that outlives its caller.
 func TestReservationEndsWithItsCaller(t *testing.T) {
 	f := newManualFixture(t)
