account: give the timeouts of the settlement test by its own clock

TestSettlementsAreDeliveredBeforeAStop was flaky: 'reserve: 0 of 2 needed copies answered'.

Cause: its copies sync to the disk of the machine, and had 300 ms of the clock of the machine for it.

Change: the test drives the timer of the client. A copy may take as long as it wants to answer a reservation, and the flush goes on until the settlement is delivered. The check is the same: the second reservation only fits into the budget once the first one is settled.

Command: cd core && go test ./jkaccount -run TestSettlementsAreDeliveredBeforeAStop -count 30.

--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -52,7 +52,7 @@
 // Guards against settlements that are lost when an entry stops, so that a program is charged
 // more tokens than it used.
 func TestSettlementsAreDeliveredBeforeAStop(t *testing.T) {
-	f := newFixture(t)
+	f := newManualFixture(t)
 	reserve := func(request string) error {
 		return f.client.Reserve(t.Context(), jkforward.Reservation{Program: "p", Request: request, Tokens: 100, Budget: 150, Retention: time.Minute})
 	}
@@ -60,12 +60,31 @@
 		t.Fatal(err)
 	}
 	f.client.Settle(jkforward.Settlement{Program: "p", Request: "1", Tokens: 10, Retention: time.Minute})
-	f.client.Flush(time.Second)
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		// The disk of the machine may take longer than the clock of the test.
+		f.client.Flush(time.Hour)
+	}()
+	for !isDone(flushed) {
+		f.clock.Advance(flushPollInterval)
+		time.Sleep(time.Millisecond)
+	}
 	if err := reserve("2"); err != nil {
 		t.Error(err)
 	}
 }
 
+// isDone reports whether a channel is closed.
+func isDone(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Guards against an entry whose stop waits for a copy that is gone.
 func TestStopDoesNotWaitForAGoneCopy(t *testing.T) {
 	f := newFixture(t)
