ledger: sync what a start reads, before a copy vouches for it

Cause: a process that is killed between a write and the end of its sync leaves bytes that the next start reads. They were never synced, and nobody synced them afterwards, since each start writes to a new segment. The copy took them for its own: it confirmed them when an entry or another copy sent them again, didn't ask for them while it caught up after the loss of its disk, and called itself certain, with a marker that was synced. The next loss of power, at any time before the next compaction, took them away and left the marker.

Change: each segment is synced before it is read.

Ruled out by reading: the marker, the group commit, compaction and new segments are synced in the right order, with their folder.

--- a/core/jkledger/log.go
+++ b/core/jkledger/log.go
@@ -55,8 +55,8 @@
 	return l.Append(Record{Time: now.UnixMilli()})
 }
 
-// OpenLog opens the log in a folder, which it creates if needed. It calls apply for each
-// record of all segments, in the order of their numbers, and begins a new segment.
+// OpenLog opens the log in a folder, which it creates if needed. It syncs all segments, calls
+// apply for each of their records, in the order of their numbers, and begins a new segment.
 func OpenLog(folder string, apply func(Record)) (*Log, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, eris.Wrap(err, "create ledger folder")
@@ -111,12 +111,17 @@
 	return filepath.Join(l.folder, strconv.Itoa(n)+".ledger")
 }
 
+// readSegment syncs a segment and then reads it. A process that was killed may have left bytes that
+// can be read and that a power loss still takes away, while the copy vouches for what it has read.
 func readSegment(path string, apply func(Record)) error {
-	file, err := os.Open(path)
+	file, err := os.OpenFile(path, os.O_RDWR, 0)
 	if err != nil {
 		return eris.Wrap(err, "open ledger segment")
 	}
 	defer file.Close()
+	if err := file.Sync(); err != nil {
+		return eris.Wrap(err, "sync ledger segment")
+	}
 	reader := bufio.NewReaderSize(file, 256<<10)
 	for {
 		r, err := readRecord(reader)
