copy: sync a full segment of the history log before the next one begins

Callers saw nothing so far: found by reading. The program of the users' deploy file doesn't use these copies.

Cause: Store.Sync syncs the segment that is written to. Entries that were written to the one before since the last Sync were never synced. After a loss of power the log had a hole in front of entries that were synced, and a program with records on both sides couldn't be read.

Change: a full segment is synced before the next one begins.

Measured: go test ./platform/jksoak -run TestSyncedHistorySurvivesPowerLoss -v, segments of 1 KiB, a loss of power that leaves nothing of what isn't synced. before: 'copy of program p: record at offset 0 does not apply', in 2 of 2 runs; after: passes in 2 of 2.

--- a/core/jkcopy/store.go
+++ b/core/jkcopy/store.go
@@ -222,6 +222,10 @@
 // if the current one is full.
 func (s *Store) write(e entry) error {
 	if s.current.size >= maxSegmentBytes {
+		// Sync covers the current segment only.
+		if err := s.current.file.Sync(); err != nil {
+			return eris.Wrap(err, "sync full log segment")
+		}
 		if err := s.load(s.current.number + 1); err != nil {
 			return err
 		}
