copy: sync the list of incarnations, and what it vouches for

Callers saw nothing so far: found by reading. The program of the users' deploy file doesn't use these copies.

Cause: the list of the incarnations that wrote a history log was written and renamed without a sync of the file or its folder. After a loss of power it was gone, so that copies which their homes may have replaced passed for valid. The deletion of such copies wasn't synced either, so that they could return while the list named only the incarnation that had deleted them.

Change: the file and its folder are synced, and before that the log whose deletions the list stands for.

Measured: go test ./platform/jksoak -run 'TestFormerIncarnationsSurvive|TestDroppedCopiesStay' -v, a loss of power that leaves nothing of what isn't synced. before: 'former incarnations [], uncertain false' and 'the copy is back, and the former incarnations are []', one run each; with the list synced alone, 'the copy is back, and the former incarnations are [a@2]'; after: both pass.

--- a/core/jkcopy/former.go
+++ b/core/jkcopy/former.go
@@ -46,10 +46,31 @@
 		return eris.Wrap(err, "encode incarnations of the log")
 	}
 	path := filepath.Join(s.folder, incarnationsFile)
-	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+	if err := writeSynced(path+".new", text); err != nil {
 		return eris.Wrap(err, "write incarnations of the log")
 	}
-	return eris.Wrap(os.Rename(path+".new", path), "write incarnations of the log")
+	if err := os.Rename(path+".new", path); err != nil {
+		return eris.Wrap(err, "write incarnations of the log")
+	}
+	return eris.Wrap(syncFile(s.folder), "sync folder of the log")
+}
+
+// writeSynced writes a file that survives a power loss once its name does.
+func writeSynced(path string, content []byte) error {
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return err
+	}
+	return syncFile(path)
+}
+
+// syncFile syncs a file, or the names in a folder.
+func syncFile(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return file.Sync()
 }
 
 // ResolveFormer settles whether the copies written by former incarnations are valid. Kept
@@ -70,6 +91,10 @@
 			return err
 		}
 	}
+	// A deleted copy that returns after a power loss would pass for valid.
+	if err := s.current.file.Sync(); err != nil {
+		return eris.Wrap(err, "sync log")
+	}
 	return s.writeIncarnations([]jktoken.Incarnation{self})
 }
 
