vault: copy beside a neighbour that doesn't answer

With a neighbour whose connections are reset but whose probes arrive that would last.

Cause: a failed call for a neighbour's keys failed the whole copying from a source.

Change: the copy goes on without that neighbour's programs. A call takes 1 s at most, and isn't repeated within 2 s. A copy of an earlier version, which doesn't know the message, is left out the same way.

Measured: cd core && go test ./jkvault -run TestCopyDoesWithoutANeighbourThatDoesNotAnswer before: 'certain false with 0 turns, want true with 2'; after: passes cd core && go test ./jkvault, ./jkentry -run 'TestCopy|TestTwoHosts|TestNewHost' but for the known red one: pass

--- a/core/jkvault/neighbour_test.go
+++ b/core/jkvault/neighbour_test.go
@@ -61,3 +61,22 @@
 		t.Errorf("certain %t with %d turns, want true with 2", wiped.vault.Certain(), wiped.turns())
 	}
 }
+
+// Guards against a copy that copies from nobody while a neighbour counts as in reach but answers no
+// calls.
+func TestCopyDoesWithoutANeighbourThatDoesNotAnswer(t *testing.T) {
+	source, stopped := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	wiped := start(t, t.TempDir(), false)
+	source.writeTurns(t, wiped, "1", "2")
+	stopped.stop()
+	neighbour := Source{Host: stopped.folder, Addr: stopped.addr, Neighbour: true}
+	wiped.vault.Neighbours = func() []Source { return []Source{neighbour} }
+	wiped.vault.MaxLostDisks = 2
+	wiped.vault.Sources = func() ([]Source, bool) {
+		return []Source{{Host: source.folder, Addr: source.addr}, neighbour}, true
+	}
+	wiped.copyFrom(source)
+	if !wiped.vault.Certain() || wiped.turns() != 2 {
+		t.Errorf("certain %t with %d turns, want true with 2", wiped.vault.Certain(), wiped.turns())
+	}
+}
--- a/core/jkvault/recovery.go
+++ b/core/jkvault/recovery.go
@@ -108,13 +108,9 @@
 // an address. That includes records that it took in place of a neighbour, unless that one has
 // them as well. An uncertain neighbour copies what it lacks itself. There is no limit of time.
 func (v *Vault) pullLost(ctx context.Context, addr string, _ time.Duration) (records int, certain bool, err error) {
-	neighbours, err := v.neighbours(ctx, addr)
-	if err != nil {
-		return 0, false, err
-	}
 	request := &jkledger.SyncRequest{Have: v.keys(0)}
 	var hosts []string
-	for host, answer := range neighbours {
+	for host, answer := range v.neighbours(ctx, addr) {
 		hosts = append(hosts, host)
 		if answer.Certain {
 			request.Neighbours = append(request.Neighbours, host)
@@ -130,39 +126,53 @@
 	return records, certain, nil
 }
 
-// neighbourKeysLifetime is how long the keys of a neighbour are used. With older keys, other copies
-// send records that the neighbour has added since.
+// neighbourKeysLifetime is how long the answer of a neighbour is used, also that it has none. With
+// older keys, other copies send records that the neighbour has added since.
 const neighbourKeysLifetime = 2 * time.Second
 
-// neighbours returns what the neighbours in reach have, by their hosts. A neighbour that is the
-// source itself needs none, since what it has is on another disk already.
-func (v *Vault) neighbours(ctx context.Context, source string) (map[string]jkledger.KeysAnswer, error) {
+// neighbourKeysTimeout bounds a call of a neighbour. Its silence is noticed in that time.
+const neighbourKeysTimeout = time.Second
+
+// neighbourKeys is what a neighbour had at a time, or nil if it didn't answer.
+type neighbourKeys struct {
+	answer *jkledger.KeysAnswer
+	at     time.Time
+}
+
+// neighbours returns what the neighbours that answer have, by their hosts. For a neighbour that is
+// the source itself there are none, since what it has is on another disk already.
+func (v *Vault) neighbours(ctx context.Context, source string) map[string]*jkledger.KeysAnswer {
 	if v.Neighbours == nil {
-		return nil, nil
+		return nil
 	}
-	out := map[string]jkledger.KeysAnswer{}
-	now := v.Timer.Now()
+	out := map[string]*jkledger.KeysAnswer{}
 	for _, n := range v.Neighbours() {
 		if n.Addr == source {
-			return nil, nil
+			return nil
 		}
 		known, ok := v.neighbourKeys[n.Host]
-		if !ok || now.Sub(known.at) > neighbourKeysLifetime {
-			known = neighbourKeys{at: now}
-			if err := v.Pool.Call(ctx, n.Addr, jkledger.TypeKeys, &jkledger.KeysRequest{}, &known.answer); err != nil {
-				return nil, err
-			}
+		if !ok || v.Timer.Now().Sub(known.at) > neighbourKeysLifetime {
+			known = neighbourKeys{answer: v.callNeighbour(ctx, n), at: v.Timer.Now()}
 			v.neighbourKeys[n.Host] = known
 		}
-		out[n.Host] = known.answer
+		if known.answer != nil {
+			out[n.Host] = known.answer
+		}
 	}
-	return out, nil
+	return out
 }
 
-// neighbourKeys is what a neighbour had at a time.
-type neighbourKeys struct {
-	answer jkledger.KeysAnswer
-	at     time.Time
+// callNeighbour returns the keys of a neighbour's records, or nil if it doesn't answer. Its programs
+// are asked for once it does.
+func (v *Vault) callNeighbour(ctx context.Context, n Source) *jkledger.KeysAnswer {
+	ctx, cancel := context.WithTimeout(ctx, neighbourKeysTimeout)
+	defer cancel()
+	var a jkledger.KeysAnswer
+	if err := v.Pool.Call(ctx, n.Addr, jkledger.TypeKeys, &jkledger.KeysRequest{}, &a); err != nil {
+		v.Log.Warn("keys not copied", "from", n.Host, "error", err)
+		return nil
+	}
+	return &a
 }
 
 // handleKeys sends the keys of all records.
