entry: take open sockets, so that tests never lose the ports they chose

What callers saw: nothing. TestRequestsAtTheEndOfAPlannedStop and other tests failed with 'address already in use' beside other work. Cause: freeAddr closed the port that it returned, and another process took it before the host listened there. Change: Settings may have open listeners and the open socket of the prober, and NewEntry and NewStorage use these. Ruled out: ports outside of those for outgoing connections (tests beside each other take the same ones).

--- a/core/jkentry/conns_test.go
+++ b/core/jkentry/conns_test.go
@@ -39,7 +39,7 @@
 func TestStopSendsResponsesToTheirEnd(t *testing.T) {
 	t.Parallel()
 	const grace = 2 * time.Second
-	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Inner: freeAddr(t), Front: freeAddr(t), Grace: grace},
+	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t),
 		stopTestPlatform(nil), jktimer.New(), jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -79,7 +79,7 @@
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
 	e.closers = append(e.closers, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
-		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First, SendProbes: true,
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Socket: s.Listeners.Probes, First: s.First, SendProbes: true,
 		OnZoneChange: e.fleet.SetZoneReachable, OnHostChange: e.hostChanged, OnDigest: e.receiveDigest,
 		OnNews: e.news.receive, CurrentNews: e.news.current,
 	})
@@ -233,7 +233,7 @@
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
 		Crashes: e.crashes, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
-	inner, err := net.Listen("tcp", e.settings.Inner)
+	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
 		return eris.Wrap(err, "listen for other hosts")
 	}
@@ -241,7 +241,7 @@
 		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.ServerStream) { e.handle(ctx, s) }, IsControl: isControl, Counters: &jkwire.Counters{},
 	})
 	e.closers = append(e.closers, server.Close)
-	l, err := net.Listen("tcp", e.settings.Front)
+	l, err := listenAt(e.settings.Listeners.Front, e.settings.Front)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
--- a/core/jkentry/fleet_test.go
+++ b/core/jkentry/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -100,26 +99,12 @@
 	}
 }
 
-// freeAddr returns a loopback address on which nothing listens.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 // runHost runs an entry or a storage, by its name's prefix, until the returned function is
 // called.
 func runHost(t *testing.T, name string, p Platform, timer *jktimer.Service) (stop func()) {
 	t.Helper()
 	role, zone, _ := strings.Cut(name, "-")
-	s := Settings{Host: name, Zone: zone, Zones: []string{"a", "b"}, Inner: freeAddr(t), Front: freeAddr(t), First: true}
+	s := Settings{Host: name, Zone: zone, Zones: []string{"a", "b"}, First: true}.listening(t)
 	var run func(stop <-chan struct{})
 	if role == "storage" {
 		s.Folder = t.TempDir()
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"time"
 
@@ -43,6 +44,23 @@
 	// LostDisks is the number of disks whose simultaneous loss must not lose records.
 	LostDisks int
 	LogLevel  string
+	// Listeners are open already. Those that are nil are opened at the addresses.
+	Listeners Listeners
+}
+
+// Listeners are the sockets of a process for other hosts and for callers.
+type Listeners struct {
+	Inner  net.Listener
+	Probes *net.UDPConn
+	Front  net.Listener
+}
+
+// listenAt returns a listener that is open already, or opens one at an address.
+func listenAt(open net.Listener, addr string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", addr)
 }
 
 // otherSeeds returns the seeds without this host.
--- a/core/jkentry/stop_test.go
+++ b/core/jkentry/stop_test.go
@@ -148,8 +148,9 @@
 		t.Cleanup(endpoint.Close)
 		endpoints = append(endpoints, endpoint.Listener.Addr().String())
 	}
-	front := freeAddr(t)
-	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Inner: freeAddr(t), Front: front, Grace: grace},
+	settings := Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t)
+	front := settings.Front
+	e, err := NewEntry(settings,
 		stopTestPlatform(endpoints), jktimer.New(), jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
@@ -264,14 +265,15 @@
 func beginStop(t *testing.T, grace time.Duration) (*stoppingEntry, *stopCaller) {
 	t.Helper()
 	timer, clock := jktimer.NewManual(stopBegins)
+	settings := Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t)
 	s := &stoppingEntry{
 		T: t, timer: timer, clock: clock, work: &slowEndpoint{timer: timer, seen: map[string]bool{}},
-		front: freeAddr(t), done: make(chan struct{}),
+		front: settings.Front, done: make(chan struct{}),
 	}
 	endpoint := httptest.NewServer(s.work)
 	t.Cleanup(endpoint.Close)
 	addr := endpoint.Listener.Addr().String()
-	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Inner: freeAddr(t), Front: s.front, Grace: grace},
+	e, err := NewEntry(settings,
 		stopTestPlatform([]string{addr}), timer, jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -81,12 +81,12 @@
 		Peers: func() []jkfollow.Peer { return t.members.watchers(t.probes.Reachable) },
 		Seeds: s.otherSeeds,
 	})
-	l, err := net.Listen("tcp", s.Inner)
+	l, err := listenAt(s.Listeners.Inner, s.Inner)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for entries")
 	}
 	t.probes, err = jkprobe.Listen(jkprobe.Options{
-		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, First: s.First,
+		Timer: timer, Log: log.Part("probe"), Host: s.Host, Zone: s.Zone, Addr: s.Inner, Socket: s.Listeners.Probes, First: s.First,
 		SendProbes: true, OnZoneChange: func(string, bool) {}, OnHostChange: t.hostChanged,
 	})
 	if err != nil {
--- a/core/jkentry/takeover_test.go
+++ b/core/jkentry/takeover_test.go
@@ -21,22 +21,31 @@
 	stop func()
 }
 
+// announcedStorage is the entry of a storage host that starts later, and its address.
+type announcedStorage struct {
+	HostEntry
+	ports *heldPorts
+}
+
 // announceStorage writes the entry of a storage host that starts later, so that the others know
 // it before it asks them for records.
-func announceStorage(t *testing.T, store *memoryStore, host, zone string) HostEntry {
+func announceStorage(t *testing.T, store *memoryStore, host, zone string) announcedStorage {
 	t.Helper()
-	e := HostEntry{Host: host, Zone: zone, Addr: freeAddr(t), Ledger: true}
+	ports := holdPorts(t)
+	e := HostEntry{Host: host, Zone: zone, Addr: ports.addr(), Ledger: true}
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.write(host, &e)
-	return e
+	return announcedStorage{HostEntry: e, ports: ports}
 }
 
 // runStorage runs an announced storage host. A host that isn't one of the first starts with an
 // empty disk in a fleet that is in use.
-func runStorage(t *testing.T, e HostEntry, first bool, p Platform) runningStorage {
+func runStorage(t *testing.T, e announcedStorage, first bool, p Platform) runningStorage {
 	t.Helper()
-	return runStorageWith(t, storageSettings(t, e, first), p)
+	s := storageSettings(t, e.HostEntry, first)
+	s.Listeners = e.ports.handOver(t)
+	return runStorageWith(t, s, p)
 }
 
 func storageSettings(t *testing.T, e HostEntry, first bool) Settings {
@@ -175,7 +184,7 @@
 	store := &memoryStore{items: map[string]jkfollow.Item{}}
 	other := runStorage(t, announceStorage(t, store, "b-1", "b"), true, store.platform())
 	other.write(t, programs)
-	var entries []HostEntry
+	var entries []announcedStorage
 	for _, host := range []string{"a-1", "a-2", "a-3"} {
 		entries = append(entries, announceStorage(t, store, host, "a"))
 	}
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -40,6 +40,8 @@
 	// First is set when the whole system starts for the first time: no host has admitted
 	// anything before this one observes it.
 	First bool
+	// Socket is an open socket at Addr, or nil.
+	Socket *net.UDPConn
 	// SendProbes is false on a host that only answers probes.
 	SendProbes bool
 	// OnDigest receives a load digest of another host; if nil, digests are dropped.
@@ -131,16 +133,18 @@
 // hash of the probed host's name.
 const datagramSize = 9
 
-// Listen opens the UDP socket and starts to answer probes. With SendProbes it also sends
+// Listen opens the UDP socket, unless the options have one, and starts to answer probes. With SendProbes it also sends
 // them at each probeInterval.
 func Listen(o Options) (*Prober, error) {
 	addr, err := net.ResolveUDPAddr("udp", o.Addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "resolve probe address")
 	}
-	conn, err := net.ListenUDP("udp", addr)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for probes")
+	conn := o.Socket
+	if conn == nil {
+		if conn, err = net.ListenUDP("udp", addr); err != nil {
+			return nil, eris.Wrap(err, "listen for probes")
+		}
 	}
 	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, lostZones: map[string]bool{}, stop: func() {}}
 	p.sendTo = p.send
