account: wait for the answers to one reservation instead of asking in rounds

Cause: a turn beyond what a part of the hosts may grant needs the answers of all copies, and these had to come within the 300 ms of one round. Copies that are late by more than that never did. Rounds were meant to keep answers fresh, which isn't needed: a copy records the reservation before it answers, so that of two reservations on a copy one sees the other, however late the answers are, and a part that is cut off later counts this one in its share.

Change: each copy is asked once, and again only where its connection breaks. The answers are judged after 300 ms and after each further one, for up to a second in all, and as long as copies in reach can still change the result.

--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
@@ -26,66 +27,85 @@
 	return err
 }
 
-// reserveOperation sends a reservation to the copies of its program in rounds, until their answers
-// admit or refuse it or no further answer can change that.
+// reserveOperation sends a reservation to the copies of its program and collects their answers. Each
+// copy records the reservation before it answers, so that of two reservations on a copy one sees the
+// other, however late the answers are.
 type reserveOperation struct {
 	client      *Client
 	reservation jkforward.Reservation
-	// copies are those of the present round, and extra the further ones that record it.
-	copies, extra []Copy
-	// round counts the rounds. An answer is as old as its round.
-	round   int
+	copies      []Copy
+	// extra are further copies that record the reservation and have no vote.
+	extra   []Copy
 	answers chan reserveAnswer
-	// latest holds the latest answer of each host.
-	latest map[string]reserveAnswer
-	log    *answerLog
+	// pending is the number of calls that haven't ended.
+	pending int
+	quorum  *quorum
+	reports *lossReports
+	log     *answerLog
 }
 
 // reserveAnswer is the answer of a copy; content is nil if there is none.
 type reserveAnswer struct {
 	from    Copy
-	round   int
 	content *jkledger.ReserveAnswer
 }
 
 func newReserveOperation(c *Client, r jkforward.Reservation) *reserveOperation {
-	return &reserveOperation{client: c, reservation: r, answers: make(chan reserveAnswer), latest: map[string]reserveAnswer{}, log: newAnswerLog(c)}
+	copies := c.replicas(r.Program)
+	return &reserveOperation{
+		client: c, reservation: r, copies: copies, extra: c.extraCopies(r.Program, copies), answers: make(chan reserveAnswer),
+		quorum: &quorum{spendings: spendings{}, copies: len(copies)}, reports: newLossReports(), log: newAnswerLog(c),
+	}
 }
 
 func (o *reserveOperation) run(ctx context.Context) error {
 	calls, endCalls := context.WithCancel(context.WithoutCancel(ctx))
+	o.ask(calls)
+	if err := o.await(ctx); err != nil {
+		endCalls()
+		return err
+	}
+	// The calls of the other copies go on, so that these get the reservation too.
+	o.client.Timer.After(answerTimeout, endCalls)
+	return nil
+}
+
+// await returns once the answers are enough, or all copies have answered or had callTimeout for it
+// and no further answer can change the result.
+func (o *reserveOperation) await(ctx context.Context) error {
 	ctx, cancel := o.client.withTimeout(ctx, answerTimeout)
 	defer cancel()
-	for {
-		o.ask(calls)
-		if o.awaitRound(ctx) {
-			// The calls of the other copies go on, so that these get the reservation too.
-			o.client.Timer.After(callTimeout, endCalls)
-			return nil
+	ticks := make(chan struct{}, 1)
+	defer o.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
+	for waited := time.Duration(0); !o.quorum.isEnough(o.reservation); {
+		if o.pending == 0 || waited >= callTimeout {
+			if err := o.decide(); !isNoQuorum(err) || !o.mayGetAnswer() {
+				return err
+			}
 		}
-		err := o.decide()
-		if !isNoQuorum(err) || !o.mayGetAnswer() || !o.awaitNextRound(ctx) {
-			endCalls()
-			return err
+		select {
+		case a := <-o.answers:
+			o.add(a)
+		case <-ticks:
+			waited += timeoutStep
+		case <-ctx.Done():
+			return o.decide()
 		}
 	}
+	return nil
 }
 
-// ask sends the reservation to all copies. Those that have it answer again with what the program
-// has spent since.
 func (o *reserveOperation) ask(ctx context.Context) {
 	r := o.reservation
 	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
-	o.round++
-	o.copies = o.client.replicas(r.Program)
-	o.extra = o.client.extraCopies(r.Program, o.copies)
 	for _, target := range slices.Concat(o.copies, o.extra) {
-		out := reserveAnswer{from: target, round: o.round}
+		o.pending++
 		go func() {
 			var a jkledger.ReserveAnswer
-			err := o.client.call(ctx, target, jkledger.TypeReserve, request, &a)
+			out := reserveAnswer{from: target}
+			err := o.client.callUntilAnswered(ctx, target, jkledger.TypeReserve, request, &a)
 			if err != nil {
 				o.log.add(target.Host, describeFailure(err))
 			} else {
@@ -100,97 +120,42 @@
 	}
 }
 
-// awaitRound collects answers until they admit the reservation, all copies have answered this round
-// or callTimeout has passed, and reports whether they admit it.
-func (o *reserveOperation) awaitRound(ctx context.Context) bool {
-	ctx, cancel := o.client.withTimeout(ctx, callTimeout)
-	defer cancel()
-	for pending := len(o.copies) + len(o.extra); pending > 0; {
-		select {
-		case a := <-o.answers:
-			if a.round == o.round {
-				pending--
-			}
-			if o.add(a) {
-				return true
-			}
-		case <-ctx.Done():
-			return false
-		}
+func (o *reserveOperation) add(a reserveAnswer) {
+	o.pending--
+	if a.content == nil {
+		return
 	}
-	return false
-}
-
-// awaitNextRound waits for a late answer or for some time, and reports whether the operation may go
-// on. An answer that is late says that the copy answers again.
-func (o *reserveOperation) awaitNextRound(ctx context.Context) bool {
-	retry := make(chan struct{}, 1)
-	defer o.client.Timer.After(callRetryPause, func() { notify(retry) })()
-	select {
-	case a := <-o.answers:
-		o.add(a)
-	case <-retry:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
-}
-
-// add adds an answer and reports whether those of all rounds admit the reservation. Since a copy
-// records the reservation before it answers, a majority admits it at any age of its answers.
-func (o *reserveOperation) add(a reserveAnswer) bool {
-	if a.content == nil || a.round < o.latest[a.from.Host].round {
-		return false
-	}
-	o.latest[a.from.Host] = a
-	q, _ := o.quorum(0)
-	return q.isEnough(o.reservation)
-}
-
-// quorum returns the answers of a round and later ones, and what they say of other hosts.
-func (o *reserveOperation) quorum(oldest int) (*quorum, *lossReports) {
-	q := &quorum{spendings: spendings{}, copies: len(o.copies)}
-	reports := newLossReports()
-	for _, target := range slices.Concat(o.copies, o.extra) {
-		a := o.latest[target.Host]
-		if a.content == nil || a.round < oldest {
-			continue
-		}
-		reports.add(target.Host, a.content.Losses)
-		if slices.Contains(o.extra, target) {
-			q.spendings.merge(a.content.Spendings)
-			continue
-		}
-		q.add(a.content, o.client.standsIn(o.reservation.Program, target))
+	o.reports.add(a.from.Host, a.content.Losses)
+	if slices.Contains(o.extra, a.from) {
+		o.quorum.spendings.merge(a.content.Spendings)
+		return
 	}
-	return q, reports
+	o.quorum.add(a.content, o.client.standsIn(o.reservation.Program, a.from))
 }
 
-// decide returns an error unless the answers of this round admit the reservation. Older ones don't
-// tell what a part of the fleet has admitted since by itself.
+// decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
-	q, reports := o.quorum(o.round)
-	q.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, reports)
-	return q.decide(o.reservation)
+	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.reports)
+	return o.quorum.decide(o.reservation)
 }
 
-// mayGetAnswer reports whether the copies that are in reach and haven't answered this round could
-// still admit the reservation.
+// mayGetAnswer reports whether the copies that are in reach and haven't answered could still admit
+// the reservation.
 func (o *reserveOperation) mayGetAnswer() bool {
-	q, reports := o.quorum(o.round)
-	mayAnswer, out := 0, 0
+	mayAnswer, silent := 0, 0
 	for _, target := range o.copies {
 		switch {
-		case reports.answered[target.Host]:
-		case o.client.mayAnswer(target):
+		case o.reports.answered[target.Host]:
+		case o.pending > 0 && o.client.mayAnswer(target):
 			mayAnswer++
-		case !o.client.isDown(target, reports):
-			out++
+		case !o.client.isDown(target, o.reports):
+			silent++
 		}
 	}
-	if q.hasMajority() {
-		return mayAnswer > 0 && out == 0
+	if o.quorum.hasMajority() {
+		return mayAnswer > 0 && silent == 0
 	}
-	return q.certainAnswers+mayAnswer >= majority(q.copies)
+	return mayAnswer > 0 && o.quorum.certainAnswers+mayAnswer >= majority(o.quorum.copies)
 }
 
 // Settle replaces a reservation by the tokens that were used, on all copies of the program.
