storage: keep a host in use until others can take its records

Cause: retire marked the host as leaving before it was known whether others can take its records. Entries write nothing to a leaving host, and a copy that lost its disk doesn't ask it. Change: the host waits, in use, until as many other copies are up as a hand over needs, and is marked as leaving then. Left: two hosts that are asked at the same moment can both pass the check, and takers that are lost after it leave the host as before. Ruled out: taking the mark back when a hand over fails (turns that it missed have to be copied back first; larger). Measured: cd core && go test ./jkentry -run TestHostThatCannotBeEmptiedStaysInUse: before, 'the host is leaving, although no two others can take its records' and '1 copies are in use'; after, it passes.

--- a/core/jkentry/retire_test.go
+++ b/core/jkentry/retire_test.go
@@ -119,3 +119,28 @@
 		}
 	}
 }
+
+// Guards against a host that is out of use for good because it can't be emptied, so that all turns
+// are on the one disk that is left (review/2): it leaves once enough others can take its records.
+func TestHostThatCannotBeEmptiedStaysInUse(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1", "b-1")
+	asked, other := f.run(f.source("a-1")), f.run(f.settings("b-1", true))
+	completed := startRetire(t, asked, 1)
+	time.Sleep(leavingPropagation + 2*catchUpRetryInterval)
+	if f.entry("a-1").Leaving {
+		t.Error("the host is leaving, although no two others can take its records")
+	}
+	if n := len(other.members.copies()); n != 2 {
+		t.Errorf("%d copies are in use, want both", n)
+	}
+	if err := asked.tryWrite("late"); err != nil {
+		t.Errorf("a turn isn't taken: %v", err)
+	}
+	f.add("c-1")
+	added := f.entries["c-1"]
+	f.put("c-1", &added)
+	awaitEmptied(t, completed, asked.turns(), other, f.run(f.settings("c-1", false)))
+	if !f.entry("a-1").Leaving {
+		t.Error("the host was emptied and isn't leaving")
+	}
+}
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -46,8 +46,10 @@
 	follower       atomic.Pointer[jkfollow.Follower]
 	storeReachable atomic.Bool
 
-	mu       sync.Mutex
-	retiring bool
+	mu sync.Mutex
+	// retireRequested is set once the host is to be emptied, and retiring once that has begun.
+	retireRequested bool
+	retiring        bool
 	// needFullCopy holds the addresses of hosts that appeared while this one ran and
 	// whose records haven't been copied yet.
 	needFullCopy map[string]bool
@@ -382,17 +384,24 @@
 
 // retire hands all records over to the other copies and then reports that the host may be
 // removed. Entries that don't know yet that it is leaving may write to it until the first time
-// that all has been handed over, so that the second one is short. A second call does nothing.
+// that all has been handed over, so that the second one is short. The host stays in use until
+// enough others can take its records. A second call does nothing.
 func (t *Storage) retire(ctx context.Context, within time.Duration) {
 	t.mu.Lock()
-	alreadyRetiring := t.retiring
-	t.retiring = true
+	alreadyRequested := t.retireRequested
+	t.retireRequested = true
 	t.mu.Unlock()
-	if alreadyRetiring {
+	if alreadyRequested {
 		return
 	}
 	t.log.Info("host is being emptied", "within", within)
 	t.reportRetire(ctx, false)
+	if !t.awaitTakers(ctx) {
+		return
+	}
+	t.mu.Lock()
+	t.retiring = true
+	t.mu.Unlock()
 	t.registry.setOwn(ctx, t.hostEntry(true))
 	// Entries learn that the host is leaving within one watch of the store.
 	t.timer.Wait(leavingPropagation, ctx.Done())
@@ -406,6 +415,28 @@
 	t.reportRetire(ctx, true)
 }
 
+// awaitTakers waits until enough other copies are up to take all records over, and reports whether
+// they are. Until then the host stays in use: its disk would be missing if another one was lost.
+func (t *Storage) awaitTakers(ctx context.Context) bool {
+	needed, logged := t.settings.LostDisks+1, false
+	for {
+		n := 0
+		for _, addrs := range t.takers() {
+			n += len(addrs)
+		}
+		if n >= needed {
+			return true
+		}
+		if !logged {
+			t.log.Warn("host stays in use, too few others can take its records", "others", n, "needed", needed)
+			logged = true
+		}
+		if !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
+			return false
+		}
+	}
+}
+
 // handOver hands all records over to the other copies, with retries until enough have them.
 func (t *Storage) handOver(ctx context.Context) {
 	for ctx.Err() == nil {
