--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -45,8 +45,10 @@
 	follower       atomic.Pointer[jkfollow.Follower]
 	storeReachable atomic.Bool
 
-	mu       sync.Mutex
-	retiring bool
+	mu sync.Mutex
+	// retireBegun is set once the host is being emptied, and retiring once it is out of use.
+	retireBegun bool
+	retiring    bool
 	// needFullCopy holds the addresses of hosts that appeared while this one ran and
 	// whose records haven't been copied yet.
 	needFullCopy map[string]bool
