forward: don't take unanswered connections for an endpoint that has ended

A frozen endpoint looks the same (by reading).

Change: such a request goes elsewhere only if the endpoint refuses connections or its zone is cut off. Once two connections weren't answered it is given up, so that its caller has the time to retry; the number of connections was counted over all endpoints before. Calls, whose watchdog ends a connection in the same instant as the pool, count like streams.

--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -37,8 +37,6 @@
 	// request.
 	attempts int
 	excluded []string
-	// unconnected counts the endpoints' connections that were not established.
-	unconnected int
 	// last is the endpoint of the latest attempt.
 	last target
 	// uncached is the number of prompt tokens that the endpoint of the latest attempt is
--- a/core/jkforward/notice_test.go
+++ b/core/jkforward/notice_test.go
@@ -178,39 +178,30 @@
 	}
 }
 
-// Guards against a request that runs on one endpoint more than its route allows since one
-// connection to an endpoint at work was not established in time (BUDGET). A process that
-// refuses connections has ended, and one that doesn't answer them at all is cut off.
+// Guards against a request that runs on one endpoint more than its route allows since the endpoint
+// that runs it doesn't answer connections (BUDGET): it may be frozen or have a full queue. A
+// process that refuses connections has ended.
 func TestUnansweredConnectionIsNotTakenForAnEnd(t *testing.T) {
-	refused := os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	for _, c := range []struct {
-		name     string
-		causes   []error
-		answered bool
-		want     attemptOutcome
+		name  string
+		cause error
+		want  attemptOutcome
 	}{
-		{"one connection is lost", []error{context.DeadlineExceeded}, false, outcomeRefused},
-		{"two are lost, other requests are answered", []error{context.DeadlineExceeded, context.DeadlineExceeded}, true, outcomeRefused},
-		{"two are lost and nothing arrives", []error{context.DeadlineExceeded, context.DeadlineExceeded}, false, outcomeNotSent},
-		{"the process has ended", []error{refused}, true, outcomeNotSent},
+		{"connections are lost", context.DeadlineExceeded, outcomeUnconnected},
+		{"the process has ended", os.NewSyscallError("connect", syscall.ECONNREFUSED), outcomeNotSent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f, clock := newNoticeFleet("a", "z1", []Host{{"a", "z1"}})
+			f, _ := newNoticeFleet("a", "z1", []Host{{"a", "z1"}})
 			h := NewHandler(Options{Fleet: f, Timer: f.timer, Log: jklog.Discard()})
 			one := &call{
 				attempts: 1, mayHaveRunAt: "e", last: target{id: "e", zone: "z1"}, sentAt: f.timer.Now(), request: httptest.NewRequest("POST", "/", nil),
 				route: jkruleset.NewRoute(jkruleset.RouteConfig{Kind: jkruleset.KindIdempotent, MaxAttempts: 1}),
 			}
-			clock.Advance(time.Millisecond)
-			if c.answered {
-				f.reportLoad("e", jksched.DirectLoad{Running: 1, Slots: 4})
-			}
-			var got attemptOutcome
-			for _, cause := range c.causes {
-				got = h.handleSendError(one, context.Background(), "e", &jkupstream.NotSentError{Reason: jkupstream.ReasonUnreachable, Cause: cause})
-			}
-			if excluded := slices.Contains(one.excluded, "e"); got != c.want || excluded != (c.want == outcomeNotSent) {
-				t.Errorf("outcome %s, excluded %t, want %s", got, excluded, c.want)
+			for range 2 * maxUnconnected {
+				got := h.handleSendError(one, context.Background(), "e", &jkupstream.NotSentError{Reason: jkupstream.ReasonUnreachable, Cause: c.cause})
+				if excluded := slices.Contains(one.excluded, "e"); got != c.want || excluded != (c.want == outcomeNotSent) {
+					t.Errorf("outcome %s, excluded %t, want %s", got, excluded, c.want)
+				}
 			}
 		})
 	}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -24,6 +24,8 @@
 	outcomeNotSent    attemptOutcome = "not_sent"
 	outcomeBroken     attemptOutcome = "broken"
 	outcomeCallerLeft attemptOutcome = "caller_left"
+	// The endpoint, which may have run the request, didn't answer a connection.
+	outcomeUnconnected attemptOutcome = "unconnected"
 	// The response is complete, but the turn could not be stored.
 	outcomeTurnNotKept attemptOutcome = "unkept"
 	// The stream has more events than the turn can generate, and the caller has
@@ -35,10 +37,10 @@
 // refusals the service counts as full, and the caller gets a refusal.
 const maxRefusals = 3
 
-// minUnconnected is the number of connections that an endpoint must leave unanswered before a
-// request that may have run there goes to another one than its route allows: a single one may
-// be lost on the way to an endpoint that is at work.
-const minUnconnected = 2
+// maxUnconnected is the number of connections that an endpoint may leave unanswered before a
+// request that may go to no other one is given up. That an endpoint doesn't answer doesn't show
+// that it has ended: it may be frozen, or have a full queue of new connections.
+const maxUnconnected = 2
 
 // minAttemptTime is the least remaining time in which a further attempt is made.
 const minAttemptTime = 20 * time.Millisecond
@@ -50,7 +52,7 @@
 // run sends the request to endpoints until one answers or no further attempt is
 // allowed.
 func (h *Handler) run(c *call) *refusal {
-	for refusals := 0; ; {
+	for refusals, unconnected := 0, 0; ; {
 		if h.Stop.hasEnded() {
 			return c.finalRefusal("host_stopped", stoppingRetryAfter)
 		}
@@ -92,6 +94,12 @@
 				// The context ends if the caller leaves, which the next attempt notices.
 				h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
 			}
+		case outcomeUnconnected:
+			unconnected++
+			if unconnected >= maxUnconnected && !h.isGone(c) {
+				return c.finalRefusal("endpoint_unreachable", slotRetryAfter)
+			}
+			h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
 		case outcomeBroken:
 			c.mayHaveRun, c.mayHaveRunAt = true, to.id
 			if c.broken != exchangeWhole {
@@ -297,14 +305,16 @@
 		switch notSent.Reason {
 		case jkupstream.ReasonUnreachable:
 			h.Fleet.unreachable(id)
-			c.unconnected++
-			if c.isTiedTo(id) && !refusesConnections(err) && (c.unconnected < minUnconnected || h.Fleet.hasAnswered(id, c.sentAt)) {
-				outcome = outcomeRefused
+			if c.isTiedTo(id) && !refusesConnections(err) {
+				outcome = outcomeUnconnected
 			}
 		case jkupstream.ReasonConnectionLimit, jkupstream.ReasonCancelled:
 			if c.isTiedTo(id) {
 				outcome = outcomeRefused
 			}
+			if c.isTiedTo(id) && errors.Is(context.Cause(ctx), errStalled) {
+				outcome = outcomeUnconnected
+			}
 		}
 		if outcome == outcomeNotSent {
 			c.excluded = append(c.excluded, id)
