forward: take a zone for cut off only if none of its endpoints answers

Found by the review of: two endpoints stood for a whole zone, so that two that are gone, beside silent hosts, cancelled the requests of all; in a zone with one endpoint a single lost connection did. An answer that arrived during the check, the first event of a stream and responses without a load didn't count.

Change: if the first two endpoints don't answer within 0.1 s, up to 16 are tried, the first ones again, and an answer of any of them, or on any exchange, counts. Leaving endpoints are asked too, else a zone whose endpoints all leave was never found cut off. A check that takes over 0.1 s longer than its connections may proves nothing. None begins after Close.

--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -191,7 +191,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timer.Now()
-	f.noteHeard(id)
 	f.direct.Report(now, id, l)
 	f.reportedLoads[id] = reportedLoad{load: l, at: now}
 }
@@ -214,6 +213,7 @@
 func (f *Fleet) firstEvent(id string, uncached int64, took time.Duration, l jksched.DirectLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteHeard(id)
 	f.direct.FirstEvent(id, uncached, took, l)
 }
 
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -249,6 +249,7 @@
 		return h.handleSendError(c, ctx, id, err)
 	}
 	defer resp.Close()
+	h.Fleet.heard(id)
 	respInfo := h.Dialect.DecodeResponse(resp.Header)
 	c.reportedLoad = nil
 	if respInfo.HasLoad {
--- a/core/jkforward/zones.go
+++ b/core/jkforward/zones.go
@@ -22,10 +22,16 @@
 	// be reached. It is shorter than the silence after which hosts count as unreachable, so
 	// that answers from before a cut don't count.
 	zoneHeardPeriod = 400 * time.Millisecond
-	// zoneDialTimeout bounds a connection to an endpoint.
-	zoneDialTimeout = 300 * time.Millisecond
-	// maxZoneDials bounds the endpoints of a zone to which one check connects.
-	maxZoneDials = 2
+	// zoneDialTimeout bounds the connections of a check, and zoneDialDelay is how long the first
+	// ones may take before the zone's other endpoints are tried too.
+	zoneDialTimeout = 400 * time.Millisecond
+	zoneDialDelay   = 100 * time.Millisecond
+	// minZoneDials is the number of endpoints to which a check connects first, and maxZoneDials
+	// the number that stands for all of the zone.
+	minZoneDials = 2
+	maxZoneDials = 16
+	// maxCheckTime is the longest time of a check in a process that isn't paused.
+	maxCheckTime = zoneDialTimeout + 100*time.Millisecond
 )
 
 // ZoneWatch finds out whether the endpoints of a zone can be reached while the zone's hosts
@@ -38,11 +44,12 @@
 	fleet *Fleet
 	// dial opens a connection to an endpoint and closes it.
 	dial func(ctx context.Context, addr string) error
-	// runAsync runs a check without waiting for it.
-	runAsync func(func())
+	// runAsync runs a check without waiting for it, and runDial a connection attempt.
+	runAsync, runDial func(func())
 
 	mu     sync.Mutex
 	silent map[string]*silentZone
+	closed bool
 }
 
 // silentZone is a zone whose hosts don't answer.
@@ -56,9 +63,11 @@
 
 // NewZoneWatch returns a ZoneWatch that tells the fleet which zones are cut off.
 func NewZoneWatch(fleet *Fleet, timer *jktimer.Service, log jklog.Logger) *ZoneWatch {
-	return &ZoneWatch{timer: timer, log: log, fleet: fleet, dial: dialOnce, runAsync: func(f func()) { go f() }, silent: map[string]*silentZone{}}
+	return &ZoneWatch{timer: timer, log: log, fleet: fleet, dial: dialOnce, runAsync: runInGoroutine, runDial: runInGoroutine, silent: map[string]*silentZone{}}
 }
 
+func runInGoroutine(f func()) { go f() }
+
 // SetHostsReachable records whether any host of a zone answers. Endpoints of a zone with
 // hosts that answer count as reachable, the others are checked until one does.
 func (w *ZoneWatch) SetHostsReachable(zone string, reachable bool) {
@@ -78,7 +87,7 @@
 		known.stop()
 		delete(w.silent, zone)
 		w.fleet.SetEndpointsReachable(zone, true)
-	case silent && known == nil:
+	case silent && known == nil && !w.closed:
 		row := &silentZone{zone: zone}
 		row.stop = w.timer.Every(zoneCheckInterval, func() { w.check(row) })
 		w.silent[zone] = row
@@ -91,6 +100,7 @@
 func (w *ZoneWatch) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for zone, row := range w.silent {
 		row.stop()
 		delete(w.silent, zone)
@@ -124,14 +134,17 @@
 	if w.fleet.heardFrom(row.zone, began.Add(-zoneHeardPeriod)) {
 		return true, "answers"
 	}
-	addrs := w.fleet.addrsOf(row.zone, check*maxZoneDials, maxZoneDials)
+	addrs := w.fleet.addrsOf(row.zone, check*minZoneDials, maxZoneDials)
 	if len(addrs) == 0 {
 		return false, ""
 	}
 	if w.connects(addrs) {
 		return true, "connects"
 	}
-	if w.timer.Now().Sub(began) > 2*zoneDialTimeout {
+	if w.fleet.heardFrom(row.zone, began) {
+		return true, "answers"
+	}
+	if w.timer.Now().Sub(began) > maxCheckTime {
 		// This process was paused, and answers may be unread.
 		return false, ""
 	}
@@ -139,18 +152,38 @@
 }
 
 // connects reports whether at least one of the addresses answers a connection attempt. A
-// refusal is an answer too.
+// refusal is an answer too. The first addresses are tried twice, as the opening of a connection
+// may be lost.
 func (w *ZoneWatch) connects(addrs []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), zoneDialTimeout)
 	defer cancel()
-	answered := make(chan bool, len(addrs))
+	answered := make(chan bool, len(addrs)+minZoneDials)
+	dial := func(addr string) {
+		err := w.dial(ctx, addr)
+		answered <- err == nil || refusesConnections(err)
+	}
+	first := addrs[:min(len(addrs), minZoneDials)]
+	for _, addr := range first {
+		w.runDial(func() { dial(addr) })
+	}
+	later, stop := context.WithTimeout(ctx, zoneDialDelay)
+	defer stop()
+	tried := len(first)
+	for tried > 0 && later.Err() == nil {
+		select {
+		case ok := <-answered:
+			if ok {
+				return true
+			}
+			tried--
+		case <-later.Done():
+		}
+	}
 	for _, addr := range addrs {
-		go func() {
-			err := w.dial(ctx, addr)
-			answered <- err == nil || refusesConnections(err)
-		}()
+		w.runDial(func() { dial(addr) })
 	}
-	for range addrs {
+	// Connection attempts end with the context.
+	for range tried + len(addrs) {
 		if <-answered {
 			return true
 		}
@@ -170,11 +203,11 @@
 	return false
 }
 
-// hasAnswered reports whether an endpoint has answered since a time.
-func (f *Fleet) hasAnswered(id string, since time.Time) bool {
+// heard records that a response of an endpoint has arrived.
+func (f *Fleet) heard(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heardAt[id].After(since)
+	f.noteHeard(id)
 }
 
 // noteHeard records that bytes of an endpoint have arrived. The caller holds the lock.
@@ -184,7 +217,7 @@
 	}
 }
 
-// addrsOf returns the addresses of up to n live endpoints of a zone, beginning with the
+// addrsOf returns the addresses of up to n endpoints of a zone, beginning with the
 // given one of an order that differs from host to host.
 func (f *Fleet) addrsOf(zone string, first, n int) []string {
 	f.mu.Lock()
@@ -195,7 +228,7 @@
 	}
 	var all []ranked
 	for id, addr := range f.addrs {
-		if e, ok := f.direct.Endpoint(id); ok && e.Zone == zone && e.State == jksched.StateLive {
+		if e, ok := f.direct.Endpoint(id); ok && e.Zone == zone && e.State != jksched.StateDown {
 			all = append(all, ranked{xxhash.Sum64String(f.self.Name + "\x00" + id), addr})
 		}
 	}
