--- a/core/jkforward/backlog_test.go
+++ b/core/jkforward/backlog_test.go
@@ -126,6 +126,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer resp.Body.Close()
 	route := rules().Match("site.example", "/single/x")
 	t.Logf("status %d, max_attempts %d, ran at busy %d, at other %d", resp.StatusCode, route.MaxAttempts(), ranBusy.Load(), ranOther.Load())
 	if n := ranBusy.Load() + ranOther.Load(); n > int64(max(route.MaxAttempts(), 1)) {
--- a/core/jkforward/dark_test.go
+++ b/core/jkforward/dark_test.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer resp.Body.Close()
 	if n := ran.Load(); n > 1 {
 		t.Errorf("ran on %d endpoints of 1 (status %d), though the first one is sound", n, resp.StatusCode)
 	}
