account: tell callers when a silent copy will be confirmed as lost

Callers with a tight budget saw five refusals (503 'account_uncertain') within 1.2 to 2 s of a planned stop of one storage host, with no other fault (LOST).

Cause: a turn beyond what a part of the hosts may grant needs all copies, or the confirmation that a silent one fell silent alone, 2 s after its last answer. From 0.8 s on the copy is out of reach and the turn is refused at once, with a Retry-After of 0.25 s, so that five tries fit before the confirmation. The log has 'reserve: 3 of 3 needed copies answered', all certain, the fourth 'unreachable'. The same holds where a host that was stopped for good is still listed and a copy that has just started can't tell yet whether it reaches it: '4 of 3'.

Change: such a refusal names the time until the silent hosts are confirmed, and half of that where the observations of others are missing. The turn isn't held: nothing that the entry could ask would admit it before.

Ruled out: zones with too few disks.

TestRefusalSaysWhenALossIsConfirmed guards the time without processes.

--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -58,6 +58,8 @@
 	// LossConfirmed reports whether an unreachable host fell silent alone, while its zone went
 	// on answering this host. The other copies then have what it admitted.
 	LossConfirmed func(host string) bool
+	// LossConfirmedAfter is the silence after which LossConfirmed is true at the earliest.
+	LossConfirmedAfter time.Duration
 	// Observed describes what this host has observed of another one, for log lines.
 	Observed func(host string) string
 	// RelayAddrs returns the addresses of hosts that may reach copies that this host can't
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"jasmineknot.example/core/jkledger"
 )
@@ -79,3 +80,16 @@
 		return !c.Reachable(other.Host) && !c.isLossHarmless(other.Host, reports) && c.isReplaced(program, other, copies)
 	})
 }
+
+// untilLossesConfirmed returns the time until all copies that are out of reach are likely to be
+// confirmed as lost or to be back. One that is silent for longer waits for the observations of
+// others, which take about half as long as its own.
+func (c *Client) untilLossesConfirmed() time.Duration {
+	longest := c.LossConfirmedAfter / 2
+	for _, target := range c.knownCopies() {
+		if !c.Reachable(target.Host) {
+			longest = max(longest, c.LossConfirmedAfter-c.UnreachableFor(target.Host))
+		}
+	}
+	return longest
+}
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -136,7 +137,12 @@
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
 	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.reports)
-	return o.quorum.decide(o.reservation)
+	err := o.quorum.decide(o.reservation)
+	var noQuorum *jkforward.NoQuorumError
+	if errors.As(err, &noQuorum) && o.quorum.hasMajority() {
+		noQuorum.RetryAfter = o.client.untilLossesConfirmed()
+	}
+	return err
 }
 
 // mayGetAnswer reports whether the copies that are in reach and haven't answered could still admit
--- a/core/jkaccount/stall_test.go
+++ b/core/jkaccount/stall_test.go
@@ -158,3 +158,28 @@
 		t.Errorf("error is %v, want a *NoQuorumError", err)
 	}
 }
+
+// Guards against turns that are refused five times while a stopped host isn't confirmed as lost, since
+// they come back before that.
+func TestRefusalSaysWhenALossIsConfirmed(t *testing.T) {
+	f := newManualFixture(t)
+	f.client.LossConfirmedAfter = 2 * time.Second
+	if err := f.client.Reserve(t.Context(), reservation("1")); err != nil {
+		t.Fatal(err)
+	}
+	f.lost["c"], f.confirmed = true, nil
+	f.client.LossConfirmed = func(string) bool { return false }
+	f.client.UnreachableFor = func(host string) time.Duration {
+		if host == "c" {
+			return 900 * time.Millisecond
+		}
+		return 0
+	}
+	r := reservation("2")
+	r.Tokens = 50
+	err := f.client.Reserve(t.Context(), r)
+	var noQuorum *jkforward.NoQuorumError
+	if !errors.As(err, &noQuorum) || noQuorum.RetryAfter != 1100*time.Millisecond {
+		t.Errorf("error is %v, want a *NoQuorumError that may succeed after 1.1 s", err)
+	}
+}
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -75,6 +75,8 @@
 	Operation string
 	Answers   int
 	Needed    int
+	// RetryAfter is the time after which the operation may succeed, or zero if that isn't known.
+	RetryAfter time.Duration
 }
 
 func (e *NoQuorumError) Error() string {
@@ -86,13 +88,18 @@
 func refusalForError(err error) *refusal {
 	var spent *BudgetSpentError
 	var unknown *UnknownTurnError
+	var noQuorum *NoQuorumError
 	switch {
 	case errors.As(err, &spent):
 		return &refusal{status: 402, reason: "budget_spent"}
 	case errors.As(err, &unknown):
 		return &refusal{status: 404, reason: "unknown_turn"}
 	}
-	return &refusal{status: 503, reason: "account_uncertain", retryAfter: quorumRetryAfter}
+	retryAfter := quorumRetryAfter
+	if errors.As(err, &noQuorum) {
+		retryAfter = max(retryAfter, noQuorum.RetryAfter)
+	}
+	return &refusal{status: 503, reason: "account_uncertain", retryAfter: retryAfter}
 }
 
 // quorumRetryAfter is the Retry-After of a request for which too few copies
--- a/core/jkprobe/loss.go
+++ b/core/jkprobe/loss.go
@@ -4,7 +4,7 @@
 
 // LossConfirmed reports whether an unreachable host fell silent alone: the zones of the host and
 // of this one were in reach of each other without a break from settleTime before the host's last
-// answer until lossConfirmedAfter after it. For a host of the own zone, that goes for all other
+// answer until LossConfirmedAfter after it. For a host of the own zone, that goes for all other
 // zones. A host that is silent for a shorter time may be the first one of a partition.
 func (p *Prober) LossConfirmed(host string) bool {
 	p.mu.Lock()
@@ -33,15 +33,15 @@
 	return confirmed, neverReached
 }
 
-// lossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
+// LossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
 // turn out to be the first one of a partition.
-const lossConfirmedAfter = 2 * time.Second
+const LossConfirmedAfter = 2 * time.Second
 
 // confirmLoss remembers that an unreachable host fell silent alone. If its zone is cut off
 // later, the host lacks what was admitted without it and says so.
 func (p *Prober) confirmLoss(now time.Time, row *peerRow) {
 	silent := now.Sub(later(row.lastAnswer, row.addedAt))
-	row.lossConfirmed = row.unreachable && (row.lossConfirmed || silent >= lossConfirmedAfter && p.isSilentAlone(row))
+	row.lossConfirmed = row.unreachable && (row.lossConfirmed || silent >= LossConfirmedAfter && p.isSilentAlone(row))
 }
 
 // isSilentAlone reports whether the zones of a silent host and of this one have been in reach of
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -164,10 +164,10 @@
 			row.lastAnswer, row.lossConfirmed = timer.Now(), false
 		}
 	}
-	pass(lossConfirmedAfter, "with an answer right after the start")
+	pass(LossConfirmedAfter, "with an answer right after the start")
 	clock.Advance(settleTime)
 	answer()
-	pass(lossConfirmedAfter-time.Millisecond, "before the time has passed")
+	pass(LossConfirmedAfter-time.Millisecond, "before the time has passed")
 	p.zones["b"], p.zoneChangedAt["b"] = false, timer.Now()
 	pass(time.Second, "while zone b is cut off", "c1")
 	answer()
@@ -175,9 +175,9 @@
 	clock.Advance(settleTime)
 	pass(0, "without an answer since the cut", "c1")
 	p.peers["b1"].lastAnswer = timer.Now().Add(-time.Millisecond)
-	pass(lossConfirmedAfter, "with an answer too soon after the cut", "c1")
+	pass(LossConfirmedAfter, "with an answer too soon after the cut", "c1")
 	answer()
-	pass(lossConfirmedAfter, "with an answer long after the cut", "a2", "b1", "c1")
+	pass(LossConfirmedAfter, "with an answer long after the cut", "a2", "b1", "c1")
 	p.zones["b"], p.zoneChangedAt["b"] = false, timer.Now()
 	pass(time.Second, "two seconds before the next cut", "a2", "b1", "c1")
 	p.peers["b1"].unreachable = false
