forward: leave turns with short time limits the time for their admission

Since a turn is admitted within half of its time limit. One with a limit under 0.6 s had less than the 0.3 s that copies had before, and would have been refused where it was served. By reading, no caller was seen to lose by it.

Now it has 0.3 s at least. Tests of jkforward and jkaccount pass.

--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -154,9 +154,13 @@
 // that its endpoint has the other.
 const admissionShare = 2
 
+// minAdmissionTime is the least time for the admission of a turn with a short time limit: some round
+// trips between zones and a sync.
+const minAdmissionTime = 300 * time.Millisecond
+
 // admissionContext returns the context for the admission of a turn by the Account.
 func (h *Handler) admissionContext(c *call) (context.Context, func()) {
-	ends := c.receivedAt.Add(c.deadline.Sub(c.receivedAt) / admissionShare)
+	ends := c.receivedAt.Add(max(c.deadline.Sub(c.receivedAt)/admissionShare, minAdmissionTime))
 	return h.deadlineContext(c, ends.Sub(h.Timer.Now()))
 }
 
