--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -26,8 +26,9 @@
 	cancels map[string]map[*call]context.CancelCauseFunc
 	// cutOffZones holds the zones whose endpoints can't be reached, and heardAt when bytes of
 	// an endpoint last arrived.
-	cutOffZones map[string]bool
-	heardAt     map[string]time.Time
+	// suspectZones are those whose hosts are silent.
+	cutOffZones, suspectZones map[string]bool
+	heardAt                   map[string]time.Time
 	// reportedLoads holds the loads that endpoints reported to this host since the
 	// last digest.
 	reportedLoads map[string]reportedLoad
@@ -52,7 +53,7 @@
 		self:    Host{Name: host, Zone: opt.Zone},
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
-		cancels: map[string]map[*call]context.CancelCauseFunc{}, cutOffZones: map[string]bool{}, heardAt: map[string]time.Time{},
+		cancels: map[string]map[*call]context.CancelCauseFunc{}, cutOffZones: map[string]bool{}, suspectZones: map[string]bool{}, heardAt: map[string]time.Time{},
 		reportedLoads: map[string]reportedLoad{},
 	}
 }
@@ -125,6 +126,21 @@
 	return false
 }
 
+// setSuspect records whether the hosts of a zone are silent, so that its endpoints may be found cut
+// off.
+func (f *Fleet) setSuspect(zone string, suspect bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspectZones[zone] = suspect
+}
+
+// isSuspect reports whether the endpoints of a zone may be found cut off.
+func (f *Fleet) isSuspect(zone string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspectZones[zone]
+}
+
 // isCutOff reports whether the endpoints of a zone can't be reached.
 func (f *Fleet) isCutOff(zone string) bool {
 	f.mu.Lock()
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -42,6 +42,15 @@
 // that it has ended: it may be frozen, or have a full queue of new connections.
 const maxUnconnected = 2
 
+// maxUnconnected returns the bound for an endpoint of a zone: twice as many connections as usual
+// take longer than finding out whether the zone is cut off.
+func (h *Handler) maxUnconnected(zone string) int {
+	if h.Fleet.isSuspect(zone) {
+		return 2 * maxUnconnected
+	}
+	return maxUnconnected
+}
+
 // minAttemptTime is the least remaining time in which a further attempt is made.
 const minAttemptTime = 20 * time.Millisecond
 
@@ -96,7 +105,7 @@
 			}
 		case outcomeUnconnected:
 			unconnected++
-			if unconnected >= maxUnconnected && !h.isGone(c) {
+			if unconnected >= h.maxUnconnected(to.zone) {
 				return c.finalRefusal("endpoint_unreachable", slotRetryAfter)
 			}
 			h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
--- a/core/jkforward/zones_test.go
+++ b/core/jkforward/zones_test.go
@@ -110,6 +110,9 @@
 			if f.fleet.isCutOff("b") {
 				t.Error("still cut off")
 			}
+			if wantSuspect := back == "endpoints"; f.fleet.isSuspect("b") != wantSuspect {
+				t.Errorf("suspect %t, want %t", f.fleet.isSuspect("b"), wantSuspect)
+			}
 		})
 	}
 }
