--- a/core/jkaccount/stall_test.go
+++ b/core/jkaccount/stall_test.go
@@ -167,7 +167,10 @@
 	if err := f.client.Reserve(t.Context(), reservation("1")); err != nil {
 		t.Fatal(err)
 	}
+	// A copy may still be answering the first reservation.
+	end := f.stall("a", "b", "c")
 	f.lost["c"], f.confirmed = true, nil
+	end()
 	f.client.LossConfirmed = func(string) bool { return false }
 	f.client.UnreachableFor = func(host string) time.Duration {
 		if host == "c" {
