--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
 	"jasmineknot.example/core/jkaccount"
@@ -276,45 +274,6 @@
 	}
 }
 
-// serveOperators serves operators and the platform on an address, or nothing if it is empty.
-func (e *Entry) serveOperators(addr string, handler http.Handler) error {
-	if addr == "" {
-		return nil
-	}
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return eris.Wrap(err, "listen for operators")
-	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	e.closers = append(e.closers, func() { _ = s.Close() })
-	go e.serve(s, l)
-	return nil
-}
-
-// operatorRoutes returns the handler of the readiness check and of the metrics.
-func (e *Entry) operatorRoutes() http.Handler {
-	router := echo.New()
-	router.HideBanner, router.HidePort = true, true
-	router.GET("/v1/readyz", func(c echo.Context) error {
-		if e.Ready() {
-			return c.NoContent(http.StatusOK)
-		}
-		return c.NoContent(http.StatusServiceUnavailable)
-	})
-	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, e.metrics) })
-	return router
-}
-
-// writeMetrics writes a set of metrics and those of the process in Prometheus's text format.
-func writeMetrics(c echo.Context, set *metrics.Set) error {
-	c.Response().Header().Set(echo.HeaderContentType, "text/plain; charset=utf-8")
-	c.Response().WriteHeader(http.StatusOK)
-	var out io.Writer = c.Response()
-	set.WritePrometheus(out)
-	metrics.WriteProcessMetrics(out)
-	return nil
-}
-
 // Ready reports whether the entry takes new connections. An entry that can't reach any
 // endpoint of a service isn't ready, so that callers go to entries of other zones.
 func (e *Entry) Ready() bool {
--- a/core/jkforward/backlog_test.go
+++ b/core/jkforward/backlog_test.go
@@ -2,24 +2,14 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/VictoriaMetrics/metrics"
-
-	"jasmineknot.example/core/jklog"
-	"jasmineknot.example/core/jkruleset"
-	"jasmineknot.example/core/jksched"
-	"jasmineknot.example/core/jktimer"
-	"jasmineknot.example/core/jkupstream"
 )
 
 // smallListener returns a listener with the smallest queue of new connections.
@@ -81,55 +71,15 @@
 		<-stillAtWork
 	}()
 	defer close(stillAtWork)
-	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ranOther.Add(1)
-		w.Header().Set(testRequest, "r1")
-		w.Header().Set(testSigned, "1")
-		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = io.WriteString(w, "id: 1\ndata: one\n\n")
-	}))
-	defer other.Close()
-	timer := jktimer.New()
-	fleet := NewFleet("h", jksched.DefaultDirectOptions(), timer)
-	crashes := NewCrashWatch(timer, jklog.Discard())
-	set := func(id, addr string) {
-		fleet.SetEndpoint(jksched.Endpoint{ID: id, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, addr, 1)
-		crashes.SetEndpoint(id, addr, 1)
-	}
-	set("busy", busy.Addr().String())
-	rules := func() *jkruleset.Set {
-		return jkruleset.NewSet(1, jkruleset.Limits{MaxBodyBytes: 1000}, []*jkruleset.Service{
-			jkruleset.NewService(jkruleset.ServiceConfig{Name: "s", EventTokens: 5}),
-		}, []*jkruleset.Route{jkruleset.NewRoute(jkruleset.RouteConfig{
-			Name: "single", Host: "site.example", Prefix: "/single/", Kind: jkruleset.KindStream, Timeout: 3 * time.Second,
-			MaxAttempts: 1, Resumable: true, Shares: []jkruleset.Share{{Service: "s", Weight: 1}},
-		})})
-	}
-	h := NewHandler(Options{
-		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(metrics.NewSet()), Rules: rules,
-		Dialect: testDialect(), Account: (&memoryAccount{}).account(), Fleet: fleet, Stop: NewHostStop(),
-		Pool: jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() {}), Crashes: crashes,
-	})
-	front := httptest.NewServer(h)
-	defer front.Close()
+	f := newSingleFixture(t)
+	f.add("busy", "a", busy.Addr().String())
+	other := newStreamEndpoint(t, 0, func() { ranOther.Add(1) })
 	go func() {
 		time.Sleep(100 * time.Millisecond)
-		set("other", other.Listener.Addr().String())
+		f.add("other", "a", other.Listener.Addr().String())
 	}()
-	conn, err := net.Dial("tcp", front.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	_, _ = fmt.Fprintf(conn, "POST /single/x HTTP/1.1\r\nHost: site.example\r\n%s: r1\r\nContent-Length: 2\r\n\r\nhi", testRequest)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	route := rules().Match("site.example", "/single/x")
-	t.Logf("status %d, max_attempts %d, ran at busy %d, at other %d", resp.StatusCode, route.MaxAttempts(), ranBusy.Load(), ranOther.Load())
-	if n := ranBusy.Load() + ranOther.Load(); n > int64(max(route.MaxAttempts(), 1)) {
-		t.Errorf("ran on %d endpoints of %d; the first one neither ended nor is cut off", n, max(route.MaxAttempts(), 1))
+	status := f.send(t)
+	if ranBusy.Load() != 1 || ranOther.Load() != 0 {
+		t.Errorf("status %d, ran %d times at the first endpoint and %d at the other one, want once and never", status, ranBusy.Load(), ranOther.Load())
 	}
 }
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -119,7 +119,7 @@
 				return c.finalRefusal("endpoint_failed", 0)
 			}
 			h.Log.Info("request may be sent again", "request", c.info.Request, "endpoint", to.id, "broken", c.broken,
-				"counted", c.attempts > before, "attempts", c.attempts, "max_attempts", c.route.MaxAttempts(), "excluded", len(c.excluded))
+				"counted", c.attempts > before, "attempts", c.attempts, "allowed", c.route.MaxAttempts())
 		case outcomeNotSent:
 		}
 	}
--- /dev/null
+++ b/core/jkforward/single_test.go
@@ -0,0 +1,88 @@
+package jkforward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkruleset"
+	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jktimer"
+	"jasmineknot.example/core/jkupstream"
+)
+
+// singleFixture is a handler behind a server, with one route of resumable streams that allows one
+// endpoint.
+type singleFixture struct {
+	fleet   *Fleet
+	crashes *CrashWatch
+	front   *httptest.Server
+}
+
+func newSingleFixture(t *testing.T) *singleFixture {
+	t.Helper()
+	timer := jktimer.New()
+	opt := jksched.DefaultDirectOptions()
+	opt.Zone = "a"
+	f := &singleFixture{fleet: NewFleet("h", opt, timer), crashes: NewCrashWatch(timer, jklog.Discard())}
+	rules := jkruleset.NewSet(1, jkruleset.Limits{MaxBodyBytes: 1000}, []*jkruleset.Service{
+		jkruleset.NewService(jkruleset.ServiceConfig{Name: "s", EventTokens: 5}),
+	}, []*jkruleset.Route{jkruleset.NewRoute(jkruleset.RouteConfig{
+		Name: "single", Host: "site.example", Prefix: "/single/", Kind: jkruleset.KindStream, Timeout: 3 * time.Second,
+		MaxAttempts: 1, Resumable: true, Shares: []jkruleset.Share{{Service: "s", Weight: 1}},
+	})})
+	f.front = httptest.NewServer(NewHandler(Options{
+		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(metrics.NewSet()), Rules: func() *jkruleset.Set { return rules },
+		Dialect: testDialect(), Account: (&memoryAccount{}).account(), Fleet: f.fleet, Stop: NewHostStop(),
+		Pool: jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() {}), Crashes: f.crashes,
+	}))
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// add adds an endpoint.
+func (f *singleFixture) add(id, zone, addr string) {
+	f.fleet.SetEndpoint(jksched.Endpoint{ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, addr, 1)
+	f.crashes.SetEndpoint(id, addr, 1)
+}
+
+// send sends one request and returns the status of its response.
+func (f *singleFixture) send(t *testing.T) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /single/x HTTP/1.1\r\nHost: site.example\r\n%s: r1\r\nContent-Length: 2\r\n\r\nhi", testRequest)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// newStreamEndpoint returns an endpoint that answers with one event after a wait and calls ran for
+// each request.
+func newStreamEndpoint(t *testing.T, wait time.Duration, ran func()) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ran()
+		time.Sleep(wait)
+		w.Header().Set(testRequest, "r1")
+		w.Header().Set(testSigned, "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: one\n\n")
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
