--- a/core/jkentry/conns_test.go
+++ b/core/jkentry/conns_test.go
@@ -34,19 +34,28 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// Guards against a stopping entry that closes a connection whose response is written by the handler
-// and not sent yet: with little processor time that takes longer than the last requests have.
-func TestStopSendsResponsesToTheirEnd(t *testing.T) {
-	t.Parallel()
-	const grace = 2 * time.Second
-	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t),
+// stopGrace is the time from the stop of an entry to the end of its process.
+const stopGrace = 2 * time.Second
+
+// newStopEntry returns an entry that serves the connections of a listener.
+func newStopEntry(t *testing.T) (*Entry, *pipeListener) {
+	t.Helper()
+	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: stopGrace}.listening(t),
 		stopTestPlatform(nil), jktimer.New(), jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &pipeListener{conns: make(chan net.Conn)}
-	defer func() { _ = l.Close() }()
+	t.Cleanup(func() { _ = l.Close() })
 	go e.serve(e.front, l)
+	return e, l
+}
+
+// Guards against a stopping entry that closes a connection whose response is written by the handler
+// and not sent yet: with little processor time that takes longer than the last requests have.
+func TestStopSendsResponsesToTheirEnd(t *testing.T) {
+	t.Parallel()
+	e, l := newStopEntry(t)
 	caller, served := net.Pipe()
 	defer caller.Close()
 	l.conns <- served
@@ -57,7 +66,7 @@
 		t.Fatal(err)
 	}
 	// Half of the grace is for callers that still open connections.
-	time.Sleep(grace/2 + 2*lastRequestTime)
+	time.Sleep(stopGrace/2 + 2*lastRequestTime)
 	res, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	if err != nil {
 		t.Fatalf("response: %v", err)
@@ -94,15 +103,7 @@
 // little processor time, net/http reports the connection as idle for long after that.
 func TestStopAnswersRequestsThatAreBeingRead(t *testing.T) {
 	t.Parallel()
-	const grace = 2 * time.Second
-	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t),
-		stopTestPlatform(nil), jktimer.New(), jklog.Discard())
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &pipeListener{conns: make(chan net.Conn)}
-	defer func() { _ = l.Close() }()
-	go e.serve(e.front, l)
+	e, l := newStopEntry(t)
 	caller, served := net.Pipe()
 	defer caller.Close()
 	late := &lateConn{Conn: served, taken: make(chan struct{}), release: make(chan struct{})}
@@ -128,7 +129,7 @@
 	close(stop)
 	go func() { defer close(done); e.Run(stop) }()
 	// Half of the grace is for callers that still open connections.
-	time.Sleep(grace/2 + 2*lastRequestTime)
+	time.Sleep(stopGrace/2 + 2*lastRequestTime)
 	close(late.release)
 	expectAnswer()
 	<-done
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -133,8 +133,8 @@
 // hash of the probed host's name.
 const datagramSize = 9
 
-// Listen opens the UDP socket, unless the options have one, and starts to answer probes. With SendProbes it also sends
-// them at each probeInterval.
+// Listen opens the UDP socket, unless the options have one, and starts to answer probes. With
+// SendProbes it also sends them at each probeInterval.
 func Listen(o Options) (*Prober, error) {
 	addr, err := net.ResolveUDPAddr("udp", o.Addr)
 	if err != nil {
