account: count no majority of copies that may be used by this host alone

Cause, by a model and by reading: an entry that is cut off reaches the added storage hosts only. After 7 s it takes all others for lost, on its own view, and chooses the added ones in their place. Their answers made a majority, with which it granted half of a budget again, while the other entries granted all of it on the copies that they know. Majorities of different sets needn't intersect.

Change: the answer of a copy in the place of another one counts towards a majority only if that one's loss is confirmed and no copy that answered reaches it. Such an entry answers 503, and its callers go to others.

Ruled out: choosing the others although they are lost (a zone whose copy is gone would have none for 20 s).

Measured: TestBudgetOfAnEntryThatReachesOnlyAddedCopies, '60 tokens are handed out of a budget of 45 and one turn of 10' before, passes after. TestBudgetHoldsWhileCopiesAreAddedBesideCutEntries fails after 3,635 cases without the change, and passes 100,000 with it.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -38,6 +38,8 @@
 	cutSince  map[string]time.Time
 	// isolatedSince is since when an entry has been cut off from all copies.
 	isolatedSince map[*budgetEntry]time.Time
+	// withoutRelays is set if isolated entries reach the other entries as little as the copies.
+	withoutRelays bool
 	recoveredAt   map[string]time.Time
 	// partitions holds all partitions, the latest one last.
 	partitions []partition
@@ -123,7 +125,7 @@
 func (f *budgetFixture) unreachableFor(e *budgetEntry, host string) time.Duration {
 	c := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })]
 	longest := f.cutFor(e.zone, c.Zone)
-	if since, ok := f.isolatedSince[e]; ok {
+	if since, ok := f.isolatedSince[e]; ok && !f.addedAt[host].After(since) {
 		longest = max(longest, f.now.Sub(since))
 	}
 	if since, ok := f.downSince[host]; ok {
@@ -183,13 +185,19 @@
 func (f *budgetFixture) answers(e *budgetEntry, c Copy) bool {
 	_, down := f.downSince[c.Host]
 	reaches := func(other *budgetEntry) bool {
-		_, isolated := f.isolatedSince[other]
-		return !isolated && !f.areCut(e.zone, other.zone) && !f.areCut(other.zone, c.Zone)
+		since, isolated := f.isolatedSince[other]
+		inReach := !isolated || f.addedAt[c.Host].After(since)
+		return inReach && !f.areCut(e.zone, other.zone) && !f.areCut(other.zone, c.Zone)
+	}
+	_, isolated := f.isolatedSince[e]
+	if isolated && f.withoutRelays {
+		return !down && reaches(e)
 	}
 	return !down && (reaches(e) || slices.ContainsFunc(f.entries, reaches))
 }
 
-// isolate cuts an entry off from all copies. Other entries relay its messages.
+// isolate cuts an entry off from all copies that have been added so far. Other entries relay its
+// messages unless withoutRelays is set.
 func (f *budgetFixture) isolate(e *budgetEntry) {
 	if _, isolated := f.isolatedSince[e]; !isolated {
 		f.isolatedSince[e] = f.now
@@ -213,6 +221,8 @@
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
 		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host], Losses: losses}, e.client.standsIn(r.Program, c))
 	}
+	answering := slices.DeleteFunc(slices.Clone(copies), func(c Copy) bool { return !f.answers(e, c) })
+	q.unprovenAnswers = e.client.countUnproven(r.Program, answering, reports)
 	q.exclusive = e.client.isExclusive(r.Program, copies, reports)
 	err := q.decide(r)
 	if err == nil {
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,58 @@
 		}
 	})
 }
+
+// Guards against a budget that is granted to its end by the entries that reach the copies, and by
+// half to an entry that reaches only copies that were added since it was cut off: it took these for
+// a majority in place of the others, which it took for lost.
+func TestBudgetOfAnEntryThatReachesOnlyAddedCopies(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	f.withoutRelays = true
+	f.isolate(f.entries[0])
+	f.advance(time.Second)
+	for _, zone := range []string{"a", "b", "c"} {
+		f.add(zone)
+	}
+	f.advance(newFor + lostAfter)
+	for range 2 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	for range 4 {
+		f.reserve(f.entries[1], turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
+// Guards against the same in every order of additions and cuts of entries that nobody relays for.
+func TestBudgetHoldsWhileCopiesAreAddedBesideCutEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newBudgetFixture(rapid.IntRange(3, 6).Draw(t, "zones"), rapid.IntRange(1, 2).Draw(t, "hosts"), 4)
+		f.withoutRelays = true
+		first := slices.Clone(f.copies)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"reserve", "reserve", "reserve", "wait", "wait", "add", "add to all", "isolate", "rejoin"}).Draw(t, "step") {
+			case "reserve":
+				f.reserve(f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")], turnTokens, turnBudget)
+			case "wait":
+				f.advance(time.Duration(rapid.IntRange(1, 16000).Draw(t, "ms")) * time.Millisecond)
+			case "add":
+				if len(f.copies) < 2*len(first) {
+					f.add(first[rapid.IntRange(0, len(first)-1).Draw(t, "zone")].Zone)
+				}
+			case "add to all":
+				for _, c := range first {
+					if len(f.copies) < 2*len(first) {
+						f.add(c.Zone)
+					}
+				}
+			case "isolate":
+				if len(f.isolatedSince) < 2 {
+					f.isolate(f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "isolated")])
+				}
+			case "rejoin":
+				clear(f.isolatedSince)
+			}
+			f.check(t)
+		}
+	})
+}
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -114,6 +114,25 @@
 	})
 }
 
+// countUnproven returns how many of the copies may have been chosen for a program by this host
+// alone. Another copy of the zone isn't known to be lost, and ranks before the chosen one or isn't
+// new as that one is. A host that is cut off from most copies takes these for lost, and majorities of
+// copies that it chose in their place needn't intersect with those of others.
+func (c *Client) countUnproven(program string, chosen []Copy, reports *lossReports) int {
+	known := c.knownCopies()
+	n := 0
+	for _, target := range chosen {
+		mayBeUsed := func(other Copy) bool {
+			return other.Zone == target.Zone && other.Host != target.Host && !other.New &&
+				(target.New || ranksBefore(program, other, target)) && !c.isLossHarmless(other.Host, reports)
+		}
+		if slices.ContainsFunc(known, mayBeUsed) {
+			n++
+		}
+	}
+	return n
+}
+
 // ranksBefore reports whether copy a has a higher rendezvous hash for a program than b.
 func ranksBefore(program string, a, b Copy) bool {
 	return rank(program, a.Host) > rank(program, b.Host)
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -12,6 +12,9 @@
 	copies int
 	// certainAnswers counts the answers of copies that have lost no records.
 	certainAnswers int
+	// unprovenAnswers counts those of them that don't count towards a majority, since other hosts
+	// may use another copy in place of the one that answered.
+	unprovenAnswers int
 	// regularAnswers counts the certain answers of copies that don't stand in for another
 	// one and aren't behind others.
 	regularAnswers int
@@ -36,7 +39,10 @@
 // majority returns the size at which any two sets of copies have one in common.
 func majority(copies int) int { return copies/2 + 1 }
 
-func (q *quorum) hasMajority() bool { return q.certainAnswers >= majority(q.copies) }
+// votes returns the number of answers that count towards a majority.
+func (q *quorum) votes() int { return q.certainAnswers - q.unprovenAnswers }
+
+func (q *quorum) hasMajority() bool { return q.votes() >= majority(q.copies) }
 
 // partitionShare returns the tokens that one side of a network partition may grant while
 // the other side may admit turns of the same program. It is half of what may be granted at
@@ -54,7 +60,7 @@
 // copies that can be reached were asked.
 func (q *quorum) decide(r jkforward.Reservation) error {
 	total := q.spendings.total()
-	noQuorum := &jkforward.NoQuorumError{Operation: "reserve", Answers: q.certainAnswers, Needed: majority(q.copies)}
+	noQuorum := &jkforward.NoQuorumError{Operation: "reserve", Answers: q.votes(), Needed: majority(q.copies)}
 	switch {
 	case q.certainAnswers == 0:
 		return noQuorum
--- a/core/jkaccount/quorum_test.go
+++ b/core/jkaccount/quorum_test.go
@@ -24,8 +24,12 @@
 		q := &quorum{spendings: spendings{}, copies: copies, exclusive: d.HasArg("whole")}
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			if line != "" {
+				line, unproven := strings.CutPrefix(line, "unproven ")
 				line, standsIn := strings.CutPrefix(line, "stand-in ")
 				q.add(parseAnswer(t, line), standsIn)
+				if unproven {
+					q.unprovenAnswers++
+				}
 			}
 		}
 		err := q.decide(jkforward.Reservation{Budget: int64(budget), Tokens: int64(tokens)})
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -41,6 +41,8 @@
 	// pending is the number of calls that haven't ended.
 	pending int
 	quorum  *quorum
+	// certain are the copies whose answers the quorum counts.
+	certain []Copy
 	reports *lossReports
 	log     *answerLog
 }
@@ -132,6 +134,10 @@
 		return
 	}
 	o.quorum.add(a.content, o.client.standsIn(o.reservation.Program, a.from))
+	if a.content.Certain {
+		o.certain = append(o.certain, a.from)
+	}
+	o.quorum.unprovenAnswers = o.client.countUnproven(o.reservation.Program, o.certain, o.reports)
 }
 
 // decide returns an error unless the answers so far admit the reservation.
@@ -161,7 +167,7 @@
 	if o.quorum.hasMajority() {
 		return mayAnswer > 0 && silent == 0
 	}
-	return mayAnswer > 0 && o.quorum.certainAnswers+mayAnswer >= majority(o.quorum.copies)
+	return mayAnswer > 0 && o.quorum.votes()+mayAnswer >= majority(o.quorum.copies)
 }
 
 // Settle replaces a reservation by the tokens that were used, on all copies of the program.
