account: keep trying a turn whose writes were all dropped

Callers would see a turn that ran to its end broken off (LOST, in a planned stop), although they had time left and a copy came back in time.

Cause: Keep gave up once every copy that it had written to held the turn or was no longer listed. Copies that are listed later, or that are out of reach at that moment, were not waited for.

Change: Keep ends when the turn is kept, or with its context. It looks for further copies every 100 ms, as it did while a write was left.

Ruled out: that the records may reach too few disks; what has to hold a turn is unchanged.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -109,16 +109,11 @@
 	for {
 		needed := c.requiredSpread()
 		k.sendToSubstitutes(needed)
-		// Read before the zones are counted: a copy may write the turn between the two, and
-		// a written turn must not be given up.
-		exhausted := k.isExhausted()
 		written := k.written()
 		if written.covers(needed) {
 			return nil
 		}
-		if exhausted {
-			return &jkforward.NoQuorumError{Operation: "keep", Answers: written.disks, Needed: needed.disks}
-		}
+		// Also if no write is left: a copy that is listed later or back in reach is written to.
 		select {
 		case <-k.changed:
 		case <-recheck:
@@ -180,16 +175,6 @@
 	return out
 }
 
-// isExhausted reports whether no write is retried any more.
-func (k *keepOperation) isExhausted() bool {
-	for _, target := range k.targets {
-		if o := k.outcome(target.Host); o != outcomeWritten && o != outcomeDropped {
-			return false
-		}
-	}
-	return true
-}
-
 // sendToSubstitutes sends the turn to another copy of each zone whose copies so far don't
 // answer, and to further copies until enough disks may answer. Any copy may hold a turn, since
 // Chain asks all copies.
