account: write a turn to copies that are listed again

Callers would see a turn that ran to its end broken off (LOST, in a planned stop), although they had time left and its copies came back in time.

Cause: once a write was dropped because its copy wasn't listed, Keep never wrote to that copy again.

Change: such a copy counts as one that the turn wasn't sent to.

Measured: TestTurnIsKeptOnceItsCopiesAreListedAgain failed before ('keep: 1 of 2 needed copies answered' at the end of the caller's 2 s) and passes now; go test ./jkaccount passes.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -133,7 +134,7 @@
 
 // sendTo queues the turn for a copy.
 func (k *keepOperation) sendTo(target Copy) {
-	k.targets = append(k.targets, target)
+	k.targets = append(slices.DeleteFunc(k.targets, func(t Copy) bool { return t.Host == target.Host }), target)
 	k.set(target.Host, outcomeWaiting)
 	k.client.outbox.send(target, k.records, func(o outcome) bool {
 		defer notify(k.changed)
@@ -198,10 +199,12 @@
 }
 
 // nextSubstitute returns the copy that the turn is sent to next: one in reach that it wasn't sent
-// to, of the zone in which the fewest copies may answer.
+// to, of the zone in which the fewest copies may answer. One that was removed from the list, so
+// that its write was dropped, may be listed again.
 func (k *keepOperation) nextSubstitute(answering map[string]int) (best Copy, ok bool) {
 	for _, candidate := range k.client.Copies() {
-		if !k.client.Reachable(candidate.Host) || k.outcome(candidate.Host) != "" {
+		o := k.outcome(candidate.Host)
+		if !k.client.Reachable(candidate.Host) || o != "" && o != outcomeDropped {
 			continue
 		}
 		n, fewest := answering[candidate.Zone], answering[best.Zone]
--- a/core/jkaccount/keep_lost_test.go
+++ b/core/jkaccount/keep_lost_test.go
@@ -248,3 +248,27 @@
 		}
 	})
 }
+
+// Guards against a turn that has run and is broken off (LOST), because its copies are no longer listed
+// for a moment: they are written to once they are listed again.
+func TestTurnIsKeptOnceItsCopiesAreListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangingFleet()
+		defer f.close()
+		down := f.twoInZoneB()
+		f.setDown(down, true)
+		time.Sleep(time.Second)
+		f.admit(t)
+		for _, host := range f.others(down) {
+			f.setDown(host, true)
+			later(300*time.Millisecond, func() { f.unlist(host) })
+			later(1200*time.Millisecond, func() {
+				f.setDown(host, false)
+				f.list(host, "")
+			})
+		}
+		if err := f.keep(); err != nil {
+			t.Error(err)
+		}
+	})
+}
