account: wait for copies that an entry doesn't know yet at a turn's end

Callers would see a turn that ran to its end broken off at once (LOST, in a planned stop) at an entry that has just started, although they had time left.

Cause: Keep began with the check that CanKeep made before the turn ran: as many zones have to have a known copy as a record needs, unless the hosts are settled. Copies that leave or are removed while the turn runs made it fail.

Change: while the hosts aren't settled and too few copies are known, a turn needs as many zones as ever, and Keep waits for them. CanKeep still refuses there. The result too_few_copies is gone: Keep ends early no more.

Ruled out: that such a turn then counts with one disk (TestTurnIsNotKeptWhileItsEntryKnowsTooFewCopies, passed before too).

Measured: TestTurnIsKeptOnceItsEntryKnowsEnoughCopies failed before ('keep: 1 of 2 needed copies answered', at once) and passes now. In go test ./jkaccount at a load of 15 TestCopiesAreAskedAfterAPause failed once ('reserve: 0 of 2 needed copies answered', after 3 s); it passes alone in 8 of 8 runs and was not traced.

--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -189,9 +189,14 @@
 // have to hold a record, and may not know all of them yet. Another host that knows all copies
 // wouldn't find the record.
 func (c *Client) checkKnownCopies(operation string, copies []Copy) error {
-	needed := min(c.MaxLostDisks+1, c.ZoneCount)
-	if len(copies) >= needed || c.MembersSettled() {
+	if c.knowsEnough(len(copies)) {
 		return nil
 	}
-	return &jkforward.NoQuorumError{Operation: operation, Answers: len(copies), Needed: needed}
+	return &jkforward.NoQuorumError{Operation: operation, Answers: len(copies), Needed: min(c.MaxLostDisks+1, c.ZoneCount)}
+}
+
+// knowsEnough reports whether this host knows copies in as many zones as have to hold a record, or
+// is likely to know all copies.
+func (c *Client) knowsEnough(zones int) bool {
+	return zones >= min(c.MaxLostDisks+1, c.ZoneCount) || c.MembersSettled()
 }
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -79,10 +79,8 @@
 		return keepWritten
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return keepTimedOut
-	case ctx.Err() != nil:
-		return keepCallerLeft
 	}
-	return keepTooFew
+	return keepCallerLeft
 }
 
 func (c *Client) newKeepOperation(t jkforward.Turn) *keepOperation {
@@ -97,11 +95,7 @@
 
 func (k *keepOperation) run(ctx context.Context) error {
 	c := k.client
-	chosen := c.replicas(k.turn.Program)
-	if err := c.checkKnownCopies("keep", chosen); err != nil {
-		return err
-	}
-	for _, target := range chosen {
+	for _, target := range c.replicas(k.turn.Program) {
 		k.sendTo(target)
 	}
 	recheck := make(chan struct{}, 1)
@@ -254,17 +248,22 @@
 // requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
 // MaxLostDisks+1 each, so that the loss of MaxLostDisks disks leaves one copy. During a network
 // partition the zones that can be reached have to do, with several copies in one zone, and the
-// outbox continues to deliver the turn to the others.
+// outbox continues to deliver the turn to the others. A host that may not know all copies doesn't
+// take the few that it knows for all.
 func (c *Client) requiredSpread() spread {
 	copies := c.knownCopies()
-	zones := map[string]bool{}
+	known, inReach := map[string]bool{}, map[string]bool{}
 	for _, target := range copies {
+		known[target.Zone] = true
 		if c.isInReach(target) {
-			zones[target.Zone] = true
+			inReach[target.Zone] = true
 		}
 	}
-	most := c.MaxLostDisks + 1
-	return spread{zones: max(min(most, len(zones)), 1), disks: max(min(most, len(copies)), 1)}
+	most, least := c.MaxLostDisks+1, 1
+	if !c.knowsEnough(len(known)) {
+		least = min(most, c.ZoneCount)
+	}
+	return spread{zones: max(min(most, len(inReach)), least), disks: max(min(most, len(copies)), least)}
 }
 
 // CanKeep returns a *jkforward.NoQuorumError if fewer copies than have to hold a turn of a program
--- a/core/jkaccount/keep_lost_test.go
+++ b/core/jkaccount/keep_lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -272,3 +273,39 @@
 		}
 	})
 }
+
+// Guards against a turn that has run and is broken off (LOST), because a copy was removed from the
+// list of an entry that has just started, which lists the next one half a second later.
+func TestTurnIsKeptOnceItsEntryKnowsEnoughCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangingFleet()
+		defer f.close()
+		f.unlist("c")
+		f.starting = true
+		f.admit(t)
+		f.unlist("b")
+		later(500*time.Millisecond, func() { f.list("c", "c") })
+		if err := f.keep(); err != nil {
+			t.Error(err)
+		}
+		if !f.hosts["a"].holdsTurn || !f.hosts["c"].holdsTurn {
+			t.Error("the turn isn't on two disks")
+		}
+	})
+}
+
+// Guards against a turn that counts with one disk at an entry that knows too few copies.
+func TestTurnIsNotKeptWhileItsEntryKnowsTooFewCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangingFleet()
+		defer f.close()
+		f.starting = true
+		f.admit(t)
+		f.unlist("b")
+		f.unlist("c")
+		var noQuorum *jkforward.NoQuorumError
+		if err := f.keep(); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+			t.Errorf("error is %v, want a *NoQuorumError with 1 of 2", err)
+		}
+	})
+}
--- a/core/jkaccount/metrics.go
+++ b/core/jkaccount/metrics.go
@@ -20,7 +20,6 @@
 	keepWritten keepResult = "kept"
 	// The zones in reach hold the turn, which are fewer than usual.
 	keepFewZones   keepResult = "kept_in_few_zones"
-	keepTooFew     keepResult = "too_few_copies"
 	keepTimedOut   keepResult = "time_used_up"
 	keepCallerLeft keepResult = "caller_left"
 )
