account: refuse turns while too few zones have a copy that answers

Cause: CanKeep counted a copy whose host is silent if any host of its zone answers, which the zone's entries do, and it didn't count zones.

Change: a copy counts if its host answers, or if it answers through a relay, which is asked if the others are too few. They have to be in as many zones, and on as many disks, as Keep will need.

Ruled out: refusals after a pause of the entry, as all copies count then.

Measured: TestTurnIsRefusedWhileTooFewZonesHaveALiveCopy failed before ('error is <nil>, want a *NoQuorumError with 1 of 2') and passes now; go test ./jkaccount passes.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -158,16 +157,7 @@
 
 // written returns the zones and disks that hold the turn.
 func (k *keepOperation) written() spread {
-	var out spread
-	zones := map[string]bool{}
-	for _, target := range k.targets {
-		if k.outcome(target.Host) == outcomeWritten {
-			out.disks++
-			zones[target.Zone] = true
-		}
-	}
-	out.zones = len(zones)
-	return out
+	return spreadOf(slices.DeleteFunc(slices.Clone(k.targets), func(t Copy) bool { return k.outcome(t.Host) != outcomeWritten }))
 }
 
 // sendToSubstitutes sends the turn to another copy of each zone whose copies so far don't
@@ -243,6 +233,15 @@
 // spread is the number of zones and of disks that hold a turn.
 type spread struct{ zones, disks int }
 
+// spreadOf returns the zones and disks of copies.
+func spreadOf(copies []Copy) spread {
+	zones := map[string]bool{}
+	for _, c := range copies {
+		zones[c.Zone] = true
+	}
+	return spread{zones: len(zones), disks: len(copies)}
+}
+
 func (s spread) covers(needed spread) bool { return s.zones >= needed.zones && s.disks >= needed.disks }
 
 // requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
@@ -266,24 +265,23 @@
 	return spread{zones: max(min(most, len(inReach)), least), disks: max(min(most, len(copies)), least)}
 }
 
-// CanKeep returns a *jkforward.NoQuorumError if fewer copies than have to hold a turn of a program
-// are known or in reach, or answer through other hosts.
+// CanKeep returns a *jkforward.NoQuorumError if the copies that are known and in reach, or answer
+// through other hosts, are in fewer zones or on fewer disks than have to hold a turn of a program.
 func (c *Client) CanKeep(ctx context.Context, program string) error {
 	if err := c.checkKnownCopies("keep", c.replicas(program)); err != nil {
 		return err
 	}
-	inReach := 0
-	for _, target := range c.knownCopies() {
-		if c.isInReach(target) {
-			inReach++
-		}
-	}
-	needed := c.requiredSpread().disks
-	if inReach < needed {
-		inReach += c.countRelayed(ctx, program)
+	needed := c.requiredSpread()
+	live := slices.DeleteFunc(slices.Clone(c.knownCopies()), func(known Copy) bool { return !c.mayAnswer(known) })
+	if !spreadOf(live).covers(needed) {
+		live = append(live, c.relayedCopies(ctx, program)...)
 	}
-	if inReach < needed {
-		return &jkforward.NoQuorumError{Operation: "keep", Answers: inReach, Needed: needed}
+	found := spreadOf(live)
+	switch {
+	case found.disks < needed.disks:
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.disks, Needed: needed.disks}
+	case found.zones < needed.zones:
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.zones, Needed: needed.zones}
 	}
 	return nil
 }
@@ -294,23 +292,26 @@
 	return c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
 }
 
-// countRelayed returns the number of a program's copies that are out of reach and answer through
-// other hosts.
-func (c *Client) countRelayed(ctx context.Context, program string) int {
+// relayedCopies returns a program's copies that are out of reach and answer through other hosts.
+func (c *Client) relayedCopies(ctx context.Context, program string) []Copy {
 	ctx, cancel := c.withTimeout(ctx, callTimeout)
 	defer cancel()
-	var answered atomic.Int64
+	var mu sync.Mutex
+	var out []Copy
 	var asking sync.WaitGroup
 	for _, target := range c.replicas(program) {
-		if c.isInReach(target) {
+		if c.mayAnswer(target) {
 			continue
 		}
 		asking.Go(func() {
-			if c.relay(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{}, &jkledger.ChainAnswer{}) == nil {
-				answered.Add(1)
+			if c.relay(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{}, &jkledger.ChainAnswer{}) != nil {
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, target)
 		})
 	}
 	asking.Wait()
-	return int(answered.Load())
+	return out
 }
--- a/core/jkaccount/keep_lost_test.go
+++ b/core/jkaccount/keep_lost_test.go
@@ -309,3 +309,24 @@
 		}
 	})
 }
+
+// Guards against turns that are run and broken off at the end of their time: the copies of two zones
+// are down, and the entries of these zones answer.
+func TestTurnIsRefusedWhileTooFewZonesHaveALiveCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangingFleet()
+		defer f.close()
+		f.list("a-2", "a")
+		f.setDown("b", true)
+		f.setDown("c", true)
+		time.Sleep(time.Second)
+		var noQuorum *jkforward.NoQuorumError
+		if err := f.client.CanKeep(t.Context(), "p"); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+			t.Errorf("error is %v, want a *NoQuorumError with 1 of 2", err)
+		}
+		f.setDown("c", false)
+		if err := f.client.CanKeep(t.Context(), "p"); err != nil {
+			t.Errorf("with a live copy in two zones: %v", err)
+		}
+	})
+}
