account: reserve on more disks while copies are down in zones that answer

Programs could be granted 800 tokens of a budget of 500 and one turn of 100: a zone granted half of it on one disk, which was lost before the copies of the other zones were back (BUDGET).

Cause: a copy that is down counted as one that records the reservation, if entries of its zone answer. So no further copy recorded it.

Change: only copies that are in reach themselves count.

Ruled out: to count all copies after a pause, as CanKeep does: an entry of a zone that is cut off would then grant on one disk.

Measured: TestBudgetBesideDownCopiesOutlivesADisk failed before ('800 tokens of 500 and one turn of 100 were granted') and passes now, as does TestBudgetOfACutZoneOutlivesADisk, whose body both use; go test ./jkaccount passes.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -273,6 +273,16 @@
 // Guards against tokens that a zone grants on one disk while it is cut off, though it has three,
 // and that are granted again once that disk is lost.
 func TestBudgetOfACutZoneOutlivesADisk(t *testing.T) {
+	testBudgetOutlivesADisk(t, func(zone string, cut bool) bool { return !cut || zone == "a" })
+}
+
+// Guards against the same while the copies of the other zones are down and their entries answer.
+func TestBudgetBesideDownCopiesOutlivesADisk(t *testing.T) {
+	testBudgetOutlivesADisk(t, func(string, bool) bool { return true })
+}
+
+func testBudgetOutlivesADisk(t *testing.T, zoneReachable func(zone string, cut bool) bool) {
+	t.Helper()
 	f := newFixture(t)
 	f.startCopy(t, "a-2", "a")
 	f.startCopy(t, "a-3", "a")
@@ -280,7 +290,7 @@
 	lost := f.client.replicas("p")[0]
 	var cut, gone atomic.Bool
 	f.client.Reachable = func(host string) bool { return !cut.Load() || strings.HasPrefix(host, "a") }
-	f.client.ZoneReachable = func(zone string) bool { return !cut.Load() || zone == "a" }
+	f.client.ZoneReachable = func(zone string) bool { return zoneReachable(zone, cut.Load()) }
 	f.client.ZoneSettled = f.client.ZoneReachable
 	f.client.Copies = func() []Copy {
 		return slices.DeleteFunc(slices.Clone(f.copies), func(c Copy) bool { return c == lost && gone.Load() })
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -189,7 +189,7 @@
 func (c *Client) extraCopies(program string, chosen []Copy) []Copy {
 	missing := c.MaxLostDisks + 1
 	for _, target := range chosen {
-		if c.isInReach(target) {
+		if c.Reachable(target.Host) {
 			missing--
 		}
 	}
