--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -78,10 +78,8 @@
 		return keepWritten
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return keepTimedOut
-	case ctx.Err() != nil:
-		return keepCallerLeft
 	}
-	return keepTooFew
+	return keepCallerLeft
 }
 
 func (c *Client) newKeepOperation(t jkforward.Turn) *keepOperation {
@@ -96,11 +94,7 @@
 
 func (k *keepOperation) run(ctx context.Context) error {
 	c := k.client
-	chosen := c.replicas(k.turn.Program)
-	if err := c.checkKnownCopies("keep", chosen); err != nil {
-		return err
-	}
-	for _, target := range chosen {
+	for _, target := range c.replicas(k.turn.Program) {
 		k.sendTo(target)
 	}
 	recheck := make(chan struct{}, 1)
@@ -109,16 +103,11 @@
 	for {
 		needed := c.requiredSpread()
 		k.sendToSubstitutes(needed)
-		// Read before the zones are counted: a copy may write the turn between the two, and
-		// a written turn must not be given up.
-		exhausted := k.isExhausted()
 		written := k.written()
 		if written.covers(needed) {
 			return nil
 		}
-		if exhausted {
-			return &jkforward.NoQuorumError{Operation: "keep", Answers: written.disks, Needed: needed.disks}
-		}
+		// Also if no write is left: a copy that is listed later or back in reach is written to.
 		select {
 		case <-k.changed:
 		case <-recheck:
@@ -138,7 +127,7 @@
 
 // sendTo queues the turn for a copy.
 func (k *keepOperation) sendTo(target Copy) {
-	k.targets = append(k.targets, target)
+	k.targets = append(slices.DeleteFunc(k.targets, func(t Copy) bool { return t.Host == target.Host }), target)
 	k.set(target.Host, outcomeWaiting)
 	k.client.outbox.send(target, k.records, func(o outcome) bool {
 		defer notify(k.changed)
@@ -168,26 +157,7 @@
 
 // written returns the zones and disks that hold the turn.
 func (k *keepOperation) written() spread {
-	var out spread
-	zones := map[string]bool{}
-	for _, target := range k.targets {
-		if k.outcome(target.Host) == outcomeWritten {
-			out.disks++
-			zones[target.Zone] = true
-		}
-	}
-	out.zones = len(zones)
-	return out
-}
-
-// isExhausted reports whether no write is retried any more.
-func (k *keepOperation) isExhausted() bool {
-	for _, target := range k.targets {
-		if o := k.outcome(target.Host); o != outcomeWritten && o != outcomeDropped {
-			return false
-		}
-	}
-	return true
+	return spreadOf(slices.DeleteFunc(slices.Clone(k.targets), func(t Copy) bool { return k.outcome(t.Host) != outcomeWritten }))
 }
 
 // sendToSubstitutes sends the turn to another copy of each zone whose copies so far don't
@@ -213,10 +183,12 @@
 }
 
 // nextSubstitute returns the copy that the turn is sent to next: one in reach that it wasn't sent
-// to, of the zone in which the fewest copies may answer.
+// to, of the zone in which the fewest copies may answer. One that was removed from the list, so
+// that its write was dropped, may be listed again.
 func (k *keepOperation) nextSubstitute(answering map[string]int) (best Copy, ok bool) {
 	for _, candidate := range k.client.Copies() {
-		if !k.client.Reachable(candidate.Host) || k.outcome(candidate.Host) != "" {
+		o := k.outcome(candidate.Host)
+		if !k.client.Reachable(candidate.Host) || o != "" && o != outcomeDropped {
 			continue
 		}
 		n, fewest := answering[candidate.Zone], answering[best.Zone]
@@ -261,42 +233,55 @@
 // spread is the number of zones and of disks that hold a turn.
 type spread struct{ zones, disks int }
 
+// spreadOf returns the zones and disks of copies.
+func spreadOf(copies []Copy) spread {
+	zones := map[string]bool{}
+	for _, c := range copies {
+		zones[c.Zone] = true
+	}
+	return spread{zones: len(zones), disks: len(copies)}
+}
+
 func (s spread) covers(needed spread) bool { return s.zones >= needed.zones && s.disks >= needed.disks }
 
 // requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
 // MaxLostDisks+1 each, so that the loss of MaxLostDisks disks leaves one copy. During a network
 // partition the zones that can be reached have to do, with several copies in one zone, and the
-// outbox continues to deliver the turn to the others.
+// outbox continues to deliver the turn to the others. A host that may not know all copies doesn't
+// take the few that it knows for all.
 func (c *Client) requiredSpread() spread {
 	copies := c.knownCopies()
-	zones := map[string]bool{}
+	known, inReach := map[string]bool{}, map[string]bool{}
 	for _, target := range copies {
+		known[target.Zone] = true
 		if c.isInReach(target) {
-			zones[target.Zone] = true
+			inReach[target.Zone] = true
 		}
 	}
-	most := c.MaxLostDisks + 1
-	return spread{zones: max(min(most, len(zones)), 1), disks: max(min(most, len(copies)), 1)}
+	most, least := c.MaxLostDisks+1, 1
+	if !c.knowsEnough(len(known)) {
+		least = min(most, c.ZoneCount)
+	}
+	return spread{zones: max(min(most, len(inReach)), least), disks: max(min(most, len(copies)), least)}
 }
 
-// CanKeep returns a *jkforward.NoQuorumError if fewer copies than have to hold a turn of a program
-// are known or in reach, or answer through other hosts.
+// CanKeep returns a *jkforward.NoQuorumError if the copies that are known and in reach, or answer
+// through other hosts, are in fewer zones or on fewer disks than have to hold a turn of a program.
 func (c *Client) CanKeep(ctx context.Context, program string) error {
 	if err := c.checkKnownCopies("keep", c.replicas(program)); err != nil {
 		return err
 	}
-	inReach := 0
-	for _, target := range c.knownCopies() {
-		if c.isInReach(target) {
-			inReach++
-		}
-	}
-	needed := c.requiredSpread().disks
-	if inReach < needed {
-		inReach += c.countRelayed(ctx, program)
+	needed := c.requiredSpread()
+	live := slices.DeleteFunc(slices.Clone(c.knownCopies()), func(known Copy) bool { return !c.mayAnswer(known) })
+	if !spreadOf(live).covers(needed) {
+		live = append(live, c.relayedCopies(ctx, program)...)
 	}
-	if inReach < needed {
-		return &jkforward.NoQuorumError{Operation: "keep", Answers: inReach, Needed: needed}
+	found := spreadOf(live)
+	switch {
+	case found.disks < needed.disks:
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.disks, Needed: needed.disks}
+	case found.zones < needed.zones:
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.zones, Needed: needed.zones}
 	}
 	return nil
 }
@@ -307,23 +292,26 @@
 	return c.Reachable(target.Host) || c.ZoneReachable(target.Zone)
 }
 
-// countRelayed returns the number of a program's copies that are out of reach and answer through
-// other hosts.
-func (c *Client) countRelayed(ctx context.Context, program string) int {
+// relayedCopies returns a program's copies that are out of reach and answer through other hosts.
+func (c *Client) relayedCopies(ctx context.Context, program string) []Copy {
 	ctx, cancel := c.withTimeout(ctx, callTimeout)
 	defer cancel()
-	var answered atomic.Int64
+	var mu sync.Mutex
+	var out []Copy
 	var asking sync.WaitGroup
 	for _, target := range c.replicas(program) {
-		if c.isInReach(target) {
+		if c.mayAnswer(target) {
 			continue
 		}
 		asking.Go(func() {
-			if c.relay(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{}, &jkledger.ChainAnswer{}) == nil {
-				answered.Add(1)
+			if c.relay(ctx, target, jkledger.TypeChain, &jkledger.ChainRequest{}, &jkledger.ChainAnswer{}) != nil {
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, target)
 		})
 	}
 	asking.Wait()
-	return int(answered.Load())
+	return out
 }
