account: check turns in every order of changes of the copies

Two property tests, on copies in memory and in the time of a bubble: a turn that is admitted is kept if, from a second until half a second before its caller's time is over, enough copies are listed, up and in reach; and it is kept, on enough disks, if nothing changes after it was admitted. Copies are listed, removed, stopped and started, zones are cut off, hosts settled or not.

A first version of the first test failed once for a fault of the test: a host that was added in a zone that is cut off stayed in reach for good.

--- a/core/jkaccount/keep_lost_test.go
+++ b/core/jkaccount/keep_lost_test.go
@@ -91,6 +91,7 @@
 	}
 	h := &changingHost{Copy: Copy{Host: host, Addr: host, Zone: zone}, listed: true}
 	f.hosts[host] = h
+	f.observe()
 	f.servers = append(f.servers, jkwire.NewServer(f.network.Listen(host), jkwire.ServerOptions{
 		Self: jkwire.Hello{Host: host, Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{},
 		Handle: func(ctx context.Context, s *jkwire.ServerStream) { f.handle(ctx, h, s) },
@@ -138,6 +139,14 @@
 	f.observe()
 }
 
+// setCut cuts a zone off or ends its cut. The entry notices the former later.
+func (f *changingFleet) setCut(zone string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[zone] = cut
+	f.observe()
+}
+
 // observe notices at once what is back in reach, and later what is out of it. The caller holds the
 // lock.
 func (f *changingFleet) observe() {
