account: let removed hosts of a test count as in reach

The prober reports a host that it doesn't know as in reach. The fleet of the tests with changing copies went on reporting a removed host as silent.

--- a/core/jkaccount/keep_lost_test.go
+++ b/core/jkaccount/keep_lost_test.go
@@ -192,11 +192,12 @@
 	return out
 }
 
+// reachable reports true for a host that isn't listed, as the prober does for one that it doesn't know.
 func (f *changingFleet) reachable(host string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.hosts[host]
-	return h == nil || !h.unreachable
+	return h == nil || !h.listed || !h.unreachable
 }
 
 // zoneReachable counts the entries of a zone as well, which are never down.
