account: name the zones in the error of a turn that too few zones hold

Operators read 'keep: 2 of 2 needed copies answered' for a turn that wasn't kept, since two disks of one zone held it. The error counts zones now if the disks are enough, as that of CanKeep does.

Measured: TestCopiesInOneZoneDoNotSufficeForATurn demands more than any error now, failed with that text before and passes.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -112,7 +112,7 @@
 		case <-k.changed:
 		case <-recheck:
 		case <-ctx.Done():
-			return &jkforward.NoQuorumError{Operation: "keep", Answers: written.disks, Needed: needed.disks}
+			return written.shortage(needed)
 		}
 	}
 }
@@ -244,6 +244,14 @@
 
 func (s spread) covers(needed spread) bool { return s.zones >= needed.zones && s.disks >= needed.disks }
 
+// shortage returns the error for too few disks or, if these are enough, for too few zones.
+func (s spread) shortage(needed spread) error {
+	if s.disks < needed.disks {
+		return &jkforward.NoQuorumError{Operation: "keep", Answers: s.disks, Needed: needed.disks}
+	}
+	return &jkforward.NoQuorumError{Operation: "keep", Answers: s.zones, Needed: needed.zones}
+}
+
 // requiredSpread returns the zones and disks that have to hold a turn before it counts as kept:
 // MaxLostDisks+1 each, so that the loss of MaxLostDisks disks leaves one copy. During a network
 // partition the zones that can be reached have to do, with several copies in one zone, and the
@@ -276,12 +284,8 @@
 	if !spreadOf(live).covers(needed) {
 		live = append(live, c.relayedCopies(ctx, program)...)
 	}
-	found := spreadOf(live)
-	switch {
-	case found.disks < needed.disks:
-		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.disks, Needed: needed.disks}
-	case found.zones < needed.zones:
-		return &jkforward.NoQuorumError{Operation: "keep", Answers: found.zones, Needed: needed.zones}
+	if found := spreadOf(live); !found.covers(needed) {
+		return found.shortage(needed)
 	}
 	return nil
 }
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -68,8 +68,9 @@
 	f.copies = append(f.copies, f.copies[0])
 	f.copies[3].Host = "a-2"
 	f.lost["b"], f.lost["c"] = true, true
-	if err := f.keepWithin(t, "p", 300*time.Millisecond); err == nil {
-		t.Error("a turn counts as kept although only one zone holds it")
+	var noQuorum *jkforward.NoQuorumError
+	if err := f.keepWithin(t, "p", 300*time.Millisecond); !errors.As(err, &noQuorum) || noQuorum.Answers != 1 || noQuorum.Needed != 2 {
+		t.Errorf("error of a turn that only one zone holds is %v, want a *NoQuorumError with 1 of 2", err)
 	}
 }
 
