vault: don't do without a silent host that nobody took over in time

Cause: a silent host of another zone counted as replaced once the store had it as suspected and the others of its zone were copied and certain. That these had taken its programs over was assumed. They can't take over from a disk that was lost before.

Change: a storage host notes from which certain hosts it has taken over the programs of a silent host of its zone, since that fell silent. It says so in the last part of a sync answer, in a new named field, with records that include it. A copy does without the silent host only if all its successors name each host that wasn't copied or isn't certain, and, unless the copy is new, itself. What was taken over doesn't count any more once the silent host answers again, or a further host of the zone falls silent, as the others hold more programs then. An earlier release doesn't say anything, so that its silent neighbours are waited for until their entries are removed, as before.

TestCopyDoesWithoutAHostWhoseZoneHasTakenOver was wrong as it stood: in it the disk is lost before anyone could take over, which is the fault. Now a-1 runs with its part of the programs until b-2 has taken over from it, and loses its disk then. TestHostThatIsGoneIsMissingUntilItsSuccessorsWereCopied has the same checks; its successors now say that they have taken over.

Ruled out: to count only the second round of a takeover. The successor of a replaced host hasn't done it when the next one is replaced 5 s later.

--- a/core/jkentry/recovery.go
+++ b/core/jkentry/recovery.go
@@ -104,8 +104,9 @@
 	return sources, t.isListed()
 }
 
-// successors returns the addresses of the hosts that have taken over the programs of a host of
-// another zone: the others of its zone, once it has been silent for so long that it is suspected.
+// successors returns the addresses of the hosts that take over the programs of a host of another
+// zone: the others of its zone, once it has been silent for so long that it is suspected. What
+// they have taken over they say with their records.
 // Its own zone's programs may be among those that this copy has lost.
 func (t *Storage) successors(gone HostEntry, hosts []HostEntry) []string {
 	if !gone.Suspected || gone.Zone == t.settings.Zone || t.probes.Reachable(gone.Host) {
--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -309,15 +309,28 @@
 	}
 }
 
+// takeoverLimit is less than the delay of the second round of a takeover, which copies all again.
+const takeoverLimit = 6 * time.Second
+
 // Guards against a second replacement of a host that isn't certain until the entry of the first
 // one is removed, 20 s after that was gone (replaced storage in the soak, seeds 2 and 3).
 func TestCopyDoesWithoutAHostWhoseZoneHasTakenOver(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "b-1", "b-2", "c-1")
 	f.suspect("b-1")
-	f.run(f.source("b-2"))
+	settings, successor := f.source("a-1"), f.run(f.source("b-2"))
 	f.run(f.settings("c-1", true))
-	wiped := f.run(f.settings("a-1", false))
-	eventually(t, "certain copy", wiped.vault.Certain)
+	lost := f.run(settings)
+	// A takeover begins 2 s after the silence does and waits for the disk.
+	for end := time.Now().Add(takeoverLimit); !slices.Contains(successor.takenOver()["b-1"], "a-1"); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not taken over within %s", takeoverLimit)
+		}
+	}
+	lost.stop()
+	f.hold("a-1", settings.Inner)
+	settings.Folder = t.TempDir()
+	wiped := f.run(settings)
+	awaitComplete(t, wiped)
 }
 
 // Guards against a copy that is certain without the records of a silent host that no other host
--- a/core/jkentry/takeover_test.go
+++ b/core/jkentry/takeover_test.go
@@ -198,3 +198,45 @@
 	hosts[0].stop()
 	awaitTurns(t, programs, time.Now(), hosts[1:]...)
 }
+
+// Guards against a copy that does without a host that is down with its disk on the word of one that
+// took over from it before it was last up, or before another host of the zone fell silent too.
+func TestTakeoverCountsForOneSilenceOnly(t *testing.T) {
+	s := &Storage{settings: Settings{Host: "b-2", Zone: "b"}, members: newMembers(jktimer.New()), silences: map[string]*silence{}}
+	for _, host := range []string{"a-1", "b-1", "b-2", "b-3"} {
+		s.members.set(HostEntry{Host: host, Zone: host[:1], Ledger: true})
+	}
+	takeOver := func(silences map[string]*silence, gone ...string) {
+		hosts := map[string]bool{}
+		for _, host := range gone {
+			hosts[host] = true
+		}
+		s.noteTakenOver(silences, hosts, "a-1")
+	}
+	expect := func(step, want string) {
+		t.Helper()
+		if got := fmt.Sprint(s.takenOver()); got != want {
+			t.Errorf("%s: taken over %s, want %s", step, got, want)
+		}
+	}
+	s.hostFellSilent("a-1")
+	expect("a host of another zone is silent", "map[]")
+	s.hostFellSilent("b-1")
+	before := s.currentSilences()
+	takeOver(before, "b-1")
+	takeOver(before, "b-1")
+	expect("taken over twice", "map[b-1:[a-1]]")
+	s.hostFellSilent("b-3")
+	takeOver(before, "b-1")
+	expect("another host fell silent", "map[b-1:[] b-3:[]]")
+	takeOver(s.currentSilences(), "b-3")
+	expect("taken over from one of two", "map[b-1:[] b-3:[a-1]]")
+	takeOver(s.currentSilences(), "b-1", "b-3")
+	expect("taken over from both", "map[b-1:[a-1] b-3:[a-1]]")
+	before = s.currentSilences()
+	s.endSilence("b-1")
+	expect("a host has returned", "map[b-3:[a-1]]")
+	s.hostFellSilent("b-1")
+	takeOver(before, "b-1", "b-3")
+	expect("silent again, the takeover began before", "map[b-1:[] b-3:[]]")
+}
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -94,6 +94,10 @@
 	Records []Record `msgpack:"records"`
 	// Certain has the meaning of ReserveAnswer.Certain, for the answering copy.
 	Certain bool `msgpack:"certain"`
+	// TakenOver holds by silent host of the answering copy's zone the hosts, certain at the time,
+	// from which this copy has taken over its programs since it fell silent. Only the last part
+	// has it, and none of earlier releases.
+	TakenOver map[string][]string `msgpack:"taken_over,omitempty"`
 }
 
 // AdoptRequest asks a copy to copy all records of the copy at an address.
--- a/core/jkvault/catchup.go
+++ b/core/jkvault/catchup.go
@@ -19,7 +19,8 @@
 	if within > 0 {
 		keyWindow += keyWindowSlack
 	}
-	return v.receive(ctx, addr, &jkledger.SyncRequest{Within: within, Have: v.keys(keyWindow)})
+	records, last, err := v.receive(ctx, addr, &jkledger.SyncRequest{Within: within, Have: v.keys(keyWindow)})
+	return records, last.Certain, err
 }
 
 // keys returns the keys of the records that this copy has added within a duration, or of all of
@@ -30,35 +31,35 @@
 	return v.ledger.Keys(v.since(within))
 }
 
-// receive adds the records that the copy at an address sends in answer to a request, and
-// reports whether that copy is certain.
-func (v *Vault) receive(ctx context.Context, addr string, request *jkledger.SyncRequest) (records int, certain bool, err error) {
+// receive adds the records that the copy at an address sends in answer to a request, and returns
+// their number and the last part, which says what that copy vouches for.
+func (v *Vault) receive(ctx context.Context, addr string, request *jkledger.SyncRequest) (records int, last jkledger.SyncPart, err error) {
 	stream, err := v.Pool.Open(ctx, addr, jkledger.TypeSync, request)
 	if err != nil {
-		return 0, false, err
+		return 0, last, err
 	}
 	defer stream.Close()
 	for {
 		m, err := stream.Receive(ctx)
 		if err != nil {
-			return records, false, err
+			return records, last, err
 		}
 		var part jkledger.SyncPart
 		if err := m.Decode(&part); err != nil {
-			return records, false, err
+			return records, last, err
 		}
 		v.mu.Lock()
 		done, err := v.add(part.Records)
 		v.mu.Unlock()
 		if err != nil {
-			return records, false, err
+			return records, last, err
 		}
 		if err := <-done; err != nil {
-			return records, false, err
+			return records, last, err
 		}
 		records += len(part.Records)
 		if m.Last {
-			return records, part.Certain, nil
+			return records, part, nil
 		}
 	}
 }
--- a/core/jkvault/recovery.go
+++ b/core/jkvault/recovery.go
@@ -15,8 +15,9 @@
 type Source struct {
 	Host string
 	Addr string
-	// TakenOverBy are the addresses of the copies that have taken over the programs of a host
-	// that is gone. Its records aren't missing once all of these were copied.
+	// TakenOverBy are the addresses of the copies that take over the programs of a host that is
+	// gone. Its records aren't missing once all of these were copied, if they say that they have
+	// taken over from all whose records may be lacking.
 	TakenOverBy []string
 	// Neighbour is set if the copy is in the zone of this one.
 	Neighbour bool
@@ -40,6 +41,8 @@
 	certain bool
 	// neighbours are the hosts of this copy's zone in whose place it may have taken records.
 	neighbours []string
+	// takenOver is what the copy said with its records, as in SyncPart.
+	takenOver map[string][]string
 }
 
 // RecoveryProgress is what an incomplete copy has copied from the known sources.
@@ -54,24 +57,27 @@
 
 // noteCopied records that all records of the copy at an address were copied, also those that were
 // taken in place of neighbours.
-func (r *recovery) noteCopied(addr string, records int, certain bool, neighbours []string) {
+func (r *recovery) noteCopied(addr string, records int, last jkledger.SyncPart, neighbours []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.copied[addr]
-	r.copied[addr] = copiedSource{certain: known.certain || certain, neighbours: append(known.neighbours, neighbours...)}
+	r.copied[addr] = copiedSource{certain: known.certain || last.Certain, neighbours: append(known.neighbours, neighbours...), takenOver: last.TakenOver}
 	r.records += records
 }
 
-func (r *recovery) progress(sources []Source) RecoveryProgress {
+// progress returns what was copied from the sources. Lost is the host of this copy if it has lost
+// its records, and empty if it is new.
+func (r *recovery) progress(sources []Source, lost string) RecoveryProgress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out RecoveryProgress
+	lacking := r.lacking(sources, lost)
 	for _, s := range r.copied {
 		out.foundCertain = out.foundCertain || s.certain
 	}
 	for _, s := range sources {
 		switch {
-		case !r.isCopied(s, sources) && r.isTakenOver(s):
+		case !r.isCopied(s, sources) && r.isTakenOver(s, lacking):
 		case !r.isCopied(s, sources):
 			out.Missing = append(out.Missing, s)
 		case !r.copied[s.Addr].certain:
@@ -93,11 +99,30 @@
 	})
 }
 
-// isTakenOver reports whether the copies that have taken over from a source were certain when
-// their records were copied. The caller holds the lock.
-func (r *recovery) isTakenOver(s Source) bool {
+// lacking returns the hosts whose records may not be among the copied ones, with that of this copy
+// if it has lost its own. The caller holds the lock.
+func (r *recovery) lacking(sources []Source, lost string) []string {
+	var out []string
+	if lost != "" {
+		out = append(out, lost)
+	}
+	for _, s := range sources {
+		if !r.isCopied(s, sources) || !r.copied[s.Addr].certain {
+			out = append(out, s.Host)
+		}
+	}
+	return out
+}
+
+// isTakenOver reports whether the copies that take over from a source were certain when their
+// records were copied, and had taken over from all other hosts that are lacking. What is on the
+// source and on one of these would otherwise be on none of the copied disks. The caller holds the
+// lock.
+func (r *recovery) isTakenOver(s Source, lacking []string) bool {
 	for _, addr := range s.TakenOverBy {
-		if !r.copied[addr].certain {
+		successor := r.copied[addr]
+		isLeft := func(host string) bool { return host != s.Host && !slices.Contains(successor.takenOver[s.Host], host) }
+		if !successor.certain || slices.ContainsFunc(lacking, isLeft) {
 			return false
 		}
 	}
@@ -117,13 +142,13 @@
 			request.NeighboursHave = append(request.NeighboursHave, answer.Keys...)
 		}
 	}
-	records, certain, err = v.receive(ctx, addr, request)
+	records, last, err := v.receive(ctx, addr, request)
 	if err != nil {
 		return 0, false, err
 	}
-	v.recovery.noteCopied(addr, records, certain, hosts)
+	v.recovery.noteCopied(addr, records, last, hosts)
 	v.CheckComplete()
-	return records, certain, nil
+	return records, last.Certain, nil
 }
 
 // neighbourKeysLifetime is how long the answer of a neighbour is used, also that it has none. With
@@ -191,9 +216,19 @@
 // Recovery returns what this copy has copied since it opened without all of its records.
 func (v *Vault) Recovery() RecoveryProgress {
 	sources, _ := v.sources()
-	return v.recovery.progress(sources)
+	return v.progress(sources)
 }
 
+func (v *Vault) progress(sources []Source) RecoveryProgress {
+	lost := v.Host
+	if v.isNew() {
+		lost = ""
+	}
+	return v.recovery.progress(sources, lost)
+}
+
+func (v *Vault) isNew() bool { return v.IsNew != nil && v.IsNew() }
+
 func (v *Vault) sources() (sources []Source, allKnown bool) {
 	if v.Sources == nil {
 		return nil, true
@@ -204,7 +239,7 @@
 // otherLosses returns the number of disks that may be lost besides the one of this copy. A new
 // host has acknowledged nothing that it could have lost.
 func (v *Vault) otherLosses() int {
-	if v.IsNew != nil && v.IsNew() {
+	if v.isNew() {
 		return v.MaxLostDisks
 	}
 	return v.MaxLostDisks - 1
@@ -216,7 +251,7 @@
 		return true
 	}
 	sources, allKnown := v.sources()
-	p := v.recovery.progress(sources)
+	p := v.progress(sources)
 	if !allKnown || !p.isComplete(v.otherLosses()) {
 		return false
 	}
@@ -228,7 +263,7 @@
 	records := v.recovery.records
 	v.recovery.mu.Unlock()
 	v.Log.Info("ledger complete", "sources", len(sources), "excused", hostNames(p.Missing), "uncertain", hostNames(p.Uncertain), "records", records,
-		"new_host", v.IsNew != nil && v.IsNew(), "took", v.Timer.Now().Sub(v.openedAt))
+		"new_host", v.isNew(), "took", v.Timer.Now().Sub(v.openedAt))
 	return true
 }
 
--- a/core/jkvault/recovery_test.go
+++ b/core/jkvault/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 )
 
@@ -161,8 +162,15 @@
 	other, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
 	n.vault.MaxLostDisks = 1
 	n.vault.Sources = func() ([]Source, bool) {
-		return []Source{{Addr: "gone", TakenOverBy: []string{first.addr, second.addr}}, {Addr: first.addr}, {Addr: second.addr}, {Addr: other.addr}}, true
+		return []Source{
+			{Host: "gone", Addr: "gone", TakenOverBy: []string{first.addr, second.addr}},
+			{Host: first.folder, Addr: first.addr},
+			{Host: second.folder, Addr: second.addr},
+			{Host: other.folder, Addr: other.addr},
+		}, true
 	}
+	first.hasTakenOver(n.folder)
+	second.hasTakenOver(n.folder)
 	n.copyFrom(other, first)
 	if n.vault.Certain() {
 		t.Error("the copy is certain before it has copied from both successors")
@@ -177,3 +185,81 @@
 		t.Error("the copy isn't certain after it has copied from both successors")
 	}
 }
+
+// hasTakenOver makes a node say that it has taken over from hosts since the host gone fell silent.
+func (n *node) hasTakenOver(from ...string) {
+	n.vault.TakenOver = func() map[string][]string { return map[string][]string{"gone": from} }
+}
+
+// Guards against a copy that does without a host that is down with its disk, while the ones that
+// take over from it couldn't get what it shares with a lost or missing disk.
+func TestHostThatIsGoneIsMissingUnlessItsSuccessorsHaveTakenOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		// first and second are the hosts from which the two successors have taken over: the copy
+		// itself, and another source, which is missing or uncertain.
+		first, second      string
+		isNew              bool
+		missing, uncertain bool
+		lostDisks          int
+		want               bool
+	}{
+		"both have taken over":                     {first: "self", second: "self", lostDisks: 1, want: true},
+		"one was late":                             {first: "self", lostDisks: 1},
+		"both were late":                           {lostDisks: 1},
+		"taken over from another one":              {first: "other", second: "other", lostDisks: 1},
+		"new copy":                                 {isNew: true, missing: true, first: "other", second: "other", lostDisks: 1, want: true},
+		"new copy, one was late":                   {isNew: true, missing: true, first: "other", lostDisks: 1},
+		"new copy, uncertain source":               {isNew: true, uncertain: true, first: "other", lostDisks: 1},
+		"new copy, uncertain source was available": {isNew: true, uncertain: true, first: "other", second: "other", lostDisks: 1, want: true},
+		"another one is missing":                   {missing: true, first: "self", second: "self", lostDisks: 2},
+		"taken over from both":                     {missing: true, first: "self other", second: "other self", lostDisks: 2, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+			other, n := start(t, t.TempDir(), !c.uncertain), start(t, t.TempDir(), false)
+			hosts := map[string]string{"self": n.folder, "other": other.folder}
+			for successor, from := range map[*node]string{first: c.first, second: c.second} {
+				var names []string
+				for _, name := range strings.Fields(from) {
+					names = append(names, hosts[name])
+				}
+				successor.hasTakenOver(names...)
+			}
+			n.vault.MaxLostDisks, n.vault.IsNew = c.lostDisks, func() bool { return c.isNew }
+			n.vault.Sources = func() ([]Source, bool) {
+				return []Source{
+					{Host: "gone", Addr: "gone", TakenOverBy: []string{first.addr, second.addr}},
+					{Host: first.folder, Addr: first.addr},
+					{Host: second.folder, Addr: second.addr},
+					{Host: other.folder, Addr: other.addr},
+				}, true
+			}
+			n.copyFrom(first, second)
+			if !c.missing {
+				n.copyFrom(other)
+			}
+			if got := n.vault.Certain(); got != c.want {
+				t.Errorf("certain %t, want %t; %+v", got, c.want, n.vault.Recovery())
+			}
+		})
+	}
+}
+
+// Guards against a copy that does without a host that is gone because its successors of an earlier
+// release don't say from which hosts they have taken over.
+func TestHostThatIsGoneIsMissingIfItsSuccessorsDoNotSay(t *testing.T) {
+	successor, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	n.vault.MaxLostDisks = 1
+	n.vault.Sources = func() ([]Source, bool) {
+		return []Source{{Host: "gone", Addr: "gone", TakenOverBy: []string{successor.addr}}, {Host: successor.folder, Addr: successor.addr}}, true
+	}
+	n.copyFrom(successor)
+	if n.vault.Certain() {
+		t.Error("the copy is certain, although its successor says nothing")
+	}
+	successor.hasTakenOver(n.folder)
+	n.copyFrom(successor)
+	if !n.vault.Certain() {
+		t.Error("the copy isn't certain after its successor has said that it took over")
+	}
+}
--- a/core/jkvault/takeover.go
+++ b/core/jkvault/takeover.go
@@ -6,30 +6,30 @@
 	"jasmineknot.example/core/jkledger"
 )
 
-// TakeOver copies the records of the programs that this host, named self, has taken over from
-// hosts of its zone that are gone, and reports whether the vault at the address sent all that
-// it has. Like CatchUp, it waits for other calls to end.
-func (v *Vault) TakeOver(ctx context.Context, self, addr string, gone []string) bool {
+// TakeOver copies the records of the programs that this host has taken over from hosts of its
+// zone that are gone. It reports whether the vault at the address sent all that it has, and
+// whether that one is certain. Like CatchUp, it waits for other calls to end.
+func (v *Vault) TakeOver(ctx context.Context, addr string, gone []string) (sent, certain bool) {
 	v.catchUpMu.Lock()
 	defer v.catchUpMu.Unlock()
 	v.mu.Lock()
 	known := v.ledger.Records(v.since(0), nil)
 	v.mu.Unlock()
 	request := &jkledger.SyncRequest{Gone: gone}
-	for _, r := range v.takenOver(known, self, gone) {
+	for _, r := range v.takenOver(known, v.Host, gone) {
 		request.Have = append(request.Have, r.Key())
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	began := v.Timer.Now()
-	n, certain, err := v.receive(ctx, addr, request)
+	n, last, err := v.receive(ctx, addr, request)
 	if err != nil {
 		v.Log.Warn("programs not taken over", "from", addr, "error", err)
-		return false
+		return false, false
 	}
 	v.Timer.Wait(min(pauseRatio*v.Timer.Now().Sub(began), maxPause), ctx.Done())
-	v.Log.Info("programs taken over", "from", addr, "records", n, "certain", certain)
-	return true
+	v.Log.Info("programs taken over", "from", addr, "records", n, "certain", last.Certain)
+	return true, last.Certain
 }
 
 // takenOver returns the records of the programs that a host keeps only because others of its
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -26,6 +26,8 @@
 type Options struct {
 	Timer *jktimer.Service
 	Log   jklog.Logger
+	// Host is the host of this copy.
+	Host string
 	// Folder is the folder of the ledger's log.
 	Folder string
 	// Pool connects to the vaults on other hosts.
@@ -42,6 +44,8 @@
 	// TakesOver returns a function that reports whether a host keeps a program's records only
 	// because other hosts of its zone are gone. Nil means that it keeps no others.
 	TakesOver func(host string, gone []string) func(program string) bool
+	// TakenOver returns what SyncPart.TakenOver says. Nil means that nothing was taken over.
+	TakenOver func() map[string][]string
 	// Behind reports whether this copy may lack records that others have added while it was
 	// down or out of reach. Nil means never.
 	Behind func() bool
@@ -381,7 +385,8 @@
 	if err := s.Decode(&m); err != nil {
 		return err
 	}
-	certain := v.certain.Load()
+	// The records include what both say.
+	certain, takenOver := v.certain.Load(), v.whatIsTakenOver()
 	v.mu.Lock()
 	records := v.ledger.Records(v.since(m.Within), keySet(m.Have))
 	v.mu.Unlock()
@@ -405,7 +410,14 @@
 		}
 		partStart, size = i, 0
 	}
-	return s.End(&jkledger.SyncPart{Records: records[partStart:], Certain: certain})
+	return s.End(&jkledger.SyncPart{Records: records[partStart:], Certain: certain, TakenOver: takenOver})
+}
+
+func (v *Vault) whatIsTakenOver() map[string][]string {
+	if v.TakenOver == nil {
+		return nil
+	}
+	return v.TakenOver()
 }
 
 func keySet(keys []uint64) map[uint64]bool {
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -29,7 +29,7 @@
 	self := jkwire.Hello{Host: folder, Version: jkwire.ProtocolVersion}
 	control := func(string) bool { return true }
 	pool := jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: control, Counters: &jkwire.Counters{}})
-	v, err := Open(Options{Timer: jktimer.New(), Log: jklog.Discard(), Folder: folder, Pool: pool, First: first})
+	v, err := Open(Options{Timer: jktimer.New(), Log: jklog.Discard(), Host: folder, Folder: folder, Pool: pool, First: first})
 	if err != nil {
 		t.Fatal(err)
 	}
