account: take the time of syncs out of the test of shared budgets

No caller is concerned.

Cause: its copies sync to the disk of the machine, and had 1 s of the clock of the machine for it. Traced by moving the folder alone, beside two processes that write and sync 1 GB files to the same disk (load average 22, io pressure 41 to 61 %): with the folder on that disk 2 of 30 runs fail, with the same message, and the longest run takes 9.5 s; with the folder in memory 0 of 190, the longest takes 0.05 s. So it isn't the processor or the code.

The reservations and the check are the same.

Command: go test -race -c ./jkaccount, then -test.count 10 -test.run TestReservationsOfAProgramShareItsBudget, three times.

--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -253,7 +253,8 @@
 // Guards against a reservation that exceeds the budget, because the copies don't count the
 // tokens that turns of the program elsewhere have reserved.
 func TestReservationsOfAProgramShareItsBudget(t *testing.T) {
-	f := newFixture(t)
+	// The copies sync to the disk of the machine, which the clock of the test waits for.
+	f := newManualFixture(t)
 	reserve := func(request string) error {
 		return f.client.Reserve(context.Background(), jkforward.Reservation{
 			Program: "p", Request: request, Tokens: 100, Budget: 250, Retention: time.Minute,
