forward: keep streams at the software version that began them

Cause: an entry went on at any endpoint within one answer, and sent a stream that its caller took up to any endpoint. The version in the registry wasn't decoded, Resumes wasn't read, and nothing recorded where a stream began.

Change: a resumable stream is bound to a version before it is sent: that of the endpoint that it would be placed on. The version is part of the name of its reservation, which is on disk at a majority of the program's copies by then. A take-up's own reservation brings that of its origin back, so that the version is known after a kill of all entries, and at a cut zone's own copy.

Ruled out: moving a stream to another version while its caller has nothing yet.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -1,6 +1,7 @@
 package jkaccount
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -86,7 +87,7 @@
 	return &keepOperation{
 		client: c, turn: t, changed: make(chan struct{}, 1), outcomes: map[string]outcome{},
 		records: []jkledger.Record{
-			{Spending: &jkledger.Spending{Program: t.Program, Request: t.Request, Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
+			{Spending: &jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
 			{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
 		},
 	}
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// versionOf returns the version in the name of a request's spending. If there are several, it isn't
+// known which of them brought events.
+func (s spendings) versionOf(request string) (version string, ok bool) {
+	for name := range s {
+		found, named := jkforward.VersionOf(name, request)
+		if named && ok && found != version {
+			return "", false
+		}
+		if named {
+			version, ok = found, true
+		}
+	}
+	return version, ok
+}
+
 // total returns the number of tokens of all spendings.
 func (s spendings) total() int64 {
 	sum := int64(0)
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -16,16 +16,40 @@
 // *jkforward.NoQuorumError if too few copies answered; the reservation is then settled with
 // no tokens.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
-	if err := c.checkKnownCopies("reserve", c.replicas(r.Program)); err != nil {
-		return err
-	}
+	_, err := c.reserve(ctx, newReserveOperation(c, r))
+	return err
+}
+
+// Continue reserves tokens like Reserve, and returns the version in the name of the reservation of
+// another request of the program. It fails with a *jkforward.UnknownStreamError if none of the copies
+// that answer knows it.
+func (c *Client) Continue(ctx context.Context, r jkforward.Reservation, origin string) (version string, err error) {
 	o := newReserveOperation(c, r)
-	err := o.run(ctx)
+	o.origin = origin
+	version, err = c.reserve(ctx, o)
+	return version, err
+}
+
+// reserve returns the version of the operation's origin, if it has one.
+func (c *Client) reserve(ctx context.Context, o *reserveOperation) (version string, err error) {
+	r := o.reservation
+	if err := c.checkKnownCopies("reserve", o.copies); err != nil {
+		return "", err
+	}
+	err = o.run(ctx)
 	if err != nil {
 		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies))
 		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		return "", err
 	}
-	return err
+	if o.origin == "" {
+		return "", nil
+	}
+	version, ok := o.quorum.spendings.versionOf(o.origin)
+	if !ok {
+		return "", &jkforward.UnknownStreamError{Request: o.origin}
+	}
+	return version, nil
 }
 
 // reserveOperation sends a reservation to the copies of its program and collects their answers. Each
@@ -34,7 +58,9 @@
 type reserveOperation struct {
 	client      *Client
 	reservation jkforward.Reservation
-	copies      []Copy
+	// origin is another request of the program, whose reservation is looked for; empty for none.
+	origin string
+	copies []Copy
 	// extra are further copies that record the reservation and have no vote.
 	extra   []Copy
 	answers chan reserveAnswer
@@ -80,7 +106,7 @@
 	defer cancel()
 	ticks := make(chan struct{}, 1)
 	defer o.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
-	for waited := time.Duration(0); !o.quorum.isEnough(o.reservation); {
+	for waited := time.Duration(0); !o.isEnough(); {
 		if o.pending == 0 || waited >= callTimeout {
 			if err := o.decide(); !isNoQuorum(err) || !o.mayGetAnswer() {
 				return err
@@ -98,6 +124,15 @@
 	return nil
 }
 
+// isEnough reports whether the answers so far admit the reservation and hold that of the origin.
+func (o *reserveOperation) isEnough() bool {
+	if !o.quorum.isEnough(o.reservation) {
+		return false
+	}
+	_, known := o.quorum.spendings.versionOf(o.origin)
+	return o.origin == "" || known
+}
+
 func (o *reserveOperation) ask(ctx context.Context) {
 	r := o.reservation
 	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -100,6 +100,7 @@
 		Timer: timer, Log: log.Part("follow"), Source: e.watchRelay.ThroughPeers(),
 		Apply: e.apply, OnReachable: func(bool) {},
 	})
+	e.fleet.SetRegistryReachable(e.follower.StoreReachable)
 	e.registry = newRegistry(registryOptions{
 		timer: timer, log: log.Part("hosts"), own: HostEntry{Host: s.Host, Zone: s.Zone, Addr: s.Inner},
 		put: p.PutHost, swap: p.SwapHost, observes: true, storeReachable: e.follower.StoreReachable,
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -10,6 +10,7 @@
 // Reservation sets aside tokens of a program's budget for one turn.
 type Reservation struct {
 	Program string
+	// Request names the reservation: the request, or the result of AtVersion.
 	Request string
 	Tokens  int64
 	Budget  int64
@@ -19,7 +20,8 @@
 
 // Settlement ends a reservation with the number of tokens sent to the caller.
 type Settlement struct {
-	Program   string
+	Program string
+	// Request names the reservation.
 	Request   string
 	Tokens    int64
 	Retention time.Duration
@@ -27,19 +29,25 @@
 
 // Turn is one turn of a chain, stored until Retention has passed.
 type Turn struct {
-	Request   string
-	Previous  string
-	Program   string
-	Input     []byte
-	Output    []byte
-	Tokens    int64
-	Retention time.Duration
+	Request  string
+	Previous string
+	// Reservation names the reservation that the turn settles.
+	Reservation string
+	Program     string
+	Input       []byte
+	Output      []byte
+	Tokens      int64
+	Retention   time.Duration
 }
 
 // Account stores the budgets and turns of programs, shared by all hosts.
 type Account struct {
 	// Reserve fails with a *BudgetSpentError or a *NoQuorumError.
 	Reserve func(ctx context.Context, r Reservation) error
+	// Continue is Reserve for a stream that another request of the program began, and returns the
+	// version in the name of that one's reservation. It fails with an *UnknownStreamError, with the
+	// tokens reserved, if no copy knows it.
+	Continue func(ctx context.Context, r Reservation, origin string) (version string, err error)
 	// Settle returns without waiting for the copies.
 	Settle func(s Settlement)
 	// Chain returns the inputs and outputs of the turns up to and including the
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -60,7 +60,14 @@
 	// watchdog detects a stalled exchange of a repeatable request; nil for others.
 	watchdog *watchdog
 
-	// reservedTokens is the number of tokens reserved in the program's budget.
+	// version is the software version of the endpoints that may run the stream, if versionBound is
+	// set.
+	version      string
+	versionBound bool
+
+	// reservation is the name of the reservation in the program's budget, and reservedTokens the
+	// number of its tokens.
+	reservation    string
 	reservedTokens int64
 	status         int
 	reason         string
@@ -91,7 +98,7 @@
 func (c *call) schedulerCall() jksched.Call {
 	out := jksched.Call{
 		ID: c.info.Request, Program: c.affinityKey(), Kind: jksched.KindService, Service: c.service.Name(),
-		Model: c.info.Model, Deadline: c.deadline, Repeatable: c.route.Repeatable(),
+		Model: c.info.Model, Deadline: c.deadline, Repeatable: c.route.Repeatable(), Version: c.version, VersionBound: c.versionBound,
 	}
 	if !c.service.Model() {
 		return out
@@ -117,7 +124,7 @@
 			return k
 		}
 	}
-	return c.info.Request
+	return c.origin()
 }
 
 // hopHeaders are the headers that concern one connection only: the hop-by-hop headers
--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -36,6 +36,9 @@
 	Parts []jksched.Segment
 	// LastEvent is the id of the last event that the caller received, or empty.
 	LastEvent string
+	// Resumes is the request that brought the first event of the stream that this one continues, or
+	// empty.
+	Resumes string
 }
 
 // ForwardInfo holds what the system adds to the caller's header for an endpoint.
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -37,6 +37,10 @@
 	// hosts are the hosts that share the limits of endpoints, including this one.
 	hosts []Host
 	self  Host
+	// versions holds the software versions of endpoints, by service.
+	versions map[string]*versionHistory
+	// registryReachable reports whether this host hears of new endpoints; nil means that it doesn't.
+	registryReachable func() bool
 	// recentPlacements holds the latest placements since the last digest.
 	recentPlacements []placement
 }
@@ -54,7 +58,7 @@
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
 		cancels: map[string]map[*call]context.CancelCauseFunc{}, cutOffZones: map[string]bool{}, suspectZones: map[string]bool{}, heardAt: map[string]time.Time{},
-		reportedLoads: map[string]reportedLoad{},
+		reportedLoads: map[string]reportedLoad{}, versions: map[string]*versionHistory{},
 	}
 }
 
@@ -65,6 +69,7 @@
 	defer f.mu.Unlock()
 	f.direct.SetEndpoint(e)
 	f.addrs[e.ID] = addr
+	f.recordVersion(e)
 	f.keepNotice(e.ID, born)
 }
 
@@ -75,6 +80,7 @@
 	f.direct.RemoveEndpoint(id)
 	delete(f.addrs, id)
 	delete(f.heardAt, id)
+	f.forgetVersion(id)
 	if n := f.notices[id]; n != nil {
 		n.removedAt = f.timer.Now()
 	}
@@ -161,15 +167,23 @@
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
 	e, _ := f.direct.Endpoint(p.Endpoint)
-	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+}
+
+// chooseVersion returns the software version of the endpoint that place would choose.
+func (f *Fleet) chooseVersion(c jksched.Call) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.direct.ChooseVersion(f.timer.Now(), c)
 }
 
 // target is the endpoint of one attempt. The request is sent to it after the delay.
 type target struct {
-	id    string
-	zone  string
-	addr  string
-	delay time.Duration
+	id      string
+	zone    string
+	addr    string
+	version string
+	delay   time.Duration
 	// uncached is the number of prompt tokens that the endpoint is expected to read.
 	uncached int64
 }
@@ -177,13 +191,16 @@
 // reuse counts one more call at an endpoint that was chosen before. The error is a
 // *RefusedError if the endpoint takes no call now, and nil with an empty target if it is
 // gone.
-func (f *Fleet) reuse(id string) (target, error) {
+func (f *Fleet) reuse(id string, c jksched.Call) (target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, known := f.direct.Endpoint(id)
 	if !known {
 		return target{}, nil
 	}
+	if c.VersionBound && e.Version != c.Version {
+		return target{}, &jksched.RefusedError{Reason: jksched.ReasonVersion}
+	}
 	if e.State != jksched.StateLive {
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLeaving}
 	}
@@ -191,7 +208,7 @@
 	if !ok {
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLimited}
 	}
-	return target{id: id, zone: e.Zone, addr: f.addrs[id], delay: delay, uncached: -1}, nil
+	return target{id: id, zone: e.Zone, addr: f.addrs[id], version: e.Version, delay: delay, uncached: -1}, nil
 }
 
 // takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
@@ -200,7 +217,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.direct.Endpoint(t.id)
-	return ok && e.State == jksched.StateLive && f.addrs[t.id] == t.addr && !f.cutOffZones[e.Zone]
+	return ok && e.State == jksched.StateLive && e.Version == t.version && f.addrs[t.id] == t.addr && !f.cutOffZones[e.Zone]
 }
 
 func (f *Fleet) reportLoad(id string, l jksched.DirectLoad) {
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -33,6 +33,7 @@
 	testNotRun     = "Test-Not-Run"
 	testEndpoint   = "Test-Endpoint"
 	testLast       = "Test-Last-Event"
+	testResumes    = "Test-Resumes"
 	testProgram    = "Test-Program"
 	testPrevious   = "Test-Previous"
 	testSystemOnly = "Test-System-Only"
@@ -42,7 +43,7 @@
 func testDialect() Dialect {
 	return Dialect{
 		DecodeRequest: func(h http.Header) RequestInfo {
-			f := RequestInfo{Request: h.Get(testRequest), LastEvent: h.Get(testLast), Program: h.Get(testProgram), Previous: h.Get(testPrevious), Wait: 3 * time.Second}
+			f := RequestInfo{Request: h.Get(testRequest), LastEvent: h.Get(testLast), Resumes: h.Get(testResumes), Program: h.Get(testProgram), Previous: h.Get(testPrevious), Wait: 3 * time.Second}
 			if h.Get(testLongWait) != "" {
 				f.Wait = time.Minute
 			}
@@ -250,17 +251,25 @@
 	kept       []string
 	failKeep   bool
 	canKeepErr error
+	// reserved are the names of the reservations by program.
+	reserved map[string][]string
 	// keep, if set, replaces the result of failKeep.
 	keep func(ctx context.Context) error
 }
 
 func (m *memoryAccount) account() Account {
 	return Account{
-		Reserve: func(context.Context, Reservation) error { return m.reserveErr },
+		Reserve: m.reserve,
+		Continue: func(ctx context.Context, r Reservation, origin string) (string, error) {
+			if err := m.reserve(ctx, r); err != nil {
+				return "", err
+			}
+			return m.versionOf(r.Program, origin)
+		},
 		Settle: func(s Settlement) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			m.settled = append(m.settled, strconv.FormatInt(s.Tokens, 10))
+			m.settled = append(m.settled, fmt.Sprintf("%q %d", s.Request, s.Tokens))
 		},
 		Chain: func(_ context.Context, _, request string) ([]byte, error) {
 			if request == "known" {
@@ -278,18 +287,43 @@
 			if m.failKeep {
 				return &NoQuorumError{Operation: "keep", Needed: 2}
 			}
-			m.kept = append(m.kept, fmt.Sprintf("%q -> %q", t.Input, t.Output))
+			m.kept = append(m.kept, fmt.Sprintf("%q -> %q, settles %q", t.Input, t.Output, t.Reservation))
 			return nil
 		},
 	}
 }
 
+func (m *memoryAccount) reserve(_ context.Context, r Reservation) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.reserved == nil {
+		m.reserved = map[string][]string{}
+	}
+	if m.reserveErr == nil {
+		m.reserved[r.Program] = append(m.reserved[r.Program], r.Request)
+	}
+	return m.reserveErr
+}
+
+// versionOf returns the version in the name of a request's reservation.
+func (m *memoryAccount) versionOf(program, request string) (string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range m.reserved[program] {
+		if version, ok := VersionOf(name, request); ok {
+			return version, nil
+		}
+	}
+	return "", &UnknownStreamError{Request: request}
+}
+
 // fixture is a handler with two scripted endpoints of a service.
 type fixture struct {
 	front         *httptest.Server
 	endpoints     map[string]*scriptedEndpoint
 	memoryAccount *memoryAccount
 	metrics       *metrics.Set
+	fleet         *Fleet
 }
 
 // testRules returns the routes of the tests; their prefixes say what may be
@@ -323,12 +357,10 @@
 	opt.Zone = "a"
 	// Both endpoints have the same settings, so that the first in order is chosen.
 	fleet := NewFleet("h", opt, timer)
-	f := &fixture{endpoints: map[string]*scriptedEndpoint{}, memoryAccount: &memoryAccount{}, metrics: metrics.NewSet()}
+	f := &fixture{fleet: fleet, endpoints: map[string]*scriptedEndpoint{}, memoryAccount: &memoryAccount{}, metrics: metrics.NewSet()}
 	for _, id := range []string{"e1", "e2"} {
-		e := newScriptedEndpoint(t)
-		f.endpoints[id] = e
-		zone := map[string]string{"e1": "a", "e2": "b"}[id]
-		fleet.SetEndpoint(jksched.Endpoint{ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive}, e.listener.Addr().String(), 1)
+		f.endpoints[id] = newScriptedEndpoint(t)
+		f.setVersion(id, "v1")
 	}
 	opened := 0
 	h := NewHandler(Options{
@@ -343,6 +375,14 @@
 	return f
 }
 
+// setVersion registers an endpoint with a software version.
+func (f *fixture) setVersion(id, version string) {
+	zone := map[string]string{"e1": "a", "e2": "b"}[id]
+	f.fleet.SetEndpoint(jksched.Endpoint{
+		ID: id, Zone: zone, Kind: jksched.KindModel, Service: "s", Slots: 4, State: jksched.StateLive, Version: version,
+	}, f.endpoints[id].listener.Addr().String(), 1)
+}
+
 // tooLongCounters returns the counters of responses that exceeded a size limit.
 func (f *fixture) tooLongCounters() string {
 	var all bytes.Buffer
@@ -379,7 +419,7 @@
 	if d.HasArg("patient") {
 		req.Header.Set(testLongWait, "1")
 	}
-	for arg, name := range map[string]string{"program": testProgram, "previous": testPrevious, "last": testLast} {
+	for arg, name := range map[string]string{"program": testProgram, "previous": testPrevious, "last": testLast, "resumes": testResumes} {
 		if d.HasArg(arg) {
 			var v string
 			d.ScanArgs(t, arg, &v)
@@ -430,6 +470,9 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "fleet" {
 				f = newFixture(t)
+				if d.HasArg("versions") {
+					f.setVersion("e2", "v2")
+				}
 				for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 					id, step, _ := strings.Cut(line, ": ")
 					for name, e := range f.endpoints {
@@ -450,6 +493,15 @@
 				}
 				return "ready\n"
 			}
+			switch d.Cmd {
+			case "remove":
+				f.fleet.RemoveEndpoint(d.CmdArgs[0].Key)
+				return "removed\n"
+			case "known-for-long":
+				f.fleet.SetRegistryReachable(func() bool { return true })
+				f.fleet.versions["s"].knownSince = time.Now().Add(-time.Hour)
+				return "known\n"
+			}
 			out := f.send(t, d)
 			for _, id := range []string{"e1", "e2"} {
 				e := f.endpoints[id]
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -195,35 +195,82 @@
 	return nil
 }
 
-// reserve reserves the maximum number of tokens that the turn can generate in the
-// program's budget.
+// reserve reserves the maximum number of tokens that the turn can generate in the program's budget,
+// and binds a stream that is resumable to a software version.
 func (h *Handler) reserve(c *call) *refusal {
-	if !c.isStream() || c.info.Budget <= 0 || c.info.Program == "" {
+	if !c.isStream() || !c.hasBudget() && !c.route.Resumable() {
 		return nil
 	}
-	perEvent := max(c.service.EventTokens(), 1)
-	tokens := (c.info.MaxTokens + perEvent - 1) / perEvent * perEvent
+	c.reservation = c.info.Request
+	if c.route.Resumable() && !c.isContinued() {
+		if refused := h.bindNew(c); refused != nil {
+			return refused
+		}
+	}
+	r := c.newReservation()
 	ctx, cancel := h.admissionContext(c)
 	defer cancel()
-	err := h.Account.Reserve(ctx, Reservation{
-		Program: c.info.Program, Request: c.info.Request, Tokens: tokens,
-		Budget: c.info.Budget, Retention: c.route.Retention(),
-	})
-	if err != nil {
+	err := h.reserveOrContinue(ctx, c, r)
+	if err != nil && !isUnknownStream(err) {
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
 		return refusalForError(err)
 	}
-	c.reservedTokens = tokens
+	c.reservedTokens = r.Tokens
+	if isUnknownStream(err) {
+		return h.bindUnknown(c)
+	}
 	return nil
 }
 
+// reserveOrContinue reserves tokens, and binds a continued stream to the version of its origin.
+func (h *Handler) reserveOrContinue(ctx context.Context, c *call, r Reservation) error {
+	switch {
+	case !c.isContinued():
+		return h.Account.Reserve(ctx, r)
+	case c.info.Resumes == "":
+		if err := h.Account.Reserve(ctx, r); err != nil {
+			return err
+		}
+		return &UnknownStreamError{}
+	}
+	version, err := h.Account.Continue(ctx, r, c.info.Resumes)
+	if err == nil {
+		c.bind(version)
+		h.Metrics.countContinued(continuedRecorded)
+		h.Log.Info("stream continued", "request", c.info.Request, "resumes", c.info.Resumes, "version", version)
+	}
+	return err
+}
+
+func (c *call) hasBudget() bool { return c.info.Budget > 0 && c.info.Program != "" }
+
+// newReservation returns the reservation of the call. Without a budget it only records a version.
+func (c *call) newReservation() Reservation {
+	r := Reservation{Program: c.info.Program, Request: c.reservation, Budget: c.info.Budget, Retention: c.route.Retention()}
+	if c.hasBudget() {
+		r.Tokens = c.maxTokens()
+	} else {
+		r.Program, r.Budget = streamProgram(c.origin()), 0
+	}
+	if c.route.Resumable() && r.Retention <= 0 {
+		r.Retention = streamRetention
+	}
+	return r
+}
+
+// maxTokens returns the maximum number of tokens that the turn can generate.
+func (c *call) maxTokens() int64 {
+	perEvent := max(c.service.EventTokens(), 1)
+	return (c.info.MaxTokens + perEvent - 1) / perEvent * perEvent
+}
+
 // settle returns the unused part of the reservation to the budget.
 func (h *Handler) settle(c *call) {
 	if c.reservedTokens == 0 {
 		return
 	}
 	h.Account.Settle(Settlement{
-		Program: c.info.Program, Request: c.info.Request,
+		Program: c.info.Program, Request: c.reservation,
 		Tokens: c.events * max(c.service.EventTokens(), 1), Retention: c.route.Retention(),
 	})
 }
--- a/core/jkforward/metrics.go
+++ b/core/jkforward/metrics.go
@@ -51,4 +51,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_limited_total{action=%q}`, action)).Inc()
 }
 
+// continuedResult is what was known of a stream that its caller continues.
+type continuedResult string
+
+// Results of a stream that its caller continues: its version is recorded, or it can have begun at one
+// version only, or neither, so that it is refused.
+const (
+	continuedRecorded    continuedResult = "recorded"
+	continuedOnlyVersion continuedResult = "only_version"
+	continuedUnknown     continuedResult = "unknown"
+)
+
+func (m *Metrics) countContinued(result continuedResult) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_streams_continued_total{result=%q}`, string(result))).Inc()
+}
+
 func hashOf(key string) uint64 { return xxhash.Sum64String(key) }
--- a/core/jkforward/notice_test.go
+++ b/core/jkforward/notice_test.go
@@ -110,7 +110,7 @@
 	entry := jksched.Endpoint{ID: "e", Zone: "z1", Kind: jksched.KindService, Service: "s", Slots: 4, State: jksched.StateLive}
 	takes := func(f *Fleet) bool {
 		_, err := f.place(jksched.Call{Kind: jksched.KindService, Service: "s"}, nil)
-		_, again := f.reuse("e")
+		_, again := f.reuse("e", jksched.Call{})
 		if (err == nil) != (again == nil) {
 			t.Errorf("placed: %v, reused: %v", err, again)
 		}
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -177,7 +177,7 @@
 		return h.Fleet.place(c.schedulerCall(), c.excluded)
 	}
 	if !h.isGone(c) {
-		to, err := h.Fleet.reuse(c.last.id)
+		to, err := h.Fleet.reuse(c.last.id, c.schedulerCall())
 		// An endpoint that has left the registry may still be at work.
 		if err != nil || to.id != "" || !h.Crashes.awaitEnd(c.last.id, c.last.addr, c.sentAt) {
 			return orLeaving(to, err)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -149,7 +149,7 @@
 	ctx, cancel := h.keepContext(c)
 	defer cancel()
 	err := h.Account.Keep(ctx, Turn{
-		Request: c.info.Request, Previous: c.info.Previous, Program: c.info.Program,
+		Request: c.info.Request, Previous: c.info.Previous, Program: c.info.Program, Reservation: c.reservation,
 		Input: c.input, Output: c.output, Tokens: c.events * max(c.service.EventTokens(), 1),
 		Retention: c.route.Retention(),
 	})
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -246,6 +246,52 @@
 // Place chooses the endpoint with the lowest predicted cost and counts the call
 // there until Done. Excluded endpoints are not chosen. The error is a *RefusedError.
 func (d *DirectPlacer) Place(now time.Time, c Call, exclude []string) (Placement, error) {
+	best, delay, err := d.choose(now, c, exclude)
+	if err != nil {
+		return Placement{}, err
+	}
+	best.book(now)
+	best.ownCalls++
+	if best.faults > 0 {
+		best.probing = true
+	}
+	if c.Kind == KindModel {
+		best.engine.observeOutput(c.MaxTokens)
+	}
+	d.recordPlacement(c, best)
+	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}, nil
+}
+
+// ChooseVersion returns the software version of the endpoint that Place would choose. The error is
+// a *RefusedError.
+func (d *DirectPlacer) ChooseVersion(now time.Time, c Call) (string, error) {
+	if version, ok := d.onlyVersion(c.Service); ok {
+		return version, nil
+	}
+	best, _, err := d.choose(now, c, nil)
+	if err != nil {
+		return "", err
+	}
+	return best.endpoint.Version, nil
+}
+
+// onlyVersion returns the software version of a service's live endpoints if they have the same one.
+func (d *DirectPlacer) onlyVersion(service string) (version string, ok bool) {
+	for _, row := range d.services[service] {
+		if row.endpoint.State != StateLive {
+			continue
+		}
+		if ok && row.endpoint.Version != version {
+			return "", false
+		}
+		version, ok = row.endpoint.Version, true
+	}
+	return version, ok
+}
+
+// choose returns the endpoint with the lowest predicted cost and the time until it may be sent the
+// call. The error is a *RefusedError.
+func (d *DirectPlacer) choose(now time.Time, c Call, exclude []string) (*directRow, time.Duration, error) {
 	d.updateOtherHostCalls(now, c.Service)
 	d.utilization = d.serviceUtilization(c.Service)
 	d.programHash = xxhash.Sum64String(c.Program)
@@ -254,9 +300,13 @@
 	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
 	fallback, fallbackCost := (*directRow)(nil), time.Duration(math.MaxInt64)
 	soonest, soonestPlace := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
-	live, limited := 0, 0
+	live, limited, ofVersion := 0, 0, false
 	for _, row := range d.services[c.Service] {
-		if row.endpoint.State != StateLive || slices.Contains(exclude, row.endpoint.ID) {
+		if row.endpoint.State != StateLive || c.VersionBound && row.endpoint.Version != c.Version {
+			continue
+		}
+		ofVersion = true
+		if slices.Contains(exclude, row.endpoint.ID) {
 			continue
 		}
 		live++
@@ -290,9 +340,11 @@
 	}
 	switch {
 	case best == nil && limited > 0 && soonestPlace < soonest, best == nil && limited == live && live > 0:
-		return Placement{}, d.limitRefusal(now, c.Service, soonestPlace)
+		return nil, 0, d.limitRefusal(now, c.Service, soonestPlace)
+	case c.VersionBound && !ofVersion:
+		return nil, 0, &RefusedError{Reason: ReasonVersion, RetryAfter: d.opt.BreakerPause}
 	case best == nil:
-		return Placement{}, d.refusal(live, soonest)
+		return nil, 0, d.refusal(live, soonest)
 	}
 	delay, _ := best.sendDelay(now)
 	wait := d.predictedWait(now, c, best)
@@ -301,18 +353,9 @@
 		wait = max(wait, delay+d.runTime(now, c, best))
 	}
 	if !c.Deadline.IsZero() && now.Add(wait).After(c.Deadline) {
-		return Placement{}, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
-	}
-	best.book(now)
-	best.ownCalls++
-	if best.faults > 0 {
-		best.probing = true
+		return nil, 0, &RefusedError{Reason: ReasonDeadline, RetryAfter: wait}
 	}
-	if c.Kind == KindModel {
-		best.engine.observeOutput(c.MaxTokens)
-	}
-	d.recordPlacement(c, best)
-	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}, nil
+	return best, delay, nil
 }
 
 // refusal returns the error for a call without an endpoint; soonest is the shortest
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -67,6 +67,9 @@
 	Streamed      bool
 	// Second marks the copy of a call that a second dispatch sends (a hedged request).
 	Second bool
+	// Version limits a DirectPlacer to endpoints of this software version if VersionBound is set.
+	Version      string
+	VersionBound bool
 }
 
 // Endpoint describes a back end: a model's engine or a plain service.
@@ -81,6 +84,8 @@
 	MaxQueued   int
 	CacheTokens int64
 	State       State
+	// Version is the version of the endpoint's software.
+	Version string
 }
 
 // Breaker is the state of an endpoint's circuit breaker.
@@ -159,6 +164,7 @@
 	ReasonEvicted    Reason = "evicted"
 	ReasonCancelled  Reason = "cancelled"
 	ReasonLimited    Reason = "endpoint_limit"
+	ReasonVersion    Reason = "no_endpoint_of_version"
 )
 
 // RefusedError is returned for a call that was not accepted and was therefore not run.
