account: let new copies record a program's tokens before they are chosen

Cause: a storage host that was added copies from the others for the last time 7 s after its start (measured there: from 7.9 to 9.1 s), and entries choose it 8 s after they hear of it (10.1 s). What is recorded in between it never gets. Then it counts as any other copy. An entry that was cut off from all but the added hosts reached one copy that the others use too, an added one. That one lacked most of the 1,540 tokens granted by then, so that half of the budget was granted there again. Without any cut, majorities of added copies grant again what the others granted in these seconds.

Change: while a copy is new, entries also send it the reservations and settlements of the programs for which it will be chosen. It has no vote. A reservation waits for those in reach as for the others, 300 ms at most, counts what they know, and more than half of a budget needs their answers or their confirmed loss.

Ruled out: a later last copy. Entries choose the host at different moments, and the copy takes more than a second on this site.

The model of the tests copied records between all hosts at every step. It now does so 2 s after a host was added, started or was cut off, and 7 s after it was added, and entries take a copy for new until different moments, up to 0.25 s apart.

Measured without the change: TestBudgetOfCopiesThatTakeOverAfterTheyCopied '80 tokens are handed out of a budget of 45 and one turn of 10', TestBudgetHoldsWhileCopiesAreAddedBesideCutEntries 60 after 10 orders, TestAddedCopiesKnowWhatWasGrantedBefore 'error is <nil>, want budget spent'. With it all pass, the random ones in 100,000 orders each.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -23,6 +23,8 @@
 	confirmedAfter = 2 * time.Second
 	// newFor is how long a copy is new.
 	newFor = 8 * time.Second
+	// copiedAgainAfter is when an added copy copies from the others for the last time.
+	copiedAgainAfter = 7 * time.Second
 )
 
 // budgetFixture simulates a program's copies in several zones, and entries that reserve tokens
@@ -78,7 +80,7 @@
 		e := &budgetEntry{zone: string(rune('a' + i%zones)), phase: probePhase * time.Duration(i) / time.Duration(entries)}
 		e.client = &Client{Options: Options{
 			Zone: e.zone, MaxLostDisks: 1, ZoneCount: zones, MembersSettled: func() bool { return true },
-			Copies:        func() []Copy { return slices.Clone(f.copies) },
+			Copies:        func() []Copy { return f.knownTo(e) },
 			Reachable:     func(host string) bool { return f.unreachableFor(e, host) <= unreachableAfter+e.phase },
 			Lost:          func(host string) bool { return f.unreachableFor(e, host) > lostAfter+e.phase },
 			ZoneReachable: func(zone string) bool { return f.cutFor(e.zone, zone) <= unreachableAfter+e.phase },
@@ -92,6 +94,18 @@
 	return f
 }
 
+// knownTo returns the copies as an entry knows them. It may hear of an added one a little later
+// than others, so that this one is new for longer.
+func (f *budgetFixture) knownTo(e *budgetEntry) []Copy {
+	out := slices.Clone(f.copies)
+	for i, c := range out {
+		if at, added := f.addedAt[c.Host]; added {
+			out[i].New = f.now.Sub(at) < newFor+e.phase
+		}
+	}
+	return out
+}
+
 // areCut reports whether two zones can't reach each other.
 func (f *budgetFixture) areCut(a, b string) bool {
 	_, cutA := f.cutSince[a]
@@ -223,34 +237,40 @@
 	}
 	answering := slices.DeleteFunc(slices.Clone(copies), func(c Copy) bool { return !f.answers(e, c) })
 	q.unprovenAnswers = e.client.countUnproven(r.Program, answering, reports)
-	q.exclusive = e.client.isExclusive(r.Program, copies, reports)
+	successors := e.client.successors(r.Program, copies)
+	for _, c := range successors {
+		if !f.answers(e, c) {
+			continue
+		}
+		reports.add(c.Host, f.losses(c))
+		l := f.ledgers[c.Host]
+		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
+		q.spendings.merge(l.Spendings(r.Program))
+	}
+	all := slices.Concat(copies, successors)
+	q.exclusive = e.client.isExclusive(r.Program, all, reports)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
 		return
 	}
-	for _, c := range copies {
+	for _, c := range all {
 		if f.answers(e, c) {
 			f.ledgers[c.Host].Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Settled: true, Retention: r.Retention}})
 		}
 	}
 }
 
-// advance lets time pass. Hosts that have been connected for copiedAfter copy the records
-// that they lack from each other.
+// advance lets time pass. Hosts copy the records that they lack from each other only after one of
+// them was added, started or was cut off.
 func (f *budgetFixture) advance(d time.Duration) {
+	before := f.now
 	f.now = f.now.Add(d)
-	for i, c := range f.copies {
-		if at, added := f.addedAt[c.Host]; added {
-			f.copies[i].New = f.now.Sub(at) < newFor
-		}
-	}
 	for _, to := range f.copies {
 		for _, from := range f.copies {
 			_, downTo := f.downSince[to.Host]
 			_, downFrom := f.downSince[from.Host]
-			together := f.now.Sub(latest(f.lastCut(to.Zone, from.Zone), latest(f.recoveredAt[to.Host], f.recoveredAt[from.Host])))
-			if downTo || downFrom || f.areCut(to.Zone, from.Zone) || together < copiedAfter {
+			if downTo || downFrom || f.areCut(to.Zone, from.Zone) || !f.copiesBetween(from, to, before) {
 				continue
 			}
 			if from.Zone != to.Zone {
@@ -263,6 +283,15 @@
 	}
 }
 
+// copiesBetween reports whether one host has copied from another one between a time and now.
+func (f *budgetFixture) copiesBetween(from, to Copy, begin time.Time) bool {
+	passed := func(at time.Time) bool { return at.After(begin) && !at.After(f.now) }
+	together := latest(f.lastCut(to.Zone, from.Zone), latest(f.recoveredAt[to.Host], f.recoveredAt[from.Host]))
+	together = latest(together, latest(f.addedAt[to.Host], f.addedAt[from.Host]))
+	again, added := f.addedAt[to.Host]
+	return passed(together.Add(copiedAfter)) || added && passed(again.Add(copiedAgainAfter))
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -317,7 +346,19 @@
 
 // add adds a host with a copy to a zone. All entries hear of it.
 func (f *budgetFixture) add(zone string) {
-	c := Copy{Host: fmt.Sprintf("%s-added-%d", zone, len(f.copies)), Zone: zone, New: true}
+	f.addCopy(Copy{Host: fmt.Sprintf("%s-added-%d", zone, len(f.copies)), Zone: zone, New: true})
+}
+
+// addBefore adds a copy to the zone of another one, in whose place it is chosen later.
+func (f *budgetFixture) addBefore(other Copy) {
+	added := Copy{Zone: other.Zone, New: true}
+	for i := 0; added.Host == "" || !ranksBefore("p", added, other); i++ {
+		added.Host = fmt.Sprintf("%s-added-%d-%d", other.Zone, len(f.copies), i)
+	}
+	f.addCopy(added)
+}
+
+func (f *budgetFixture) addCopy(c Copy) {
 	f.copies = append(f.copies, c)
 	f.ledgers[c.Host] = jkledger.New()
 	f.behind[c.Host] = true
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -259,3 +259,22 @@
 		}
 	})
 }
+
+// Guards against a budget that is granted a second time by copies that were just added: those in use
+// before admit turns until the added ones take their place, after these have copied for the last time.
+func TestBudgetOfCopiesThatTakeOverAfterTheyCopied(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	for _, c := range slices.Clone(f.copies) {
+		f.addBefore(c)
+	}
+	f.advance(copiedAgainAfter)
+	f.advance(newFor - copiedAgainAfter - time.Millisecond)
+	for range 5 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	f.advance(probePhase)
+	for range 5 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	f.check(t)
+}
--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -270,6 +270,49 @@
 	}
 }
 
+// Guards against tokens that are granted a second time once added copies take the place of those that
+// granted them before, and against reservations that added copies count as spent though they are settled.
+func TestAddedCopiesKnowWhatWasGrantedBefore(t *testing.T) {
+	f := newManualFixture(t)
+	f.startCopy(t, "a-2", "a")
+	f.startCopy(t, "b-2", "b")
+	f.startCopy(t, "c-2", "c")
+	program := f.programOf(t, "a-2", "b-2", "c-2")
+	known := slices.Clone(f.copies)
+	var added atomic.Bool
+	added.Store(true)
+	f.client.Copies = func() []Copy {
+		out := slices.Clone(known)
+		for i, c := range out {
+			out[i].New = added.Load() && strings.HasSuffix(c.Host, "-2")
+		}
+		return out
+	}
+	reserve := func(request string) error {
+		return f.client.Reserve(t.Context(), jkforward.Reservation{
+			Program: program, Request: request, Tokens: 100, Budget: 250, Retention: time.Minute,
+		})
+	}
+	for _, request := range []string{"1", "2"} {
+		if err := reserve(request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.client.Settle(jkforward.Settlement{Program: program, Request: "1", Tokens: 50, Retention: time.Minute})
+	f.clock.Advance(settleBatchDelay)
+	for f.client.outbox.hasDeliverable() {
+		time.Sleep(time.Millisecond)
+	}
+	added.Store(false)
+	if err := reserve("3"); err != nil {
+		t.Errorf("error is %v though 150 tokens of 250 are granted", err)
+	}
+	var spent *jkforward.BudgetSpentError
+	if err := reserve("4"); !errors.As(err, &spent) {
+		t.Errorf("error is %v, want budget spent", err)
+	}
+}
+
 // Guards against tokens that a zone grants on one disk while it is cut off, though it has three,
 // and that are granted again once that disk is lost.
 func TestBudgetOfACutZoneOutlivesADisk(t *testing.T) {
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -102,6 +102,16 @@
 	return ranksBefore(program, a, b)
 }
 
+// successors returns the new copies that will be chosen for a program in place of the given ones,
+// and may be so by hosts that have known them for longer. They copy the records of others before that,
+// so that they would lack the latest ones.
+func (c *Client) successors(program string, chosen []Copy) []Copy {
+	return slices.DeleteFunc(slices.Clone(c.knownCopies()), func(known Copy) bool {
+		succeeds := func(target Copy) bool { return target.Zone == known.Zone && ranksBefore(program, known, target) }
+		return !known.New || !slices.ContainsFunc(chosen, succeeds)
+	})
+}
+
 // standsIn reports whether other hosts may use another copy of the zone for a program: the
 // target is new, so that some hosts may not know it yet, or it was chosen in place of a copy
 // that ranks before it, which some hosts may still use.
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -35,8 +35,11 @@
 	client      *Client
 	reservation jkforward.Reservation
 	copies      []Copy
-	// extra are further copies that record the reservation and have no vote.
-	extra   []Copy
+	// successors and extra are further copies that record the reservation and have no vote.
+	successors, extra []Copy
+	// awaited are the successors in reach whose calls haven't ended. Other hosts may have admitted
+	// turns there.
+	awaited map[string]bool
 	answers chan reserveAnswer
 	// pending is the number of calls that haven't ended.
 	pending int
@@ -55,8 +58,16 @@
 
 func newReserveOperation(c *Client, r jkforward.Reservation) *reserveOperation {
 	copies := c.replicas(r.Program)
+	successors := c.successors(r.Program, copies)
+	awaited := map[string]bool{}
+	for _, target := range successors {
+		if c.Reachable(target.Host) {
+			awaited[target.Host] = true
+		}
+	}
 	return &reserveOperation{
-		client: c, reservation: r, copies: copies, extra: c.extraCopies(r.Program, copies), answers: make(chan reserveAnswer),
+		client: c, reservation: r, copies: copies, successors: successors, awaited: awaited,
+		extra: c.extraCopies(r.Program, slices.Concat(copies, successors)), answers: make(chan reserveAnswer),
 		quorum: &quorum{spendings: spendings{}, copies: len(copies)}, reports: newLossReports(), log: newAnswerLog(c),
 	}
 }
@@ -80,7 +91,7 @@
 	defer cancel()
 	ticks := make(chan struct{}, 1)
 	defer o.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
-	for waited := time.Duration(0); !o.quorum.isEnough(o.reservation); {
+	for waited := time.Duration(0); !o.quorum.isEnough(o.reservation) || len(o.awaited) > 0; {
 		if o.pending == 0 || waited >= callTimeout {
 			if err := o.decide(); !isNoQuorum(err) || !o.mayGetAnswer() {
 				return err
@@ -103,7 +114,7 @@
 	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
-	for _, target := range slices.Concat(o.copies, o.extra) {
+	for _, target := range slices.Concat(o.copies, o.successors, o.extra) {
 		o.pending++
 		go func() {
 			var a jkledger.ReserveAnswer
@@ -125,11 +136,12 @@
 
 func (o *reserveOperation) add(a reserveAnswer) {
 	o.pending--
+	delete(o.awaited, a.from.Host)
 	if a.content == nil {
 		return
 	}
 	o.reports.add(a.from.Host, a.content.Losses)
-	if slices.Contains(o.extra, a.from) {
+	if !slices.Contains(o.copies, a.from) {
 		o.quorum.spendings.merge(a.content.Spendings)
 		return
 	}
@@ -142,7 +154,7 @@
 
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
-	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.reports)
+	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, slices.Concat(o.copies, o.successors), o.reports)
 	err := o.quorum.decide(o.reservation)
 	var noQuorum *jkforward.NoQuorumError
 	if errors.As(err, &noQuorum) && o.quorum.hasMajority() {
@@ -154,8 +166,12 @@
 // mayGetAnswer reports whether the copies that are in reach and haven't answered could still admit
 // the reservation.
 func (o *reserveOperation) mayGetAnswer() bool {
+	asked := o.copies
+	if o.quorum.hasMajority() {
+		asked = slices.Concat(o.copies, o.successors)
+	}
 	mayAnswer, silent := 0, 0
-	for _, target := range o.copies {
+	for _, target := range asked {
 		switch {
 		case o.reports.answered[target.Host]:
 		case o.pending > 0 && o.client.mayAnswer(target):
@@ -178,6 +194,7 @@
 		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
 	}}}
 	copies := c.replicas(s.Program)
+	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
 		c.outbox.send(target, records, nil)
 	}
