--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -61,8 +61,11 @@
 	// origin is another request of the program, whose reservation is looked for; empty for none.
 	origin string
 	copies []Copy
-	// extra are further copies that record the reservation and have no vote.
-	extra   []Copy
+	// successors and extra are further copies that record the reservation and have no vote.
+	successors, extra []Copy
+	// awaited are the successors in reach whose calls haven't ended. Other hosts may have admitted
+	// turns there.
+	awaited map[string]bool
 	answers chan reserveAnswer
 	// pending is the number of calls that haven't ended.
 	pending int
@@ -81,8 +84,16 @@
 
 func newReserveOperation(c *Client, r jkforward.Reservation) *reserveOperation {
 	copies := c.replicas(r.Program)
+	successors := c.successors(r.Program, copies)
+	awaited := map[string]bool{}
+	for _, target := range successors {
+		if c.Reachable(target.Host) {
+			awaited[target.Host] = true
+		}
+	}
 	return &reserveOperation{
-		client: c, reservation: r, copies: copies, extra: c.extraCopies(r.Program, copies), answers: make(chan reserveAnswer),
+		client: c, reservation: r, copies: copies, successors: successors, awaited: awaited,
+		extra: c.extraCopies(r.Program, slices.Concat(copies, successors)), answers: make(chan reserveAnswer),
 		quorum: &quorum{spendings: spendings{}, copies: len(copies)}, reports: newLossReports(), log: newAnswerLog(c),
 	}
 }
@@ -126,7 +137,7 @@
 
 // isEnough reports whether the answers so far admit the reservation and hold that of the origin.
 func (o *reserveOperation) isEnough() bool {
-	if !o.quorum.isEnough(o.reservation) {
+	if !o.quorum.isEnough(o.reservation) || len(o.awaited) > 0 {
 		return false
 	}
 	_, known := o.quorum.spendings.versionOf(o.origin)
@@ -138,7 +149,7 @@
 	request := &jkledger.ReserveRequest{Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
-	for _, target := range slices.Concat(o.copies, o.extra) {
+	for _, target := range slices.Concat(o.copies, o.successors, o.extra) {
 		o.pending++
 		go func() {
 			var a jkledger.ReserveAnswer
@@ -160,11 +171,12 @@
 
 func (o *reserveOperation) add(a reserveAnswer) {
 	o.pending--
+	delete(o.awaited, a.from.Host)
 	if a.content == nil {
 		return
 	}
 	o.reports.add(a.from.Host, a.content.Losses)
-	if slices.Contains(o.extra, a.from) {
+	if !slices.Contains(o.copies, a.from) {
 		o.quorum.spendings.merge(a.content.Spendings)
 		return
 	}
@@ -177,7 +189,7 @@
 
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
-	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.reports)
+	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, slices.Concat(o.copies, o.successors), o.reports)
 	err := o.quorum.decide(o.reservation)
 	var noQuorum *jkforward.NoQuorumError
 	if errors.As(err, &noQuorum) && o.quorum.hasMajority() {
@@ -189,8 +201,12 @@
 // mayGetAnswer reports whether the copies that are in reach and haven't answered could still admit
 // the reservation.
 func (o *reserveOperation) mayGetAnswer() bool {
+	asked := o.copies
+	if o.quorum.hasMajority() {
+		asked = slices.Concat(o.copies, o.successors)
+	}
 	mayAnswer, silent := 0, 0
-	for _, target := range o.copies {
+	for _, target := range asked {
 		switch {
 		case o.reports.answered[target.Host]:
 		case o.pending > 0 && o.client.mayAnswer(target):
@@ -213,6 +229,7 @@
 		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
 	}}}
 	copies := c.replicas(s.Program)
+	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
 		c.outbox.send(target, records, nil)
 	}
