entry: stop on a clock of the test in the tests of responses at the end

TestStopSendsResponsesToTheirEnd failed in 4 of 50 runs of one series at a load of about 50: 'response: unexpected EOF'. No caller is concerned.

Cause, by reading: the test began to read 1.2 s of the machine's time after the stop, of which the entry has 1.5 s for its connections.

Change: the stop runs on a clock of the test, as in beginStop. Both tests that share the fixture bring it to the same 200 ms after half of the grace, check the same answers, and let the stop end after that. Half of the grace is no multiple of another interval of the entry, so that only the drain waits for it.

With the wait for open connections taken out of the drain, both tests fail ('response: unexpected EOF').

Measured, test binary of ./jkentry, three at a time of -test.count 100 -test.run 'TestStopSendsResponsesToTheirEnd|TestStopAnswers', load average 28: 0 of 300 runs fail, each takes milliseconds. With the race detector 0 of 10.

--- a/core/jkentry/conns_test.go
+++ b/core/jkentry/conns_test.go
@@ -34,39 +34,40 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// stopGrace is the time from the stop of an entry to the end of its process.
-const stopGrace = 2 * time.Second
+// stopGrace is the time from the stop of an entry to the end of its process. Half of it is no
+// multiple of an interval of the entry, so that only the drain waits for it.
+const stopGrace = 2030 * time.Millisecond
 
-// newStopEntry returns an entry that serves the connections of a listener.
-func newStopEntry(t *testing.T) (*Entry, *pipeListener) {
+// newStopEntry returns an entry that serves the connections of a listener, with a clock that the
+// test advances once its stop has begun.
+func newStopEntry(t *testing.T) (*stoppingEntry, *Entry, *pipeListener) {
 	t.Helper()
+	timer, clock := jktimer.NewManual(stopBegins)
 	e, err := NewEntry(Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: stopGrace}.listening(t),
-		stopTestPlatform(nil), jktimer.New(), jklog.Discard())
+		stopTestPlatform(nil), timer, jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &pipeListener{conns: make(chan net.Conn)}
 	t.Cleanup(func() { _ = l.Close() })
 	go e.serve(e.front, l)
-	return e, l
+	return &stoppingEntry{T: t, timer: timer, clock: clock, done: make(chan struct{})}, e, l
 }
 
 // Guards against a stopping entry that closes a connection whose response is written by the handler
 // and not sent yet: with little processor time that takes longer than the last requests have.
 func TestStopSendsResponsesToTheirEnd(t *testing.T) {
 	t.Parallel()
-	e, l := newStopEntry(t)
+	s, e, l := newStopEntry(t)
 	caller, served := net.Pipe()
 	defer caller.Close()
 	l.conns <- served
-	stop, done := make(chan struct{}), make(chan struct{})
-	close(stop)
-	go func() { defer close(done); e.Run(stop) }()
+	s.begin(e, stopGrace)
 	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: stop.example\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
 	// Half of the grace is for callers that still open connections.
-	time.Sleep(stopGrace/2 + 2*lastRequestTime)
+	s.advanceTo(stopGrace/2 + 2*lastRequestTime)
 	res, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	if err != nil {
 		t.Fatalf("response: %v", err)
@@ -75,7 +76,7 @@
 	if _, err := io.ReadAll(res.Body); err != nil || res.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("status %d, error %v, want the whole response", res.StatusCode, err)
 	}
-	<-done
+	s.end()
 }
 
 // lateConn passes on the bytes of its first read at once, and those of its second one, once they are
@@ -103,7 +104,7 @@
 // little processor time, net/http reports the connection as idle for long after that.
 func TestStopAnswersRequestsThatAreBeingRead(t *testing.T) {
 	t.Parallel()
-	e, l := newStopEntry(t)
+	s, e, l := newStopEntry(t)
 	caller, served := net.Pipe()
 	defer caller.Close()
 	late := &lateConn{Conn: served, taken: make(chan struct{}), release: make(chan struct{})}
@@ -125,12 +126,10 @@
 	expectAnswer()
 	go send()
 	<-late.taken
-	stop, done := make(chan struct{}), make(chan struct{})
-	close(stop)
-	go func() { defer close(done); e.Run(stop) }()
+	s.begin(e, stopGrace)
 	// Half of the grace is for callers that still open connections.
-	time.Sleep(stopGrace/2 + 2*lastRequestTime)
+	s.advanceTo(stopGrace/2 + 2*lastRequestTime)
 	close(late.release)
 	expectAnswer()
-	<-done
+	s.end()
 }
--- a/core/jkentry/stop_test.go
+++ b/core/jkentry/stop_test.go
@@ -285,12 +285,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.begin(e, grace)
+	return s, caller
+}
+
+// begin begins the stop of an entry and waits until its drain does.
+func (s *stoppingEntry) begin(e *Entry, grace time.Duration) {
+	s.Helper()
 	stop := make(chan struct{})
 	close(stop)
 	go func() { defer close(s.done); e.Run(stop) }()
-	s.drainsUntil = timer.Now().Add(grace / 2)
-	s.await("drain", func() bool { return clock.Due(s.drainsUntil) > 0 })
-	return s, caller
+	s.drainsUntil = s.timer.Now().Add(grace / 2)
+	s.await("drain", func() bool { return s.clock.Due(s.drainsUntil) > 0 })
 }
 
 // await waits for what another goroutine brings about without the clock.
@@ -322,6 +328,25 @@
 	})
 }
 
+// stopStep divides all times for which the drain waits, so that none of its steps begins within one.
+const stopStep = 5 * time.Millisecond
+
+// advanceTo advances the clock to a time after the stop has begun.
+func (s *stoppingEntry) advanceTo(d time.Duration) {
+	s.Helper()
+	for s.timer.Now().Sub(stopBegins) < d {
+		s.advance(stopStep)
+	}
+}
+
+// end advances the clock until the entry has ended.
+func (s *stoppingEntry) end() {
+	s.Helper()
+	for !s.exited() {
+		s.advance(stopStep)
+	}
+}
+
 func (s *stoppingEntry) exited() bool {
 	select {
 	case <-s.done:
