account: don't take a new copy's word on which hosts are up

What callers would see: 503 for programs beyond half of their budget while a storage host that is down is being replaced, for the moment in which the host that was just added hasn't noticed yet that the other one is down.

Cause: asks new copies, and a copy that answers and doesn't name a host as silent contests its loss. Change: a new copy that has no vote only counts as answered.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -242,7 +242,7 @@
 		if !f.answers(e, c) {
 			continue
 		}
-		reports.add(c.Host, f.losses(c))
+		reports.addNew(c.Host)
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
 		q.spendings.merge(l.Spendings(r.Program))
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -10,9 +10,11 @@
 // lossReports holds which copies have answered and what their hosts observe of the others.
 type lossReports struct {
 	answered map[string]bool
+	// reporting is the number of those whose observations count.
+	reporting int
 	// confirmed holds the hosts whose loss at least one of them has confirmed.
 	confirmed map[string]bool
-	// silent counts for each host the answering ones that haven't reached it since its loss.
+	// silent counts for each host the reporting ones that haven't reached it since its loss.
 	silent map[string]int
 }
 
@@ -23,6 +25,7 @@
 // add adds the answer of a copy.
 func (r *lossReports) add(from string, l jkledger.Losses) {
 	r.answered[from] = true
+	r.reporting++
 	for _, host := range l.Confirmed {
 		r.confirmed[host] = true
 		r.silent[host]++
@@ -32,9 +35,12 @@
 	}
 }
 
+// addNew adds the answer of a copy that is new. Its host hasn't noticed yet which ones are down.
+func (r *lossReports) addNew(from string) { r.answered[from] = true }
+
 // isContested reports whether a copy that answered reaches a host, or has reached it so lately
 // that the host may be cut off rather than down.
-func (r *lossReports) isContested(host string) bool { return r.silent[host] < len(r.answered) }
+func (r *lossReports) isContested(host string) bool { return r.silent[host] < r.reporting }
 
 // isLossHarmless reports whether the other copies have what the copy on a silent host has
 // admitted. This host may be the only one that can't reach it, so that its own observation
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -140,7 +140,11 @@
 	if a.content == nil {
 		return
 	}
-	o.reports.add(a.from.Host, a.content.Losses)
+	if slices.Contains(o.successors, a.from) {
+		o.reports.addNew(a.from.Host)
+	} else {
+		o.reports.add(a.from.Host, a.content.Losses)
+	}
 	if !slices.Contains(o.copies, a.from) {
 		o.quorum.spendings.merge(a.content.Spendings)
 		return
