--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -211,14 +211,16 @@
 	ctx, cancel := h.admissionContext(c)
 	defer cancel()
 	err := h.reserveOrContinue(ctx, c, r)
-	if err != nil && !isUnknownStream(err) {
+	var unknown *UnknownStreamError
+	switch {
+	case errors.As(err, &unknown):
+		c.reservedTokens = r.Tokens
+		return h.bindUnknown(c)
+	case err != nil:
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
 		return refusalForError(err)
 	}
 	c.reservedTokens = r.Tokens
-	if isUnknownStream(err) {
-		return h.bindUnknown(c)
-	}
 	return nil
 }
 
--- a/core/jkforward/version.go
+++ b/core/jkforward/version.go
@@ -1,7 +1,7 @@
 package jkforward
 
 import (
-	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -35,7 +35,7 @@
 type UnknownStreamError struct{ Request string }
 
 func (e *UnknownStreamError) Error() string {
-	return "the version of stream " + e.Request + " is not known"
+	return fmt.Sprintf("the software version of stream %q is not known", e.Request)
 }
 
 // isContinued reports whether the caller continues a stream that an earlier request began.
@@ -86,12 +86,6 @@
 // maxRegistryLag is how much later than the others a host may learn of an endpoint.
 const maxRegistryLag = 5 * time.Second
 
-// isUnknownStream reports whether an error is an UnknownStreamError.
-func isUnknownStream(err error) bool {
-	var unknown *UnknownStreamError
-	return errors.As(err, &unknown)
-}
-
 // versionHistory holds which software versions the endpoints of a service have had.
 type versionHistory struct {
 	// knownSince is when the service's first endpoint was known.
