entry: let the test of neighbours' programs wait until hosts know each other

TestCopyDoesNotGetWhatItsNeighboursHave failed in a run of the package with its folders in memory: '200 turns, want the 104 of the copy's own programs'. No caller is concerned.

Cause: a storage host that has no list of the store yet sends all programs, as it doesn't know who holds them. The log of a-1 has 'ledger sent to=a-2 records=96' 1.3 ms before 'store reached'. Syncs of a disk usually gave it the time.

Change: the test waits until both sources have listed the others. The check is the same.

--- a/core/jkentry/neighbour_test.go
+++ b/core/jkentry/neighbour_test.go
@@ -21,6 +21,8 @@
 func TestCopyDoesNotGetWhatItsNeighboursHave(t *testing.T) {
 	f := newRecoveryFixture(t, 1, "a-1", "a-2", "b-1")
 	neighbour, other := f.run(f.settings("a-1", true)), f.run(f.settings("b-1", true))
+	// Until then they send the copy all programs.
+	eventually(t, "listed hosts", func() bool { return len(neighbour.otherCopies()) == 2 && len(other.otherCopies()) == 2 })
 	neighbour.writeHeld(t, recoveryPrograms, f.heldBy("a-1"))
 	other.write(t, recoveryPrograms)
 	want := recoveryPrograms - neighbour.turns()
