ledger: read turns and spendings that were used just before they were removed

Cause: a process removes what has expired every five seconds, so that a turn can be continued, and a program can spend, for some time after that; the next start reads the log in its own time and removed them at once, before the record that uses them. Clocks that were set add ten seconds. Change: a replay removes only what nothing that was written later can have used. Ruled out: that the log lacks the record; it is read and its chain is cut.

--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -102,6 +102,12 @@
 	return now.Sub(u.at) > retention+retentionSlack
 }
 
+// isExpiredInLog reports whether a record that is read from the log can't have been used once
+// more by the processes that wrote the log after now, a time of the log.
+func (u use) isExpiredInLog(now time.Time, retention time.Duration) bool {
+	return u.isExpired(now, retention+removalSlack+clockSlack+stampInterval)
+}
+
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{programs: map[string]*programRow{}, turns: map[string]*turnRow{}}
@@ -331,15 +337,21 @@
 // set.
 const clockSlack = 10 * time.Second
 
-// Expire removes the programs and turns that were not used within their retention.
-func (l *Ledger) Expire(now time.Time) {
+// removalSlack is the time within which expired records are removed. They are used until then.
+const removalSlack = 10 * time.Second
+
+// Expire removes the programs and turns that were not used within their retention. It has to be
+// called more often than every ten seconds.
+func (l *Ledger) Expire(now time.Time) { l.expire(now, use.isExpired) }
+
+func (l *Ledger) expire(now time.Time, isExpired func(use, time.Time, time.Duration) bool) {
 	for name, row := range l.programs {
-		if row.lastUse.isExpired(now, row.retention) {
+		if isExpired(row.lastUse, now, row.retention) {
 			delete(l.programs, name)
 		}
 	}
 	for request, row := range l.turns {
-		if row.lastUse.isExpired(now, row.turn.Retention) {
+		if isExpired(row.lastUse, now, row.turn.Retention) {
 			l.bytes -= int64(len(row.turn.Input) + len(row.turn.Output))
 			delete(l.turns, request)
 		}
