--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -7,6 +7,7 @@
 
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jktimer"
 )
 
 // Timeouts of the prober, after which an entry changes the state of a copy or a zone.
@@ -14,6 +15,8 @@
 	unreachableAfter = 800 * time.Millisecond
 	lostAfter        = 7 * time.Second
 	settledAfter     = 4 * time.Second
+	// zoneExcludedAfter is how much later a zone counts as cut off than it is noticed.
+	zoneExcludedAfter = 300 * time.Millisecond
 	// probePhase is how much later one host may notice a failure than another.
 	probePhase = 250 * time.Millisecond
 	// copiedAfter is how long copies take to catch up with each other after a partition or
@@ -30,7 +33,10 @@
 // budgetFixture simulates a program's copies in several zones, and entries that reserve tokens
 // for it. Hosts go down and zones are partitioned from the others; a host keeps its disk.
 type budgetFixture struct {
-	now     time.Time
+	now time.Time
+	// timer has the time of the fixture, which clock sets.
+	timer   *jktimer.Service
+	clock   *jktimer.Manual
 	copies  []Copy
 	ledgers map[string]*jkledger.Ledger
 	// downSince is when a host went down and cutSince when a zone was partitioned; no entry
@@ -45,8 +51,8 @@
 	recoveredAt   map[string]time.Time
 	// partitions holds all partitions, the latest one last.
 	partitions []partition
-	// behind holds the hosts that have been down and haven't copied from another zone since.
-	behind map[string]bool
+	// missing holds the hosts of other zones from which a host hasn't copied since it was down.
+	missing map[string]map[string]bool
 	// addedAt is when a host was added.
 	addedAt map[string]time.Time
 	entries []*budgetEntry
@@ -67,8 +73,9 @@
 	f := &budgetFixture{
 		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
 		cutSince: map[string]time.Time{}, isolatedSince: map[*budgetEntry]time.Time{}, recoveredAt: map[string]time.Time{},
-		behind: map[string]bool{}, addedAt: map[string]time.Time{},
+		missing: map[string]map[string]bool{}, addedAt: map[string]time.Time{},
 	}
+	f.timer, f.clock = jktimer.NewManual(f.now)
 	for z := range zones {
 		for h := range hosts {
 			c := Copy{Host: fmt.Sprintf("%c%d", 'a'+z, h), Zone: string(rune('a' + z))}
@@ -79,15 +86,16 @@
 	for i := range entries {
 		e := &budgetEntry{zone: string(rune('a' + i%zones)), phase: probePhase * time.Duration(i) / time.Duration(entries)}
 		e.client = &Client{Options: Options{
-			Zone: e.zone, MaxLostDisks: 1, ZoneCount: zones, MembersSettled: func() bool { return true },
+			Timer: f.timer, Zone: e.zone, MaxLostDisks: 1, ZoneCount: zones, MembersSettled: func() bool { return true },
 			Copies:        func() []Copy { return f.knownTo(e) },
 			Reachable:     func(host string) bool { return f.unreachableFor(e, host) <= unreachableAfter+e.phase },
 			Lost:          func(host string) bool { return f.unreachableFor(e, host) > lostAfter+e.phase },
-			ZoneReachable: func(zone string) bool { return f.cutFor(e.zone, zone) <= unreachableAfter+e.phase },
+			ZoneReachable: func(zone string) bool { return f.cutFor(e.zone, zone) <= unreachableAfter+zoneExcludedAfter+e.phase },
 			ZoneSettled: func(zone string) bool {
-				return zone == e.zone || f.cutFor(e.zone, zone) <= unreachableAfter+e.phase && f.now.Sub(f.lastCut(e.zone, zone)) >= settledAfter
+				return zone == e.zone || f.cutFor(e.zone, zone) <= unreachableAfter+e.phase && f.now.Sub(f.lastNoticedCut(e, zone)) >= settledAfter
 			},
-			LossConfirmed: func(host string) bool { return f.lossConfirmed(e, host) },
+			LossConfirmed: func(host string) bool { return f.lossConfirmed(e, host) }, LossConfirmedAfter: confirmedAfter,
+			UnreachableFor: func(host string) time.Duration { return f.unreachableFor(e, host) },
 		}}
 		f.entries = append(f.entries, e)
 	}
@@ -135,6 +143,18 @@
 	return f.recoveredAt[b]
 }
 
+// lastNoticedCut returns when the last partition that an entry noticed between its zone and another
+// one ended.
+func (f *budgetFixture) lastNoticedCut(e *budgetEntry, zone string) time.Time {
+	var last time.Time
+	for _, p := range f.partitions {
+		if (p.zone == e.zone || p.zone == zone) && p.to.Sub(p.from) > unreachableAfter+e.phase {
+			last = latest(last, p.to)
+		}
+	}
+	return last
+}
+
 // unreachableFor returns how long a host hasn't answered an entry.
 func (f *budgetFixture) unreachableFor(e *budgetEntry, host string) time.Duration {
 	c := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })]
@@ -155,17 +175,20 @@
 
 // settledWhenLost reports whether an entry noticed no partition of its zone from that of a
 // host, or from any zone if they are the same, from settledAfter before the host's last answer
-// until confirmedAfter after it.
+// until confirmedAfter after it. A host that was down has to be back for as long before its last answer.
 func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
 	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
 	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
+	if back, ok := f.recoveredAt[host]; ok && lastAnswer.Sub(back) < settledAfter {
+		return false
+	}
 	return !slices.ContainsFunc(f.partitions, func(p partition) bool {
 		concerns := p.zone == e.zone || p.zone == own || own == e.zone
 		end := p.to
 		if end.IsZero() {
 			end = f.now
 		}
-		noticed := !p.to.IsZero() || end.Sub(p.from) > unreachableAfter+e.phase
+		noticed := end.Sub(p.from) > unreachableAfter+e.phase
 		return concerns && noticed && end.Sub(lastAnswer) > -settledAfter && p.from.Sub(lastAnswer) < confirmedAfter
 	})
 }
@@ -233,7 +256,7 @@
 		reports.add(c.Host, losses)
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
-		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.behind[c.Host], Losses: losses}, e.client.standsIn(r.Program, c))
+		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.isBehind(c), Losses: losses}, e.client.standsIn(r.Program, c))
 	}
 	answering := slices.DeleteFunc(slices.Clone(copies), func(c Copy) bool { return !f.answers(e, c) })
 	q.unprovenAnswers = e.client.countUnproven(r.Program, answering, reports)
@@ -248,7 +271,7 @@
 		q.spendings.merge(l.Spendings(r.Program))
 	}
 	all := slices.Concat(copies, successors)
-	q.exclusive = e.client.isExclusive(r.Program, all, reports)
+	q.exclusive, q.parted = e.client.isExclusive(r.Program, copies, successors, reports), e.client.isParted(copies, reports)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
@@ -261,11 +284,21 @@
 	}
 }
 
-// advance lets time pass. Hosts copy the records that they lack from each other only after one of
-// them was added, started or was cut off.
+// advance lets time pass. Entries observe added copies meanwhile, as those of a daemon do.
 func (f *budgetFixture) advance(d time.Duration) {
+	for len(f.addedAt) > 0 && d > probePhase {
+		f.step(probePhase)
+		d -= probePhase
+	}
+	f.step(d)
+}
+
+// step lets time pass. Hosts copy the records that they lack from each other only after one of
+// them was added, started or was cut off.
+func (f *budgetFixture) step(d time.Duration) {
 	before := f.now
 	f.now = f.now.Add(d)
+	f.clock.Advance(d)
 	for _, to := range f.copies {
 		for _, from := range f.copies {
 			_, downTo := f.downSince[to.Host]
@@ -273,14 +306,15 @@
 			if downTo || downFrom || f.areCut(to.Zone, from.Zone) || !f.copiesBetween(from, to, before) {
 				continue
 			}
-			if from.Zone != to.Zone {
-				delete(f.behind, to.Host)
-			}
+			delete(f.missing[to.Host], from.Host)
 			for _, s := range f.ledgers[from.Host].Spendings("p") {
 				f.ledgers[to.Host].Apply(f.now, jkledger.Record{Spending: &s})
 			}
 		}
 	}
+	for _, e := range f.entries {
+		e.client.Observe()
+	}
 }
 
 // copiesBetween reports whether one host has copied from another one between a time and now.
@@ -306,7 +340,38 @@
 
 func (f *budgetFixture) down(host string) {
 	f.downSince[host] = f.now
-	f.behind[host] = true
+	f.miss(f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })])
+}
+
+// miss notes that a copy lacks records of all other zones.
+func (f *budgetFixture) miss(c Copy) {
+	f.missing[c.Host] = map[string]bool{}
+	for _, other := range f.copies {
+		if other.Zone != c.Zone {
+			f.missing[c.Host][other.Host] = true
+		}
+	}
+}
+
+// isBehind reports whether a copy has copied from all hosts of too few zones.
+func (f *budgetFixture) isBehind(c Copy) bool {
+	zones, copied := map[string]bool{}, map[string]bool{}
+	for _, other := range f.copies {
+		zones[other.Zone], copied[other.Zone] = true, other.Zone != c.Zone
+	}
+	for _, other := range f.copies {
+		copied[other.Zone] = copied[other.Zone] && !f.missing[c.Host][other.Host]
+	}
+	enough := len(zones) - majority(len(zones))
+	if len(zones) > 1 {
+		enough = max(enough, 1)
+	}
+	for _, whole := range copied {
+		if whole {
+			enough--
+		}
+	}
+	return enough > 0
 }
 
 func (f *budgetFixture) cut(zone string) {
@@ -366,7 +431,7 @@
 func (f *budgetFixture) addCopy(c Copy) {
 	f.copies = append(f.copies, c)
 	f.ledgers[c.Host] = jkledger.New()
-	f.behind[c.Host] = true
+	f.miss(c)
 	f.addedAt[c.Host] = f.now
 	for _, e := range f.entries {
 		e.client.Observe()
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -101,6 +101,53 @@
 	f.check(t)
 }
 
+// Guards against three halves of a budget: a zone is cut off and grants one, and then another zone does,
+// while the first one's copy goes down before the third zone has its records.
+func TestBudgetOfZonesCutOffInTurn(t *testing.T) {
+	for _, cutFor := range []time.Duration{0, unreachableAfter + probePhase/4, 2 * time.Second} {
+		for _, downFor := range []time.Duration{0, 2 * unreachableAfter, settledAfter} {
+			f := newBudgetFixture(3, 1, 6)
+			a := f.entries[0]
+			f.cut(a.zone)
+			f.advance(cutFor)
+			for range 2 {
+				f.reserve(a, turnTokens, turnBudget)
+			}
+			f.heal()
+			f.cut(f.entries[1].zone)
+			f.down(f.copyIn(a, a.zone))
+			f.advance(downFor)
+			for _, e := range f.entries {
+				f.reserve(e, turnTokens, turnBudget)
+			}
+			f.check(t)
+		}
+	}
+}
+
+// Guards against three halves of a budget: the only copy that admitted one goes down as another copy returns,
+// which copies from the rest of that zone and admits turns by itself.
+func TestBudgetOfACopyThatReturnsAsAnotherGoesDown(t *testing.T) {
+	f := newBudgetFixture(3, 2, 3)
+	a, b, c := f.entries[0], f.entries[1], f.entries[2]
+	granting := f.copyIn(c, c.zone)
+	reserve := func(e *budgetEntry) {
+		for range 2 {
+			f.reserve(e, turnTokens, turnBudget)
+		}
+	}
+	f.cut(b.zone)
+	f.down(f.copyIn(a, a.zone))
+	f.advance(confirmedAfter)
+	reserve(a)
+	reserve(b)
+	f.up()
+	f.down(granting)
+	f.advance(lostAfter + time.Second)
+	reserve(a)
+	f.check(t)
+}
+
 // Guards against the same while copies are added, which take the place of others once they
 // aren't new.
 func TestBudgetHoldsWhileCopiesAreAdded(t *testing.T) {
@@ -301,3 +348,238 @@
 	}
 	f.check(t)
 }
+
+// Guards against a budget that is exceeded in a site of two zones by a copy that was down while another one of its zone
+// stood in for it: it comes back, is cut off at once and grants half as if it weren't behind.
+func TestBudgetOfTwoZonesWhoseCopyReturnsIntoACut(t *testing.T) {
+	f := newBudgetFixture(2, 2, 2)
+	a := f.entries[0]
+	f.down(f.copyIn(a, a.zone))
+	f.advance(lostAfter + time.Second)
+	for range 4 {
+		f.reserve(a, turnTokens, turnBudget)
+	}
+	f.up()
+	f.cut(a.zone)
+	// The cut is noticed before the copy has copied from the rest of its zone.
+	f.advance(copiedAfter - probePhase)
+	for range 2 {
+		f.reserve(a, turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
+// Guards against three halves of a budget: a zone is cut off and grants one, its copy goes down before the others have its
+// records, and a copy that is added to the zone and ranks before it takes its place.
+func TestBudgetAfterACutWhoseCopyIsReplacedByAnAddedOne(t *testing.T) {
+	for zones := 3; zones <= 4; zones++ {
+		f := newBudgetFixture(zones, 1, zones)
+		a, b := f.entries[0], f.entries[1]
+		reserve := func(e *budgetEntry) {
+			for range 2 {
+				f.reserve(e, turnTokens, turnBudget)
+			}
+		}
+		f.cut(b.zone)
+		reserve(a)
+		f.advance(2 * time.Second)
+		reserve(b)
+		lost := f.copies[1]
+		f.down(lost.Host)
+		f.heal()
+		f.addBefore(lost)
+		f.advance(newFor + time.Second)
+		reserve(a)
+		f.check(t)
+	}
+}
+
+// Guards against the same while the copy that went down is just back, and the added one has nothing of it yet.
+func TestBudgetOfACopyThatIsBackAfterAnAddedOneTookItsPlace(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	a := f.entries[0]
+	reserve := func() {
+		for range 2 {
+			f.reserve(a, turnTokens, turnBudget)
+		}
+	}
+	f.cut(a.zone)
+	f.advance(2 * unreachableAfter)
+	reserve()
+	own := f.copies[0]
+	f.addBefore(own)
+	f.down(own.Host)
+	f.advance(3 * time.Second)
+	f.heal()
+	f.advance(newFor - 2*time.Second)
+	f.up()
+	reserve()
+	reserve()
+	f.check(t)
+}
+
+// Guards against a budget that is exceeded in any order of losses, cuts and additions, with turns through any entry between
+// them. At most one host is down and one zone cut off at a time.
+func TestBudgetHoldsWhileCopiesAreAddedBesideLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newBudgetFixture(rapid.IntRange(3, 4).Draw(t, "zones"), 1, 4)
+		for range rapid.IntRange(1, 10).Draw(t, "steps") {
+			one := f.copies[rapid.IntRange(0, len(f.copies)-1).Draw(t, "copy")]
+			switch rapid.SampledFrom([]string{"add", "down", "up", "cut", "heal"}).Draw(t, "step") {
+			case "add":
+				if len(f.copies) < 8 {
+					f.addRanked(one, rapid.Bool().Draw(t, "before"))
+				}
+			case "down":
+				if len(f.downSince) == 0 {
+					f.down(one.Host)
+				}
+			case "up":
+				f.up()
+			case "cut":
+				if len(f.cutSince) == 0 {
+					f.cut(one.Zone)
+				}
+			case "heal":
+				f.heal()
+			}
+			f.advance(time.Duration(rapid.SampledFrom([]int{0, 500, 1500, 3000, 9000}).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 2).Draw(t, "callers") {
+				e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")]
+				f.reserve(e, turnTokens, turnBudget)
+				f.reserve(e, turnTokens, turnBudget)
+			}
+			f.check(t)
+		}
+	})
+}
+
+// Guards against the same while the copy that went down is back for half a second and goes down again, or is cut off at once.
+func TestBudgetOfAReplacedCopyThatIsBackForAMoment(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		f := newBudgetFixture(3, 1, 3)
+		own := f.copies[0]
+		reserve := func(e *budgetEntry) {
+			for range 2 {
+				f.reserve(e, turnTokens, turnBudget)
+			}
+		}
+		f.cut(own.Zone)
+		f.advance(2 * unreachableAfter)
+		reserve(f.entries[0])
+		f.addBefore(own)
+		f.down(own.Host)
+		f.advance(3 * time.Second)
+		f.heal()
+		f.advance(2*newFor + settledAfter)
+		f.up()
+		f.advance(500 * time.Millisecond)
+		if cut {
+			f.cut(own.Zone)
+			f.advance(1200 * time.Millisecond)
+			f.heal()
+		} else {
+			f.down(own.Host)
+			f.advance(3 * time.Second)
+		}
+		reserve(f.entries[1])
+		reserve(f.entries[1])
+		f.check(t)
+	}
+}
+
+// Guards against a budget that is kept at half for good at an entry that started while a copy was silent which was never
+// chosen.
+func TestEntryStartedDuringASilenceGrantsTheBudget(t *testing.T) {
+	f := newBudgetFixture(3, 2, 3)
+	f.cut("a")
+	f.advance(2 * time.Second)
+	other := f.copies[0].Host
+	if other == f.copyIn(f.entries[0], "a") {
+		other = f.copies[1].Host
+	}
+	f.down(other)
+	f.heal()
+	f.advance(settledAfter + time.Second)
+	e := f.entries[1]
+	e.client = &Client{Options: e.client.Options}
+	f.advance(2 * time.Second)
+	for range 4 {
+		f.reserve(e, turnTokens, turnBudget)
+	}
+	if f.granted < 4*turnTokens {
+		t.Errorf("%d of %d are granted", f.granted, turnBudget)
+	}
+}
+
+// Guards against a budget that is kept at half while a copy is new, because another one of its zone that was never chosen is
+// silent.
+func TestBudgetBesideANewCopyAndASilentOne(t *testing.T) {
+	f := newBudgetFixture(3, 2, 3)
+	f.cut("a")
+	f.advance(2 * time.Second)
+	own := f.copies[0]
+	other := f.copies[1]
+	if own.Host != f.copyIn(f.entries[0], "a") {
+		own, other = other, own
+	}
+	f.down(other.Host)
+	f.heal()
+	f.advance(2 * settledAfter)
+	f.addBefore(own)
+	f.advance(copiedAgainAfter)
+	for range 4 {
+		f.reserve(f.entries[1], turnTokens, turnBudget)
+	}
+	if f.granted < 4*turnTokens {
+		t.Errorf("%d of %d are granted", f.granted, turnBudget)
+	}
+}
+
+// Guards against half of a budget that is granted again by an entry that has just started, while the copy that granted it
+// is just back and was replaced by an added one.
+func TestBudgetOfANewEntryBesideAReplacedCopyThatIsBack(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	own, e := f.copies[0], f.entries[1]
+	f.cut(own.Zone)
+	f.advance(2 * unreachableAfter)
+	for range 2 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	f.addBefore(own)
+	f.down(own.Host)
+	f.advance(3 * time.Second)
+	f.heal()
+	f.advance(2*newFor + settledAfter)
+	f.up()
+	e.client = &Client{Options: e.client.Options}
+	f.advance(500 * time.Millisecond)
+	for range 4 {
+		f.reserve(e, turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
+// Guards against half of a budget that is granted again after the entry of the silent host that granted it was removed
+// from the store.
+func TestBudgetAfterASilentCopyIsRemoved(t *testing.T) {
+	for hosts := 1; hosts <= 2; hosts++ {
+		f := newBudgetFixture(3, hosts, 3)
+		a := f.entries[0]
+		f.cut(a.zone)
+		f.advance(2 * time.Second)
+		for range 2 {
+			f.reserve(a, turnTokens, turnBudget)
+		}
+		own := f.copyIn(a, a.zone)
+		f.down(own)
+		f.heal()
+		f.advance(22 * time.Second)
+		f.copies = slices.DeleteFunc(f.copies, func(c Copy) bool { return c.Host == own })
+		f.advance(time.Second)
+		for range 4 {
+			f.reserve(f.entries[1], turnTokens, turnBudget)
+		}
+		f.check(t)
+	}
+}
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -3,37 +3,115 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"jasmineknot.example/core/jkforward"
 )
 
-// recentCopies remembers the copies that are new.
+// returnPeriod is how long the others may take to copy the records of a copy that is back. It includes the time
+// between two calls of Observe.
+const returnPeriod = 5 * time.Second
+
+// recentCopies remembers the copies that are new, since when others are in use, and which were silent.
 type recentCopies struct {
-	mu    sync.Mutex
-	hosts map[string]bool
+	mu sync.Mutex
+	// newSince is when a copy that is new was first seen.
+	newSince map[string]time.Time
+	// usedBy is when all hosts use a copy that isn't new. Others may have seen it later than this one.
+	usedBy map[string]time.Time
+	// silences holds the last silence of each copy.
+	silences map[string]silence
+}
+
+// silence is the time in which a copy is known to have been unreachable, from its last answer on.
+type silence struct{ from, to time.Time }
+
+// observe records which copies are silent.
+func (r *recentCopies) observe(now time.Time, copies []Copy, unreachableFor func(host string) time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silences == nil {
+		r.silences = map[string]silence{}
+	}
+	for host, s := range r.silences {
+		if now.Sub(s.to) > returnPeriod {
+			delete(r.silences, host)
+		}
+	}
+	for _, known := range copies {
+		d := unreachableFor(known.Host)
+		if d == 0 {
+			continue
+		}
+		s, again := r.silences[known.Host]
+		if !again {
+			// In a silence soon after another one the others still lack what the copy had before.
+			s.from = now.Add(-d)
+		}
+		s.to = now
+		r.silences[known.Host] = s
+	}
+}
+
+// lastAnswer returns when a copy last answered whose records the others may lack, since it is silent or just
+// back.
+func (r *recentCopies) lastAnswer(now time.Time, host string) (at time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.silences[host]
+	return s.from, known && now.Sub(s.to) <= returnPeriod
 }
 
 // update sets New on the copies that were new before, until the zones are settled.
-func (r *recentCopies) update(copies []Copy, settled bool) {
+func (r *recentCopies) update(now time.Time, copies []Copy, settled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.hosts == nil {
-		r.hosts = map[string]bool{}
+	if r.newSince == nil {
+		r.newSince, r.usedBy = map[string]time.Time{}, map[string]time.Time{}
 	}
 	for i, known := range copies {
+		since, isRecent := r.newSince[known.Host]
+		_, isUsed := r.usedBy[known.Host]
 		switch {
+		case known.New && !isRecent:
+			r.newSince[known.Host] = now
+			delete(r.usedBy, known.Host)
 		case known.New:
-			r.hosts[known.Host] = true
-		case r.hosts[known.Host] && !settled:
+		case isRecent && !settled:
 			copies[i].New = true
-		case r.hosts[known.Host]:
-			delete(r.hosts, known.Host)
+		case isRecent:
+			delete(r.newSince, known.Host)
+			r.usedBy[known.Host] = now.Add(now.Sub(since))
+		case !isUsed:
+			// It was there before this host.
+			r.usedBy[known.Host] = time.Time{}
 		}
 	}
+	if len(r.newSince)+len(r.usedBy) > len(copies) {
+		r.retain(copies)
+	}
+}
+
+// retain drops the copies that aren't known any more. The caller holds the lock.
+func (r *recentCopies) retain(copies []Copy) {
+	for _, times := range []map[string]time.Time{r.newSince, r.usedBy} {
+		maps.DeleteFunc(times, func(host string, _ time.Time) bool {
+			return !slices.ContainsFunc(copies, func(known Copy) bool { return known.Host == host })
+		})
+	}
+}
+
+// isUsedBy reports whether all hosts use a copy since a time or earlier.
+func (r *recentCopies) isUsedBy(at time.Time, host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usedBy, ok := r.usedBy[host]
+	return ok && !usedBy.After(at)
 }
 
 // knownCopies returns the known copies. One that is new stays so until all zones have been
@@ -42,7 +120,9 @@
 func (c *Client) knownCopies() []Copy {
 	copies := c.Copies()
 	settled := !slices.ContainsFunc(copies, func(known Copy) bool { return !c.ZoneSettled(known.Zone) })
-	c.recent.update(copies, settled)
+	now := c.Timer.Now()
+	c.recent.update(now, copies, settled)
+	c.recent.observe(now, copies, c.UnreachableFor)
 	return copies
 }
 
@@ -187,11 +267,13 @@
 	}
 }
 
-// isReplaced reports whether one of the chosen copies has the place of another copy of its
-// zone, which ranks before it.
+// isReplaced reports whether one of the chosen copies has the place of another copy of its zone that is
+// silent or just back: one that ranks before it, or that may have been used before the chosen one was there.
 func (c *Client) isReplaced(program string, other Copy, chosen []Copy) bool {
-	return !other.New && slices.ContainsFunc(chosen, func(target Copy) bool {
-		return target.Zone == other.Zone && target.Host != other.Host && ranksBefore(program, other, target)
+	lastAnswer, ok := c.recent.lastAnswer(c.Timer.Now(), other.Host)
+	return ok && !other.New && !slices.Contains(chosen, other) && slices.ContainsFunc(chosen, func(target Copy) bool {
+		return target.Zone == other.Zone &&
+			(ranksBefore(program, other, target) || !c.recent.isUsedBy(lastAnswer, target.Host))
 	})
 }
 
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -51,7 +51,8 @@
 	// UnreachableFor returns the time since the last answer of an unreachable host, and zero
 	// for a reachable one.
 	UnreachableFor func(host string) time.Duration
-	// ZoneReachable reports whether any host of a zone answers, and ZoneSettled whether
+	// ZoneReachable reports whether any host of a zone answers, or did so until just now, so
+	// that other hosts may not have noticed that it is cut off. ZoneSettled reports whether
 	// one has answered for some seconds.
 	ZoneReachable func(zone string) bool
 	ZoneSettled   func(zone string) bool
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -79,11 +79,27 @@
 // isExclusive reports whether no other part of the fleet can admit turns of a program by
 // itself, or has done so without the given copies. Copies that didn't answer are harmless if
 // they are down, and lost copies in whose place one of the given was chosen if the others have
-// what they admitted.
-func (c *Client) isExclusive(program string, copies []Copy, reports *lossReports) bool {
+// what they admitted. The successors have no vote, but may admit turns elsewhere.
+func (c *Client) isExclusive(program string, copies, successors []Copy, reports *lossReports) bool {
 	mayAdmit := func(target Copy) bool { return !reports.answered[target.Host] && !c.isDown(target, reports) }
-	return !slices.ContainsFunc(copies, mayAdmit) && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
-		return !c.Reachable(other.Host) && !c.isLossHarmless(other.Host, reports) && c.isReplaced(program, other, copies)
+	return !slices.ContainsFunc(slices.Concat(copies, successors), mayAdmit) && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
+		return !c.isLossHarmless(other.Host, reports) && c.isReplaced(program, other, copies)
+	})
+}
+
+// isParted reports whether the copies that answered may admit turns without a majority. Only one other
+// part of the fleet may do so too, so that the zones of the others have to be cut off, which these
+// notice as well. One that is down beside that may have admitted turns while it was cut off itself,
+// unless its loss is harmless.
+func (c *Client) isParted(copies []Copy, reports *lossReports) bool {
+	missing := slices.DeleteFunc(slices.Clone(copies), func(target Copy) bool { return reports.answered[target.Host] })
+	isCut := func(target Copy) bool { return !c.ZoneReachable(target.Zone) }
+	// A zone is found unreachable a little later than its first host.
+	cut := slices.ContainsFunc(missing, func(target Copy) bool {
+		return isCut(target) || c.UnreachableFor(target.Host) < c.LossConfirmedAfter
+	})
+	return !slices.ContainsFunc(missing, func(target Copy) bool {
+		return c.Reachable(target.Host) || cut && !isCut(target) && !c.isLossHarmless(target.Host, reports)
 	})
 }
 
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -238,13 +238,22 @@
 	clear(f.lost)
 	clear(f.cut)
 	f.client.Reachable = func(string) bool { return false }
+	var alone atomic.Bool
+	relays := f.client.RelayAddrs
+	f.client.RelayAddrs = func() []string {
+		if alone.Load() {
+			return nil
+		}
+		return relays()
+	}
 	if err := f.client.CanKeep(t.Context(), "p"); err != nil {
 		t.Error(err)
 	}
 	if err := f.keepWithin(t, "p", 5*time.Second); err != nil {
 		t.Errorf("accepted, but not kept: %v", err)
 	}
-	f.client.RelayAddrs = func() []string { return nil }
+	// Calls that nobody waits for may still use the relays.
+	alone.Store(true)
 	var noQuorum *jkforward.NoQuorumError
 	if err := f.client.CanKeep(t.Context(), "p"); !errors.As(err, &noQuorum) {
 		t.Errorf("error without relays is %v, want a *NoQuorumError", err)
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -21,6 +21,8 @@
 	// exclusive is set if no other part of the fleet can admit turns of the program by
 	// itself: each copy has answered, or is down in a reachable zone.
 	exclusive bool
+	// parted is set if the copies that answered may admit turns without a majority, by Client.isParted.
+	parted bool
 }
 
 // add counts the answer of a copy. The argument standsIn has the meaning of
@@ -50,6 +52,14 @@
 // they use, so that half is enough for nearly all of them.
 func partitionShare(r jkforward.Reservation) int64 { return (r.Budget + r.Tokens) / 2 }
 
+// coversAlone reports whether the answers cover the turn where they may admit it without a majority.
+// An answer of a stand-in doesn't suffice: the copy that it replaces may be in use on the other side
+// of a partition, or have been used on this side. Nor does that of a copy that is behind: while it was
+// down, the others may have granted the whole budget.
+func (q *quorum) coversAlone(r jkforward.Reservation) bool {
+	return q.regularAnswers > 0 && q.spendings.total() <= min(partitionShare(r), r.Budget)
+}
+
 // isEnough reports whether the answers so far admit the turn without waiting for the other
 // copies.
 func (q *quorum) isEnough(r jkforward.Reservation) bool {
@@ -68,11 +78,9 @@
 		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
 	case q.hasMajority() && q.exclusive:
 		return nil
-	case total <= partitionShare(r) && (q.hasMajority() || q.regularAnswers > 0):
-		// Without a majority, an answer of a stand-in doesn't suffice: the copy that it
-		// replaces may be in use on the other side of a partition, or have been used on
-		// this side. Nor does that of a copy that is behind: while it was down, the others
-		// may have granted the whole budget.
+	case q.hasMajority() && total <= partitionShare(r):
+		return nil
+	case q.parted && q.coversAlone(r):
 		return nil
 	}
 	return noQuorum
@@ -114,3 +122,14 @@
 	}
 	return sum
 }
+
+// settled returns the number of tokens of the spendings that are no reservations.
+func (s spendings) settled() int64 {
+	sum := int64(0)
+	for _, one := range s {
+		if one.Settled {
+			sum += one.Tokens
+		}
+	}
+	return sum
+}
--- a/core/jkaccount/quorum_test.go
+++ b/core/jkaccount/quorum_test.go
@@ -21,7 +21,7 @@
 		d.ScanArgs(t, "copies", &copies)
 		d.ScanArgs(t, "budget", &budget)
 		d.ScanArgs(t, "tokens", &tokens)
-		q := &quorum{spendings: spendings{}, copies: copies, exclusive: d.HasArg("whole")}
+		q := &quorum{spendings: spendings{}, copies: copies, exclusive: d.HasArg("whole"), parted: d.HasArg("parted")}
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			if line != "" {
 				line, unproven := strings.CutPrefix(line, "unproven ")
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -119,7 +119,7 @@
 	defer o.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
 	for waited := time.Duration(0); !o.isEnough(); {
 		if o.pending == 0 || waited >= callTimeout {
-			if err := o.decide(); !isNoQuorum(err) || !o.mayGetAnswer() {
+			if err := o.decide(); !isNoQuorum(err) || !o.mayGetAnswer() && !o.mayBeSettled() {
 				return err
 			}
 		}
@@ -193,17 +193,33 @@
 
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
-	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, slices.Concat(o.copies, o.successors), o.reports)
+	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.successors, o.reports)
+	o.quorum.parted = o.client.isParted(o.copies, o.reports)
 	err := o.quorum.decide(o.reservation)
 	var noQuorum *jkforward.NoQuorumError
 	if errors.As(err, &noQuorum) && o.quorum.hasMajority() {
 		noQuorum.RetryAfter = o.client.untilLossesConfirmed()
 	}
+	var spent *jkforward.BudgetSpentError
+	if errors.As(err, &spent) && o.mayBeSettled() {
+		return &jkforward.NoQuorumError{Operation: "reserve", Answers: o.quorum.votes(), Needed: majority(o.quorum.copies)}
+	}
 	return err
 }
 
+// mayBeSettled reports whether the budget is spent by reservations alone that a copy which may still
+// answer could know to be settled, as are those of tries that were refused.
+func (o *reserveOperation) mayBeSettled() bool {
+	r, all := o.reservation, o.quorum.spendings
+	return all.total() > r.Budget && all.settled()+r.Tokens <= r.Budget &&
+		slices.ContainsFunc(slices.Concat(o.copies, o.successors), func(target Copy) bool {
+			return !o.reports.answered[target.Host] && o.pending > 0 && o.client.mayAnswer(target)
+		})
+}
+
 // mayGetAnswer reports whether the copies that are in reach and haven't answered could still admit
-// the reservation.
+// the reservation. Without a majority, those that have answered admit it once the others' zones are
+// found to be cut off.
 func (o *reserveOperation) mayGetAnswer() bool {
 	asked := o.copies
 	if o.quorum.hasMajority() {
@@ -222,7 +238,9 @@
 	if o.quorum.hasMajority() {
 		return mayAnswer > 0 && silent == 0
 	}
-	return mayAnswer > 0 && o.quorum.votes()+mayAnswer >= majority(o.quorum.copies)
+	mayBeFoundCut := func(target Copy) bool { return !o.reports.answered[target.Host] && o.client.mayTake(target) }
+	return mayAnswer > 0 && o.quorum.votes()+mayAnswer >= majority(o.quorum.copies) ||
+		o.quorum.coversAlone(o.reservation) && slices.ContainsFunc(o.copies, mayBeFoundCut)
 }
 
 // Settle replaces a reservation by the tokens that were used, on all copies of the program.
--- a/core/jkaccount/stall_test.go
+++ b/core/jkaccount/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,3 +187,83 @@
 		t.Errorf("error is %v, want a *NoQuorumError that may succeed after 1.1 s", err)
 	}
 }
+
+// Guards against turns of a zone that is being cut off that are refused, or admitted before the other
+// zones have noticed it: two more parts of the fleet may then hand out half of the budget each.
+func TestTurnIsAdmittedOnceTheCutOfItsZoneIsNoticed(t *testing.T) {
+	f := newManualFixture(t)
+	defer f.stall("b", "c")()
+	f.client.LossConfirmedAfter = confirmedAfter
+	var cut, excluded atomic.Bool
+	isOther := func(zone string) bool { return zone != "a" }
+	f.client.Reachable = func(host string) bool { return !cut.Load() || !isOther(host) }
+	f.client.ZoneSettled = func(zone string) bool { return !cut.Load() || !isOther(zone) }
+	f.client.ZoneReachable = func(zone string) bool { return !excluded.Load() || !isOther(zone) }
+	result := make(chan error, 1)
+	go func() { result <- f.client.Reserve(t.Context(), reservation("1")) }()
+	f.awaitStalled(t, 2*callTimeout, result)
+	cut.Store(true)
+	f.awaitStalled(t, 2*timeoutStep, result)
+	excluded.Store(true)
+	for {
+		select {
+		case err := <-result:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		case <-time.After(timeoutStep):
+			f.clock.Advance(timeoutStep)
+		}
+	}
+}
+
+// Guards against programs that are told that their budget is spent by reservations of refused tries, on
+// the word of one copy that lacks their settlement.
+func TestBudgetIsNotSpentByReservationsThatMayBeSettled(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// onCopy is what the copy that answers has of an earlier try.
+		onCopy  jkledger.Spending
+		answers bool
+		want    any
+	}{
+		{name: "settled elsewhere", onCopy: jkledger.Spending{Tokens: 100}, answers: true},
+		{name: "not known", onCopy: jkledger.Spending{Tokens: 100}, want: new(*jkforward.NoQuorumError)},
+		{name: "spent", onCopy: jkledger.Spending{Tokens: 100, Settled: true}, want: new(*jkforward.BudgetSpentError)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newManualFixture(t)
+			for _, target := range f.copies {
+				s := jkledger.Spending{Settled: true}
+				if target.Host == "a" {
+					s = c.onCopy
+				}
+				s.Program, s.Request, s.Retention = "p", "1", time.Minute
+				message := &jkledger.WriteRequest{Records: []jkledger.Record{{Spending: &s}}}
+				if err := f.client.Pool.Call(t.Context(), target.Addr, jkledger.TypeWrite, message, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			end := sync.OnceFunc(f.stall("b", "c"))
+			defer end()
+			result := make(chan error, 1)
+			go func() { result <- f.client.Reserve(t.Context(), reservation("2")) }()
+			if c.answers {
+				f.awaitStalled(t, stallTime, result)
+				end()
+			}
+			for {
+				select {
+				case err := <-result:
+					if c.want == nil && err != nil || c.want != nil && !errors.As(err, c.want) {
+						t.Errorf("error is %v", err)
+					}
+					return
+				case <-time.After(timeoutStep):
+					f.clock.Advance(timeoutStep)
+				}
+			}
+		})
+	}
+}
--- a/core/jkprobe/loss.go
+++ b/core/jkprobe/loss.go
@@ -4,8 +4,8 @@
 
 // LossConfirmed reports whether an unreachable host fell silent alone: the zones of the host and
 // of this one were in reach of each other without a break from settleTime before the host's last
-// answer until LossConfirmedAfter after it. For a host of the own zone, that goes for all other
-// zones. A host that is silent for a shorter time may be the first one of a partition.
+// answer until LossConfirmedAfter after it, and the host itself until its last answer. For a host of the
+// own zone, that goes for all other zones. A host that is silent for a shorter time may be the first one of a partition.
 func (p *Prober) LossConfirmed(host string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,9 +45,13 @@
 }
 
 // isSilentAlone reports whether the zones of a silent host and of this one have been in reach of
-// each other since settleTime before the host's last answer. The caller holds the lock.
+// each other since settleTime before the host's last answer, and the host was. One that was back for a shorter
+// time may have records of a cut that nobody has copied. The caller holds the lock.
 func (p *Prober) isSilentAlone(row *peerRow) bool {
 	last := later(row.lastAnswer, row.addedAt)
+	if len(p.zones) > 0 && last.Sub(row.backAt) < settleTime {
+		return false
+	}
 	for zone, reachable := range p.zones {
 		if row.peer.Zone != p.Zone && row.peer.Zone != zone {
 			continue
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -118,6 +118,8 @@
 	unansweredSince time.Time
 	// silentSince is when an unreachable host last answered, or was added.
 	silentSince time.Time
+	// backAt is when a host that was unreachable last was reachable again.
+	backAt time.Time
 }
 
 // Datagram types, sent as the first byte.
@@ -350,6 +352,7 @@
 			row.silentSince = last
 			p.unreachableHosts++
 		} else {
+			row.backAt = now
 			p.unreachableHosts--
 		}
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -184,6 +184,48 @@
 	pass(0, "but b1 was back since", "a2", "c1")
 }
 
+// Guards against the loss of a host that counts as confirmed although it was back for too short a time for the others to
+// copy what it has, and against one that isn't confirmed where no zone can be cut off.
+func TestLossSoonAfterAReturnIsNotConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		zone string
+		up   time.Duration
+		want bool
+	}{{"b", settleTime - time.Second, false}, {"b", settleTime + time.Second, true}, {"a", settleTime - time.Second, true}} {
+		timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+		p, err := Listen(Options{
+			Timer: timer, Log: jklog.Discard(), Host: "e", Zone: "a", Addr: "127.0.0.1:0", SendProbes: true,
+			OnZoneChange: func(string, bool) {}, OnHostChange: func(Peer, bool, time.Duration) {},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.SetPeer(Peer{Host: "b1", Zone: c.zone, Addr: "127.0.0.1:9", AlwaysProbed: true})
+		p.SetPeer(Peer{Host: "b2", Zone: c.zone, Addr: "127.0.0.1:9", AlwaysProbed: true})
+		// pass lets time pass in which b2 answers, and b1 may.
+		pass := func(d time.Duration, answers bool) {
+			for range d / probeInterval {
+				clock.Advance(probeInterval)
+				p.mu.Lock()
+				for host, row := range p.peers {
+					if answers || host == "b2" {
+						row.lastAnswer, row.unansweredSince = timer.Now(), time.Time{}
+					}
+				}
+				p.mu.Unlock()
+			}
+		}
+		pass(2*settleTime, true)
+		pass(LossConfirmedAfter, false)
+		pass(c.up, true)
+		pass(2*LossConfirmedAfter, false)
+		if got := p.LossConfirmed("b1"); got != c.want {
+			t.Errorf("zone %s, back for %s: the loss is confirmed: %t, want %t", c.zone, c.up, got, c.want)
+		}
+		p.Close()
+	}
+}
+
 // Guards against a host that has never answered and counts as one that others contradict: a host
 // that started after another one fell silent can't tell what happened to it.
 func TestHostThatNeverAnswered(t *testing.T) {
