--- a/core/jkdispatch/job.go
+++ b/core/jkdispatch/job.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"jasmineknot.example/core/jkchat"
@@ -243,9 +244,8 @@
 	defer cancel()
 	for range maxProbes {
 		_, err := j.dispatcher.options.Client.State(ctx, addr)
-		var notSent *jkendpoint.NotSentError
 		var uncertain *jkendpoint.UncertainError
-		if errors.As(err, &notSent) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true
 		}
 		if !errors.As(err, &uncertain) || ctx.Err() != nil {
--- a/core/jkendpoint/client_test.go
+++ b/core/jkendpoint/client_test.go
@@ -121,7 +121,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = closed.Close()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch r.URL.Path {
@@ -136,6 +135,8 @@
 	}))
 	defer server.Close()
 	live := server.Listener.Addr().String()
+	// Not earlier: the server could be given the port.
+	_ = closed.Close()
 	expired, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, test := range []struct {
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -262,6 +262,15 @@
 	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}, nil
 }
 
+// Peek returns the endpoint that Place would choose, if there is one.
+func (d *DirectPlacer) Peek(now time.Time, c Call, exclude []string) (Endpoint, bool) {
+	best, _, err := d.choose(now, c, exclude)
+	if err != nil {
+		return Endpoint{}, false
+	}
+	return best.endpoint, true
+}
+
 // ChooseVersion returns the software version of the endpoint that Place would choose. The error is
 // a *RefusedError.
 func (d *DirectPlacer) ChooseVersion(now time.Time, c Call) (string, error) {
--- a/core/jkupstream/conn.go
+++ b/core/jkupstream/conn.go
@@ -6,8 +6,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // conn is one connection to an endpoint. It carries one request at a time.
@@ -17,17 +15,24 @@
 	nc      net.Conn
 	bounded *boundedReader
 	reader  *bufio.Reader
+	// relayed is set on a connection through another host.
+	relayed  bool
+	openedAt time.Time
 	// idleTimeout is how long the connection may be idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// startAsked is set once the endpoint was asked for its start, and hasStart if it reported one, at
+	// born.
+	startAsked, hasStart bool
+	born                 int64
 
 	mu     sync.Mutex
 	closed bool
 }
 
-func newConn(p *Pool, addr string, nc net.Conn) *conn {
+func newConn(p *Pool, addr string, nc net.Conn, relayed bool) *conn {
 	bounded := &boundedReader{conn: nc, addr: addr}
-	return &conn{pool: p, addr: addr, nc: nc, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4<<10), idleTimeout: p.opt.IdleTimeout}
+	return &conn{pool: p, addr: addr, nc: nc, relayed: relayed, openedAt: p.timer.Now(), bounded: bounded, reader: bufio.NewReaderSize(bounded, 4<<10), idleTimeout: p.opt.IdleTimeout}
 }
 
 // close closes the connection and reports whether it was open.
@@ -48,11 +53,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tc, ok := c.nc.(*net.TCPConn)
+	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tc.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -65,25 +70,3 @@
 	})
 	return err == nil && idle
 }
-
-// userTimeout is how long sent bytes may stay unacknowledged before the
-// connection fails: several round trips between zones, and short enough to try
-// another endpoint within a caller's deadline.
-const userTimeout = 900 * time.Millisecond
-
-// setUserTimeout sets TCP_USER_TIMEOUT.
-func setUserTimeout(nc net.Conn) {
-	tc, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tc.SyscallConn()
-	if err != nil {
-		return
-	}
-	// An operating system without the option keeps its default, which only delays the
-	// detection of an unresponsive endpoint.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-}
--- a/core/jkupstream/errors.go
+++ b/core/jkupstream/errors.go
@@ -10,6 +10,10 @@
 	ReasonUnreachable     Reason = "unreachable"
 	ReasonConnectionLimit Reason = "connection_limit"
 	ReasonCancelled       Reason = "cancelled"
+	// The endpoint was started again.
+	ReasonOtherStart Reason = "other_start"
+	// The endpoint didn't tell which start it is.
+	ReasonUnknownStart Reason = "unknown_start"
 )
 
 // NotSentError is returned for a request of which no byte was sent.
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -22,6 +22,8 @@
 	// Repeatable requests may use any idle connection; others need a recently used
 	// or new one.
 	Repeatable bool
+	// Start is the start of the endpoint that may get the request; nil means any.
+	Start *Start
 	// MaxBody bounds the body of the response in bytes; zero means DefaultMaxBody.
 	MaxBody int64
 	// Accept reports whether a response's header belongs to this request.
@@ -35,6 +37,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it isn't known.
 	Length int64
+	// OnRead is called for each part of the body that arrives; nil if nobody is told.
+	OnRead func()
 
 	conn *conn
 	body io.ReadCloser
@@ -73,7 +77,7 @@
 	if r.MaxBody <= 0 {
 		r.MaxBody = DefaultMaxBody
 	}
-	c, err := p.acquire(ctx, r.Addr, r.Repeatable)
+	c, err := p.acquireFor(ctx, &r)
 	if err != nil {
 		return nil, err
 	}
@@ -93,6 +97,11 @@
 	framed := resp.ContentLength >= 0 || isChunked(resp)
 	out.reusable = framed && !resp.Close && otherAnswers == 0
 	c.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"), p.opt.IdleTimeout)
+	if c.relayed {
+		c.idleTimeout = min(c.idleTimeout, maxRelayedAge)
+	} else {
+		p.opt.OnAnswer()
+	}
 	return out, nil
 }
 
@@ -200,6 +209,9 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	r.read += int64(n)
+	if n > 0 && r.OnRead != nil {
+		r.OnRead()
+	}
 	if n > 0 && max(r.read, r.Length) > r.limit {
 		return 0, r.TooLong(PartBody, r.limit)
 	}
--- a/core/jkupstream/pool.go
+++ b/core/jkupstream/pool.go
@@ -27,6 +27,11 @@
 	MaxIdleNonRepeatable time.Duration
 	// MaxPerAddress bounds the open connections to one endpoint.
 	MaxPerAddress int
+	// Dial opens a connection to an endpoint and reports whether it leads through another host; nil
+	// means a TCP connection of this host's own.
+	Dial func(ctx context.Context, addr string) (conn net.Conn, relayed bool, err error)
+	// OnAnswer is called for each response on a connection of this host's own; nil if nobody is told.
+	OnAnswer func()
 }
 
 // DefaultOptions suit endpoints within a region.
@@ -41,11 +46,14 @@
 	}
 }
 
+// maxRelayedAge is the age up to which a connection through another host carries further requests, so
+// that this host returns to its own ones, and the other one can stop.
+const maxRelayedAge = 1500 * time.Millisecond
+
 // Pool holds idle connections to endpoints and counts the open ones.
 type Pool struct {
 	opt   Options
 	timer *jktimer.Service
-	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	// opened is called for each new connection.
 	opened func()
 	// largeBodies is a semaphore of the large bodies that are being read.
@@ -60,18 +68,26 @@
 
 // NewPool returns an empty pool. It calls opened for each new connection.
 func NewPool(opt Options, timer *jktimer.Service, opened func()) *Pool {
-	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	if opt.Dial == nil {
+		opt.Dial = dialTCP
+	}
+	if opt.OnAnswer == nil {
+		opt.OnAnswer = func() {}
+	}
 	p := &Pool{
 		opt: opt, timer: timer, opened: opened,
-		dial: func(ctx context.Context, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", addr)
-		},
 		largeBodies: make(chan struct{}, maxLargeBodies), idle: map[string][]*conn{}, openCount: map[string]int{},
 	}
 	timer.Every(time.Second, p.closeExpired)
 	return p
 }
 
+func dialTCP(ctx context.Context, addr string) (net.Conn, bool, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	return conn, false, err
+}
+
 // BodyBytes returns the size of the buffers of the bodies that are being read.
 func (p *Pool) BodyBytes() int64 { return p.bodies.now.Load() }
 
@@ -117,7 +133,7 @@
 	p.mu.Unlock()
 	dialCtx, cancel := context.WithTimeout(ctx, p.opt.DialTimeout)
 	defer cancel()
-	nc, err := p.dial(dialCtx, addr)
+	nc, relayed, err := p.opt.Dial(dialCtx, addr)
 	if err != nil {
 		p.releaseSlot(addr)
 		reason := ReasonUnreachable
@@ -127,8 +143,7 @@
 		return nil, &NotSentError{Addr: addr, Reason: reason, Cause: err}
 	}
 	p.opened()
-	setUserTimeout(nc)
-	return newConn(p, addr, nc), nil
+	return newConn(p, addr, nc, relayed), nil
 }
 
 func (p *Pool) releaseSlot(addr string) {
@@ -148,6 +163,10 @@
 
 func (p *Pool) putIdle(c *conn) {
 	c.idleSince = p.timer.Now()
+	if c.relayed && c.idleSince.Sub(c.openedAt) > maxRelayedAge {
+		p.discard(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.addr] = append(p.idle[c.addr], c)
@@ -179,7 +198,7 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an address whose endpoint was removed.
+// CloseIdle closes the idle connections to an address whose endpoint was removed, or may have lost them.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
 	list := p.idle[addr]
@@ -190,6 +209,40 @@
 	}
 }
 
+// HasIdle reports whether any connection is idle.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		if len(list) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// CloseIdleDirect closes all idle connections of this host's own, because it is cut off from the
+// endpoints.
+func (p *Pool) CloseIdleDirect() {
+	var closed []*conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			if c.relayed {
+				kept = append(kept, c)
+				continue
+			}
+			closed = append(closed, c)
+		}
+		p.idle[addr] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range closed {
+		p.discard(c)
+	}
+}
+
 // keepAliveMargin is subtracted from an endpoint's Keep-Alive timeout, so that a
 // request isn't sent while the endpoint closes the connection.
 const keepAliveMargin = 700 * time.Millisecond
--- a/core/jkwire/frame.go
+++ b/core/jkwire/frame.go
@@ -34,6 +34,8 @@
 	// that are open and runs no new ones. It belongs to no stream, so that clients which
 	// don't know it ignore it.
 	KindGoAway Kind = "go_away"
+	// KindTunnel opens a stream that takes over its connection. Servers without tunnels close it.
+	KindTunnel Kind = "tunnel"
 )
 
 // codeShuttingDown is the code of the RemoteError for a stream that arrives after the
--- a/core/jkwire/server.go
+++ b/core/jkwire/server.go
@@ -35,6 +35,7 @@
 	listener  net.Listener
 	self      Hello
 	handle    func(ctx context.Context, s *ServerStream)
+	tunnel    func(ctx context.Context, s *ServerStream, conn net.Conn)
 	isControl func(messageType string) bool
 	counters  *Counters
 	faults    *Faults
@@ -52,6 +53,9 @@
 	Self Hello
 	// Handle runs on its own goroutine for each stream.
 	Handle func(ctx context.Context, s *ServerStream)
+	// Tunnel runs for each connection that a client has opened with DialTunnel. It answers the
+	// stream, and after End it may use the connection until it returns. If nil, there are no tunnels.
+	Tunnel func(ctx context.Context, s *ServerStream, conn net.Conn)
 	// IsControl reports whether a message type counts as control traffic.
 	IsControl func(messageType string) bool
 	Counters  *Counters
@@ -64,6 +68,7 @@
 		listener:  l,
 		self:      o.Self,
 		handle:    o.Handle,
+		tunnel:    o.Tunnel,
 		isControl: o.IsControl,
 		counters:  o.Counters,
 		faults:    o.Faults,
@@ -82,6 +87,7 @@
 	_ = s.listener.Close()
 	for c := range s.conns {
 		_ = c.link.conn.Close()
+		c.end()
 	}
 	s.mu.Unlock()
 	s.done.Wait()
@@ -127,6 +133,7 @@
 			return
 		}
 		c := &serverConn{server: s, link: newLink(conn, s.counters, s.faults), streams: map[uint64]context.CancelFunc{}}
+		c.running, c.end = context.WithCancel(context.Background())
 		s.mu.Lock()
 		if s.closed || s.stopping {
 			s.mu.Unlock()
@@ -151,6 +158,9 @@
 	server *Server
 	link   *link
 	peer   Hello
+	// running ends with the connection or the server.
+	running context.Context
+	end     context.CancelFunc
 
 	mu       sync.Mutex
 	streams  map[uint64]context.CancelFunc
@@ -161,15 +171,14 @@
 	defer c.server.done.Done()
 	defer c.server.removeConn(c)
 	defer c.handlers.Wait()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	defer c.end()
 	defer c.link.conn.Close()
 	for {
 		f, err := c.link.read()
 		if err != nil {
 			return
 		}
-		if !c.handleFrame(ctx, f) {
+		if !c.handleFrame(c.running, f) {
 			return
 		}
 	}
@@ -181,6 +190,9 @@
 	case f.Kind == KindCancel:
 		c.cancelStream(f.Stream)
 		return true
+	case f.Kind == KindTunnel:
+		c.serveTunnel(ctx, f)
+		return false
 	case f.Kind != KindOpen && f.Kind != KindNotify:
 		return false
 	case f.Type == typeHello:
