--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -97,10 +97,10 @@
 	})
 	// One watch over all keys costs a third of the store calls of one watch for each kind.
 	e.follower = jkfollow.New(jkfollow.Options{
-		Timer: timer, Log: log.Part("follow"), Source: e.watchRelay.ThroughPeers(),
-		Apply: e.apply, OnReachable: func(bool) {},
+		Timer: timer, Log: log.Part("follow"), Source: e.watchRelay.ThroughPeers(), Store: p.Source,
+		Apply: e.apply, OnReachable: func(bool) {}, OnGap: e.fleet.ForgetVersions,
 	})
-	e.fleet.SetRegistryReachable(e.follower.StoreReachable)
+	e.fleet.SetRegistryConfirmation(e.follower.Confirm)
 	e.registry = newRegistry(registryOptions{
 		timer: timer, log: log.Part("hosts"), own: HostEntry{Host: s.Host, Zone: s.Zone, Addr: s.Inner},
 		put: p.PutHost, swap: p.SwapHost, observes: true, storeReachable: e.follower.StoreReachable,
@@ -109,14 +109,14 @@
 	return e, e.listen()
 }
 
-// membersSettled reports whether all hosts are likely to be known: the store was reachable
-// at least newHostPeriod after the start, by when the hosts that started together with
-// this one have written their entries.
+// membersSettled reports whether all hosts are likely to be known: this host knows the store as of
+// newHostPeriod after the start, by when the hosts that started together with this one have written
+// their entries.
 func (e *Entry) membersSettled() bool {
 	if e.settled.Load() {
 		return true
 	}
-	if !e.follower.StoreReachable() || e.timer.Now().Sub(e.members.started) < newHostPeriod {
+	if !e.follower.StoreReachable() || e.follower.KnownAt().Sub(e.members.started) < newHostPeriod {
 		return false
 	}
 	e.settled.Store(true)
--- a/core/jkfollow/follower.go
+++ b/core/jkfollow/follower.go
@@ -68,11 +68,16 @@
 	Timer  *jktimer.Service
 	Log    jklog.Logger
 	Source Source
+	// Store reads the store itself, for confirmations.
+	Store  Source
 	Prefix string
 	// Apply is called for each change; calls don't overlap.
 	Apply func(Item)
 	// OnReachable is called when the store becomes reachable or unreachable.
 	OnReachable func(reachable bool)
+	// OnGap is called when keys were listed again, before Confirm relies on the list: it doesn't show
+	// what came and went since the last change. Nil if nobody needs that.
+	OnGap func()
 }
 
 // watchWait is how long one watch waits for changes. It is also the interval at which
@@ -113,16 +118,33 @@
 	// calledAt.
 	cancelCall func()
 	calledAt   time.Time
+	// applied is the revision up to which all changes have been applied, and appliedChanged is closed
+	// and replaced when it grows. knownAt is when the call began that last brought changes or none.
+	applied        int64
+	appliedChanged chan struct{}
+	knownAt        time.Time
+	// nextConfirmation is the one whose call hasn't begun; nil if nobody waits. confirming is set while
+	// confirmAll runs.
+	nextConfirmation *confirmation
+	confirming       bool
 }
 
 // New returns a Follower, which Run starts.
 func New(o Options) *Follower {
-	return &Follower{Options: o, revisions: map[string]int64{}}
+	return &Follower{Options: o, revisions: map[string]int64{}, appliedChanged: make(chan struct{})}
 }
 
 // StoreReachable reports whether the last call to the source succeeded.
 func (f *Follower) StoreReachable() bool { return f.reachable.Load() }
 
+// KnownAt returns a time up to which all changes of the store have been applied, or zero before the first
+// list.
+func (f *Follower) KnownAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.knownAt
+}
+
 // Run lists and watches the prefix until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	listed, backoff := false, minBackoff
@@ -196,14 +218,20 @@
 func (f *Follower) list(ctx context.Context) (fresh bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	began := f.Timer.Now()
 	page, err := f.Source.List(ctx, f.Prefix)
 	if err != nil {
 		return false, err
 	}
 	present := make(map[string]bool, len(page.Items))
 	silence := f.answered()
+	older := page.Revision < f.revision
 	for _, item := range page.Items {
 		present[item.Key] = true
+		if _, known := f.revisions[item.Key]; older && !known && item.Revision <= f.revision {
+			// It was removed after the list.
+			continue
+		}
 		item.Via, item.Silence = page.Via, silence
 		f.apply(item)
 	}
@@ -212,7 +240,11 @@
 			f.apply(Item{Key: key, Revision: page.Revision, Deleted: true, Via: page.Via, Silence: silence})
 		}
 	}
+	if f.revision > 0 && f.OnGap != nil {
+		f.OnGap()
+	}
 	f.revision = max(f.revision, page.Revision)
+	f.setApplied(began.Add(-page.Age))
 	return page.Age <= maxAge, nil
 }
 
@@ -234,6 +266,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := f.Timer.Now()
 	page, err := f.Source.Watch(ctx, f.Prefix, f.revision, watchWait)
 	if err != nil {
 		return err
@@ -244,6 +277,7 @@
 		f.apply(item)
 	}
 	f.revision = max(f.revision, page.Revision)
+	f.setApplied(began.Add(-page.Age))
 	return nil
 }
 
--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -286,7 +286,7 @@
 	request := WatchRequest{After: after, Wait: min(peerWait, timeout*3/4), Age: r.age()}
 	var answer WatchAnswer
 	err := r.Pool.Call(ctx, p.Addr, TypeWatch, &request, &answer)
-	page := Page{Items: answer.Items, Revision: answer.Revision, Via: p.Host}
+	page := Page{Items: answer.Items, Revision: answer.Revision, Via: p.Host, Age: answer.Age - answer.Held}
 	return page, began.Add(answer.Held - answer.Age), err
 }
 
--- a/core/jkfollow/state.go
+++ b/core/jkfollow/state.go
@@ -94,14 +94,20 @@
 func (r *WatchRelay) relist(page Page, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if page.Revision >= r.revision {
+	older := page.Revision < r.revision
+	if !older {
 		clear(r.items)
 	}
 	for _, item := range page.Items {
+		if _, known := r.items[item.Key]; older && !known && item.Revision <= r.revision {
+			// It was removed after the list.
+			continue
+		}
 		r.remember(item)
 	}
 	// A list doesn't show which keys were deleted before it, so the history starts over.
-	r.history, r.oldest, r.revision = nil, page.Revision, max(r.revision, page.Revision)
+	r.revision = max(r.revision, page.Revision)
+	r.history, r.oldest = nil, r.revision
 	r.listed, r.confirmedAt = true, confirmedAt
 	r.reachable = page.Age <= maxAge
 	r.storeFailed = page.Via != ViaStore
--- a/core/jkfollow/state_test.go
+++ b/core/jkfollow/state_test.go
@@ -156,3 +156,48 @@
 		t.Errorf("revision %d, want that of the seed that knows most", got.Revision)
 	}
 }
+
+// Guards against changes that a follower never hears of: the host that it follows has lost the store's
+// history and listed what an older host knows, and takes what it knew before for a part of the list.
+func TestFollowerOfAHostThatListedAnOlderStateMissesNoChange(t *testing.T) {
+	r := NewWatchRelay(WatchRelayOptions{Timer: jktimer.New(), Log: jklog.Discard()})
+	r.relist(Page{Revision: 50, Via: ViaStore}, time.Now())
+	r.record(Page{Items: []Item{{Key: "servers/new", Revision: 100}}, Revision: 100, Via: ViaStore}, time.Now())
+	r.relist(Page{Revision: 90, Via: "older"}, time.Now())
+	answer, complete, _ := r.changesSince(95)
+	if complete && len(answer.Items) == 0 {
+		t.Errorf("a follower at revision 95 is told that there is nothing up to %d, want the change at 100 or a lost history", answer.Revision)
+	}
+}
+
+// Guards against removed keys that come back: the host has lost the store's history and takes the state of
+// one that has not yet heard of the removal, and follows peers from there on, which don't name it again.
+func TestListOfAnOlderStateBringsBackNoRemovedKey(t *testing.T) {
+	const known, removed = "servers/known", "servers/removed"
+	older := Page{Items: []Item{{Key: known, Revision: 3}, {Key: removed, Revision: 4}}, Revision: 5, Via: "older"}
+	change := Page{Items: []Item{{Key: removed, Revision: 6, Deleted: true}}, Revision: 6, Via: "peer"}
+	present := map[string]bool{}
+	f := New(Options{Timer: jktimer.New(), Log: jklog.Discard(), Apply: func(i Item) { present[i.Key] = !i.Deleted }})
+	f.Source.List = func(context.Context, string) (Page, error) { return older, nil }
+	f.Source.Watch = func(context.Context, string, int64, time.Duration) (Page, error) { return change, nil }
+	r := NewWatchRelay(WatchRelayOptions{Timer: jktimer.New(), Log: jklog.Discard()})
+	for range 2 {
+		if _, err := f.list(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.relist(older, time.Now())
+		if f.revision == change.Revision {
+			break
+		}
+		if err := f.watch(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.record(change, time.Now())
+	}
+	if !present[known] || present[removed] {
+		t.Errorf("known %t, removed %t after the older list, want the first one only", present[known], present[removed])
+	}
+	if _, ok := r.items[removed]; ok || len(r.items) != 1 {
+		t.Errorf("the state for other hosts has %d keys, the removed one %t", len(r.items), ok)
+	}
+}
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"jasmineknot.example/core/jkcrash"
@@ -57,8 +58,15 @@
 	events      int64
 	output      []byte
 
-	// watchdog detects a stalled exchange of a repeatable request; nil for others.
-	watchdog *watchdog
+	// givenUp is set if this host gave up the latest exchange that broke off, or one before it sent the
+	// request.
+	givenUp bool
+	// watchdog detects a stalled exchange of a repeatable request and is nil for others. hasEvents
+	// tells it whether the caller has an event, and hasNewEvents whether one has come since the exchange began,
+	// before which there were eventsBefore.
+	watchdog                *watchdog
+	hasEvents, hasNewEvents atomic.Bool
+	eventsBefore            int64
 
 	// version is the software version of the endpoints that may run the stream, if versionBound is
 	// set.
--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -69,8 +69,39 @@
 	at      time.Time
 }
 
-// endedCheck is a check in progress of whether an endpoint has ended.
-type endedCheck struct{ done chan struct{} }
+// endedCheck is a check of whether an endpoint has ended.
+type endedCheck struct {
+	began time.Time
+	done  chan struct{}
+	// found is the result, which is set before done is closed.
+	found checkResult
+}
+
+// checkResult is what a connection to an endpoint shows.
+type checkResult string
+
+// Results of a check. An endpoint that leaves a connection unanswered may be silent, frozen or
+// cut off, or have a full queue of connections.
+const (
+	checkNone       checkResult = "none"
+	checkPending    checkResult = "pending"
+	checkConnected  checkResult = "connected"
+	checkRefused    checkResult = "refused"
+	checkUnanswered checkResult = "unanswered"
+)
+
+// resultSince returns the result so far of a check that began after a time. A nil check has none.
+func (k *endedCheck) resultSince(t time.Time) checkResult {
+	if k == nil || k.began.Before(t) {
+		return checkNone
+	}
+	select {
+	case <-k.done:
+		return k.found
+	default:
+		return checkPending
+	}
+}
 
 // NewCrashWatch returns a CrashWatch without suspects.
 func NewCrashWatch(timer *jktimer.Service, log jklog.Logger) *CrashWatch {
@@ -80,6 +111,10 @@
 	}
 }
 
+// SetDial sets the function that connects to an endpoint and closes the connection. Only an error
+// that wraps ECONNREFUSED shows that the endpoint has ended. It is called before any request.
+func (w *CrashWatch) SetDial(dial func(ctx context.Context, addr string) error) { w.dial = dial }
+
 func dialOnce(ctx context.Context, addr string) error {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", addr)
@@ -218,7 +253,7 @@
 func (w *CrashWatch) startCheck(row *endpointLife, id, addr string) *endedCheck {
 	check := w.checks[row.life]
 	if check == nil {
-		check = &endedCheck{done: make(chan struct{})}
+		check = &endedCheck{began: w.timer.Now(), done: make(chan struct{})}
 		w.checks[row.life] = check
 		go w.check(check, row, row.life, id, addr)
 	}
@@ -233,6 +268,21 @@
 	return row != nil && row.endedAt.After(since)
 }
 
+// checkEndpoint starts to check whether an endpoint accepts connections.
+func (w *CrashWatch) checkEndpoint(id, addr string) *endedCheck {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if row := w.lives[id]; row != nil {
+		return w.startCheck(row, id, addr)
+	}
+	check := &endedCheck{began: w.timer.Now(), done: make(chan struct{})}
+	go func() {
+		defer close(check.done)
+		check.found, _ = w.connect(addr)
+	}()
+	return check
+}
+
 // awaitEnd checks whether an endpoint has ended, and waits for the result for a short while.
 func (w *CrashWatch) awaitEnd(id, addr string, since time.Time) bool {
 	w.mu.Lock()
@@ -256,18 +306,31 @@
 	w.pending[life] = append(list, p)
 }
 
+// connect connects to an endpoint and returns what that shows.
+func (w *CrashWatch) connect(addr string) (checkResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), endedDialTimeout)
+	defer cancel()
+	err := w.dial(ctx, addr)
+	switch {
+	case err == nil:
+		return checkConnected, nil
+	case refusesConnections(err):
+		return checkRefused, err
+	}
+	return checkUnanswered, err
+}
+
 // check connects to an endpoint. Only a refused connection shows that its process has
 // ended: one that was only reset accepts it, and one that is cut off or frozen doesn't
 // answer.
 func (w *CrashWatch) check(check *endedCheck, row *endpointLife, life jkcrash.Life, id, addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), endedDialTimeout)
-	defer cancel()
-	err := w.dial(ctx, addr)
+	found, err := w.connect(addr)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.checks, life)
-	close(check.done)
-	if refusesConnections(err) {
+	defer close(check.done)
+	check.found = found
+	if check.found == checkRefused {
 		if row.life == life {
 			row.endedAt = w.timer.Now()
 		}
--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -81,4 +81,8 @@
 	AddHeaders func(h http.Header, o ForwardInfo)
 	// DecodeResponse decodes an endpoint's header.
 	DecodeResponse func(h http.Header) ResponseInfo
+	// ReportTarget is the path at which an endpoint reports its start, and DecodeReport returns the one
+	// that a report names. Endpoints aren't asked if it is empty.
+	ReportTarget string
+	DecodeReport func(report []byte) (born int64, ok bool)
 }
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -22,13 +22,12 @@
 	mu     sync.Mutex
 	direct *jksched.DirectPlacer
 	addrs  map[string]string
-	// cancels holds the cancel functions of repeatable calls in flight by endpoint.
-	cancels map[string]map[*call]context.CancelCauseFunc
+	// inFlight holds the repeatable calls in flight by endpoint.
+	inFlight map[string]map[*call]tracked
 	// cutOffZones holds the zones whose endpoints can't be reached, and heardAt when bytes of
 	// an endpoint last arrived.
-	// suspectZones are those whose hosts are silent.
-	cutOffZones, suspectZones map[string]bool
-	heardAt                   map[string]time.Time
+	cutOffZones map[string]bool
+	heardAt     map[string]time.Time
 	// reportedLoads holds the loads that endpoints reported to this host since the
 	// last digest.
 	reportedLoads map[string]reportedLoad
@@ -39,8 +38,8 @@
 	self  Host
 	// versions holds the software versions of endpoints, by service.
 	versions map[string]*versionHistory
-	// registryReachable reports whether this host hears of new endpoints; nil means that it doesn't.
-	registryReachable func() bool
+	// confirmRegistry is the function of SetRegistryConfirmation; nil means that it reports false.
+	confirmRegistry func(ctx context.Context) bool
 	// recentPlacements holds the latest placements since the last digest.
 	recentPlacements []placement
 }
@@ -57,7 +56,7 @@
 		self:    Host{Name: host, Zone: opt.Zone},
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
-		cancels: map[string]map[*call]context.CancelCauseFunc{}, cutOffZones: map[string]bool{}, suspectZones: map[string]bool{}, heardAt: map[string]time.Time{},
+		inFlight: map[string]map[*call]tracked{}, cutOffZones: map[string]bool{}, heardAt: map[string]time.Time{},
 		reportedLoads: map[string]reportedLoad{}, versions: map[string]*versionHistory{},
 	}
 }
@@ -71,6 +70,7 @@
 	f.addrs[e.ID] = addr
 	f.recordVersion(e)
 	f.keepNotice(e.ID, born)
+	f.noteState(e.ID)
 }
 
 // RemoveEndpoint removes an endpoint. Its calls in flight continue.
@@ -84,6 +84,7 @@
 	if n := f.notices[id]; n != nil {
 		n.removedAt = f.timer.Now()
 	}
+	f.noteState(id)
 }
 
 // Endpoints returns the number of known endpoints.
@@ -93,9 +94,17 @@
 	return f.direct.Endpoints()
 }
 
+// tracked is a repeatable call in flight.
+type tracked struct {
+	cancel context.CancelCauseFunc
+	// request describes the call, and exclude holds the endpoints that it may not go on at.
+	request jksched.Call
+	exclude []string
+}
+
 // SetEndpointsReachable records whether the endpoints of a zone can be reached, and reports
 // whether that is news. When they become unreachable, the repeatable calls in flight there
-// are cancelled, so that they are retried elsewhere.
+// are cancelled if they may go on elsewhere.
 func (f *Fleet) SetEndpointsReachable(zone string, reachable bool) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,13 +116,15 @@
 	if reachable {
 		return true
 	}
-	for id, calls := range f.cancels {
+	for id, calls := range f.inFlight {
 		e, ok := f.direct.Endpoint(id)
 		if !ok || e.Zone != zone {
 			continue
 		}
-		for _, cancel := range calls {
-			cancel(errCutOff)
+		for _, t := range calls {
+			if _, ok := f.direct.Peek(f.timer.Now(), t.request, t.exclude); ok {
+				t.cancel(errCutOff)
+			}
 		}
 	}
 	return true
@@ -132,21 +143,6 @@
 	return false
 }
 
-// setSuspect records whether the hosts of a zone are silent, so that its endpoints may be found cut
-// off.
-func (f *Fleet) setSuspect(zone string, suspect bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.suspectZones[zone] = suspect
-}
-
-// isSuspect reports whether the endpoints of a zone may be found cut off.
-func (f *Fleet) isSuspect(zone string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.suspectZones[zone]
-}
-
 // isCutOff reports whether the endpoints of a zone can't be reached.
 func (f *Fleet) isCutOff(zone string) bool {
 	f.mu.Lock()
@@ -167,7 +163,15 @@
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
 	e, _ := f.direct.Endpoint(p.Endpoint)
-	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, born: f.bornOf(p.Endpoint), delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+}
+
+// peek returns the endpoint that place would choose, if there is one.
+func (f *Fleet) peek(c jksched.Call, exclude []string) (target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.direct.Peek(f.timer.Now(), c, exclude)
+	return target{id: e.ID, zone: e.Zone, addr: f.addrs[e.ID], version: e.Version}, ok
 }
 
 // chooseVersion returns the software version of the endpoint that place would choose.
@@ -183,32 +187,49 @@
 	zone    string
 	addr    string
 	version string
-	delay   time.Duration
+	// born is the start time of the endpoint in its registry entry, or zero.
+	born  int64
+	delay time.Duration
 	// uncached is the number of prompt tokens that the endpoint is expected to read.
 	uncached int64
 }
 
+// leftReusePeriod is the time in which an endpoint that has begun to leave, or whose entry was removed, still takes a
+// request that it was sent before. It serves on for longer than that.
+const leftReusePeriod = time.Second
+
 // reuse counts one more call at an endpoint that was chosen before. The error is a
 // *RefusedError if the endpoint takes no call now, and nil with an empty target if it is
-// gone.
-func (f *Fleet) reuse(id string, c jksched.Call) (target, error) {
+// gone. One that has just begun to leave takes a call that was given up there.
+func (f *Fleet) reuse(last target, c jksched.Call, givenUp bool) (target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e, known := f.direct.Endpoint(id)
-	if !known {
+	mayReturn := givenUp && f.hasJustLeft(last.id)
+	e, known := f.direct.Endpoint(last.id)
+	switch {
+	case !known && mayReturn:
+		last.delay = 0
+		return last, nil
+	case !known:
 		return target{}, nil
-	}
-	if c.VersionBound && e.Version != c.Version {
+	case c.VersionBound && e.Version != c.Version:
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonVersion}
-	}
-	if e.State != jksched.StateLive {
+	case e.State != jksched.StateLive && !mayReturn:
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLeaving}
 	}
-	delay, ok := f.direct.Reserve(f.timer.Now(), id)
+	delay, ok := f.direct.Reserve(f.timer.Now(), last.id)
 	if !ok {
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLimited}
 	}
-	return target{id: id, zone: e.Zone, addr: f.addrs[id], version: e.Version, delay: delay, uncached: -1}, nil
+	return target{id: last.id, zone: e.Zone, addr: f.addrs[last.id], version: e.Version, born: f.bornOf(last.id), delay: delay, uncached: -1}, nil
+}
+
+// canReuse reports whether reuse would find the endpoint in service.
+func (f *Fleet) canReuse(id string, c jksched.Call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, known := f.direct.Endpoint(id)
+	return known && e.State == jksched.StateLive && (!c.VersionBound || e.Version == c.Version)
 }
 
 // takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
@@ -265,24 +286,24 @@
 	f.direct.Unreachable(f.timer.Now(), id)
 }
 
-// track registers the cancel function of a call, for SetEndpointsReachable.
-func (f *Fleet) track(id string, c *call, cancel context.CancelCauseFunc) {
+// track registers a call in flight, for SetEndpointsReachable.
+func (f *Fleet) track(id string, c *call, t tracked) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	calls := f.cancels[id]
+	calls := f.inFlight[id]
 	if calls == nil {
-		calls = map[*call]context.CancelCauseFunc{}
-		f.cancels[id] = calls
+		calls = map[*call]tracked{}
+		f.inFlight[id] = calls
 	}
-	calls[c] = cancel
+	calls[c] = t
 }
 
 func (f *Fleet) untrack(id string, c *call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.cancels[id], c)
-	if len(f.cancels[id]) == 0 {
-		delete(f.cancels, id)
+	delete(f.inFlight[id], c)
+	if len(f.inFlight[id]) == 0 {
+		delete(f.inFlight, id)
 	}
 }
 
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +32,8 @@
 	Fleet   *Fleet
 	Pool    *jkupstream.Pool
 	Crashes *CrashWatch
+	// Isolated reports whether this host has no way to any endpoint; nil means that it has.
+	Isolated func() bool
 	// Stop is the planned stop of this host.
 	Stop *HostStop
 	// MaxHeldOutputs bounds the sum of the outputs of retained turns in progress, in bytes; zero
@@ -78,7 +79,7 @@
 	}
 	defer h.finish(c)
 	defer func() { h.outputs.release(len(c.output)) }()
-	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.readBody, h.Crashes.refusal, h.checkCopies, h.prependChain, h.reserve} {
+	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.checkCopies, h.admit} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
@@ -115,6 +116,14 @@
 	return nil
 }
 
+// checkWays refuses a request that can reach no endpoint. Its caller may find another entry.
+func (h *Handler) checkWays(*call) *refusal {
+	if h.Isolated == nil || !h.Isolated() {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "isolated", retryAfter: slotRetryAfter}
+}
+
 // readBody reads the caller's body up to the limit of the rules.
 func (h *Handler) readBody(c *call) *refusal {
 	limit := h.Rules().Limits().MaxBodyBytes
@@ -150,54 +159,9 @@
 	return body, err
 }
 
-// admissionShare is the part of a request's time limit within which it is admitted: one half, so
-// that its endpoint has the other.
-const admissionShare = 2
-
-// minAdmissionTime is the least time for the admission of a turn with a short time limit: some round
-// trips between zones and a sync.
-const minAdmissionTime = 300 * time.Millisecond
-
-// admissionContext returns the context for the admission of a turn by the Account.
-func (h *Handler) admissionContext(c *call) (context.Context, func()) {
-	ends := c.receivedAt.Add(max(c.deadline.Sub(c.receivedAt)/admissionShare, minAdmissionTime))
-	return h.deadlineContext(c, ends.Sub(h.Timer.Now()))
-}
-
-// checkCopies refuses a turn that couldn't be stored at its end.
-func (h *Handler) checkCopies(c *call) *refusal {
-	if !c.route.Retain() {
-		return nil
-	}
-	ctx, cancel := h.admissionContext(c)
-	defer cancel()
-	if err := h.Account.CanKeep(ctx, c.info.Program); err != nil {
-		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
-		return refusalForError(err)
-	}
-	return nil
-}
-
-// prependChain sets the body to the earlier turns of the chain, followed by the
-// turn's own input.
-func (h *Handler) prependChain(c *call) *refusal {
-	if !c.route.Retain() || c.info.Previous == "" {
-		return nil
-	}
-	ctx, cancel := h.admissionContext(c)
-	defer cancel()
-	earlier, err := h.Account.Chain(ctx, c.info.Program, c.info.Previous)
-	if err != nil {
-		h.Log.Warn("turn not continued", "request", c.info.Request, "previous", c.info.Previous, "error", err)
-		return refusalForError(err)
-	}
-	c.body = slices.Concat(earlier, c.input)
-	return nil
-}
-
 // reserve reserves the maximum number of tokens that the turn can generate in the program's budget,
 // and binds a stream that is resumable to a software version.
-func (h *Handler) reserve(c *call) *refusal {
+func (h *Handler) reserve(ctx context.Context, c *call) *refusal {
 	if !c.isStream() || !c.hasBudget() && !c.route.Resumable() {
 		return nil
 	}
@@ -208,8 +172,6 @@
 		}
 	}
 	r := c.newReservation()
-	ctx, cancel := h.admissionContext(c)
-	defer cancel()
 	err := h.reserveOrContinue(ctx, c, r)
 	var unknown *UnknownStreamError
 	switch {
--- a/core/jkforward/notice.go
+++ b/core/jkforward/notice.go
@@ -33,6 +33,8 @@
 	exportedAt time.Time
 	// removedAt is when the entry of the endpoint was removed.
 	removedAt time.Time
+	// leftAt is when the endpoint was first known to leave, or its entry was removed.
+	leftAt time.Time
 }
 
 // NoticeReport is a notice for other hosts.
@@ -75,6 +77,27 @@
 	f.applyNotice(id, n)
 }
 
+// noteState notes whether an endpoint takes new calls. The caller holds the lock.
+func (f *Fleet) noteState(id string) {
+	n := f.notices[id]
+	if n == nil {
+		return
+	}
+	switch e, ok := f.direct.Endpoint(id); {
+	case ok && e.State == jksched.StateLive:
+		n.leftAt = time.Time{}
+	case n.leftAt.IsZero():
+		n.leftAt = f.timer.Now()
+	}
+}
+
+// hasJustLeft reports whether an endpoint began to leave, or its entry was removed, less than leftReusePeriod ago. The
+// caller holds the lock.
+func (f *Fleet) hasJustLeft(id string) bool {
+	n := f.notices[id]
+	return n != nil && !n.leftAt.IsZero() && f.timer.Now().Sub(n.leftAt) < leftReusePeriod
+}
+
 // removedNoticePeriod is how long the notice of an endpoint is kept after its entry was
 // removed: a registry that was away may list the endpoint again.
 const removedNoticePeriod = time.Minute
@@ -172,6 +195,7 @@
 	}
 	n.limit, n.leaving, n.changedAt, n.exportedAt = limit, leaving, f.timer.Now(), time.Time{}
 	f.applyNotice(id, n)
+	f.noteState(id)
 	return true
 }
 
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -37,21 +37,7 @@
 // refusals the service counts as full, and the caller gets a refusal.
 const maxRefusals = 3
 
-// maxUnconnected is the number of connections that an endpoint may leave unanswered before a
-// request that may go to no other one is given up. That an endpoint doesn't answer doesn't show
-// that it has ended: it may be frozen, or have a full queue of new connections.
-const maxUnconnected = 2
-
-// maxUnconnected returns the bound for an endpoint of a zone: twice as many connections as usual
-// take longer than finding out whether the zone is cut off.
-func (h *Handler) maxUnconnected(zone string) int {
-	if h.Fleet.isSuspect(zone) {
-		return 2 * maxUnconnected
-	}
-	return maxUnconnected
-}
-
-// minAttemptTime is the least remaining time in which a further attempt is made.
+// minAttemptTime is the least remaining time in which a further attempt is made, unless a part of the response was sent.
 const minAttemptTime = 20 * time.Millisecond
 
 // slotRetryAfter is the Retry-After of a request for which no endpoint had a free
@@ -61,15 +47,24 @@
 // run sends the request to endpoints until one answers or no further attempt is
 // allowed.
 func (h *Handler) run(c *call) *refusal {
-	for refusals, unconnected := 0, 0; ; {
+	for refusals := 0; ; {
 		if h.Stop.hasEnded() {
 			return c.finalRefusal("host_stopped", stoppingRetryAfter)
 		}
 		left := c.deadline.Sub(h.Timer.Now())
-		if left < minAttemptTime {
+		// Only the end of its time limit ends a stream that has begun.
+		if left <= 0 || left < minAttemptTime && !c.headerSent {
 			return c.finalRefusal("deadline", slotRetryAfter)
 		}
 		to, err := h.chooseEndpoint(c)
+		if err != nil && c.givenUp && mayPass(err) {
+			// The endpoint may be sound, so the request waits for any that it may go on at.
+			c.excluded = nil
+			if !h.Timer.Wait(slotRetryAfter, c.request.Context().Done()) {
+				c.leave()
+			}
+			continue
+		}
 		if err != nil {
 			return h.placementRefusal(c, err)
 		}
@@ -86,8 +81,7 @@
 			h.Crashes.served(c)
 			return nil
 		case outcomeCallerLeft:
-			c.status, c.reason = statusCallerLeft, "caller_left"
-			c.abort()
+			c.leave()
 		case outcomeTurnNotKept:
 			c.status, c.reason = statusAborted, "turn_not_kept"
 			c.abort()
@@ -96,7 +90,7 @@
 			c.abort()
 		case outcomeRefused:
 			refusals++
-			if refusals >= maxRefusals {
+			if refusals >= maxRefusals && !c.givenUp {
 				return c.finalRefusal("endpoints_full", slotRetryAfter)
 			}
 			if c.isTiedTo(to.id) {
@@ -104,13 +98,11 @@
 				h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
 			}
 		case outcomeUnconnected:
-			unconnected++
-			if unconnected >= h.maxUnconnected(to.zone) {
-				return c.finalRefusal("endpoint_unreachable", slotRetryAfter)
-			}
+			// That an endpoint doesn't answer doesn't show that it has ended, and the request may go
+			// to no other one.
 			h.Timer.Wait(slotRetryAfter, c.request.Context().Done())
 		case outcomeBroken:
-			c.mayHaveRun, c.mayHaveRunAt = true, to.id
+			c.mayHaveRun, c.mayHaveRunAt, c.givenUp = true, to.id, c.broken == exchangeCancelled
 			if c.broken != exchangeWhole {
 				h.Crashes.brokeOff(c, to.id, to.addr, c.broken == exchangeEnded)
 			}
@@ -129,6 +121,19 @@
 // its connection.
 const statusCallerLeft = 499
 
+// leave ends a request whose caller has closed its connection.
+func (c *call) leave() {
+	c.status, c.reason = statusCallerLeft, "caller_left"
+	c.abort()
+}
+
+// mayPass reports whether the reason for which a request couldn't be placed may pass: its endpoints
+// are full, or can't be reached.
+func mayPass(err error) bool {
+	var refused *jksched.RefusedError
+	return !errors.As(err, &refused) || refused.Reason != jksched.ReasonVersion && refused.Reason != jksched.ReasonLeaving
+}
+
 // finalRefusal returns the refusal after the last attempt. Its status depends on
 // whether the request may have run.
 func (c *call) finalRefusal(reason string, retry time.Duration) *refusal {
@@ -177,7 +182,7 @@
 		return h.Fleet.place(c.schedulerCall(), c.excluded)
 	}
 	if !h.isGone(c) {
-		to, err := h.Fleet.reuse(c.last.id, c.schedulerCall())
+		to, err := h.Fleet.reuse(c.last, c.schedulerCall(), c.givenUp)
 		// An endpoint that has left the registry may still be at work.
 		if err != nil || to.id != "" || !h.Crashes.awaitEnd(c.last.id, c.last.addr, c.sentAt) {
 			return orLeaving(to, err)
@@ -236,11 +241,15 @@
 	defer stop()
 	defer h.Stop.onEnd(func() { cancel(errHostStopped) })()
 	if c.route.Repeatable() {
-		h.Fleet.track(id, c, cancel)
+		h.Fleet.track(id, c, tracked{cancel: cancel, request: c.schedulerCall(), exclude: append(slices.Clone(c.excluded), id)})
 		defer h.Fleet.untrack(id, c)
-		c.watchdog = newWatchdog(h.Timer, c.firstByteTimeout(), cancel, func() bool { return c.events == 0 && h.Fleet.isCrowded(id) })
+		c.watchdog = newWatchdog(h.Timer, c.firstByteTimeout(), cancel, h.newStall(c, id, addr).judge)
 		defer c.watchdog.stop()
 	}
+	if c.givenUp && c.mayHaveRunAt == id {
+		// The connections that were open may be as dead as the one that was given up.
+		h.Pool.CloseIdle(addr)
+	}
 	c.broken = exchangeWhole
 	header := c.forwardHeader(h.Dialect)
 	h.Dialect.AddHeaders(header, ForwardInfo{Endpoint: id, TimeLeft: left, Urgency: urgency(c), LastEvent: c.lastEventID})
@@ -251,7 +260,7 @@
 	}
 	resp, err := h.Pool.Send(ctx, jkupstream.Request{
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
-		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), MaxBody: h.maxBodyBytes(c),
+		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), Start: h.startOf(c), MaxBody: h.maxBodyBytes(c),
 		Accept: func(a http.Header) bool { return h.Dialect.DecodeResponse(a).Request == c.info.Request },
 	})
 	if err != nil {
@@ -318,12 +327,24 @@
 			if c.isTiedTo(id) && !refusesConnections(err) {
 				outcome = outcomeUnconnected
 			}
+		case jkupstream.ReasonOtherStart:
+			// Its entry will change soon. Until then it takes no calls that belong to another start.
+			h.Fleet.unreachable(id)
+		case jkupstream.ReasonUnknownStart:
+			h.Fleet.fault(id)
+			if c.isTiedTo(id) {
+				outcome = outcomeUnconnected
+			}
 		case jkupstream.ReasonConnectionLimit, jkupstream.ReasonCancelled:
 			if c.isTiedTo(id) {
 				outcome = outcomeRefused
 			}
-			if c.isTiedTo(id) && errors.Is(context.Cause(ctx), errStalled) {
-				outcome = outcomeUnconnected
+			if errors.Is(context.Cause(ctx), errStalled) {
+				// A stream's connection is open by then, and the endpoint is asked for its start.
+				c.givenUp = c.givenUp || c.isStream()
+				if c.isTiedTo(id) {
+					outcome = outcomeUnconnected
+				}
 			}
 		}
 		if outcome == outcomeNotSent {
@@ -369,6 +390,8 @@
 		// A stream can't be followed by another response.
 		return outcomeBroken
 	}
+	c.recordProgress()
+	resp.OnRead = c.recordProgress
 	body, err := resp.ReadAll(ctx)
 	if err != nil {
 		c.recordBroken(ctx)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -34,6 +34,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
+			c.stopWatchdog()
 			return h.endStream(c)
 		}
 		if err != nil {
@@ -108,13 +109,22 @@
 	return !flush || flusher.Flush() == nil
 }
 
-// recordProgress tells the watchdog that the header or an event arrived.
+// recordProgress tells the watchdog that the header, an event or a part of the body arrived.
 func (c *call) recordProgress() {
 	if c.watchdog != nil {
+		c.hasEvents.Store(c.events > 0)
+		c.hasNewEvents.Store(c.events > c.eventsBefore)
 		c.watchdog.progress(c.nextEventTimeout())
 	}
 }
 
+// stopWatchdog ends the watch over an exchange whose response is complete.
+func (c *call) stopWatchdog() {
+	if c.watchdog != nil {
+		c.watchdog.stop()
+	}
+}
+
 // nextEventTimeout is how long the next event may take. The header of a stream may
 // arrive well before its first event.
 func (c *call) nextEventTimeout() time.Duration {
--- a/core/jkforward/version.go
+++ b/core/jkforward/version.go
@@ -1,12 +1,14 @@
 package jkforward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"jasmineknot.example/core/jksched"
+	"jasmineknot.example/core/jkupstream"
 )
 
 // A stream whose route is resumable stays at the software version of the endpoint that began it,
@@ -63,6 +65,27 @@
 	return nil
 }
 
+// startOf returns the start of the endpoint that may run the call; nil means any. The registry's entry
+// tells the version of one start only.
+func (h *Handler) startOf(c *call) *jkupstream.Start {
+	if !c.versionBound || c.last.born == 0 || h.Dialect.ReportTarget == "" {
+		return nil
+	}
+	return &jkupstream.Start{
+		Born: c.last.born, Target: h.Dialect.ReportTarget, Decode: h.Dialect.DecodeReport,
+		IsOther: func(a http.Header) bool { return h.Dialect.DecodeResponse(a).Request != "" },
+	}
+}
+
+// bornOf returns the start time of an endpoint in its registry entry, or zero. The caller holds the
+// lock.
+func (f *Fleet) bornOf(id string) int64 {
+	if n := f.notices[id]; n != nil {
+		return n.born
+	}
+	return 0
+}
+
 // bindUnknown binds a continued stream whose version no copy knows, which a host of an earlier
 // release may have begun, if it can have begun at one version only.
 func (h *Handler) bindUnknown(c *call) *refusal {
@@ -71,7 +94,11 @@
 		timeout = defaultTimeout
 	}
 	// A stream lasts for its route's timeout, and its caller continues it within another one.
-	version, ok := h.Fleet.onlyVersionWithin(c.service.Name(), 2*timeout+maxRegistryLag)
+	within := 2*timeout + maxRegistryLag
+	version, ok := h.Fleet.onlyVersionWithin(c.service.Name(), within, c.receivedAt)
+	if ok {
+		version, ok = h.confirmOnlyVersion(c, within)
+	}
 	if !ok {
 		h.Metrics.countContinued(continuedUnknown)
 		h.settle(c)
@@ -83,6 +110,18 @@
 	return nil
 }
 
+// confirmOnlyVersion returns the only version of a service once the registry has confirmed what this
+// host knows of it. The stream began before its caller continued it, so at an endpoint that the registry
+// had when the request arrived.
+func (h *Handler) confirmOnlyVersion(c *call, within time.Duration) (version string, ok bool) {
+	ctx, cancel := h.admissionContext(c)
+	defer cancel()
+	if !h.Fleet.registryConfirmed(ctx) {
+		return "", false
+	}
+	return h.Fleet.onlyVersionWithin(c.service.Name(), within, c.receivedAt)
+}
+
 // maxRegistryLag is how much later than the others a host may learn of an endpoint.
 const maxRegistryLag = 5 * time.Second
 
@@ -119,21 +158,39 @@
 	}
 }
 
-// SetRegistryReachable sets the function that reports whether this host hears of new endpoints.
-func (f *Fleet) SetRegistryReachable(reachable func() bool) {
+// ForgetVersions forgets for how long the services have been known: versions may have come and gone
+// without this host's knowledge.
+func (f *Fleet) ForgetVersions() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.versions {
+		h.knownSince = f.timer.Now()
+	}
+}
+
+// SetRegistryConfirmation sets the function that waits until this host knows all that the registry holds
+// at the time of the call, and reports whether it does.
+func (f *Fleet) SetRegistryConfirmation(confirm func(ctx context.Context) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registryReachable = reachable
+	f.confirmRegistry = confirm
+}
+
+func (f *Fleet) registryConfirmed(ctx context.Context) bool {
+	f.mu.Lock()
+	confirm := f.confirmRegistry
+	f.mu.Unlock()
+	return confirm != nil && confirm(ctx)
 }
 
-// onlyVersionWithin returns the version of a service's endpoints if none of them has had another one
-// within a time. It reports false if this host hasn't known the service for so long, or may not have
-// heard of the newest endpoints.
-func (f *Fleet) onlyVersionWithin(service string, within time.Duration) (version string, ok bool) {
+// onlyVersionWithin returns the version of a service's endpoints if none of them had another one within
+// a time before the given one, or has had since. It reports false if this host hasn't known the service
+// for so long. It doesn't tell whether this host has heard of the newest endpoints.
+func (f *Fleet) onlyVersionWithin(service string, within time.Duration, before time.Time) (version string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h, now := f.versions[service], f.timer.Now()
-	if h == nil || now.Sub(h.knownSince) < within || f.registryReachable == nil || !f.registryReachable() {
+	h, from := f.versions[service], before.Add(-within)
+	if h == nil || h.knownSince.After(from) {
 		return "", false
 	}
 	recent := map[string]bool{}
@@ -141,7 +198,7 @@
 		recent[v] = true
 	}
 	for v, at := range h.lastSeen {
-		if now.Sub(at) < within {
+		if at.After(from) {
 			recent[v] = true
 		}
 	}
--- a/core/jkforward/zones.go
+++ b/core/jkforward/zones.go
@@ -86,10 +86,8 @@
 	case !silent && known != nil:
 		known.stop()
 		delete(w.silent, zone)
-		w.fleet.setSuspect(zone, false)
 		w.fleet.SetEndpointsReachable(zone, true)
 	case silent && known == nil && !w.closed:
-		w.fleet.setSuspect(zone, true)
 		row := &silentZone{zone: zone}
 		row.stop = w.timer.Every(zoneCheckInterval, func() { w.check(row) })
 		w.silent[zone] = row
