--- a/core/jkentry/apply.go
+++ b/core/jkentry/apply.go
@@ -106,4 +106,5 @@
 	e.fleet.RemoveEndpoint(id)
 	e.crashes.RemoveEndpoint(id)
 	e.pool.CloseIdle(known.Addr)
+	e.dialer.Forget(known.Addr)
 }
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -27,7 +27,12 @@
 
 func newCopySources(zone string, zones int) *copySources {
 	majority := zones/2 + 1
-	return &copySources{zone: zone, neededZones: zones - majority, sources: map[string]*copySource{}}
+	needed := zones - majority
+	if zones > 1 {
+		// In two zones another copy of this one may have been in the majority.
+		needed = max(needed, 1)
+	}
+	return &copySources{zone: zone, neededZones: needed, sources: map[string]*copySource{}}
 }
 
 // add adds a host. Pending is set if this host may lack some of its records.
@@ -77,24 +82,17 @@
 }
 
 // behind reports whether this host may lack records that the other zones have admitted
-// without it. A zone counts as copied if one of its hosts was, and each that is in reach.
-func (s *copySources) behind(reachable func(host string) bool) bool {
+// without it. A zone counts as copied if all its hosts were: one that doesn't answer may have been
+// the only one with records of programs that it holds.
+func (s *copySources) behind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	copied, missing := map[string]bool{}, map[string]bool{}
-	for host, source := range s.sources {
-		switch {
-		case !source.pending:
-			copied[source.zone] = true
-		case reachable(host):
+	zones, missing := map[string]bool{}, map[string]bool{}
+	for _, source := range s.sources {
+		zones[source.zone] = true
+		if source.pending {
 			missing[source.zone] = true
 		}
 	}
-	zones := 0
-	for zone := range copied {
-		if !missing[zone] {
-			zones++
-		}
-	}
-	return zones < s.neededZones
+	return len(zones)-len(missing) < s.neededZones
 }
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -17,6 +17,7 @@
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
+	"jasmineknot.example/core/jkrelay"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 	"jasmineknot.example/core/jktimer"
@@ -36,6 +37,8 @@
 	stop       *jkforward.HostStop
 	fleet      *jkforward.Fleet
 	pool       *jkupstream.Pool
+	dialer     *jkrelay.Dialer
+	relay      *jkrelay.Relay
 	peers      *jkwire.Pool
 	probes     *jkprobe.Prober
 	members    *members
@@ -76,7 +79,13 @@
 	e.crashes = jkforward.NewCrashWatch(timer, log.Part("crash"))
 	e.news = &news{self: s.Host, timer: timer, log: log.Part("news"), crashes: e.crashes, fleet: e.fleet, startedAt: timer.Now()}
 	opened := e.metrics.NewCounter("jk_connections_opened_total")
-	e.pool = jkupstream.NewPool(jkupstream.DefaultOptions(), timer, opened.Inc)
+	e.dialer = e.newDialer()
+	e.closers = append(e.closers, e.dialer.Close)
+	e.crashes.SetDial(e.dialer.Reach)
+	e.relay = e.newRelay()
+	upstream := jkupstream.DefaultOptions()
+	upstream.Dial, upstream.OnAnswer = e.dialer.Dial, e.dialer.Heard
+	e.pool = jkupstream.NewPool(upstream, timer, opened.Inc)
 	e.peers = jkwire.NewPool(jkwire.PoolOptions{Self: e.self(), IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
 	e.closers = append(e.closers, e.peers.Close)
 	probes, err := jkprobe.Listen(jkprobe.Options{
@@ -228,19 +237,28 @@
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
 	e.metrics.NewGauge("jk_response_body_bytes", func() float64 { return float64(e.pool.BodyBytes()) })
+	e.metrics.NewGauge("jk_relay_tunnels", func() float64 { return float64(e.relay.Tunnels()) })
+	e.metrics.NewGauge("jk_relayed_connections_total", func() float64 { return float64(e.dialer.Relayed()) })
+	e.metrics.NewGauge("jk_slow_connections_total", func() float64 { return float64(e.dialer.Slow()) })
+	e.metrics.NewGauge("jk_endpoints_isolated", func() float64 {
+		if e.isIsolated() {
+			return 1
+		}
+		return 0
+	})
 	e.metrics.NewGauge("jk_limited_endpoints", func() float64 { return float64(e.fleet.LimitedEndpoints()) })
 	e.metrics.NewGauge("jk_crash_refused", func() float64 { _, n := e.crashes.Suspects(); return float64(n) })
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
 		return eris.Wrap(err, "listen for other hosts")
 	}
 	server := jkwire.NewServer(inner, jkwire.ServerOptions{
-		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.ServerStream) { e.handle(ctx, s) }, IsControl: isControl, Counters: &jkwire.Counters{},
+		Self: e.self(), Handle: func(ctx context.Context, s *jkwire.ServerStream) { e.handle(ctx, s) }, Tunnel: e.relay.Handle, IsControl: isControl, Counters: &jkwire.Counters{},
 	})
 	e.closers = append(e.closers, server.Close)
 	l, err := listenAt(e.settings.Listeners.Front, e.settings.Front)
@@ -276,10 +294,10 @@
 }
 
 // Ready reports whether the entry takes new connections. An entry that can't reach any
-// endpoint of a service isn't ready, so that callers go to entries of other zones.
+// endpoint of a service, nor any endpoint through others, isn't ready, so that callers go to entries of other zones.
 func (e *Entry) Ready() bool {
 	rules := e.rules.Load()
-	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.fleet.HasUnreachableService(rules.Services())
+	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() && !e.fleet.HasUnreachableService(rules.Services())
 }
 
 // Run follows the store until stop is closed, then drains the requests in flight and
@@ -351,9 +369,10 @@
 func (e *Entry) drain() {
 	endsAt := e.timer.Now().Add(e.settings.Grace - killMargin)
 	e.stop.Begin(endsAt)
-	e.log.Info("entry draining", "in_flight", e.counts.InFlight())
+	e.relay.Leave()
+	e.log.Info("entry draining", "in_flight", e.counts.InFlight(), "tunnels", e.relay.Tunnels())
 	e.timer.Wait(min(deregistrationDelay, e.settings.Grace/2), nil)
-	for e.counts.InFlight() > 0 && e.timer.Now().Before(endsAt) {
+	for (e.counts.InFlight() > 0 || e.relay.Tunnels() > 0) && e.timer.Now().Before(endsAt) {
 		e.timer.Wait(drainInterval, nil)
 	}
 	if n := e.counts.InFlight(); n > 0 {
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -129,6 +129,19 @@
 	return out
 }
 
+// entries returns the other entries that are reachable and aren't leaving.
+func (m *members) entries(self string, reachable func(host string) bool) []HostEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []HostEntry
+	for _, h := range m.hosts {
+		if !h.Ledger && !h.Leaving && !h.Suspected && h.Host != self && reachable(h.Host) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // watchers returns the reachable entries through which other hosts may watch the store.
 func (m *members) watchers(reachable func(host string) bool) []jkfollow.Peer {
 	m.mu.Lock()
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -251,7 +251,7 @@
 
 // behind reports whether this copy may lack records that others have added while it was down
 // or out of reach.
-func (t *Storage) behind() bool { return t.sources.behind(t.probes.Reachable) }
+func (t *Storage) behind() bool { return t.sources.behind() }
 
 // losses returns the other hosts with a copy that don't answer.
 func (t *Storage) losses() jkledger.Losses {
