relay: a relay that had hardly any time isn't avoided

Cause: relays that are asked behind two which don't reach the endpoint have what these left of 0.35 s, some 30 ms. One that didn't answer within it was asked last for a second, for all endpoints, behind the same two. With two such endpoints that are asked for in turn, the relay that reaches them never came first.

--- a/core/jkrelay/join.go
+++ b/core/jkrelay/join.go
@@ -135,6 +135,7 @@
 // ask asks one relay for a tunnel.
 func (d *Dialer) ask(ctx context.Context, request *JoinRequest, h Host) joined {
 	var answer JoinAnswer
+	began := d.Timer.Now()
 	conn, err := jkwire.DialTunnel(ctx, d.dial, d.Self, h.Addr, TypeJoin, request, &answer)
 	out := joined{host: h.Name, result: answer.Result}
 	if err != nil {
@@ -147,7 +148,9 @@
 		_ = conn.Close()
 	}
 	isOfEndpoint := err == nil && (answer.Result == ResultUnanswered || answer.Result == ResultRefused)
-	if !isOfEndpoint && !errors.Is(ctx.Err(), context.Canceled) {
+	// One that had hardly any time, behind others that took it, may well be in reach.
+	hadTime := ctx.Err() == nil || d.Timer.Now().Sub(began) >= relayDelay
+	if !isOfEndpoint && hadTime && !errors.Is(ctx.Err(), context.Canceled) {
 		d.mu.Lock()
 		d.table.avoid(d.Timer.Now(), h.Name)
 		d.mu.Unlock()
