forward: the time that a connection takes is no silence

Cause: the watchdog of a call counts 0.35 s from before its connection is opened, which may itself take up to 0.35 s, above all through a relay. The exchange was given up some 20 ms after it began, while its endpoint was at work.

--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -262,6 +262,7 @@
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), Start: h.startOf(c), MaxBody: h.maxBodyBytes(c),
 		Accept: func(a http.Header) bool { return h.Dialect.DecodeResponse(a).Request == c.info.Request },
+		OnSend: c.recordSend,
 	})
 	if err != nil {
 		return h.handleSendError(c, ctx, id, err)
@@ -302,6 +303,13 @@
 	return jksched.DirectFault
 }
 
+// recordSend tells the watchdog that the request is sent now, after the time that its connection took.
+func (c *call) recordSend() {
+	if c.watchdog != nil {
+		c.watchdog.progress(c.firstByteTimeout())
+	}
+}
+
 // firstByteTimeout is how long the first byte of a response may take.
 func (c *call) firstByteTimeout() time.Duration {
 	if c.isStream() {
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -28,6 +28,8 @@
 	MaxBody int64
 	// Accept reports whether a response's header belongs to this request.
 	Accept func(h http.Header) bool
+	// OnSend is called when there is a connection, before the request is sent; nil if nobody is told.
+	OnSend func()
 }
 
 // Response is the response of an endpoint. The caller reads the body and calls
@@ -82,6 +84,9 @@
 		return nil, err
 	}
 	stopCancel := context.AfterFunc(ctx, func() { p.discard(c) })
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	w := c.write(&r)
 	resp, otherAnswers, err := c.readHeader(&r) //nolint:bodyclose // Response.Close ends the exchange.
 	if err != nil {
