forward: a given-up stream goes on at a leaving endpoint that limits its rate

Cause: such an endpoint takes it after a delay, and at its end only endpoints in service counted as taking calls.

--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -192,6 +192,8 @@
 	delay time.Duration
 	// uncached is the number of prompt tokens that the endpoint is expected to read.
 	uncached int64
+	// givenUp is set if the request was given up at the endpoint before.
+	givenUp bool
 }
 
 // leftReusePeriod is the time in which an endpoint that has begun to leave, or whose entry was removed, still takes a
@@ -221,7 +223,7 @@
 	if !ok {
 		return target{}, &jksched.RefusedError{Reason: jksched.ReasonLimited}
 	}
-	return target{id: last.id, zone: e.Zone, addr: f.addrs[last.id], version: e.Version, born: f.bornOf(last.id), delay: delay, uncached: -1}, nil
+	return target{id: last.id, zone: e.Zone, addr: f.addrs[last.id], version: e.Version, born: f.bornOf(last.id), delay: delay, uncached: -1, givenUp: givenUp}, nil
 }
 
 // canReuse reports whether reuse would find the endpoint in service.
@@ -233,12 +235,13 @@
 }
 
 // takesCalls reports whether an endpoint that was chosen earlier still takes new calls at
-// the address.
+// the address. One that has just begun to leave takes those that were given up there.
 func (f *Fleet) takesCalls(t target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.direct.Endpoint(t.id)
-	return ok && e.State == jksched.StateLive && e.Version == t.version && f.addrs[t.id] == t.addr && !f.cutOffZones[e.Zone]
+	inService := e.State == jksched.StateLive || t.givenUp && f.hasJustLeft(t.id)
+	return ok && inService && e.Version == t.version && f.addrs[t.id] == t.addr && !f.cutOffZones[e.Zone]
 }
 
 func (f *Fleet) reportLoad(id string, l jksched.DirectLoad) {
