--- a/core/jkrelay/short_test.go
+++ b/core/jkrelay/short_test.go
@@ -53,3 +53,29 @@
 		t.Errorf("%d of %d endpoints reached in %d tries, though d reaches them", len(reached), len(lost), tries)
 	}
 }
+
+// Guards against an entry that doesn't return to its own way, because each request tries it with the little time that late
+// relays leave, and the checks wait for a second without such a try.
+func TestTriesWithoutTimeDontHoldUpTheReturn(t *testing.T) {
+	f := newFixture(t, "a", "b", "c")
+	a, addr := f.entries["a"], f.endpoints["e0"]
+	a.cutFrom(cutHang, addr)
+	if err := a.dialer.Reach(t.Context(), addr); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(retryAfter / 2)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	for _, host := range []string{"b", "c"} {
+		f.entries[host].addr = silent.Addr().String()
+	}
+	a.cutFrom(cutSlow, addr)
+	await(t, "reached", 4*retryAfter, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), jkupstream.DefaultOptions().DialTimeout)
+		defer cancel()
+		return a.dialer.Reach(ctx, addr) == nil
+	})
+}
