relay: a connection of the own way that had little time isn't counted as missed

Cause: where relays answer late, what they leave of a request's time goes to a connection of the own way, some 20 to 70 ms. It counted as a try, so that the checks, which have 0.2 s, waited for a second without one; requests that come more often kept an entry from its own way to endpoints that accept late. At least 10 ms was asked before; less than 0.1 s shows nothing now, unless the connection fails for another reason. The relays' times of the mend before count in the same way: a connection may run out of time a little before its context ends.

--- a/core/jkrelay/dialer.go
+++ b/core/jkrelay/dialer.go
@@ -195,9 +195,10 @@
 // dialDirect opens a connection of this host's own and records the outcome. Without time left nothing is tried, so
 // that there is none.
 func (d *Dialer) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
-	if !d.hasTime(ctx) {
+	if !d.hasTime(ctx, minDialTime) {
 		return nil, cmp.Or(ctx.Err(), context.DeadlineExceeded)
 	}
+	isShort := !d.hasTime(ctx, relayDelay)
 	began := d.Timer.Now()
 	conn, err := d.dial(ctx, addr)
 	_, known := d.EndpointAt(addr)
@@ -209,6 +210,8 @@
 		if known && now.Sub(began) >= relayDelay {
 			d.table.cameLate(now, addr)
 		}
+	case isShort && ranOut(ctx, err):
+		// It had little time, which tells nothing.
 	case known && !errors.Is(ctx.Err(), context.Canceled):
 		d.table.missed(now, addr)
 	}
@@ -219,11 +222,17 @@
 // minDialTime is the time in which a connection can be expected to come.
 const minDialTime = 10 * time.Millisecond
 
-// hasTime reports whether a connection may come before a context ends. One that isn't answered may
-// return a little before that.
-func (d *Dialer) hasTime(ctx context.Context) bool {
+// hasTime reports whether a context leaves at least a time. A connection that isn't answered may return a little
+// before its end.
+func (d *Dialer) hasTime(ctx context.Context, least time.Duration) bool {
 	at, ok := ctx.Deadline()
-	return ctx.Err() == nil && (!ok || at.Sub(d.Timer.Now()) >= minDialTime)
+	return ctx.Err() == nil && (!ok || at.Sub(d.Timer.Now()) >= least)
+}
+
+// ranOut reports whether a connection failed because its time was over. It may fail a little before its context ends.
+func ranOut(ctx context.Context, err error) bool {
+	var timeout net.Error
+	return ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // dialed is the outcome of one way.
--- a/core/jkrelay/join.go
+++ b/core/jkrelay/join.go
@@ -16,7 +16,7 @@
 	if !ok {
 		return nil, &NoWayError{Addr: addr, Direct: direct, Relay: ResultUnknown}
 	}
-	if !d.hasTime(ctx) {
+	if !d.hasTime(ctx, minDialTime) {
 		// Relays that weren't asked tell nothing.
 		return nil, &NoWayError{Addr: addr, Direct: direct, Relay: ResultNoAnswer}
 	}
@@ -135,7 +135,7 @@
 // ask asks one relay for a tunnel.
 func (d *Dialer) ask(ctx context.Context, request *JoinRequest, h Host) joined {
 	var answer JoinAnswer
-	began := d.Timer.Now()
+	isShort := !d.hasTime(ctx, relayDelay)
 	conn, err := jkwire.DialTunnel(ctx, d.dial, d.Self, h.Addr, TypeJoin, request, &answer)
 	out := joined{host: h.Name, result: answer.Result}
 	if err != nil {
@@ -149,7 +149,7 @@
 	}
 	isOfEndpoint := err == nil && (answer.Result == ResultUnanswered || answer.Result == ResultRefused)
 	// One that had hardly any time, behind others that took it, may well be in reach.
-	hadTime := ctx.Err() == nil || d.Timer.Now().Sub(began) >= relayDelay
+	hadTime := !isShort || err == nil || !ranOut(ctx, err)
 	if !isOfEndpoint && hadTime && !errors.Is(ctx.Err(), context.Canceled) {
 		d.mu.Lock()
 		d.table.avoid(d.Timer.Now(), h.Name)
