follow, test: ask the seeds of TestSeedsDelayNoStart once they have listed

Seen: 'revision 1, want that of the seed that knows most', at a load of 19 to 33 in 14 of 1,200 plays that were counted (5 and 9 of 600 each), without the time of the test being short. Cause: the test, not the follower. Traced on all 14: the seed of revision 2 answered within 7 ms, and said 'this host has not listed the store'. Seeds start beside the test, which doesn't wait for their lists; the newer one is started last but for the empty one, and the first follower is done before it has listed. Ruled out: an answer after seedTimeout (all came in time), and a choice among the answers that is wrong. Change: the test runs in a bubble with a clock of its own, as its neighbour does, and waits until the seeds have listed. What it checks and its bounds are the same; the hung peer takes a listener. It still fails if the oldest state is taken, if seeds get ten times their timeout, and if the store isn't heard.

--- a/core/jkfollow/late_test.go
+++ b/core/jkfollow/late_test.go
@@ -14,12 +14,8 @@
 
 // hungPeer starts a host that accepts calls and answers none of them, and returns a
 // channel of its calls.
-func hungPeer(t *testing.T, name string) (Peer, <-chan struct{}) {
+func hungPeer(t *testing.T, l net.Listener, name string) (Peer, <-chan struct{}) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	calls := make(chan struct{}, 64)
 	server := jkwire.NewServer(l, jkwire.ServerOptions{
 		Self: jkwire.Hello{Host: name, Version: jkwire.ProtocolVersion}, Counters: &jkwire.Counters{},
@@ -46,8 +42,8 @@
 // both peers that it follows accept its calls and never answer.
 func TestHungPeersDelayNoChange(t *testing.T) {
 	t.Parallel()
-	one, callsOfOne := hungPeer(t, "one")
-	two, callsOfTwo := hungPeer(t, "two")
+	one, callsOfOne := hungPeer(t, listenTCP(t), "one")
+	two, callsOfTwo := hungPeer(t, listenTCP(t), "two")
 	own := &storeStub{changes: make(chan Item, 1)}
 	items := follower(t, own, one, two)
 	next(t, items, time.Second)
@@ -70,8 +66,8 @@
 // nothing has changed, while that peer itself has lost its peers and the store.
 func TestPeerWithoutNewsOfTheStoreDelaysNoChange(t *testing.T) {
 	t.Parallel()
-	hung, calls := hungPeer(t, "hung")
-	other, _ := hungPeer(t, "other")
+	hung, calls := hungPeer(t, listenTCP(t), "hung")
+	other, _ := hungPeer(t, listenTCP(t), "other")
 	lost := &storeStub{changes: make(chan Item, 1)}
 	lost.down.Store(true)
 	relay, peer := relayBehind(t, "relay", lost, hung, other)
@@ -181,7 +177,7 @@
 // cancelled its call to them.
 func TestCancelledWatchAvoidsNoPeer(t *testing.T) {
 	t.Parallel()
-	hung, calls := hungPeer(t, "hung")
+	hung, calls := hungPeer(t, listenTCP(t), "hung")
 	own := &storeStub{}
 	relay, _ := relayBehind(t, "relay", own, hung)
 	receive(t, calls, 5*time.Second)
--- a/core/jkfollow/state_test.go
+++ b/core/jkfollow/state_test.go
@@ -135,26 +135,31 @@
 // start: one that hangs, one that knows nothing and one that is older than the other.
 func TestSeedsDelayNoStart(t *testing.T) {
 	t.Parallel()
-	old := serveState(t, listenTCP(t), listedStore(Item{Key: "op/config", Revision: 1}))
-	newer := serveState(t, listenTCP(t), listedStore(Item{Key: "op/config", Revision: 2}))
-	var never atomic.Bool
-	empty := serveState(t, listenTCP(t), silentStore(&never, Source{}))
-	hung, _ := hungPeer(t, "hung")
-	seeds := []string{empty, old, hung.Addr, newer}
-	began := time.Now()
-	items := startWithSeeds(t, nil, listedStore(Item{Key: "op/config", Revision: 9}), seeds...)
-	if got := next(t, items, time.Second); got.Revision != 9 || time.Since(began) > seedDelay {
-		t.Errorf("revision %d after %s, want that of the store at once", got.Revision, time.Since(began))
-	}
-	down := Source{
-		List: func(context.Context, string) (Page, error) { return Page{}, fmt.Errorf("store is down") },
-		Watch: func(context.Context, string, int64, time.Duration) (Page, error) {
-			return Page{}, fmt.Errorf("store is down")
-		},
-	}
-	if got := next(t, startWithSeeds(t, nil, down, seeds...), seedDelay+2*seedTimeout); got.Revision != 2 {
-		t.Errorf("revision %d, want that of the seed that knows most", got.Revision)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		network := jkpipe.NewNetwork()
+		old := serveState(t, network.Listen("old"), listedStore(Item{Key: "op/config", Revision: 1}))
+		newer := serveState(t, network.Listen("newer"), listedStore(Item{Key: "op/config", Revision: 2}))
+		var never atomic.Bool
+		empty := serveState(t, network.Listen("empty"), silentStore(&never, Source{}))
+		hung, _ := hungPeer(t, network.Listen("hung"), "hung")
+		seeds := []string{empty, old, hung.Addr, newer}
+		// Seeds that have not listed the store yet know nothing.
+		synctest.Wait()
+		began := time.Now()
+		items := startWithSeeds(t, network.Dial, listedStore(Item{Key: "op/config", Revision: 9}), seeds...)
+		if got := next(t, items, time.Second); got.Revision != 9 || time.Since(began) > seedDelay {
+			t.Errorf("revision %d after %s, want that of the store at once", got.Revision, time.Since(began))
+		}
+		down := Source{
+			List: func(context.Context, string) (Page, error) { return Page{}, fmt.Errorf("store is down") },
+			Watch: func(context.Context, string, int64, time.Duration) (Page, error) {
+				return Page{}, fmt.Errorf("store is down")
+			},
+		}
+		if got := next(t, startWithSeeds(t, network.Dial, down, seeds...), seedDelay+2*seedTimeout); got.Revision != 2 {
+			t.Errorf("revision %d, want that of the seed that knows most", got.Revision)
+		}
+	})
 }
 
 // Guards against changes that a follower never hears of: the host that it follows has lost the store's
