budgets: let the model's hosts return unnoticed, as probers do

Found in review. The model was kinder than the code: it applied the rule 'a host that was down has to be back for 4 s before its last answer' to each return, while jkprobe sets backAt only after a silence of more than 0.8 s, and applies the rule only where it knows other zones. So an order in which a host restarts within 0.6 s broke a budget and no test could see it.

Change: the fixture keeps how long hosts were down. An entry applies the rule only to the last return that it noticed (0.8 s and its phase), and not in a site of one zone. All silences are kept and not only the last one, since the prober goes on to know a return after which an unnoticed one follows.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -49,6 +49,8 @@
 	// withoutRelays is set if isolated entries reach the other entries as little as the copies.
 	withoutRelays bool
 	recoveredAt   map[string]time.Time
+	// downs holds the times for which hosts were down that are up again, the latest one last.
+	downs map[string][]silence
 	// partitions holds all partitions, the latest one last.
 	partitions []partition
 	// missing holds the hosts of other zones from which a host hasn't copied since it was down.
@@ -73,6 +75,7 @@
 	f := &budgetFixture{
 		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
 		cutSince: map[string]time.Time{}, isolatedSince: map[*budgetEntry]time.Time{}, recoveredAt: map[string]time.Time{},
+		downs:   map[string][]silence{},
 		missing: map[string]map[string]bool{}, addedAt: map[string]time.Time{},
 	}
 	f.timer, f.clock = jktimer.NewManual(f.now)
@@ -175,11 +178,12 @@
 
 // settledWhenLost reports whether an entry noticed no partition of its zone from that of a
 // host, or from any zone if they are the same, from settledAfter before the host's last answer
-// until confirmedAfter after it. A host that was down has to be back for as long before its last answer.
+// until confirmedAfter after it. A host that it noticed down has to be back for as long before its last answer where
+// there are other zones.
 func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
 	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
 	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
-	if back, ok := f.recoveredAt[host]; ok && lastAnswer.Sub(back) < settledAfter {
+	if f.hasOtherZones(e.zone) && lastAnswer.Sub(f.lastNoticedReturn(e, host)) < settledAfter {
 		return false
 	}
 	return !slices.ContainsFunc(f.partitions, func(p partition) bool {
@@ -193,6 +197,21 @@
 	})
 }
 
+// lastNoticedReturn returns when a host was last back that an entry had noticed down.
+func (f *budgetFixture) lastNoticedReturn(e *budgetEntry, host string) time.Time {
+	var last time.Time
+	for _, s := range f.downs[host] {
+		if s.to.Sub(s.from) > unreachableAfter+e.phase {
+			last = s.to
+		}
+	}
+	return last
+}
+
+func (f *budgetFixture) hasOtherZones(zone string) bool {
+	return slices.ContainsFunc(f.copies, func(c Copy) bool { return c.Zone != zone })
+}
+
 // partition is a zone that is cut off from the others for a time; to is zero while it is.
 type partition struct {
 	zone     string
@@ -381,7 +400,8 @@
 
 // up starts all hosts that are down.
 func (f *budgetFixture) up() {
-	for host := range f.downSince {
+	for host, since := range f.downSince {
+		f.downs[host] = append(f.downs[host], silence{from: since, to: f.now})
 		delete(f.downSince, host)
 		f.recoveredAt[host] = f.now
 	}
