budgets: call the loss of a copy harmless only once its records were copied

What callers saw: nothing reported. In the model 60 tokens of a budget of 45 and one turn of 10 were granted, found in review: zone a is cut off for 2 s and grants half; 1.9 s after the cut its copy restarts within 0.6 s, before the others have its records, is up for 1.7 s and goes down; the others grant the whole rest.

Cause: a loss counted as harmless since the zone and the host had been in reach for 4 s, by which time the others are likely to have copied. Probers don't notice a silence of under 0.8 s, though it breaks off the copying.

Change: storage hosts know what they have copied (copySources). A host that is back after a silence is uncopied until it has been copied, and losses() doesn't name an uncopied host as a confirmed loss. Its answer then contests the loss, for entries of any release, in reservations and in lookups of turns. The fixture does the same. The time rules stay. Callers lose: programs whose copy goes down for good before the others have copied from it are kept at half until it is back or removed, which is what the budget needs; a host that has never been copied since it appeared isn't counted so, since it can't have been chosen yet in most cases, and a host that crashes in its first second would cost its programs half of their budgets for 20 s.

Ruled out: a shorter silence that probers notice (a late or lost probe would delay each confirmation by 4 s, and a restart of under 0.25 s stays unseen); a start time in the answers of probes (a host that was frozen has the same one; other releases don't send it); any source that is pending (one that failed once at the start isn't asked again, so that its loss would never be confirmed).

Measured: TestBudgetOfACopyThatRestartsUnnoticedAfterACut fails without it (60 of 45 and 10) and passes with it; it also demands that 40 are granted, once the host was up for 2 s.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -55,6 +55,8 @@
 	partitions []partition
 	// missing holds the hosts of other zones from which a host hasn't copied since it was down.
 	missing map[string]map[string]bool
+	// uncopied holds the hosts of other zones that are back and from which a host hasn't copied since.
+	uncopied map[string]map[string]bool
 	// addedAt is when a host was added.
 	addedAt map[string]time.Time
 	entries []*budgetEntry
@@ -76,7 +78,7 @@
 		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
 		cutSince: map[string]time.Time{}, isolatedSince: map[*budgetEntry]time.Time{}, recoveredAt: map[string]time.Time{},
 		downs:   map[string][]silence{},
-		missing: map[string]map[string]bool{}, addedAt: map[string]time.Time{},
+		missing: map[string]map[string]bool{}, uncopied: map[string]map[string]bool{}, addedAt: map[string]time.Time{},
 	}
 	f.timer, f.clock = jktimer.NewManual(f.now)
 	for z := range zones {
@@ -219,7 +221,7 @@
 }
 
 // losses returns what a copy's host observes of the others. One that was down itself has observed
-// them for too short a time.
+// them for too short a time, and one that hasn't copied from another since it was back doesn't confirm its loss.
 func (f *budgetFixture) losses(c Copy) jkledger.Losses {
 	var out jkledger.Losses
 	own := &budgetEntry{zone: c.Zone}
@@ -228,6 +230,7 @@
 		lastAnswer := f.now.Add(-f.unreachableFor(own, other.Host))
 		switch {
 		case f.unreachableFor(own, other.Host) <= unreachableAfter:
+		case f.uncopied[c.Host][other.Host]:
 		case lastAnswer.Sub(startedAt) >= settledAfter && f.lossConfirmed(own, other.Host):
 			out.Confirmed = append(out.Confirmed, other.Host)
 		case lastAnswer.Before(startedAt):
@@ -326,6 +329,7 @@
 				continue
 			}
 			delete(f.missing[to.Host], from.Host)
+			delete(f.uncopied[to.Host], from.Host)
 			for _, s := range f.ledgers[from.Host].Spendings("p") {
 				f.ledgers[to.Host].Apply(f.now, jkledger.Record{Spending: &s})
 			}
@@ -359,6 +363,7 @@
 
 func (f *budgetFixture) down(host string) {
 	f.downSince[host] = f.now
+	delete(f.uncopied, host)
 	f.miss(f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })])
 }
 
@@ -401,6 +406,9 @@
 // up starts all hosts that are down.
 func (f *budgetFixture) up() {
 	for host, since := range f.downSince {
+		if f.now.Sub(since) > unreachableAfter+probePhase {
+			f.uncopy(func(from, _ Copy) bool { return from.Host == host })
+		}
 		f.downs[host] = append(f.downs[host], silence{from: since, to: f.now})
 		delete(f.downSince, host)
 		f.recoveredAt[host] = f.now
@@ -409,13 +417,34 @@
 
 // heal ends all partitions.
 func (f *budgetFixture) heal() {
-	for zone := range f.cutSince {
+	for zone, since := range f.cutSince {
+		if f.now.Sub(since) > unreachableAfter+probePhase {
+			f.uncopy(func(from, to Copy) bool { return from.Zone == zone || to.Zone == zone })
+		}
 		delete(f.cutSince, zone)
 		f.recoveredAt[zone] = f.now
 		f.partitions[len(f.partitions)-1].to = f.now
 	}
 }
 
+// uncopy notes that hosts which are up have to copy from others that are back.
+func (f *budgetFixture) uncopy(isBack func(from, to Copy) bool) {
+	for _, to := range f.copies {
+		if _, down := f.downSince[to.Host]; down {
+			continue
+		}
+		for _, from := range f.copies {
+			if from.Zone == to.Zone || !isBack(from, to) {
+				continue
+			}
+			if f.uncopied[to.Host] == nil {
+				f.uncopied[to.Host] = map[string]bool{}
+			}
+			f.uncopied[to.Host][from.Host] = true
+		}
+	}
+}
+
 // copyIn returns the host of the program's copy in a zone, as an entry chooses it.
 func (f *budgetFixture) copyIn(e *budgetEntry, zone string) string {
 	copies := e.client.replicas("p")
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -418,6 +418,34 @@
 	f.check(t)
 }
 
+// Guards against three halves of a budget: a zone is cut off and grants one, and its copy restarts unnoticed before the
+// others have copied from it, and then goes down. Once they have, they grant the rest.
+func TestBudgetOfACopyThatRestartsUnnoticedAfterACut(t *testing.T) {
+	for _, up := range []time.Duration{copiedAfter - 300*time.Millisecond, copiedAfter} {
+		f := newBudgetFixture(3, 1, 3)
+		f.cut("a")
+		f.advance(2 * time.Second)
+		for range 2 {
+			f.reserve(f.entries[0], turnTokens, turnBudget)
+		}
+		f.heal()
+		f.advance(copiedAfter - 100*time.Millisecond)
+		f.down("a0")
+		f.advance(unreachableAfter - 200*time.Millisecond)
+		f.up()
+		f.advance(up)
+		f.down("a0")
+		f.advance(confirmedAfter + time.Second)
+		for range 4 {
+			f.reserve(f.entries[1], turnTokens, turnBudget)
+		}
+		f.check(t)
+		if f.granted < 4*turnTokens {
+			t.Errorf("up for %s: %d of %d are granted", up, f.granted, turnBudget)
+		}
+	}
+}
+
 // Guards against a budget that is exceeded in any order of losses, cuts and additions, with turns through any entry between
 // them. At most one host is down and one zone cut off at a time.
 func TestBudgetHoldsWhileCopiesAreAddedBesideLosses(t *testing.T) {
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -23,6 +23,8 @@
 	// sinceStart is set if nothing was copied from the source since this process started, so
 	// that also records from before are missing.
 	sinceStart bool
+	// uncopied is set if the source was out of reach, and nothing was copied from it since it is back.
+	uncopied bool
 }
 
 func newCopySources(zone string, zones int) *copySources {
@@ -56,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source := s.sources[host]; source != nil {
-		source.pending = true
+		source.pending, source.uncopied = true, true
 	}
 }
 
@@ -65,10 +67,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source := s.sources[host]; source != nil {
-		source.pending, source.sinceStart = false, false
+		source.pending, source.sinceStart, source.uncopied = false, false, false
 	}
 }
 
+// isUncopied reports whether a host was out of reach, and may have admitted turns then that this one hasn't copied.
+func (s *copySources) isUncopied(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	source := s.sources[host]
+	return source != nil && source.uncopied
+}
+
 // isPending reports whether records of a host are missing, and whether nothing was copied
 // from it since the start.
 func (s *copySources) isPending(host string) (pending, sinceStart bool) {
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -253,9 +253,11 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind() }
 
-// losses returns the other hosts with a copy that don't answer.
+// losses returns the other hosts with a copy that don't answer. The time for which one was back before doesn't tell
+// whether its records were copied.
 func (t *Storage) losses() jkledger.Losses {
 	confirmed, neverReached := t.probes.Losses()
+	confirmed = slices.DeleteFunc(confirmed, t.sources.isUncopied)
 	return jkledger.Losses{Confirmed: confirmed, NeverReached: neverReached}
 }
 
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"jasmineknot.example/core/jkfollow"
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkprobe"
 	"jasmineknot.example/core/jktimer"
 	"jasmineknot.example/core/jkwire"
 )
@@ -129,3 +131,57 @@
 	s.apply(context.Background(), jkfollow.Item{Key: "b", Revision: 1})
 	eventually(t, "copy that isn't behind", func() bool { return !s.behind() })
 }
+
+// Guards against the loss of a host that counts as harmless although this one hasn't copied from it since it was back.
+func TestLossOfAHostThatIsNotCopiedIsNotConfirmed(t *testing.T) {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	entries := map[string]Change{}
+	s, err := NewStorage(Settings{Host: "a", Zone: "a", Zones: []string{"a", "b"}, Folder: memoryFolder(t), First: true}.listening(t), scriptedPlatform(entries), timer, jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop := make(chan struct{})
+		close(stop)
+		s.Run(stop)
+	})
+	// answer makes a host answer probes; its ledger can't be copied.
+	ports := map[string]*heldPorts{}
+	answer := func(host string) *jkprobe.Prober {
+		p, err := jkprobe.Listen(jkprobe.Options{Timer: timer, Log: jklog.Discard(), Host: host, Zone: "b", Addr: ports[host].addr(), Socket: ports[host].probes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	for _, host := range []string{"b1", "b2"} {
+		ports[host] = holdPorts(t)
+		entries[host] = Change{Host: &HostEntry{Host: host, Zone: "b", Addr: ports[host].addr(), Ledger: true}}
+		s.apply(context.Background(), jkfollow.Item{Key: host, Revision: 1})
+	}
+	// pass lets time pass in which hosts answer.
+	pass := func(d time.Duration, hosts ...string) {
+		for end := timer.Now().Add(d); timer.Now().Before(end); {
+			clock.Advance(250 * time.Millisecond)
+			for _, host := range hosts {
+				eventually(t, "answer of "+host, func() bool { last, _ := s.probes.LastAnswer(host); return last.Equal(timer.Now()) })
+			}
+		}
+	}
+	answer("b2")
+	pass(2*time.Second, "b2")
+	b1 := answer("b1")
+	pass(5*time.Second, "b1", "b2")
+	b1.Close()
+	pass(3*time.Second, "b2")
+	if confirmed, _ := s.probes.Losses(); !slices.Equal(confirmed, []string{"b1"}) {
+		t.Fatalf("the prober confirms the loss of %v", confirmed)
+	}
+	if got := s.losses(); len(got.Confirmed)+len(got.NeverReached) > 0 {
+		t.Errorf("%+v are reported before b1 is copied", got)
+	}
+	s.sources.copied("b1")
+	if got := s.losses(); !slices.Equal(got.Confirmed, []string{"b1"}) {
+		t.Errorf("%+v are reported after b1 is copied", got)
+	}
+}
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -38,8 +38,8 @@
 
 // Losses are the hosts of other copies that don't answer the host of the answering copy.
 type Losses struct {
-	// Confirmed are the hosts that fell silent alone, while their zone went on answering. The
-	// other copies have what they admitted.
+	// Confirmed are the hosts that fell silent alone, while their zone went on answering, and from which the
+	// answering copy has copied since they were out of reach before. The other copies have what they admitted.
 	Confirmed []string `msgpack:"settled_losses,omitempty"`
 	// NeverReached are the hosts that haven't answered since the copy's host started, so that
 	// it can't tell.
