relay: ask all entries in turn for a way to an endpoint, not the same six

What callers would see: where an entry has lost its links and the six entries that it asks for an endpoint have too, that endpoint stays out of reach although others reach it. Cause: the six were chosen before it was known who reaches the endpoint. Change: the relays that have missed it come last, and six are chosen after that, at most three of a zone.

--- a/core/jkentry/relay.go
+++ b/core/jkentry/relay.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// maxRelays bounds the entries that are asked to reach one endpoint.
-	maxRelays = 6
 	// bytesPerTunnel is what one tunnel takes of this host's memory, with both of its sockets, and
 	// tunnelShare the part of the memory limit that all of them may take: one eighth.
 	bytesPerTunnel = 96 << 10
@@ -98,25 +96,8 @@
 		return cmp.Or(cmp.Compare(ca, cb), cmp.Compare(ha, hb))
 	})
 	var out []jkrelay.Host
-	for _, h := range spread(hosts) {
-		out = append(out, jkrelay.Host{Name: h.Host, Addr: h.Addr, Zone: h.Zone})
-	}
-	return out
-}
-
-// spread returns up to maxRelays hosts in order, of which no zone has more than a half: all entries
-// of a zone may be cut off together.
-func spread(hosts []HostEntry) []HostEntry {
-	perZone := map[string]int{}
-	var out []HostEntry
 	for _, h := range hosts {
-		if len(out) == maxRelays {
-			break
-		}
-		if perZone[h.Zone] < maxRelays/2 {
-			perZone[h.Zone]++
-			out = append(out, h)
-		}
+		out = append(out, jkrelay.Host{Name: h.Host, Addr: h.Addr, Zone: h.Zone})
 	}
 	return out
 }
--- a/core/jkrelay/join.go
+++ b/core/jkrelay/join.go
@@ -10,7 +10,11 @@
 	"jasmineknot.example/core/jkwire"
 )
 
-// join opens a tunnel to an endpoint. Two relays are asked at a time.
+// maxRelays bounds the relays that are asked for one tunnel.
+const maxRelays = 6
+
+// join opens a tunnel to an endpoint. Two relays are asked at a time. Those that don't reach it come last the
+// next time, so that all are asked in the end.
 func (d *Dialer) join(ctx context.Context, addr string, direct error) (net.Conn, error) {
 	id, ok := d.EndpointAt(addr)
 	if !ok {
@@ -22,7 +26,7 @@
 	}
 	result := ResultNoWay
 	var ended *EndedError
-	hosts := d.order(addr, d.Relays(id))
+	hosts := spread(d.order(addr, d.Relays(id)))
 	for first := true; len(hosts) > 0 && ctx.Err() == nil; first = false {
 		batch := hosts[:min(parallelJoins, len(hosts))]
 		hosts = hosts[len(batch):]
@@ -92,6 +96,23 @@
 	return hosts
 }
 
+// spread returns up to maxRelays hosts in order, of which no zone has more than a half: all entries
+// of a zone may be cut off together.
+func spread(hosts []Host) []Host {
+	perZone := map[string]int{}
+	var out []Host
+	for _, h := range hosts {
+		if len(out) == maxRelays {
+			break
+		}
+		if perZone[h.Zone] < maxRelays/2 {
+			perZone[h.Zone]++
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // joined is the answer of one relay.
 type joined struct {
 	conn   net.Conn
