forward: a request that no endpoint got is refused where one is full

Cause: a stream whose endpoint said nothing when it was asked for its start counts as given up, and such ones wait until their time limit for any endpoint. That is for those that may have run; one that hasn't got its 503 at the limit, and its caller no time for another try. It is refused now as soon as an endpoint has refused it; where there is only the silent one it waits as before.

--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -57,7 +57,9 @@
 			return c.finalRefusal("deadline", slotRetryAfter)
 		}
 		to, err := h.chooseEndpoint(c)
-		if err != nil && c.givenUp && mayPass(err) {
+		// One that no endpoint got is refused where another one is full, as its caller may find one.
+		mayWait := c.givenUp && (c.mayHaveRun || refusals == 0)
+		if err != nil && mayWait && mayPass(err) {
 			// The endpoint may be sound, so the request waits for any that it may go on at.
 			c.excluded = nil
 			if !h.Timer.Wait(slotRetryAfter, c.request.Context().Done()) {
@@ -90,7 +92,7 @@
 			c.abort()
 		case outcomeRefused:
 			refusals++
-			if refusals >= maxRefusals && !c.givenUp {
+			if refusals >= maxRefusals && !(c.givenUp && c.mayHaveRun) {
 				return c.finalRefusal("endpoints_full", slotRetryAfter)
 			}
 			if c.isTiedTo(to.id) {
