--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -92,7 +92,7 @@
 			c.abort()
 		case outcomeRefused:
 			refusals++
-			if refusals >= maxRefusals && !(c.givenUp && c.mayHaveRun) {
+			if refusals >= maxRefusals && (!c.givenUp || !c.mayHaveRun) {
 				return c.finalRefusal("endpoints_full", slotRetryAfter)
 			}
 			if c.isTiedTo(to.id) {
