forward, test: take two time limits by a clock that stalls don't move

Seen: TestUnkeptTurnBreaksOffAtDeadline ends after 4.6 and 3.5 s of 3 s, and TestStreamIsNotGivenUpWhenItsOwnEndpointIsFull is cut at 3.06 s, each once or twice at a load of 54 to 135. Cause: both take the time limit of a request by the clock of the machine, so that a test process that doesn't run for a while fails them. Traced: on the way from the request to the response there is no wait but that for the limit (the turn is stored from 1 to 7 ms on, ends 0.5 to 4 ms after 3 s and the caller sees it 1 to 9 ms later, in 9 of 9 plays beside three busy processes, load 14). A test process that is stopped by hand for 2.1 s from 2.5 s on gives 4.604 s, and one stopped for 1.15 s from 1.9 s on cuts the stream after 3.052 s, with the messages that were seen. Ruled out: a wait of the code. With a clock that moves only while all of the test waits the response ends after 3 s sharp, which a wait of the code would show. Change: both run in a bubble, on connections in memory. The first one allows no tolerance any more (before -0.1 and +0.5 s); the second one checks the same as before. Measured: 2,000 of 2,000 plays of both pass alone, and 2,000 beside three busy processes; both pass when the process is stopped for 2.1 s. With 0.4 s more for storing a turn the first one fails (it passed before), and with refusals that end a stream that was given up the second one does.

--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -76,12 +76,8 @@
 	seen []string
 }
 
-func newScriptedEndpoint(t *testing.T) *scriptedEndpoint {
+func newScriptedEndpoint(t *testing.T, l net.Listener) *scriptedEndpoint {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	e := &scriptedEndpoint{listener: l, endlessWriter: endlessWriter{closed: make(chan struct{}, 16)}}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -250,6 +246,7 @@
 	memoryAccount *memoryAccount
 	metrics       *metrics.Set
 	fleet         *Fleet
+	callers       http.RoundTripper
 }
 
 // testRules returns the routes of the tests; their prefixes say what may be
@@ -277,26 +274,35 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureOn(t, func(string) net.Listener { return listenTCP(t) }, jkupstream.DefaultOptions())
+}
+
+// newFixtureOn returns a fixture with listeners of its own and the connections that lead to them.
+func newFixtureOn(t *testing.T, listen func(name string) net.Listener, connections jkupstream.Options) *fixture {
 	t.Helper()
 	timer := jktimer.New()
 	opt := jksched.DefaultDirectOptions()
 	opt.Zone = "a"
 	// Both endpoints have the same settings, so that the first in order is chosen.
 	fleet := NewFleet("h", opt, timer)
-	f := &fixture{fleet: fleet, endpoints: map[string]*scriptedEndpoint{}, memoryAccount: &memoryAccount{}, metrics: metrics.NewSet()}
+	f := &fixture{fleet: fleet, endpoints: map[string]*scriptedEndpoint{}, memoryAccount: &memoryAccount{}, metrics: metrics.NewSet(), callers: http.DefaultTransport}
 	for _, id := range []string{"e1", "e2"} {
-		f.endpoints[id] = newScriptedEndpoint(t)
+		f.endpoints[id] = newScriptedEndpoint(t, listen(id))
 		f.setVersion(id, "v1")
 	}
 	opened := 0
+	pool := jkupstream.NewPool(connections, timer, func() { opened++ })
+	t.Cleanup(pool.CloseIdleDirect)
 	h := NewHandler(Options{
 		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(f.metrics), Rules: testRules,
 		Dialect: testDialect(), Account: f.memoryAccount.account(), Fleet: fleet,
-		Pool:    jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() { opened++ }),
+		Pool:    pool,
 		Crashes: NewCrashWatch(timer, jklog.Discard()),
 		Stop:    NewHostStop(),
 	})
-	f.front = httptest.NewServer(h)
+	f.front = &httptest.Server{Listener: listen("front"), Config: &http.Server{Handler: h}}
+	f.front.Start()
 	t.Cleanup(f.front.Close)
 	return f
 }
--- a/core/jkforward/given_up_test.go
+++ b/core/jkforward/given_up_test.go
@@ -9,8 +9,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"jasmineknot.example/core/jkpipe"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 	"jasmineknot.example/core/jkstandin"
@@ -31,10 +33,11 @@
 // last event that it names.
 func newAcceptingEndpoint(t *testing.T, serve func(n int64, c net.Conn, last string)) *acceptingEndpoint {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	return newAcceptingEndpointOn(t, listenTCP(t), serve)
+}
+
+func newAcceptingEndpointOn(t *testing.T, l net.Listener, serve func(n int64, c net.Conn, last string)) *acceptingEndpoint {
+	t.Helper()
 	e := &acceptingEndpoint{listener: l}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -166,21 +169,24 @@
 // Guards against a stream that is aborted because its silent endpoint's slots are still taken by its
 // first run.
 func TestStreamIsNotGivenUpWhenItsOwnEndpointIsFull(t *testing.T) {
-	f := newKindFixture(t, jkruleset.KindStream, true, 1)
-	over := silence(2 * time.Second)
-	e := newAcceptingEndpoint(t, func(n int64, c net.Conn, last string) {
-		select {
-		case <-over():
-		default:
-			if n > 1 {
-				_, _ = io.WriteString(c, silentNotRun)
-				return
+	synctest.Test(t, func(t *testing.T) {
+		network := jkpipe.NewNetwork()
+		f := newPipeFixture(t, network, jkruleset.KindStream, true, 1)
+		over := silence(2 * time.Second)
+		e := newAcceptingEndpointOn(t, network.Listen("e"), func(n int64, c net.Conn, last string) {
+			select {
+			case <-over():
+			default:
+				if n > 1 {
+					_, _ = io.WriteString(c, silentNotRun)
+					return
+				}
 			}
-		}
-		serveStream(over)(n, c, last)
+			serveStream(over)(n, c, last)
+		})
+		f.add("e", "a", e.listener.Addr().String())
+		wantWholeStream(t, f)
 	})
-	f.add("e", "a", e.listener.Addr().String())
-	wantWholeStream(t, f)
 }
 
 // Guards against an answer that is lost because its endpoint refuses new connections while it
--- a/core/jkforward/keep_test.go
+++ b/core/jkforward/keep_test.go
@@ -3,12 +3,27 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"jasmineknot.example/core/jkpipe"
 )
 
+// newFixtureInBubble returns a fixture for a bubble, whose connections are in memory.
+func newFixtureInBubble(t *testing.T) *fixture {
+	t.Helper()
+	network := jkpipe.NewNetwork()
+	f := newFixtureOn(t, network.Listen, pipeOptions(network))
+	callers := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return network.Dial(ctx, "front") }}
+	t.Cleanup(callers.CloseIdleConnections)
+	f.callers = callers
+	return f
+}
+
 // sendRetainedTurn sends a turn on a route that retains turns, and returns the
 // duration of its response and the error that ended it.
 func (f *fixture) sendRetainedTurn(t *testing.T) (took time.Duration, ended error) {
@@ -23,7 +38,7 @@
 	req.Host = "site.example"
 	req.Header.Set(testRequest, "r1")
 	began := time.Now()
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := f.callers.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,19 +50,21 @@
 // Guards against a caller that waits beyond its deadline because the turn can't be
 // stored.
 func TestUnkeptTurnBreaksOffAtDeadline(t *testing.T) {
-	f := newFixture(t)
-	f.memoryAccount.keep = func(ctx context.Context) error {
-		<-ctx.Done()
-		return &NoQuorumError{Operation: "keep", Needed: 2}
-	}
-	const wait = 3 * time.Second
-	took, err := f.sendRetainedTurn(t)
-	if err == nil {
-		t.Error("the response ended without an error, although its turn wasn't kept")
-	}
-	if took < wait-100*time.Millisecond || took > wait+500*time.Millisecond {
-		t.Errorf("the response ended after %s, want %s", took, wait)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureInBubble(t)
+		f.memoryAccount.keep = func(ctx context.Context) error {
+			<-ctx.Done()
+			return &NoQuorumError{Operation: "keep", Needed: 2}
+		}
+		const wait = 3 * time.Second
+		took, err := f.sendRetainedTurn(t)
+		if err == nil {
+			t.Error("the response ended without an error, although its turn wasn't kept")
+		}
+		if took != wait {
+			t.Errorf("the response ended after %s, want %s", took, wait)
+		}
+	})
 }
 
 // Guards against a response that ends before its turn is stored: the caller would
--- a/core/jkforward/single_test.go
+++ b/core/jkforward/single_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"jasmineknot.example/core/jklog"
+	"jasmineknot.example/core/jkpipe"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
 	"jasmineknot.example/core/jktimer"
@@ -24,6 +26,8 @@
 	fleet   *Fleet
 	crashes *CrashWatch
 	front   *httptest.Server
+	// dial connects to the front.
+	dial func() (net.Conn, error)
 }
 
 // newSingleFixture returns a fixture whose route has resumable streams and allows one endpoint.
@@ -38,6 +42,46 @@
 }
 
 func newDialectFixture(t *testing.T, dialect Dialect, kind jkruleset.Kind, resumable bool, maxAttempts int) *singleFixture {
+	t.Helper()
+	return newSingleFixtureOn(t, listenTCP(t), jkupstream.DefaultOptions(), dialect, kind, resumable, maxAttempts)
+}
+
+// newPipeFixture returns the fixture of newKindFixture on a network in memory, for a bubble.
+func newPipeFixture(t *testing.T, network *jkpipe.Network, kind jkruleset.Kind, resumable bool, maxAttempts int) *singleFixture {
+	t.Helper()
+	f := newSingleFixtureOn(t, network.Listen("front"), pipeOptions(network), testDialect(), kind, resumable, maxAttempts)
+	f.dial = func() (net.Conn, error) { return network.Dial(t.Context(), "front") }
+	f.crashes.SetDial(func(ctx context.Context, addr string) error {
+		c, err := network.Dial(ctx, addr)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	})
+	return f
+}
+
+// pipeOptions returns the options of connections on a network in memory.
+func pipeOptions(network *jkpipe.Network) jkupstream.Options {
+	o := jkupstream.DefaultOptions()
+	o.Dial = func(ctx context.Context, addr string) (net.Conn, bool, error) {
+		c, err := network.Dial(ctx, addr)
+		return c, false, err
+	}
+	return o
+}
+
+// listenTCP returns a listener on a free loopback port.
+func listenTCP(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func newSingleFixtureOn(t *testing.T, front net.Listener, connections jkupstream.Options, dialect Dialect, kind jkruleset.Kind, resumable bool, maxAttempts int) *singleFixture {
 	t.Helper()
 	timer := jktimer.New()
 	opt := jksched.DefaultDirectOptions()
@@ -49,11 +93,15 @@
 		Name: "single", Host: "site.example", Prefix: "/single/", Kind: kind, Timeout: 3 * time.Second,
 		MaxAttempts: maxAttempts, Resumable: resumable, Shares: []jkruleset.Share{{Service: "s", Weight: 1}},
 	})})
-	f.front = httptest.NewServer(NewHandler(Options{
+	f.dial = func() (net.Conn, error) { return net.Dial("tcp", front.Addr().String()) }
+	pool := jkupstream.NewPool(connections, timer, func() {})
+	t.Cleanup(pool.CloseIdleDirect)
+	f.front = &httptest.Server{Listener: front, Config: &http.Server{Handler: NewHandler(Options{
 		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(metrics.NewSet()), Rules: func() *jkruleset.Set { return rules },
 		Dialect: dialect, Account: (&memoryAccount{}).account(), Fleet: f.fleet, Stop: NewHostStop(),
-		Pool: jkupstream.NewPool(jkupstream.DefaultOptions(), timer, func() {}), Crashes: f.crashes,
-	}))
+		Pool: pool, Crashes: f.crashes,
+	})}}
+	f.front.Start()
 	t.Cleanup(f.front.Close)
 	return f
 }
@@ -74,7 +122,7 @@
 // read sends one request and returns the status and what was received of the body.
 func (f *singleFixture) read(t *testing.T) (status int, body string) {
 	t.Helper()
-	conn, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	conn, err := f.dial()
 	if err != nil {
 		t.Fatal(err)
 	}
