budgets: grant nothing without a majority beside a lost copy that was replaced

What callers saw: nothing reported. In the model 60 tokens of a budget of 45 and one turn of 10: zone a is cut off and grants half, its copy goes down before the others have copied from it, another copy takes its place, and then a zone is cut off: both sides grant half. Found by random orders while the model was mended.

Cause: isExclusive looks at lost copies whose places others have, isParted only at the chosen ones.

Change: isParted looks at them as well. Callers lose: programs with such a lost copy are refused in parts without a majority, until the copy is back or removed.

Ruled out: no look at copies of zones that are cut off (by reading, the part without that zone then grants half beside a majority with the added copy); any silence of both (TestBudgetOfACutAfterALossThatIsNotHarmless, third case).

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -293,7 +293,7 @@
 		q.spendings.merge(l.Spendings(r.Program))
 	}
 	all := slices.Concat(copies, successors)
-	q.exclusive, q.parted = e.client.isExclusive(r.Program, copies, successors, reports), e.client.isParted(copies, reports)
+	q.exclusive, q.parted = e.client.isExclusive(r.Program, copies, successors, reports), e.client.isParted(r.Program, copies, reports)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -446,6 +446,88 @@
 	}
 }
 
+// Guards against a budget that is exceeded in any order of losses and cuts after a zone was cut off and granted half.
+func TestBudgetHoldsAfterACutThatGrantedHalf(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newBudgetFixture(3, rapid.IntRange(1, 2).Draw(t, "hosts"), 4)
+		reserve := func(e *budgetEntry) {
+			f.reserve(e, turnTokens, turnBudget)
+			f.reserve(e, turnTokens, turnBudget)
+		}
+		granting := f.copyIn(f.entries[0], "a")
+		f.cut("a")
+		f.advance(2 * time.Second)
+		reserve(f.entries[0])
+		f.heal()
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			one := f.copies[rapid.IntRange(0, len(f.copies)-1).Draw(t, "copy")]
+			step := rapid.SampledFrom([]string{"down", "down other", "up", "cut", "heal"}).Draw(t, "step")
+			switch {
+			case step == "down" && len(f.downSince) == 0:
+				f.down(granting)
+			case step == "down other" && len(f.downSince) == 0:
+				f.down(one.Host)
+			case step == "up":
+				f.up()
+			case step == "cut" && len(f.cutSince) == 0:
+				f.cut(one.Zone)
+			case step == "heal":
+				f.heal()
+			}
+			f.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "time")) * 100 * time.Millisecond)
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "callers") {
+			reserve(f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")])
+		}
+		f.check(t)
+	})
+}
+
+// Guards against three halves of a budget: a zone is cut off and grants one, its copy goes down before the others have
+// copied from it, another one takes its place, and a second cut has both sides grant one more.
+func TestBudgetOfACutAfterALossThatIsNotHarmless(t *testing.T) {
+	for _, c := range []struct {
+		added bool
+		cut   string
+	}{{false, "b"}, {true, "a"}, {true, "b"}} {
+		f := newBudgetFixture(3, 2, 3)
+		own := f.copyIn(f.entries[0], "a")
+		f.cut("a")
+		f.advance(2 * time.Second)
+		reserve := func(e *budgetEntry) {
+			f.reserve(e, turnTokens, turnBudget)
+			f.reserve(e, turnTokens, turnBudget)
+		}
+		reserve(f.entries[0])
+		f.down(own)
+		f.heal()
+		if c.added {
+			f.addBefore(Copy{Host: own, Zone: "a"})
+		}
+		f.advance(newFor + time.Second)
+		f.cut(c.cut)
+		f.advance(2 * time.Second)
+		reserve(f.entries[0])
+		reserve(f.entries[1])
+		f.check(t)
+	}
+}
+
+// Guards against a zone that grants nothing while it is cut off, because a copy of another zone was chosen lately.
+func TestBudgetOfACutZoneBesideACopyThatWasJustAdded(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	f.addBefore(f.copies[1])
+	f.advance(newFor + time.Second)
+	f.cut("a")
+	f.advance(2 * time.Second)
+	for range 2 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	if f.granted != 2*turnTokens {
+		t.Errorf("%d of %d are granted", f.granted, turnBudget)
+	}
+}
+
 // Guards against a budget that is exceeded in any order of losses, cuts and additions, with turns through any entry between
 // them. At most one host is down and one zone cut off at a time.
 func TestBudgetHoldsWhileCopiesAreAddedBesideLosses(t *testing.T) {
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -82,23 +82,38 @@
 // what they admitted. The successors have no vote, but may admit turns elsewhere.
 func (c *Client) isExclusive(program string, copies, successors []Copy, reports *lossReports) bool {
 	mayAdmit := func(target Copy) bool { return !reports.answered[target.Host] && !c.isDown(target, reports) }
-	return !slices.ContainsFunc(slices.Concat(copies, successors), mayAdmit) && !slices.ContainsFunc(c.knownCopies(), func(other Copy) bool {
-		return !c.isLossHarmless(other.Host, reports) && c.isReplaced(program, other, copies)
+	return !slices.ContainsFunc(slices.Concat(copies, successors), mayAdmit) && len(c.replaced(program, copies, reports)) == 0
+}
+
+// replaced returns the lost copies whose places the given ones have, and that may have admitted turns of which the
+// others don't know.
+func (c *Client) replaced(program string, copies []Copy, reports *lossReports) []Copy {
+	return slices.DeleteFunc(slices.Clone(c.knownCopies()), func(other Copy) bool {
+		return c.isLossHarmless(other.Host, reports) || !c.isReplaced(program, other, copies)
+	})
+}
+
+// fellSilentTogether reports whether a copy fell silent with the chosen one of its zone, as in a cut, or after it.
+func (c *Client) fellSilentTogether(other Copy, chosen []Copy) bool {
+	return !c.Reachable(other.Host) && slices.ContainsFunc(chosen, func(target Copy) bool {
+		return target.Zone == other.Zone && !c.Reachable(target.Host) &&
+			c.UnreachableFor(other.Host)-c.UnreachableFor(target.Host) < c.LossConfirmedAfter
 	})
 }
 
 // isParted reports whether the copies that answered may admit turns without a majority. Only one other
 // part of the fleet may do so too, so that the zones of the others have to be cut off, which these
 // notice as well. One that is down beside that may have admitted turns while it was cut off itself,
-// unless its loss is harmless.
-func (c *Client) isParted(copies []Copy, reports *lossReports) bool {
+// unless its loss is harmless. So may one that was lost before the cut and whose place another one has.
+func (c *Client) isParted(program string, copies []Copy, reports *lossReports) bool {
 	missing := slices.DeleteFunc(slices.Clone(copies), func(target Copy) bool { return reports.answered[target.Host] })
 	isCut := func(target Copy) bool { return !c.ZoneReachable(target.Zone) }
 	// A zone is found unreachable a little later than its first host.
 	cut := slices.ContainsFunc(missing, func(target Copy) bool {
 		return isCut(target) || c.UnreachableFor(target.Host) < c.LossConfirmedAfter
 	})
-	return !slices.ContainsFunc(missing, func(target Copy) bool {
+	wasLost := func(other Copy) bool { return !c.fellSilentTogether(other, copies) }
+	return !slices.ContainsFunc(c.replaced(program, copies, reports), wasLost) && !slices.ContainsFunc(missing, func(target Copy) bool {
 		return c.Reachable(target.Host) || cut && !isCut(target) && !c.isLossHarmless(target.Host, reports)
 	})
 }
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -194,7 +194,7 @@
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
 	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.successors, o.reports)
-	o.quorum.parted = o.client.isParted(o.copies, o.reports)
+	o.quorum.parted = o.client.isParted(o.reservation.Program, o.copies, o.reports)
 	err := o.quorum.decide(o.reservation)
 	var noQuorum *jkforward.NoQuorumError
 	if errors.As(err, &noQuorum) && o.quorum.hasMajority() {
