budgets: tell entries that have just started which copies are back and not copied

What callers saw: nothing reported.

Cause: an entry learns from its own observations that a copy was silent and that another one has its place since. One that started after that has neither, and takes all copies that it knows for used since ever.

Change: copies report the hosts that are back and from which they haven't copied since (copySources, as for confirmed losses), with the time of the last answer before. An entry looks at reported hosts as at those that it saw silent. Of a silence that began before the entry did, it can't tell whether the chosen copy was used by then, and assumes that it wasn't. What it saw itself is judged as before. Callers lose: at an entry that is younger than the silence, programs with a copy in that zone get half of their budgets until the host has been copied, which by reading is tried each 0.4 s.

The fixture: a host that is down when a cut ends isn't back then (it was marked as such since; it is so once it is up), and entries observe the copies when they are created, as a daemon does, not with their first turn.

Ruled out: that an entry takes what was there before it for used since its own start in all cases, which keeps programs at half for good beside a copy that was never chosen (TestEntryStartedDuringASilenceGrantsTheBudget); all reported hosts, whenever the entry started (TestBudgetBesideACopyThatIsBack: 20 of 45).

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -55,8 +55,9 @@
 	partitions []partition
 	// missing holds the hosts of other zones from which a host hasn't copied since it was down.
 	missing map[string]map[string]bool
-	// uncopied holds the hosts of other zones that are back and from which a host hasn't copied since.
-	uncopied map[string]map[string]bool
+	// uncopied holds the hosts of other zones that are back and from which a host hasn't copied since, and when they
+	// last answered before.
+	uncopied map[string]map[string]time.Time
 	// addedAt is when a host was added.
 	addedAt map[string]time.Time
 	entries []*budgetEntry
@@ -78,7 +79,7 @@
 		now: time.Unix(1000, 0), ledgers: map[string]*jkledger.Ledger{}, downSince: map[string]time.Time{},
 		cutSince: map[string]time.Time{}, isolatedSince: map[*budgetEntry]time.Time{}, recoveredAt: map[string]time.Time{},
 		downs:   map[string][]silence{},
-		missing: map[string]map[string]bool{}, uncopied: map[string]map[string]bool{}, addedAt: map[string]time.Time{},
+		missing: map[string]map[string]bool{}, uncopied: map[string]map[string]time.Time{}, addedAt: map[string]time.Time{},
 	}
 	f.timer, f.clock = jktimer.NewManual(f.now)
 	for z := range zones {
@@ -102,6 +103,7 @@
 			LossConfirmed: func(host string) bool { return f.lossConfirmed(e, host) }, LossConfirmedAfter: confirmedAfter,
 			UnreachableFor: func(host string) time.Duration { return f.unreachableFor(e, host) },
 		}}
+		e.client.Observe()
 		f.entries = append(f.entries, e)
 	}
 	return f
@@ -228,9 +230,12 @@
 	startedAt := latest(f.recoveredAt[c.Host], f.addedAt[c.Host])
 	for _, other := range f.copies {
 		lastAnswer := f.now.Add(-f.unreachableFor(own, other.Host))
+		before, uncopied := f.uncopied[c.Host][other.Host]
+		if uncopied {
+			out.Returned = append(out.Returned, jkledger.Return{Host: other.Host, Since: f.now.Sub(before)})
+		}
 		switch {
-		case f.unreachableFor(own, other.Host) <= unreachableAfter:
-		case f.uncopied[c.Host][other.Host]:
+		case uncopied || f.unreachableFor(own, other.Host) <= unreachableAfter:
 		case lastAnswer.Sub(startedAt) >= settledAfter && f.lossConfirmed(own, other.Host):
 			out.Confirmed = append(out.Confirmed, other.Host)
 		case lastAnswer.Before(startedAt):
@@ -406,9 +411,7 @@
 // up starts all hosts that are down.
 func (f *budgetFixture) up() {
 	for host, since := range f.downSince {
-		if f.now.Sub(since) > unreachableAfter+probePhase {
-			f.uncopy(func(from, _ Copy) bool { return from.Host == host })
-		}
+		f.uncopy(f.silentSince(host), func(from, _ Copy) bool { return from.Host == host })
 		f.downs[host] = append(f.downs[host], silence{from: since, to: f.now})
 		delete(f.downSince, host)
 		f.recoveredAt[host] = f.now
@@ -418,17 +421,33 @@
 // heal ends all partitions.
 func (f *budgetFixture) heal() {
 	for zone, since := range f.cutSince {
-		if f.now.Sub(since) > unreachableAfter+probePhase {
-			f.uncopy(func(from, to Copy) bool { return from.Zone == zone || to.Zone == zone })
-		}
+		f.uncopy(since, func(from, to Copy) bool {
+			_, down := f.downSince[from.Host]
+			return !down && (from.Zone == zone || to.Zone == zone)
+		})
 		delete(f.cutSince, zone)
 		f.recoveredAt[zone] = f.now
 		f.partitions[len(f.partitions)-1].to = f.now
 	}
 }
 
-// uncopy notes that hosts which are up have to copy from others that are back.
-func (f *budgetFixture) uncopy(isBack func(from, to Copy) bool) {
+// silentSince returns since when a host that is down doesn't answer other zones. It may have been cut off before.
+func (f *budgetFixture) silentSince(host string) time.Time {
+	since := f.downSince[host]
+	zone := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
+	for _, p := range f.partitions {
+		if p.zone == zone && p.from.Before(since) && !p.to.Before(since) {
+			since = p.from
+		}
+	}
+	return since
+}
+
+// uncopy notes that hosts which are up have to copy from others that are back, if these noticed a silence since a time.
+func (f *budgetFixture) uncopy(at time.Time, isBack func(from, to Copy) bool) {
+	if f.now.Sub(at) <= unreachableAfter+probePhase {
+		return
+	}
 	for _, to := range f.copies {
 		if _, down := f.downSince[to.Host]; down {
 			continue
@@ -438,9 +457,11 @@
 				continue
 			}
 			if f.uncopied[to.Host] == nil {
-				f.uncopied[to.Host] = map[string]bool{}
+				f.uncopied[to.Host] = map[string]time.Time{}
+			}
+			if _, earlier := f.uncopied[to.Host][from.Host]; !earlier {
+				f.uncopied[to.Host][from.Host] = at
 			}
-			f.uncopied[to.Host][from.Host] = true
 		}
 	}
 }
--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -670,6 +670,30 @@
 	f.check(t)
 }
 
+// Guards against budgets that are kept at half since a copy is back that was never chosen: for longer than others copy from it, or at
+// entries that were there before.
+func TestBudgetBesideACopyThatIsBack(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		f := newBudgetFixture(3, 2, 3)
+		e := f.entries[1]
+		own := f.copyIn(e, "a")
+		f.down(f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Zone == "a" && c.Host != own })].Host)
+		f.advance(3 * time.Second)
+		f.up()
+		if restarts {
+			e.client = &Client{Options: e.client.Options}
+			f.advance(copiedAfter)
+		}
+		f.advance(500 * time.Millisecond)
+		for range 4 {
+			f.reserve(e, turnTokens, turnBudget)
+		}
+		if f.granted < 4*turnTokens {
+			t.Errorf("restarts %t: %d of %d are granted", restarts, f.granted, turnBudget)
+		}
+	}
+}
+
 // Guards against half of a budget that is granted again after the entry of the silent host that granted it was removed
 // from the store.
 func TestBudgetAfterASilentCopyIsRemoved(t *testing.T) {
--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -20,6 +20,8 @@
 // recentCopies remembers the copies that are new, since when others are in use, and which were silent.
 type recentCopies struct {
 	mu sync.Mutex
+	// startedAt is when the first copies were seen.
+	startedAt time.Time
 	// newSince is when a copy that is new was first seen.
 	newSince map[string]time.Time
 	// usedBy is when all hosts use a copy that isn't new. Others may have seen it later than this one.
@@ -72,7 +74,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.newSince == nil {
-		r.newSince, r.usedBy = map[string]time.Time{}, map[string]time.Time{}
+		r.startedAt, r.newSince, r.usedBy = now, map[string]time.Time{}, map[string]time.Time{}
 	}
 	for i, known := range copies {
 		since, isRecent := r.newSince[known.Host]
@@ -114,6 +116,15 @@
 	return ok && !usedBy.After(at)
 }
 
+// isUsedSince reports whether all hosts use a copy since a time or earlier, and this host has seen that. A copy that
+// was there before this host may have been added a moment before.
+func (r *recentCopies) isUsedSince(at time.Time, host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usedBy, ok := r.usedBy[host]
+	return ok && !usedBy.After(at) && !r.startedAt.After(at)
+}
+
 // knownCopies returns the known copies. One that is new stays so until all zones have been
 // in reach for some seconds: if it took the place of another copy of its zone during a
 // partition, it would lack what that one has admitted.
@@ -269,11 +280,16 @@
 
 // isReplaced reports whether one of the chosen copies has the place of another copy of its zone that is
 // silent or just back: one that ranks before it, or that may have been used before the chosen one was there.
-func (c *Client) isReplaced(program string, other Copy, chosen []Copy) bool {
-	lastAnswer, ok := c.recent.lastAnswer(c.Timer.Now(), other.Host)
-	return ok && !other.New && !slices.Contains(chosen, other) && slices.ContainsFunc(chosen, func(target Copy) bool {
+// What this host hasn't seen, since it started later, the copies that answered may report.
+func (c *Client) isReplaced(program string, other Copy, chosen []Copy, reports *lossReports) bool {
+	now := c.Timer.Now()
+	lastAnswer, isSilent := c.recent.lastAnswer(now, other.Host)
+	since, isBack := reports.returned[other.Host]
+	return !other.New && !slices.Contains(chosen, other) && slices.ContainsFunc(chosen, func(target Copy) bool {
+		ranks := ranksBefore(program, other, target)
 		return target.Zone == other.Zone &&
-			(ranksBefore(program, other, target) || !c.recent.isUsedBy(lastAnswer, target.Host))
+			(isSilent && (ranks || !c.recent.isUsedBy(lastAnswer, target.Host)) ||
+				isBack && (ranks || !c.recent.isUsedSince(now.Add(-since), target.Host)))
 	})
 }
 
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -16,10 +16,13 @@
 	confirmed map[string]bool
 	// silent counts for each host the reporting ones that haven't reached it since its loss.
 	silent map[string]int
+	// returned holds the hosts that at least one of them hasn't copied since they are back, and how long ago they
+	// answered before.
+	returned map[string]time.Duration
 }
 
 func newLossReports() *lossReports {
-	return &lossReports{answered: map[string]bool{}, confirmed: map[string]bool{}, silent: map[string]int{}}
+	return &lossReports{answered: map[string]bool{}, confirmed: map[string]bool{}, silent: map[string]int{}, returned: map[string]time.Duration{}}
 }
 
 // add adds the answer of a copy.
@@ -33,6 +36,9 @@
 	for _, host := range l.NeverReached {
 		r.silent[host]++
 	}
+	for _, back := range l.Returned {
+		r.returned[back.Host] = max(r.returned[back.Host], back.Since)
+	}
 }
 
 // addNew adds the answer of a copy that is new. Its host hasn't noticed yet which ones are down.
@@ -89,7 +95,7 @@
 // others don't know.
 func (c *Client) replaced(program string, copies []Copy, reports *lossReports) []Copy {
 	return slices.DeleteFunc(slices.Clone(c.knownCopies()), func(other Copy) bool {
-		return c.isLossHarmless(other.Host, reports) || !c.isReplaced(program, other, copies)
+		return c.isLossHarmless(other.Host, reports) || !c.isReplaced(program, other, copies, reports)
 	})
 }
 
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -1,6 +1,11 @@
 package jkentry
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"jasmineknot.example/core/jkledger"
+)
 
 // copySources tracks from which other copies of the ledger this host has to copy records
 // that it missed while it was down or out of reach. Copies in its own zone don't matter: it
@@ -23,8 +28,9 @@
 	// sinceStart is set if nothing was copied from the source since this process started, so
 	// that also records from before are missing.
 	sinceStart bool
-	// uncopied is set if the source was out of reach, and nothing was copied from it since it is back.
-	uncopied bool
+	// uncopiedSince is when a source last answered before it was out of reach, if nothing was copied from it since it
+	// is back, and zero otherwise.
+	uncopiedSince time.Time
 }
 
 func newCopySources(zone string, zones int) *copySources {
@@ -53,12 +59,17 @@
 	delete(s.sources, host)
 }
 
-// returned notes that a host is in reach again.
-func (s *copySources) returned(host string) {
+// returned notes that a host is in reach again, with the time of its last answer before.
+func (s *copySources) returned(host string, lastAnswer time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if source := s.sources[host]; source != nil {
-		source.pending, source.uncopied = true, true
+	source := s.sources[host]
+	if source == nil {
+		return
+	}
+	source.pending = true
+	if source.uncopiedSince.IsZero() {
+		source.uncopiedSince = lastAnswer
 	}
 }
 
@@ -67,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source := s.sources[host]; source != nil {
-		source.pending, source.sinceStart, source.uncopied = false, false, false
+		source.pending, source.sinceStart, source.uncopiedSince = false, false, time.Time{}
 	}
 }
 
@@ -76,7 +87,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	source := s.sources[host]
-	return source != nil && source.uncopied
+	return source != nil && !source.uncopiedSince.IsZero()
+}
+
+// uncopied returns all such hosts.
+func (s *copySources) uncopied(now time.Time) []jkledger.Return {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []jkledger.Return
+	for host, source := range s.sources {
+		if !source.uncopiedSince.IsZero() {
+			out = append(out, jkledger.Return{Host: host, Since: now.Sub(source.uncopiedSince)})
+		}
+	}
+	return out
 }
 
 // isPending reports whether records of a host are missing, and whether nothing was copied
--- a/core/jkentry/behind_test.go
+++ b/core/jkentry/behind_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
@@ -23,7 +24,7 @@
 		case "copied":
 			s.copied(hosts[0])
 		case "returned":
-			s.returned(hosts[0])
+			s.returned(hosts[0], time.Unix(1000, 0))
 		case "remove":
 			s.remove(hosts[0])
 		default:
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -253,12 +253,12 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind() }
 
-// losses returns the other hosts with a copy that don't answer. The time for which one was back before doesn't tell
+// losses returns the other hosts with a copy that don't answer, or haven't been copied since they are back. The time for which one was back before doesn't tell
 // whether its records were copied.
 func (t *Storage) losses() jkledger.Losses {
 	confirmed, neverReached := t.probes.Losses()
 	confirmed = slices.DeleteFunc(confirmed, t.sources.isUncopied)
-	return jkledger.Losses{Confirmed: confirmed, NeverReached: neverReached}
+	return jkledger.Losses{Confirmed: confirmed, NeverReached: neverReached, Returned: t.sources.uncopied(t.timer.Now())}
 }
 
 // otherCopies returns the other hosts with a copy of the ledger.
@@ -349,7 +349,7 @@
 	if !t.members.isCopy(p.Host) {
 		return
 	}
-	t.sources.returned(p.Host)
+	t.sources.returned(p.Host, t.timer.Now().Add(-silent))
 	go t.copyFrom(t.running, p.Host, p.Addr, silent+catchUpMargin)
 }
 
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -12,6 +12,7 @@
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
 	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
 	"jasmineknot.example/core/jktimer"
@@ -177,11 +178,12 @@
 	if confirmed, _ := s.probes.Losses(); !slices.Equal(confirmed, []string{"b1"}) {
 		t.Fatalf("the prober confirms the loss of %v", confirmed)
 	}
-	if got := s.losses(); len(got.Confirmed)+len(got.NeverReached) > 0 {
+	want := []jkledger.Return{{Host: "b1", Since: 10 * time.Second}}
+	if got := s.losses(); len(got.Confirmed)+len(got.NeverReached) > 0 || !slices.Equal(got.Returned, want) {
 		t.Errorf("%+v are reported before b1 is copied", got)
 	}
 	s.sources.copied("b1")
-	if got := s.losses(); !slices.Equal(got.Confirmed, []string{"b1"}) {
+	if got := s.losses(); !slices.Equal(got.Confirmed, []string{"b1"}) || len(got.Returned) > 0 {
 		t.Errorf("%+v are reported after b1 is copied", got)
 	}
 }
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -44,6 +44,15 @@
 	// NeverReached are the hosts that haven't answered since the copy's host started, so that
 	// it can't tell.
 	NeverReached []string `msgpack:"never_reached,omitempty"`
+	// Returned are the hosts that are back, but from which the answering copy hasn't copied since.
+	Returned []Return `msgpack:"returned,omitempty"`
+}
+
+// Return is a host that is back after a silence.
+type Return struct {
+	Host string `msgpack:"host"`
+	// Since is how long ago the host last answered before.
+	Since time.Duration `msgpack:"since"`
 }
 
 // WriteRequest adds records to a copy.
