budgets: add a red order, an entry that starts while a replaced copy is silent

What callers saw: nothing reported. In the model 60 tokens of a budget of 45 and one turn of 10.

Cause: an entry takes the copies that were there when it started for used since ever. While the copy that granted half is silent, an entry that starts doesn't know that another one was added in its place after that.

Ruled out: to take no copy for used beside a silence that the entry hasn't seen begin, since that keeps programs at half for a copy that was never chosen (TestEntryStartedDuringASilenceGrantsTheBudget).

--- a/core/jkaccount/budget_test.go
+++ b/core/jkaccount/budget_test.go
@@ -670,6 +670,27 @@
 	f.check(t)
 }
 
+// Guards against the same while the copy that granted it is silent, and hasn't been removed yet.
+func TestBudgetOfANewEntryBesideAReplacedSilentCopy(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	own, e := f.copies[0], f.entries[1]
+	f.cut(own.Zone)
+	f.advance(2 * unreachableAfter)
+	for range 2 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	f.addBefore(own)
+	f.down(own.Host)
+	f.heal()
+	f.advance(2 * newFor)
+	e.client = &Client{Options: e.client.Options}
+	f.advance(500 * time.Millisecond)
+	for range 4 {
+		f.reserve(e, turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
 // Guards against budgets that are kept at half since a copy is back that was never chosen: for longer than others copy from it, or at
 // entries that were there before.
 func TestBudgetBesideACopyThatIsBack(t *testing.T) {
