vault, test: leave what is allocated during a collection out of what is held

Seen: TestLogThatFillsTheDiskIsReadWithinMemory held 107 to 144 MB of 90.6 beside load (23 of 25 plays beside eight busy processes), TestCompactionIsWrittenInPieces 68.51 of 68.47 MB. Cause: the test. A collection counts what is allocated while it runs, which takes longer on a busy processor. The bounds are the same.

--- a/core/jkvault/restart_test.go
+++ b/core/jkvault/restart_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
 	"sync"
@@ -73,22 +74,21 @@
 	return n
 }
 
-// peakHeld returns the largest number of bytes that the garbage collector has found in use while
-// a function ran.
+// peakHeld returns the largest number of bytes that two collections in a row have found in use while
+// a function ran. One of them also counts what is allocated while it runs, for as long as a busy
+// processor makes that.
 func peakHeld(do func()) uint64 {
 	defer debug.SetGCPercent(debug.SetGCPercent(20))
 	stop := make(chan struct{})
 	var peak uint64
 	var sampled sync.WaitGroup
 	sampled.Go(func() {
-		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 		for {
-			metrics.Read(live)
-			peak = max(peak, live[0].Value.Uint64())
+			peak = max(peak, min(heldBytes(), heldBytes()))
 			select {
 			case <-stop:
 				return
-			case <-time.After(time.Millisecond):
+			default:
 			}
 		}
 	})
@@ -98,6 +98,14 @@
 	return peak
 }
 
+// heldBytes collects garbage and returns the bytes that were found in use.
+func heldBytes() uint64 {
+	runtime.GC()
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return live[0].Value.Uint64()
+}
+
 func openWith(t *testing.T, folder string, timer *jktimer.Service) *Vault {
 	t.Helper()
 	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "a"}, IsControl: func(string) bool { return true }, Counters: &jkwire.Counters{}})
