--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -253,8 +253,8 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind() }
 
-// losses returns the other hosts with a copy that don't answer, or haven't been copied since they are back. The time for which one was back before doesn't tell
-// whether its records were copied.
+// losses returns the other hosts with a copy that don't answer, or haven't been copied since they are
+// back. The time for which one was back before doesn't tell whether its records were copied.
 func (t *Storage) losses() jkledger.Losses {
 	confirmed, neverReached := t.probes.Losses()
 	confirmed = slices.DeleteFunc(confirmed, t.sources.isUncopied)
