entry, test: play the planned stops by clocks that a standstill doesn't move

Seen: TestRequestsLateInAPlannedStop, and once TestRequestsAtTheEndOfAPlannedStop and two others, in a run that stood still for 27 s: requests without a response, 'the stop took 5.27 s of 4s'. Cause: the first one takes the grace of a stop by the clock of the machine, the other one waits for its steps for 20 s of it. Traced by stopping the test process by hand: for 1.3 s from 2.5 s on, requests late in the stop have no response ('kept-long-2.5s has no response, reached the endpoint: false'); for 27 s, that and 'no step of the drain' in TestRequestsAtTheEndOfAPlannedStop. No run shows a fault of the drain. Change: the first one is played on a manual clock as the others are; requests arrive beside the steps of the drain, and the clock moves on once they are at the endpoint or answered, or answered when they are due. Requests, connections, checks and their bounds are the same, but the grace is 4.03 s, of which only the drain waits for the half. Of the time between two looks of a wait at most 10 ms count. Ruled out: a weaker test, by faults that were put in, old and new test: without End, and with requests cut that are in flight, both fail, in one play of the old one and two of the new one; a front that closes without waiting for responses fails 4 of 6 plays of the old one, and 0 of 15 of the new one with one request that outlasts the stop, 7 of 15 with 40 and 14 of 15 with the 120 that it has now. A stop without the wait for callers that still open connections passes the old one and fails the new one. Without one of the two calls of Begin both pass, in one play each. Measured: 40 of 40 plays pass beside three busy processes (load 19), in 0.5 s each where it took 4 s; it passes when the process is stopped for 1.3, 3 and 27 s, the other one when it is stopped for 21 s. The package passes. TestStopAnswersRequestsThatAreBeingRead and TestStopSendsResponsesToTheirEnd stay listed: no stop of the process failed them, before or after.

--- a/core/jkentry/stop_test.go
+++ b/core/jkentry/stop_test.go
@@ -38,8 +38,11 @@
 func (s *slowEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	work, _ := strconv.Atoi(r.Header.Get(stopTestWork))
 	done := make(chan struct{})
-	stop := s.timer.After(time.Duration(work)*time.Millisecond, func() { close(done) })
-	defer stop()
+	if work == 0 {
+		close(done)
+	} else {
+		defer s.timer.After(time.Duration(work)*time.Millisecond, func() { close(done) })()
+	}
 	s.mu.Lock()
 	s.seen[r.Header.Get(stopTestID)] = true
 	s.mu.Unlock()
@@ -134,115 +137,136 @@
 	return resp.StatusCode, resp.Header.Get("Retry-After")
 }
 
-// Guards against requests that are taken during a planned stop, reach an endpoint and are
-// cut without a response when the host ends, on connections of all ages.
-func TestRequestsLateInAPlannedStop(t *testing.T) {
-	t.Parallel()
-	// The request from before the stop lasts until killMargin before the end of the grace.
-	const grace, endsAfter = 4 * time.Second, 3300 * time.Millisecond
-	work := &slowEndpoint{timer: jktimer.New(), seen: map[string]bool{}}
-	// A host opens at most 48 connections to an endpoint.
-	var endpoints []string
-	for range 4 {
-		endpoint := httptest.NewServer(work)
-		t.Cleanup(endpoint.Close)
-		endpoints = append(endpoints, endpoint.Listener.Addr().String())
-	}
-	settings := Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t)
-	front := settings.Front
-	e, err := NewEntry(settings,
-		stopTestPlatform(endpoints), jktimer.New(), jklog.Discard())
-	if err != nil {
-		t.Fatal(err)
+// stopProbe is a request that a caller sends at a time after the stop has begun.
+type stopProbe struct {
+	// conn is nil for a connection that is opened with the request.
+	conn       *stopCaller
+	id, kind   string
+	at         time.Duration
+	wait, work time.Duration
+	// status and retryAfter are those of the response once answered is closed. Without one the status is zero.
+	status     int
+	retryAfter string
+	answered   chan struct{}
+}
+
+// send sends the request, on a connection that ends with the entry, and waits for its response.
+func (p *stopProbe) send(s *stoppingEntry) {
+	defer close(p.answered)
+	if p.conn == nil {
+		var err error
+		if p.conn, err = dialStopping(s.front); err != nil {
+			// The host listens no more.
+			return
+		}
 	}
-	for i, key := range append([]string{"rules"}, endpoints...) {
-		e.apply(jkfollow.Item{Key: key, Revision: int64(i + 1)})
+	defer p.conn.closeAtExit(s.done)()
+	p.status, p.retryAfter = p.conn.send(p.id, p.wait, p.work)
+}
+
+func (p *stopProbe) isAnswered() bool {
+	select {
+	case <-p.answered:
+		return true
+	default:
+		return false
 	}
+}
+
+// stopProbes returns requests of all kinds for each time of a stop, on connections of all ages.
+func (s *stoppingEntry) stopProbes(grace time.Duration) []*stopProbe {
+	s.Helper()
 	kinds := []struct {
 		name       string
 		wait, work time.Duration
 	}{{"short", time.Second, 50 * time.Millisecond}, {"long", 6 * time.Second, 3 * time.Second}, {"brief-of-long", 6 * time.Second, 50 * time.Millisecond}}
-	type probe struct {
-		conn       *stopCaller
-		id, kind   string
-		at         time.Duration
-		wait, work time.Duration
-	}
-	var probes []probe
+	var out []*stopProbe
 	for at := time.Duration(0); at < grace; at += 100 * time.Millisecond {
 		for _, kind := range kinds {
 			for _, conn := range []string{"kept", "unused", "new"} {
-				p := probe{id: fmt.Sprintf("%s-%s-%s", conn, kind.name, at), kind: kind.name, at: at, wait: kind.wait, work: kind.work}
+				p := &stopProbe{
+					id: fmt.Sprintf("%s-%s-%s", conn, kind.name, at), kind: kind.name, at: at, wait: kind.wait, work: kind.work,
+					answered: make(chan struct{}),
+				}
 				if conn != "new" {
-					if p.conn, err = dialStopping(front); err != nil {
-						t.Fatal(err)
+					var err error
+					if p.conn, err = dialStopping(s.front); err != nil {
+						s.Fatal(err)
 					}
 				}
 				if conn == "kept" {
 					if status, _ := p.conn.send("before-"+p.id, time.Second, 0); status != http.StatusOK {
-						t.Fatalf("request before the stop: status %d", status)
+						s.Fatalf("request before the stop: status %d", status)
 					}
 				}
-				probes = append(probes, p)
+				out = append(out, p)
 			}
 		}
 	}
-	before, err := dialStopping(front)
-	if err != nil {
-		t.Fatal(err)
+	return out
+}
+
+// Guards against requests that are taken during a planned stop, reach an endpoint and are
+// cut without a response when the host ends, on connections of all ages.
+func TestRequestsLateInAPlannedStop(t *testing.T) {
+	t.Parallel()
+	// Half of the grace is no multiple of an interval of the entry, so that only the drain waits for
+	// it. Requests from before the stop last until killMargin before the end of the grace.
+	const grace = 4030 * time.Millisecond
+	const endsAfter = grace - killMargin - 100*time.Millisecond
+	// A host opens at most 48 connections to an endpoint.
+	s, e := newStoppingEntry(t, grace, 4)
+	probes := s.stopProbes(grace)
+	// So many that responses which the end of the process doesn't wait for are cut.
+	var before []*stopProbe
+	for i := range 120 {
+		p := &stopProbe{id: fmt.Sprintf("before-%d", i), wait: time.Minute, work: time.Minute, answered: make(chan struct{})}
+		before = append(before, p)
+		go p.send(s)
+		s.await("request at the endpoint", func() bool { return s.work.saw(p.id) })
 	}
-	stop, done, exited := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	var outcomes sync.WaitGroup
-	check := func(p probe, status int, retryAfter string) {
-		saw := work.saw(p.id)
-		switch {
-		case status == 0 && p.at < endsAfter:
-			t.Errorf("%s has no response, reached the endpoint: %t", p.id, saw)
-		case saw && status == 0:
-			t.Errorf("%s reached the endpoint and has no response", p.id)
-		case status == http.StatusServiceUnavailable && (saw || retryAfter == ""):
-			t.Errorf("%s: refused, but reached the endpoint: %t, Retry-After %q", p.id, saw, retryAfter)
-		case status != http.StatusOK && p.kind == "short" && p.at < 1500*time.Millisecond:
-			t.Errorf("%s: status %d early in the stop, although it would have ended", p.id, status)
+	s.begin(e, grace)
+	sent := 0
+	for !s.exited() {
+		// Requests arrive beside a step of the drain at that time, if there is one.
+		now := s.timer.Now().Sub(stopBegins) + stopStep
+		for ; sent < len(probes) && probes[sent].at <= now; sent++ {
+			go probes[sent].send(s)
 		}
-	}
-	began := time.Now()
-	run := func(p probe) {
-		defer outcomes.Done()
-		time.Sleep(p.at - time.Since(began))
-		if p.conn == nil {
-			var err error
-			if p.conn, err = dialStopping(front); err != nil {
-				// The host listens no more.
-				return
+		s.advance(stopStep)
+		for _, p := range append(probes[:sent:sent], before...) {
+			// The stop ends what is still in flight killMargin before the end of the grace.
+			if now > p.at+p.work || now >= grace-killMargin+drainInterval {
+				s.await("response to "+p.id, p.isAnswered)
+			} else {
+				s.await(p.id+" at the endpoint or response", func() bool { return s.work.saw(p.id) || p.isAnswered() })
 			}
 		}
-		defer p.conn.closeAtExit(exited)()
-		status, retryAfter := p.conn.send(p.id, p.wait, p.work)
-		check(p, status, retryAfter)
 	}
-	outcomes.Add(len(probes) + 1)
-	go func() {
-		// A request that was taken before the stop and lasts longer than the grace period.
-		defer outcomes.Done()
-		defer before.closeAtExit(exited)()
-		if status, _ := before.send("before", time.Minute, time.Minute); status != http.StatusGatewayTimeout {
-			t.Errorf("request from before the stop that outlasts it: status %d", status)
-		}
-	}()
-	eventually(t, "request at the endpoint", func() bool { return work.saw("before") })
-	began = time.Now()
-	go func() { defer close(done); e.Run(stop) }()
-	close(stop)
+	if took := s.timer.Now().Sub(stopBegins); took > grace {
+		t.Errorf("the stop took %s of %s", took, grace)
+	}
+	for _, p := range probes[sent:] {
+		go p.send(s)
+	}
 	for _, p := range probes {
-		go run(p)
+		<-p.answered
+		saw := s.work.saw(p.id)
+		switch {
+		case p.status == 0 && p.at < endsAfter:
+			t.Errorf("%s has no response, reached the endpoint: %t", p.id, saw)
+		case saw && p.status == 0:
+			t.Errorf("%s reached the endpoint and has no response", p.id)
+		case p.status == http.StatusServiceUnavailable && (saw || p.retryAfter == ""):
+			t.Errorf("%s: refused, but reached the endpoint: %t, Retry-After %q", p.id, saw, p.retryAfter)
+		case p.status != http.StatusOK && p.kind == "short" && p.at < 1500*time.Millisecond:
+			t.Errorf("%s: status %d early in the stop, although it would have ended", p.id, p.status)
+		}
 	}
-	<-done
-	took := time.Since(began)
-	close(exited)
-	outcomes.Wait()
-	if took > grace {
-		t.Errorf("the stop took %s of %s", took, grace)
+	for _, p := range before {
+		if <-p.answered; p.status != http.StatusGatewayTimeout {
+			t.Errorf("request from before the stop that outlasts it: status %d", p.status)
+		}
 	}
 }
 
@@ -261,8 +285,8 @@
 	done        chan struct{}
 }
 
-// beginStop returns an entry whose stop has just begun, and a connection of a caller to it.
-func beginStop(t *testing.T, grace time.Duration) (*stoppingEntry, *stopCaller) {
+// newStoppingEntry returns an entry that has a number of endpoints.
+func newStoppingEntry(t *testing.T, grace time.Duration, endpoints int) (*stoppingEntry, *Entry) {
 	t.Helper()
 	timer, clock := jktimer.NewManual(stopBegins)
 	settings := Settings{Host: "entry-a", Zone: "a", Zones: []string{"a"}, Grace: grace}.listening(t)
@@ -270,17 +294,30 @@
 		T: t, timer: timer, clock: clock, work: &slowEndpoint{timer: timer, seen: map[string]bool{}},
 		front: settings.Front, done: make(chan struct{}),
 	}
-	endpoint := httptest.NewServer(s.work)
-	t.Cleanup(endpoint.Close)
-	addr := endpoint.Listener.Addr().String()
-	e, err := NewEntry(settings,
-		stopTestPlatform([]string{addr}), timer, jklog.Discard())
+	var addrs []string
+	for range endpoints {
+		endpoint := httptest.NewServer(s.work)
+		t.Cleanup(func() {
+			// Those of a test that has failed are still active.
+			endpoint.CloseClientConnections()
+			endpoint.Close()
+		})
+		addrs = append(addrs, endpoint.Listener.Addr().String())
+	}
+	e, err := NewEntry(settings, stopTestPlatform(addrs), timer, jklog.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, key := range []string{"rules", addr} {
+	for i, key := range append([]string{"rules"}, addrs...) {
 		e.apply(jkfollow.Item{Key: key, Revision: int64(i + 1)})
 	}
+	return s, e
+}
+
+// beginStop returns an entry whose stop has just begun, and a connection of a caller to it.
+func beginStop(t *testing.T, grace time.Duration) (*stoppingEntry, *stopCaller) {
+	t.Helper()
+	s, e := newStoppingEntry(t, grace, 1)
 	caller, err := dialStopping(s.front)
 	if err != nil {
 		t.Fatal(err)
@@ -299,13 +336,23 @@
 	s.await("drain", func() bool { return s.clock.Due(s.drainsUntil) > 0 })
 }
 
+// awaitTime bounds the wait for what another goroutine brings about. Of the time between two looks
+// at it, what exceeds maxLookTime doesn't count: the process didn't run then.
+const (
+	awaitTime   = 20 * time.Second
+	maxLookTime = 10 * time.Millisecond
+)
+
 // await waits for what another goroutine brings about without the clock.
 func (s *stoppingEntry) await(what string, isDone func() bool) {
 	s.Helper()
-	for end := time.Now().Add(20 * time.Second); !isDone(); time.Sleep(100 * time.Microsecond) {
-		if time.Now().After(end) {
+	looked := time.Now()
+	for left := awaitTime; !isDone(); time.Sleep(100 * time.Microsecond) {
+		now := time.Now()
+		if left -= min(now.Sub(looked), maxLookTime); left < 0 {
 			s.Fatalf("no %s", what)
 		}
+		looked = now
 	}
 }
 
