vault, operate, test: keep ledgers in memory

Cause: the disk stood still. The kernel says of these minutes 'workqueue lockup', pools of processors stuck for 33 to 69 s, kblockd among the queues. The first test's turns are kept for 60 s and had expired; the second one waits for writes of the configuration. So it was, likely, with TestClientLibrary on. Change: the ledgers of these tests are in memory, as elsewhere. Checks and bounds are the same; those of jkvault that measure the log itself stay on the disk.

--- a/core/jkvault/neighbour_test.go
+++ b/core/jkvault/neighbour_test.go
@@ -24,8 +24,8 @@
 // Guards against turns that a copy took in place of a neighbour and doesn't get back once it has lost
 // its disk, because the neighbour wasn't in reach when it copied from the others.
 func TestCopyGetsBackWhatItTookForALateNeighbour(t *testing.T) {
-	source, neighbour := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-	wiped := start(t, t.TempDir(), false)
+	source, neighbour := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+	wiped := start(t, memoryFolder(t), false)
 	source.writePrograms(t, wiped, "own", "taken", "neighbour's", "other's")
 	neighbour.writePrograms(t, wiped, "neighbour's")
 	source.vault.Holds = func(host string) func(string) bool {
@@ -65,8 +65,8 @@
 // Guards against a copy that copies from nobody while a neighbour counts as in reach but answers no
 // calls.
 func TestCopyDoesWithoutANeighbourThatDoesNotAnswer(t *testing.T) {
-	source, stopped := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-	wiped := start(t, t.TempDir(), false)
+	source, stopped := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+	wiped := start(t, memoryFolder(t), false)
 	source.writeTurns(t, wiped, "1", "2")
 	stopped.stop()
 	neighbour := Source{Host: stopped.folder, Addr: stopped.addr, Neighbour: true}
--- a/core/jkvault/recovery_test.go
+++ b/core/jkvault/recovery_test.go
@@ -26,8 +26,8 @@
 // Guards against a copy that counts as complete with the records of the first certain source,
 // while each of several sources has other ones (inc39), also after a restart in between.
 func TestCopyIsCertainOnlyWithTheRecordsOfAllSources(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-	wiped := start(t, t.TempDir(), false)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+	wiped := start(t, memoryFolder(t), false)
 	a.writeTurns(t, wiped, "1", "2")
 	b.writeTurns(t, wiped, "3", "4")
 	wiped.knows(1, a, b)
@@ -58,8 +58,8 @@
 // Guards against two copies with lost disks that never become certain because each waits for
 // the other one.
 func TestTwoCopiesWithLostDisksBecomeCertain(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-	x, y := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+	x, y := start(t, memoryFolder(t), false), start(t, memoryFolder(t), false)
 	a.writeTurns(t, x, "1", "2")
 	b.writeTurns(t, x, "3", "4")
 	x.knows(2, a, b, y)
@@ -96,17 +96,17 @@
 		t.Run(name, func(t *testing.T) {
 			var sources []*node
 			for range c.copied {
-				sources = append(sources, start(t, t.TempDir(), true))
+				sources = append(sources, start(t, memoryFolder(t), true))
 			}
 			for range c.uncertain {
-				sources = append(sources, start(t, t.TempDir(), false))
+				sources = append(sources, start(t, memoryFolder(t), false))
 			}
 			for range c.missing {
-				down := start(t, t.TempDir(), true)
+				down := start(t, memoryFolder(t), true)
 				down.stop()
 				sources = append(sources, down)
 			}
-			n := start(t, t.TempDir(), false)
+			n := start(t, memoryFolder(t), false)
 			n.knows(c.lostDisks, sources...)
 			n.vault.IsNew = func() bool { return c.isNew }
 			n.copyFrom(sources...)
@@ -119,7 +119,7 @@
 
 // Guards against a copy that counts as complete before it knows from which hosts it has to copy.
 func TestCopyIsNotCertainBeforeItsSourcesAreKnown(t *testing.T) {
-	a, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	a, n := start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
 	allKnown := false
 	n.vault.Sources = func() ([]Source, bool) { return nil, allKnown }
 	n.copyFrom(a)
@@ -134,7 +134,7 @@
 
 // Guards against a copy that counts as complete after it has copied recent records only.
 func TestRecentRecordsDoNotCompleteACopy(t *testing.T) {
-	a, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	a, n := start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
 	n.knows(1, a)
 	n.vault.CatchUp(context.Background(), []string{a.addr}, catchUpMargin)
 	if n.vault.Certain() {
@@ -145,7 +145,7 @@
 // Guards against a copy that counts as a certain source although it collected its records before
 // it was complete.
 func TestSourceThatCompletesWhileItAnswersIsUncertain(t *testing.T) {
-	source, n := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	source, n := start(t, memoryFolder(t), false), start(t, memoryFolder(t), false)
 	source.vault.Holds = func(string) func(string) bool {
 		source.vault.certain.Store(true)
 		return func(string) bool { return true }
@@ -158,8 +158,8 @@
 // Guards against a copy that does without a host that is gone before it has copied from those that
 // have taken over from it, or while these lack records themselves.
 func TestHostThatIsGoneIsMissingUntilItsSuccessorsWereCopied(t *testing.T) {
-	first, second := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
-	other, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	first, second := start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
+	other, n := start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
 	n.vault.MaxLostDisks = 1
 	n.vault.Sources = func() ([]Source, bool) {
 		return []Source{
@@ -215,8 +215,8 @@
 		"taken over from both":                     {missing: true, first: "self other", second: "other self", lostDisks: 2, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			first, second := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-			other, n := start(t, t.TempDir(), !c.uncertain), start(t, t.TempDir(), false)
+			first, second := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+			other, n := start(t, memoryFolder(t), !c.uncertain), start(t, memoryFolder(t), false)
 			hosts := map[string]string{"self": n.folder, "other": other.folder}
 			for successor, from := range map[*node]string{first: c.first, second: c.second} {
 				var names []string
@@ -248,7 +248,7 @@
 // Guards against a copy that does without a host that is gone because its successors of an earlier
 // release don't say from which hosts they have taken over.
 func TestHostThatIsGoneIsMissingIfItsSuccessorsDoNotSay(t *testing.T) {
-	successor, n := start(t, t.TempDir(), true), start(t, t.TempDir(), false)
+	successor, n := start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
 	n.vault.MaxLostDisks = 1
 	n.vault.Sources = func() ([]Source, bool) {
 		return []Source{{Host: "gone", Addr: "gone", TakenOverBy: []string{successor.addr}}, {Host: successor.folder, Addr: successor.addr}}, true
--- a/core/jkvault/vault_test.go
+++ b/core/jkvault/vault_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -24,6 +25,18 @@
 	stop     func()
 }
 
+// memoryFolder returns a folder in memory where the machine has one: the disk of a busy machine may stand
+// still for longer than the turns of a test are kept.
+func memoryFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("/dev/shm", "vault")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	return folder
+}
+
 func start(t *testing.T, folder string, first bool) *node {
 	t.Helper()
 	self := jkwire.Hello{Host: folder, Version: jkwire.ProtocolVersion}
@@ -75,7 +88,7 @@
 
 // Guards against acknowledged turns that are lost in a restart.
 func TestTurnsSurviveARestart(t *testing.T) {
-	a, other := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, other := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	a.writeTurns(t, other, "1", "2")
 	a.stop()
 	again := start(t, a.folder, false)
@@ -88,8 +101,8 @@
 // copy that lost its disk must not be certain until it has copied the records of another
 // one.
 func TestCopyWithLostDiskIsCertainAfterCatchUp(t *testing.T) {
-	a := start(t, t.TempDir(), true)
-	wiped := start(t, t.TempDir(), false)
+	a := start(t, memoryFolder(t), true)
+	wiped := start(t, memoryFolder(t), false)
 	a.writeTurns(t, wiped, "1", "2", "3")
 	if wiped.vault.Certain() {
 		t.Fatal("a copy with an empty disk is certain")
@@ -105,7 +118,7 @@
 // Guards against copies that wait for each other without end after all processes were
 // killed before the first record was written.
 func TestEmptyLedgerStaysCertainOverARestart(t *testing.T) {
-	a := start(t, t.TempDir(), true)
+	a := start(t, memoryFolder(t), true)
 	a.stop()
 	if !start(t, a.folder, false).vault.Certain() {
 		t.Error("the copy isn't certain after a restart without records")
@@ -115,7 +128,7 @@
 // Guards against a copy that is certain after a restart although it was killed before it
 // had copied the records that it lost.
 func TestUncertainCopyStaysUncertainOverARestart(t *testing.T) {
-	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), false), start(t, memoryFolder(t), true)
 	a.writeTurns(t, b, "1")
 	a.stop()
 	if start(t, a.folder, false).vault.Certain() {
@@ -126,7 +139,7 @@
 // Guards against copying all records again after each network partition: only missing
 // records are sent.
 func TestOnlyMissingRecordsAreCopied(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	a.writeTurns(t, b, "1", "2", "3")
 	b.writeTurns(t, a, "1", "2")
 	n, _, err := b.vault.pull(context.Background(), a.addr, 0)
@@ -138,7 +151,7 @@
 // Guards against a copy that fills its memory with the records of all programs, also
 // those that other hosts keep (grown scale-1 of bulles-pull: killed over 314 MB).
 func TestOnlyOwnProgramsAreCopied(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	m := jkledger.WriteRequest{Sync: true}
 	for _, p := range []string{"mine", "other"} {
 		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: p, Program: p, Retention: time.Minute}})
@@ -155,7 +168,7 @@
 // Guards against two copies with empty disks that become certain by copying from each
 // other.
 func TestUncertainCopyDoesNotMakeAnotherCertain(t *testing.T) {
-	a, b := start(t, t.TempDir(), false), start(t, t.TempDir(), false)
+	a, b := start(t, memoryFolder(t), false), start(t, memoryFolder(t), false)
 	if a.vault.CatchUp(context.Background(), []string{b.addr}, 0) || a.vault.Certain() {
 		t.Error("a copy is certain after it asked one that isn't")
 	}
@@ -163,7 +176,7 @@
 
 // Guards against a host that is removed before enough other hosts have copied its records.
 func TestHandOverNeedsEnoughCopies(t *testing.T) {
-	leaving, taker := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	leaving, taker := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	leaving.writeTurns(t, taker, "1")
 	ctx := context.Background()
 	if err := leaving.vault.HandOver(ctx, leaving.addr, [][]string{{taker.addr}}, 2); err == nil {
@@ -180,8 +193,8 @@
 // Guards against a host that is removed while some of its records are on one other disk only:
 // two vaults of one zone have a part of them each.
 func TestHandOverNeedsAllVaultsOfEnoughZones(t *testing.T) {
-	leaving, down := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	leaving, down := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	down.stop()
 	for name, c := range map[string]struct {
 		groups [][]string
@@ -207,7 +220,7 @@
 // keys each, and 200 ms for a reservation). The keys of records from before the partition
 // aren't sent.
 func TestCatchUpAfterACutSendsOnlyRecentKeys(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	old := make([]string, 5000)
 	for i := range old {
 		old[i] = fmt.Sprint("old", i)
@@ -231,7 +244,7 @@
 // (grown bulles-pull, trouble-1 at 48 s to 57 s: 230 ms for a reservation after all
 // hosts had lost power).
 func TestOnlyRecentRecordsAreCopiedAfterARestart(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	old := make([]string, recentRecords+1000)
 	for i := range old {
 		old[i] = fmt.Sprint("old", i)
@@ -252,7 +265,7 @@
 // trouble-1: eleven copies were busy with that for ten seconds), and against one that
 // doesn't get the records that were written while it was down.
 func TestCatchUpWindowCoversTheDowntime(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	old := make([]string, 2*recentRecords)
 	for i := range old {
 		old[i] = fmt.Sprint("old", i)
@@ -270,7 +283,7 @@
 	if again.turns() != len(old)+1 {
 		t.Errorf("%d turns, want %d", again.turns(), len(old)+1)
 	}
-	if wiped := start(t, t.TempDir(), false); wiped.vault.CatchUpWindow() != 0 {
+	if wiped := start(t, memoryFolder(t), false); wiped.vault.CatchUpWindow() != 0 {
 		t.Errorf("a copy without its disk missed %s, want everything", wiped.vault.CatchUpWindow())
 	}
 }
@@ -279,7 +292,7 @@
 // records (grown bulles-pull, scale-1 at 12 s: half a second for each exchange of a host that
 // had been killed, and 286 ms for a reservation).
 func TestHoldersAreLookedUpOnceForAProgram(t *testing.T) {
-	a, b := start(t, t.TempDir(), true), start(t, t.TempDir(), true)
+	a, b := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
 	m := jkledger.WriteRequest{Sync: true}
 	for i := range 100 {
 		m.Records = append(m.Records, jkledger.Record{Turn: &jkledger.Turn{Request: fmt.Sprint(i), Program: "p", Retention: time.Minute}})
@@ -302,7 +315,7 @@
 
 // Guards against a process that panics while it stops, because records arrive that it was copying.
 func TestClosedVaultTakesNoRecords(t *testing.T) {
-	a := start(t, t.TempDir(), true)
+	a := start(t, memoryFolder(t), true)
 	a.stop()
 	a.vault.mu.Lock()
 	defer a.vault.mu.Unlock()
--- a/jasmineknot/jkoperate/operate_test.go
+++ b/jasmineknot/jkoperate/operate_test.go
@@ -38,13 +38,25 @@
 	fingerprint string
 }
 
+// memoryFolder returns a folder in memory where the machine has one: the disk of a busy machine may stand
+// still for longer than a test lasts.
+func memoryFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("/dev/shm", "site")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	return folder
+}
+
 func newSite(t *testing.T, limits map[string]int) *site {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	options := jkstandin.DefaultEngineOptions()
 	options.TimeScale = 0.01
-	folder := t.TempDir()
+	folder := memoryFolder(t)
 	e, err := jksite.StartEmbedded(ctx, jksite.EmbeddedOptions{
 		Zones: []string{"a", "b"}, HostsPerZone: 2, Engine: options, Log: jklog.Discard(),
 		Intervals: map[string]string{"heartbeat": "100ms", "zone_digest": "200ms", "dead_after": "1s", "model_load": "100ms"},
