relay: ask the relay that reached an endpoint last, also after it has missed it

Cause: the order forgets who reached the endpoint. Change: the relay that reached it last is among those that are asked, and the first one that is asked about its end.

--- a/core/jkrelay/ended.go
+++ b/core/jkrelay/ended.go
@@ -101,7 +101,7 @@
 	hosts := d.witnesses(addr, id)
 	one := d.joinBatch(ctx, &JoinRequest{Endpoint: id, Refused: true}, hosts)
 	if one.conn != nil {
-		d.joined(addr)
+		d.joined(addr, one.host)
 		return one.conn, true, nil
 	}
 	d.missedBy(ctx, addr, hosts)
@@ -113,12 +113,17 @@
 	return nil, false, ended
 }
 
-// witnesses returns the relays to ask about the end of an endpoint, of which those that were asked before may be
-// cut off from it too.
+// witnesses returns the relays to ask about the end of an endpoint: the one that reached it last, and others, of which
+// those that were asked before may be cut off from it too.
 func (d *Dialer) witnesses(addr, id string) []Host {
 	hosts := d.Relays(id)
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return ofTwoZones(d.order(addr, hosts))
+	hosts = d.order(addr, hosts)
+	if i := d.lastJoined(addr, hosts); i > 0 {
+		last := hosts[i]
+		hosts = slices.Insert(slices.Delete(hosts, i, i+1), 0, last)
+	}
+	return ofTwoZones(hosts)
 }
 
 // ofTwoZones returns the first host and the first one of another zone: all entries of a zone may be cut off from
--- a/core/jkrelay/join.go
+++ b/core/jkrelay/join.go
@@ -26,13 +26,13 @@
 	}
 	result := ResultNoWay
 	var ended *EndedError
-	hosts := spread(d.order(addr, d.Relays(id)))
+	hosts := d.chosen(addr, d.Relays(id))
 	for first := true; len(hosts) > 0 && ctx.Err() == nil; first = false {
 		batch := hosts[:min(parallelJoins, len(hosts))]
 		hosts = hosts[len(batch):]
 		one := d.joinBatch(ctx, &JoinRequest{Endpoint: id}, batch)
 		if one.conn != nil {
-			d.joined(addr)
+			d.joined(addr, one.host)
 			return one.conn, nil
 		}
 		if first || ctx.Err() == nil {
@@ -55,10 +55,11 @@
 	return nil, &NoWayError{Addr: addr, Direct: direct, Relay: result}
 }
 
-// joined records a tunnel to an endpoint.
-func (d *Dialer) joined(addr string) {
+// joined records a tunnel to an endpoint through a relay.
+func (d *Dialer) joined(addr, host string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.table.joinedBy[addr] = host
 	d.table.joined(d.Timer.Now(), addr)
 	d.relayed.Add(1)
 }
@@ -96,6 +97,28 @@
 	return hosts
 }
 
+// chosen returns the relays to ask for an endpoint. The one that reached it last is among them, also after a miss, as it
+// may be the only one.
+func (d *Dialer) chosen(addr string, hosts []Host) []Host {
+	hosts = d.order(addr, hosts)
+	out := spread(hosts)
+	if i := d.lastJoined(addr, hosts); i >= 0 && !slices.Contains(out, hosts[i]) {
+		out[len(out)-1] = hosts[i]
+	}
+	return out
+}
+
+// lastJoined returns the index of the relay that reached an endpoint last, or -1.
+func (d *Dialer) lastJoined(addr string, hosts []Host) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, ok := d.table.joinedBy[addr]
+	if !ok {
+		return -1
+	}
+	return slices.IndexFunc(hosts, func(h Host) bool { return h.Name == last })
+}
+
 // spread returns up to maxRelays hosts in order, of which no zone has more than a half: all entries
 // of a zone may be cut off together.
 func spread(hosts []Host) []Host {
--- a/core/jkrelay/table.go
+++ b/core/jkrelay/table.go
@@ -51,6 +51,8 @@
 	relayed, lost map[string]time.Time
 	// missedAt holds when relays last didn't reach an endpoint, by endpoint and relay.
 	missedAt map[string]map[string]time.Time
+	// joinedBy holds the relay that reached an endpoint last.
+	joinedBy map[string]string
 	// late holds the endpoints to which a connection of this host's own took long and came, with the time.
 	late map[string]time.Time
 	// isolated is set while neither this host nor any relay reaches an endpoint, and lostChecks is the
@@ -62,7 +64,7 @@
 }
 
 func newTable() *table {
-	return &table{failed: map[string]time.Time{}, relayed: map[string]time.Time{}, lost: map[string]time.Time{}, late: map[string]time.Time{}, avoidUntil: map[string]time.Time{}, missedAt: map[string]map[string]time.Time{}}
+	return &table{failed: map[string]time.Time{}, relayed: map[string]time.Time{}, lost: map[string]time.Time{}, late: map[string]time.Time{}, avoidUntil: map[string]time.Time{}, missedAt: map[string]map[string]time.Time{}, joinedBy: map[string]string{}}
 }
 
 // isTroubled reports whether any endpoint isn't reached directly.
@@ -169,6 +171,7 @@
 	delete(t.lost, addr)
 	delete(t.late, addr)
 	delete(t.missedAt, addr)
+	delete(t.joinedBy, addr)
 	t.settle()
 }
 
@@ -185,6 +188,7 @@
 		maps.DeleteFunc(rows, func(addr string, _ time.Time) bool { return !slices.Contains(addrs, addr) })
 	}
 	maps.DeleteFunc(t.missedAt, func(addr string, _ map[string]time.Time) bool { return !slices.Contains(addrs, addr) })
+	maps.DeleteFunc(t.joinedBy, func(addr, _ string) bool { return !slices.Contains(addrs, addr) })
 	t.settle()
 }
 
