vault: log what is used late also if the record that uses it is known

Found by review of: a spending that is sent again renews its program in memory; what it renewed wasn't logged, so that a restart forgot it: 1 of 2 tokens (TestProgramThatWasRenewedLateKeepsItsTokens, red before).

--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -188,7 +188,7 @@
 		for request := r.Turn.Previous; !seen[request]; {
 			seen[request] = true
 			row, ok := l.turns[request]
-			if !ok {
+			if !ok || !now.After(row.lastUse.at) {
 				break
 			}
 			if now.Sub(row.lastUse.at) > row.turn.Retention {
--- a/core/jkledger/replay_test.go
+++ b/core/jkledger/replay_test.go
@@ -45,11 +45,14 @@
 			if err := log.Stamp(now.Add(skew)); err != nil {
 				rt.Fatal(err)
 			}
-			if err := log.AppendAll(append(running.Late(now, r), r)); err != nil {
+			added := running.Late(now, r)
+			if running.Apply(now, r) {
+				added = append(added, r)
+			}
+			if err := log.AppendAll(added); err != nil {
 				rt.Fatal(err)
 			}
 			ledger.Apply(now, r)
-			running.Apply(now, r)
 		}
 		for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "pause")) * time.Millisecond)
@@ -62,7 +65,9 @@
 				add(Record{Turn: &Turn{Request: fmt.Sprint(i), Previous: previous, Program: "p", Retention: retention}})
 			case "spending":
 				program := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(rt, "program")
-				add(Record{Spending: &Spending{Program: program, Request: fmt.Sprint(i), Tokens: 1, Settled: true, Retention: retention}})
+				// Some are sent again.
+				request := fmt.Sprint(i - rapid.IntRange(0, min(i, 3)).Draw(rt, "again"))
+				add(Record{Spending: &Spending{Program: program, Request: request, Tokens: 1, Settled: true, Retention: retention}})
 			case "clock":
 				skew = time.Duration(rapid.IntRange(-5, 5).Draw(rt, "skew")) * time.Second
 			case "restart":
--- a/core/jkvault/late_test.go
+++ b/core/jkvault/late_test.go
@@ -34,3 +34,25 @@
 		}
 	})
 }
+
+// Guards against spent tokens that a restart forgets: the program was renewed late, by a spending that was known already.
+func TestProgramThatWasRenewedLateKeepsItsTokens(t *testing.T) {
+	folder := t.TempDir()
+	timer, clock := jktimer.NewManual(time.Unix(1e9, 0))
+	spending := func(request string) jkledger.Record {
+		return jkledger.Record{Spending: &jkledger.Spending{Program: "p", Request: request, Tokens: 1, Settled: true, Retention: time.Minute}}
+	}
+	t.Run("first", func(t *testing.T) {
+		v := openWith(t, folder, timer)
+		v.write(t, spending("1"))
+		clock.Advance(62 * time.Second)
+		v.write(t, spending("1"))
+		clock.Advance(30 * time.Second)
+		v.write(t, spending("2"))
+	})
+	t.Run("second", func(t *testing.T) {
+		if got := openWith(t, folder, timer).ledger.Total("p"); got != 2 {
+			t.Errorf("%d of 2 tokens are spent after a restart", got)
+		}
+	})
+}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -190,11 +190,11 @@
 		return nil, err
 	}
 	for _, r := range records {
-		late := v.ledger.Late(now, r)
-		if !v.ledger.Apply(now, r) {
-			continue
+		added := v.ledger.Late(now, r)
+		if v.ledger.Apply(now, r) {
+			added = append(added, r)
 		}
-		if err := v.log.AppendAll(append(late, r)); err != nil {
+		if err := v.log.AppendAll(added); err != nil {
 			return nil, err
 		}
 	}
