--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -43,7 +43,12 @@
 	Grace time.Duration
 	// LostDisks is the number of disks whose simultaneous loss must not lose records.
 	LostDisks int
-	LogLevel  string
+	// Revocation is the time after which a key that was removed from the rules must not be
+	// served by any host, whether or not it reaches the store; zero means no such bound.
+	Revocation time.Duration
+	// LearnedPlacement makes entries place requests by their learned costs.
+	LearnedPlacement bool
+	LogLevel         string
 	// Listeners are open already. Those that are nil are opened at the addresses.
 	Listeners Listeners
 }
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -19,7 +19,9 @@
 	info    RequestInfo
 	route   *jkruleset.Route
 	service *jkruleset.Service
-	body    []byte
+	// workspace is the caller's workspace; nil without one.
+	workspace *jkruleset.Workspace
+	body      []byte
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
 	// contentKey is set by key.
--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -11,6 +11,8 @@
 type RequestInfo struct {
 	// Request is the id of one attempt of a caller.
 	Request string
+	// Key is the caller's key. It must not be logged or sent on.
+	Key     string
 	Program string
 	// Session identifies a sequence of turns within a program.
 	Session string
@@ -45,6 +47,8 @@
 type ForwardInfo struct {
 	// Endpoint is the id of the endpoint that may run the request.
 	Endpoint string
+	// Workspace is the name of the caller's workspace, or empty.
+	Workspace string
 	// TimeLeft is the time left for the response.
 	TimeLeft time.Duration
 	// Urgency ranks the request in the queue of a model engine, from 0 (first) to 9.
@@ -77,6 +81,9 @@
 	DecodeRequest func(h http.Header) RequestInfo
 	// Forwardable reports whether a caller's header may reach an endpoint.
 	Forwardable func(name string) bool
+	// IsCredential reports whether a header holds a caller's key or workspace. Such headers of
+	// callers don't reach an endpoint where the rules have workspaces. Nil means that none does.
+	IsCredential func(name string) bool
 	// AddHeaders adds the system's own headers to a request to an endpoint.
 	AddHeaders func(h http.Header, o ForwardInfo)
 	// DecodeResponse decodes an endpoint's header.
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -32,6 +32,10 @@
 	Fleet   *Fleet
 	Pool    *jkupstream.Pool
 	Crashes *CrashWatch
+	// Currency tells how current the rules are, and Quota counts requests against the caps of
+	// workspaces.
+	Currency Currency
+	Quota    Quota
 	// Isolated reports whether this host has no way to any endpoint; nil means that it has.
 	Isolated func() bool
 	// Stop is the planned stop of this host.
--- a/core/jkruleset/ruleset.go
+++ b/core/jkruleset/ruleset.go
@@ -53,7 +53,9 @@
 	// Retain is set if the system stores the turns of a chain for Retention.
 	Retain    bool
 	Retention time.Duration
-	Shares    []Share
+	// Public is set if requests need no key even where the rules have workspaces.
+	Public bool
+	Shares []Share
 }
 
 // Route holds the rules for the requests of one host name and path prefix, with the
@@ -98,6 +100,9 @@
 // Resumable reports whether a stream may continue at another endpoint.
 func (r *Route) Resumable() bool { return r.config.Resumable }
 
+// Public reports whether requests need no key even where the rules have workspaces.
+func (r *Route) Public() bool { return r.config.Public }
+
 // Retain reports whether the system stores the turns of a chain.
 func (r *Route) Retain() bool { return r.config.Retain }
 
@@ -199,6 +204,9 @@
 	routesByHost map[string][]*Route
 	routeCount   int
 	usedServices []string
+	// workspaces are nil where requests need no key.
+	workspaces      []*Workspace
+	workspacesByKey map[KeyHash]*Workspace
 }
 
 // NewSet builds a version of the rules.
