jkupstream: ask immediately before a request is sent whether it may be

A connection may take a while, and what allowed the request may have ended meanwhile. MaySend is called once there is a connection; its error gives a NotSentError with the reason not_allowed.

go test ./jkupstream passes.

--- a/core/jkupstream/errors.go
+++ b/core/jkupstream/errors.go
@@ -14,6 +14,8 @@
 	ReasonOtherStart Reason = "other_start"
 	// The endpoint didn't tell which start it is.
 	ReasonUnknownStart Reason = "unknown_start"
+	// MaySend of the request returned an error.
+	ReasonNotAllowed Reason = "not_allowed"
 )
 
 // NotSentError is returned for a request of which no byte was sent.
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -28,6 +28,9 @@
 	MaxBody int64
 	// Accept reports whether a response's header belongs to this request.
 	Accept func(h http.Header) bool
+	// MaySend is called when there is a connection, immediately before OnSend; its error keeps the
+	// request from being sent. Nil allows it.
+	MaySend func() error
 	// OnSend is called when there is a connection, before the request is sent; nil if nobody is told.
 	OnSend func()
 }
@@ -84,6 +87,13 @@
 		return nil, err
 	}
 	stopCancel := context.AfterFunc(ctx, func() { p.discard(c) })
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			stopCancel()
+			p.discard(c)
+			return nil, &NotSentError{Addr: r.Addr, Reason: ReasonNotAllowed, Cause: err}
+		}
+	}
 	if r.OnSend != nil {
 		r.OnSend()
 	}
