jkforward: keys, scoped names and permits of workspaces

The key is checked with the newest rules after the route is matched, before a permit is taken, before each choice of an endpoint and immediately before each write to one. Names of programs, requests and reservations get the workspace as a prefix, and the quarantine key is hashed with it. Permits of Options.Quota are taken before the ledger is asked and given back by requests that haven't run. A workspace's priority goes before the route's. Without workspaces nothing changes.

--- a/core/jkforward/admit.go
+++ b/core/jkforward/admit.go
@@ -31,7 +31,7 @@
 	}
 	ctx, cancel := h.admissionContext(c)
 	defer cancel()
-	if err := h.Account.CanKeep(ctx, c.info.Program); err != nil {
+	if err := h.Account.CanKeep(ctx, c.scoped(c.info.Program)); err != nil {
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
 		return refusalForError(err)
 	}
@@ -73,7 +73,7 @@
 // readChain starts to read the chain that a turn continues. If that fails, it ends the admission.
 func (h *Handler) readChain(ctx context.Context, c *call, endAdmission func()) *chainReading {
 	r := &chainReading{read: make(chan struct{})}
-	program, previous := c.info.Program, c.info.Previous
+	program, previous := c.scoped(c.info.Program), c.scoped(c.info.Previous)
 	go func() {
 		r.earlier, r.err = h.Account.Chain(ctx, program, previous)
 		close(r.read)
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -21,10 +21,24 @@
 	service *jkruleset.Service
 	// workspace is the caller's workspace; nil without one.
 	workspace *jkruleset.Workspace
-	body      []byte
+	// rulesVersion is the version of the rules that the workspace is from.
+	rulesVersion int64
+	// key is the hash of the caller's key, if it sent one.
+	key    jkruleset.KeyHash
+	hasKey bool
+	// isAuthenticated is set by the first check of the key, and dropsCredentials once the rules had
+	// workspaces.
+	isAuthenticated  bool
+	dropsCredentials bool
+	// release gives back the request's permit; nil without one. isAtEndpoint is set while an endpoint
+	// has the request, and afterwards unless that one states that it didn't run it.
+	release      func()
+	isAtEndpoint bool
+
+	body []byte
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
-	// contentKey is set by key.
+	// contentKey is set by content.
 	contentKey jkcrash.Key
 
 	receivedAt time.Time
@@ -151,7 +165,7 @@
 	out := make(http.Header, len(c.request.Header)+4)
 	connectionOnly := connectionHeaders(c.request.Header)
 	for name, values := range c.request.Header {
-		if hopHeaders[name] || connectionOnly[name] || !d.Forwardable(name) {
+		if hopHeaders[name] || connectionOnly[name] || !d.Forwardable(name) || c.dropsCredentials && d.isCredential(name) {
 			continue
 		}
 		out[name] = values
--- a/core/jkforward/crash.go
+++ b/core/jkforward/crash.go
@@ -142,10 +142,15 @@
 }
 
 // keyOf identifies the content of a request: what is the same if its caller sends it
-// again. Headers aren't, since they hold ids and times of the attempt.
-func keyOf(r *http.Request, input []byte) jkcrash.Key {
+// again. Headers aren't, since they hold ids and times of the attempt. A workspace has contents of
+// its own, so that none can have the requests of another one refused.
+func keyOf(workspace string, r *http.Request, input []byte) jkcrash.Key {
 	var h xxhash.Digest
 	h.Reset()
+	if workspace != "" {
+		// Writes to a digest never fail.
+		_, _ = h.WriteString(scopedName(workspace, ""))
+	}
 	for _, part := range []string{r.Method, r.Host, r.RequestURI} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
@@ -154,10 +159,10 @@
 	return jkcrash.Key(h.Sum64())
 }
 
-// key returns the call's content, which is hashed on first use only.
-func (c *call) key() jkcrash.Key {
+// content returns the call's content, which is hashed on first use only.
+func (c *call) content() jkcrash.Key {
 	if c.contentKey == 0 {
-		c.contentKey = keyOf(c.request, c.input)
+		c.contentKey = keyOf(c.workspaceName(), c.request, c.input)
 	}
 	return c.contentKey
 }
@@ -203,7 +208,7 @@
 	if w.table.Len() == 0 {
 		return nil
 	}
-	left := w.table.Refused(w.timer.Now(), c.key())
+	left := w.table.Refused(w.timer.Now(), c.content())
 	if left <= 0 {
 		return nil
 	}
@@ -217,8 +222,8 @@
 	if w.table.Len() == 0 {
 		return
 	}
-	if w.table.Served(c.key()) {
-		w.log.Info("request no longer suspected, it was served", "request", c.info.Request, "content", uint64(c.key()))
+	if w.table.Served(c.content()) {
+		w.log.Info("request no longer suspected, it was served", "request", c.info.Request, "content", uint64(c.content()))
 	}
 }
 
@@ -238,7 +243,7 @@
 		// registry doesn't show that yet.
 		row.life, row.endedAt = lifeOf(id, int64(row.life)), time.Time{}
 	}
-	w.addPending(row.life, pendingCrash{key: c.key(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
+	w.addPending(row.life, pendingCrash{key: c.content(), request: c.info.Request, sentAt: c.sentAt, at: w.timer.Now()})
 	if !byEndpoint {
 		w.mu.Unlock()
 		return
--- a/core/jkforward/dialect.go
+++ b/core/jkforward/dialect.go
@@ -93,3 +93,5 @@
 	ReportTarget string
 	DecodeReport func(report []byte) (born int64, ok bool)
 }
+
+func (d Dialect) isCredential(name string) bool { return d.IsCredential != nil && d.IsCredential(name) }
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -58,8 +58,8 @@
 	return &Handler{Options: o, outputs: newHeldOutputs(o.MaxHeldOutputs), largeEvents: make(chan struct{}, maxLargeEvents)}
 }
 
-// refusal is a response that the handler generates itself. With status 402, 404, 413
-// or 503 it states that the request didn't run.
+// refusal is a response that the handler generates itself. With status 401, 402, 404, 413,
+// 429 or 503 it states that the request didn't run.
 type refusal struct {
 	status     int
 	reason     string
@@ -76,6 +76,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{writer: w, request: r, receivedAt: h.Timer.Now(), info: h.Dialect.DecodeRequest(r.Header)}
 	c.lastEventID = c.info.LastEvent
+	c.hashKey()
 	h.Metrics.inFlight.Add(1)
 	defer h.Metrics.inFlight.Add(-1)
 	if h.Stop.Begun() {
@@ -83,7 +84,11 @@
 	}
 	defer h.finish(c)
 	defer func() { h.outputs.release(len(c.output)) }()
-	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.checkCopies, h.admit} {
+	defer h.releasePermit(c)
+	steps := []func(*call) *refusal{
+		h.match, h.authenticate, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.takePermit, h.checkCopies, h.admit,
+	}
+	for _, step := range steps {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
@@ -103,7 +108,7 @@
 	}
 	c.route = rules.Match(c.request.Host, c.request.URL.Path)
 	if c.route == nil {
-		return &refusal{status: 404, reason: "no_route"}
+		return h.noRoute(rules)
 	}
 	c.service = rules.Service(c.route.Service(hashOf(c.affinityKey())))
 	if c.service == nil {
@@ -169,7 +174,7 @@
 	if !c.isStream() || !c.hasBudget() && !c.route.Resumable() {
 		return nil
 	}
-	c.reservation = c.info.Request
+	c.reservation = c.scoped(c.info.Request)
 	if c.route.Resumable() && !c.isContinued() {
 		if refused := h.bindNew(c); refused != nil {
 			return refused
@@ -201,7 +206,7 @@
 		}
 		return &UnknownStreamError{}
 	}
-	version, err := h.Account.Continue(ctx, r, c.info.Resumes)
+	version, err := h.Account.Continue(ctx, r, c.scoped(c.info.Resumes))
 	if err == nil {
 		c.bind(version)
 		h.Metrics.countContinued(continuedRecorded)
@@ -214,11 +219,11 @@
 
 // newReservation returns the reservation of the call. Without a budget it only records a version.
 func (c *call) newReservation() Reservation {
-	r := Reservation{Program: c.info.Program, Request: c.reservation, Budget: c.info.Budget, Retention: c.route.Retention()}
+	r := Reservation{Program: c.scoped(c.info.Program), Request: c.reservation, Budget: c.info.Budget, Retention: c.route.Retention()}
 	if c.hasBudget() {
 		r.Tokens = c.maxTokens()
 	} else {
-		r.Program, r.Budget = streamProgram(c.origin()), 0
+		r.Program, r.Budget = c.scoped(streamProgram(c.origin())), 0
 	}
 	if c.route.Resumable() && r.Retention <= 0 {
 		r.Retention = streamRetention
@@ -238,7 +243,7 @@
 		return
 	}
 	h.Account.Settle(Settlement{
-		Program: c.info.Program, Request: c.reservation,
+		Program: c.scoped(c.info.Program), Request: c.reservation,
 		Tokens: c.events * max(c.service.EventTokens(), 1), Retention: c.route.Retention(),
 	})
 }
@@ -303,12 +308,16 @@
 	if c.route != nil {
 		route = c.route.Name()
 	}
-	return []any{
+	fields := []any{
 		"request", c.info.Request, "program", c.info.Program, "route", route, "status", c.status,
 		"reason", c.reason, "endpoint", c.last.id, "attempts", c.attempts, "events", c.events,
 		"may_have_run", c.mayHaveRun, "sent_ms", millisSince(c.receivedAt, c.firstSentAt), "first_ms", millisSince(c.receivedAt, c.firstEventAt),
 		"took_ms", took.Milliseconds(),
 	}
+	if c.workspace != nil {
+		fields = append(fields, "workspace", c.workspaceName())
+	}
+	return fields
 }
 
 // millisSince returns the milliseconds between two times, or -1 if the second one is
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -51,6 +51,9 @@
 		if h.Stop.hasEnded() {
 			return c.finalRefusal("host_stopped", stoppingRetryAfter)
 		}
+		if refused := h.authenticate(c); refused != nil {
+			return c.endDenied(refused)
+		}
 		left := c.deadline.Sub(h.Timer.Now())
 		// Only the end of its time limit ends a stream that has begun.
 		if left <= 0 || left < minAttemptTime && !c.headerSent {
@@ -78,6 +81,9 @@
 			outcome = outcomeCallerLeft
 		}
 		h.Metrics.countAttempt(string(outcome))
+		if outcome == outcomeRefused || outcome == outcomeNotSent {
+			c.isAtEndpoint = false
+		}
 		switch outcome {
 		case outcomeDone:
 			h.Crashes.served(c)
@@ -255,7 +261,7 @@
 	}
 	c.broken = exchangeWhole
 	header := c.forwardHeader(h.Dialect)
-	h.Dialect.AddHeaders(header, ForwardInfo{Endpoint: id, TimeLeft: left, Urgency: urgency(c), LastEvent: c.lastEventID})
+	h.Dialect.AddHeaders(header, ForwardInfo{Endpoint: id, Workspace: c.workspaceName(), TimeLeft: left, Urgency: urgency(c), LastEvent: c.lastEventID})
 	began := h.Timer.Now()
 	c.sentAt = began
 	if c.firstSentAt.IsZero() {
@@ -264,8 +270,8 @@
 	resp, err := h.Pool.Send(ctx, jkupstream.Request{
 		Addr: addr, Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, Repeatable: c.route.Repeatable(), Start: h.startOf(c), MaxBody: h.maxBodyBytes(c),
-		Accept: func(a http.Header) bool { return h.Dialect.DecodeResponse(a).Request == c.info.Request },
-		OnSend: c.recordSend,
+		Accept:  func(a http.Header) bool { return h.Dialect.DecodeResponse(a).Request == c.info.Request },
+		MaySend: func() error { return h.maySend(c, header) }, OnSend: c.recordSend,
 	})
 	if err != nil {
 		return h.handleSendError(c, ctx, id, err)
@@ -306,8 +312,10 @@
 	return jksched.DirectFault
 }
 
-// recordSend tells the watchdog that the request is sent now, after the time that its connection took.
+// recordSend records that the request is sent now, and tells the watchdog, which doesn't count the time that
+// its connection took.
 func (c *call) recordSend() {
+	c.isAtEndpoint = true
 	if c.watchdog != nil {
 		c.isSent.Store(true)
 		c.watchdog.progress(c.firstByteTimeout())
@@ -333,6 +341,10 @@
 			return outcomeCallerLeft
 		}
 		outcome := outcomeNotSent
+		if notSent.Reason == jkupstream.ReasonNotAllowed {
+			// The check before the next attempt ends the request. The endpoint is sound.
+			return outcome
+		}
 		switch notSent.Reason {
 		case jkupstream.ReasonUnreachable:
 			h.Fleet.unreachable(id)
@@ -436,9 +448,16 @@
 	}
 }
 
-// urgency ranks the request in the queue of a model engine: a route of the highest
-// priority gets one rank before requests that set no urgency.
+// urgency ranks the request in the queue of a model engine: one of the highest priority
+// gets one rank before requests that set no urgency. The workspace's priority goes before
+// the route's.
 func urgency(c *call) int {
 	const usual = 5
-	return min(usual-1+c.route.Priority(), 9)
+	priority := c.route.Priority()
+	if c.workspace != nil {
+		if rank, ok := c.workspace.Priority(); ok {
+			priority = rank
+		}
+	}
+	return min(usual-1+priority, 9)
 }
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -159,7 +159,7 @@
 	ctx, cancel := h.keepContext(c)
 	defer cancel()
 	err := h.Account.Keep(ctx, Turn{
-		Request: c.info.Request, Previous: c.info.Previous, Program: c.info.Program, Reservation: c.reservation,
+		Request: c.scoped(c.info.Request), Previous: c.previousTurn(), Program: c.scoped(c.info.Program), Reservation: c.reservation,
 		Input: c.input, Output: c.output, Tokens: c.events * max(c.service.EventTokens(), 1),
 		Retention: c.route.Retention(),
 	})
@@ -175,6 +175,14 @@
 	return outcomeTurnNotKept
 }
 
+// previousTurn returns the scoped name of the turn that this one continues, or "" for a first turn.
+func (c *call) previousTurn() string {
+	if c.info.Previous == "" {
+		return ""
+	}
+	return c.scoped(c.info.Previous)
+}
+
 // minKeepTime is the least time for storing a turn whose stream ended at the request's
 // deadline: some round trips between zones and a sync.
 const minKeepTime = 100 * time.Millisecond
--- a/core/jkforward/version.go
+++ b/core/jkforward/version.go
@@ -61,7 +61,7 @@
 		return h.placementRefusal(c, err)
 	}
 	c.bind(version)
-	c.reservation = AtVersion(c.info.Request, version)
+	c.reservation = AtVersion(c.scoped(c.info.Request), version)
 	return nil
 }
 
