--- a/core/jkforward/metrics.go
+++ b/core/jkforward/metrics.go
@@ -13,11 +13,13 @@
 type Metrics struct {
 	set      *metrics.Set
 	inFlight atomic.Int64
+	// byWorkspace counts the requests of workspaces.
+	byWorkspace *workspaceCounts
 }
 
 // NewMetrics returns metrics that are registered in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	m := &Metrics{set: set}
+	m := &Metrics{set: set, byWorkspace: newWorkspaceCounts(set)}
 	set.NewGauge("jk_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	return m
 }
@@ -25,8 +27,25 @@
 // InFlight returns the number of requests in flight.
 func (m *Metrics) InFlight() int64 { return m.inFlight.Load() }
 
+// Workspaces returns the requests by workspace since the process started.
+func (m *Metrics) Workspaces() WorkspaceCounts { return m.byWorkspace.counts() }
+
+// workspaceReason returns the reason by which a request of a workspace is counted.
+func workspaceReason(c *call) string {
+	switch {
+	case c.reason != "":
+		return c.reason
+	case c.status >= 200 && c.status < 300:
+		return "served"
+	}
+	return "endpoint_status"
+}
+
 // observe counts a finished request and its duration.
 func (m *Metrics) observe(c *call, took time.Duration) {
+	if c.workspace != nil {
+		m.byWorkspace.observe(c.receivedAt.Add(took), c.workspaceName(), workspaceReason(c))
+	}
 	kind := "none"
 	if c.route != nil {
 		kind = string(c.route.Kind())
