tests: workspaces in the entry

The fixture of TestForward lets a test change the handler's options, and its endpoints record the workspace and key that they get.

--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -38,12 +38,14 @@
 	testPrevious   = "Test-Previous"
 	testSystemOnly = "Test-System-Only"
 	testLongWait   = "Test-Patient"
+	testKey        = "Test-Key"
+	testWorkspace  = "Test-Workspace"
 )
 
 func testDialect() Dialect {
 	return Dialect{
 		DecodeRequest: func(h http.Header) RequestInfo {
-			f := RequestInfo{Request: h.Get(testRequest), LastEvent: h.Get(testLast), Resumes: h.Get(testResumes), Program: h.Get(testProgram), Previous: h.Get(testPrevious), Wait: 3 * time.Second}
+			f := RequestInfo{Request: h.Get(testRequest), Key: h.Get(testKey), LastEvent: h.Get(testLast), Resumes: h.Get(testResumes), Program: h.Get(testProgram), Previous: h.Get(testPrevious), Wait: 3 * time.Second}
 			if h.Get(testLongWait) != "" {
 				f.Wait = time.Minute
 			}
@@ -52,9 +54,13 @@
 			}
 			return f
 		},
-		Forwardable: func(name string) bool { return name != testSystemOnly },
+		Forwardable:  func(name string) bool { return name != testSystemOnly },
+		IsCredential: func(name string) bool { return name == testKey || name == testWorkspace },
 		AddHeaders: func(h http.Header, o ForwardInfo) {
 			h.Set(testEndpoint, o.Endpoint)
+			if o.Workspace != "" {
+				h.Set(testWorkspace, o.Workspace)
+			}
 			if o.LastEvent != "" {
 				h.Set(testLast, o.LastEvent)
 			}
@@ -74,6 +80,8 @@
 	steps []string
 	// seen describes the received requests in order.
 	seen []string
+	// onRequest is called for each request before it is answered; nil if nobody is told.
+	onRequest func()
 }
 
 func newScriptedEndpoint(t *testing.T, l net.Listener) *scriptedEndpoint {
@@ -121,6 +129,15 @@
 	if req.Header.Get(testSystemOnly) != "" {
 		seen += " with the caller's system header"
 	}
+	if key := req.Header.Get(testKey); key != "" {
+		seen += " with key " + key
+	}
+	if w := req.Header.Get(testWorkspace); w != "" {
+		seen += " of " + w
+	}
+	if e.onRequest != nil {
+		e.onRequest()
+	}
 	e.seen = append(e.seen, seen)
 	if len(e.steps) == 0 {
 		return "ok default"
@@ -246,6 +263,7 @@
 	memoryAccount *memoryAccount
 	metrics       *metrics.Set
 	fleet         *Fleet
+	handler       *Handler
 	callers       http.RoundTripper
 }
 
@@ -280,6 +298,12 @@
 
 // newFixtureOn returns a fixture with listeners of its own and the connections that lead to them.
 func newFixtureOn(t *testing.T, listen func(name string) net.Listener, connections jkupstream.Options) *fixture {
+	t.Helper()
+	return newFixtureWith(t, listen, connections, func(*Options) {})
+}
+
+// newFixtureWith returns a fixture whose handler has changed options.
+func newFixtureWith(t *testing.T, listen func(name string) net.Listener, connections jkupstream.Options, change func(*Options)) *fixture {
 	t.Helper()
 	timer := jktimer.New()
 	opt := jksched.DefaultDirectOptions()
@@ -294,13 +318,16 @@
 	opened := 0
 	pool := jkupstream.NewPool(connections, timer, func() { opened++ })
 	t.Cleanup(pool.CloseIdleDirect)
-	h := NewHandler(Options{
+	options := Options{
 		Timer: timer, Log: jklog.Discard(), Metrics: NewMetrics(f.metrics), Rules: testRules,
 		Dialect: testDialect(), Account: f.memoryAccount.account(), Fleet: fleet,
 		Pool:    pool,
 		Crashes: NewCrashWatch(timer, jklog.Discard()),
 		Stop:    NewHostStop(),
-	})
+	}
+	change(&options)
+	h := NewHandler(options)
+	f.handler = h
 	f.front = &httptest.Server{Listener: listen("front"), Config: &http.Server{Handler: h}}
 	f.front.Start()
 	t.Cleanup(f.front.Close)
