jkentry: carry permits between entries and storage hosts

Storage hosts answer quota_take once they know the issuers; entries ask them for the requests of workspaces with a cap and offer this to the handler as Options.Quota. Metrics count permits and refusals.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -52,6 +52,7 @@
 	settled atomic.Bool
 	counts  *jkforward.Metrics
 	account *jkaccount.Client
+	quota   *quota
 
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
@@ -235,6 +236,7 @@
 		Observed: func(host string) string { return e.probes.Observe(host).String() },
 	})
 	e.counts = jkforward.NewMetrics(e.metrics)
+	e.quota = newQuota(e)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
 	e.metrics.NewGauge("jk_response_body_bytes", func() float64 { return float64(e.pool.BodyBytes()) })
 	e.metrics.NewGauge("jk_relay_tunnels", func() float64 { return float64(e.relay.Tunnels()) })
@@ -251,7 +253,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, Quota: jkforward.Quota{Take: e.quota.take}, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
@@ -317,11 +319,12 @@
 	}
 }
 
-// spread sends other entries what this one has learned since the last call. Digests and news
-// have one timer, because each wake-up of a small host costs about as much as what it sends.
+// spread sends other entries what this one has learned since the last call, and returns unused
+// permits to their issuers. Digests, news and permits have one timer, because each wake-up of a small host costs about as much as what it sends.
 func (e *Entry) spread() {
 	e.sendDigest()
 	e.news.tick()
+	e.quota.tick()
 }
 
 // membersInterval is the interval at which an entry checks which hosts there are, besides
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
 	"jasmineknot.example/core/jkforward"
@@ -100,6 +102,47 @@
 	return out
 }
 
+// maxIssuers bounds the hosts that issue permits: with more of them each has too small a share of
+// a small cap.
+const maxIssuers = 16
+
+// issuers returns the storage hosts that issue permits. All hosts with the same list of the store
+// choose the same ones: the first of each zone by rendezvous hash, then the first of all.
+func (m *members) issuers() []HostEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []HostEntry
+	for _, h := range m.hosts {
+		if h.Ledger && !h.Leaving {
+			all = append(all, h)
+		}
+	}
+	rank := func(h HostEntry) uint64 { return xxhash.Sum64String("issuer\x00" + h.Host) }
+	slices.SortFunc(all, func(a, b HostEntry) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Host, b.Host)) })
+	var chosen, rest []HostEntry
+	zones := map[string]bool{}
+	for _, h := range all {
+		if zones[h.Zone] {
+			rest = append(rest, h)
+			continue
+		}
+		zones[h.Zone] = true
+		chosen = append(chosen, h)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(len(chosen), maxIssuers)]
+}
+
+// knownFor returns for how long a host has been known at its present address.
+func (m *members) knownFor(host string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.hosts[host]; !ok {
+		return 0
+	}
+	return m.timer.Now().Sub(m.appearedAt[host])
+}
+
 // sources returns the other hosts whose copies of the ledger may have records that no other host
 // has. Those that are leaving count until they have handed theirs over.
 func (m *members) sources(self string) []HostEntry {
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -18,6 +18,7 @@
 	"jasmineknot.example/core/jkledger"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
+	"jasmineknot.example/core/jkquota"
 	"jasmineknot.example/core/jktimer"
 	"jasmineknot.example/core/jkvault"
 	"jasmineknot.example/core/jkwire"
@@ -38,6 +39,7 @@
 	registry *registry
 	// watchRelay also serves what this host knows of the store to hosts that start.
 	watchRelay *jkfollow.WatchRelay
+	permits    *permits
 	// running ends with the process.
 	running context.Context
 	end     context.CancelFunc
@@ -97,6 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.permits = &permits{Storage: t, issuer: jkquota.NewIssuer()}
 	// Answers of the ledger say what the prober knows, so that it has to be there first.
 	t.server = jkwire.NewServer(l, jkwire.ServerOptions{Self: self, Handle: t.handle, IsControl: isControl, Counters: &jkwire.Counters{}})
 	t.registry = newRegistry(registryOptions{
@@ -106,15 +109,20 @@
 	return t, t.serveMetrics()
 }
 
-// handle answers one message of another host: for the copy of the ledger, or a question for
-// the state of the store.
+// handle answers one message of another host: for the copy of the ledger, a question for the
+// state of the store, or one for permits.
 func (t *Storage) handle(ctx context.Context, s *jkwire.ServerStream) {
-	if s.Type() != jkfollow.TypeState {
+	switch s.Type() {
+	case jkfollow.TypeState:
+		if err := t.watchRelay.HandleState(s); err != nil {
+			t.log.Info("state not sent", "host", s.Peer().Host, "error", err)
+		}
+	case jkquota.TypeTake:
+		if err := t.permits.handle(s); err != nil {
+			t.log.Info("permits not sent", "host", s.Peer().Host, "error", err)
+		}
+	default:
 		t.vault.Handle(ctx, s)
-		return
-	}
-	if err := t.watchRelay.HandleState(s); err != nil {
-		t.log.Info("state not sent", "host", s.Peer().Host, "error", err)
 	}
 }
 
@@ -127,6 +135,7 @@
 	set.NewGauge("jk_ledger_turns", func() float64 { _, n, _ := t.vault.Size(); return float64(n) })
 	set.NewGauge("jk_ledger_programs", func() float64 { n, _, _ := t.vault.Size(); return float64(n) })
 	set.NewGauge("jk_ledger_bytes", func() float64 { _, _, n := t.vault.Size(); return float64(n) })
+	t.permits.register(set)
 	router := echo.New()
 	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, set) })
 	l, err := net.Listen("tcp", t.settings.Metrics)
