--- /dev/null
+++ b/core/jkquota/caps_test.go
@@ -0,0 +1,161 @@
+package jkquota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func testCap(rate, burst float64) Cap {
+	return Cap{Workspace: "w", Version: 1, Rate: rate, Burst: burst}
+}
+
+// windowBound is what may run in a window of 5 s with and without disturbances.
+func windowBound(c Cap, disturbed bool, issuers int) float64 {
+	if disturbed {
+		return (c.Rate*5+c.Burst)*1.1 + 20
+	}
+	// The last two terms are the permits that are on their way when a window starts.
+	return c.Rate*5 + max(c.Burst, float64(issuers)) + c.Rate*0.005 + 1
+}
+
+// Guards against more requests than the cap allows without disturbances: by spare permits, by
+// permits that are released, by rounding.
+func TestCalmFleetKeepsTheCapExactly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := testCap(float64(rapid.IntRange(2, 300).Draw(t, "rate")), float64(rapid.IntRange(0, 600).Draw(t, "burst")))
+		issuers := rapid.IntRange(1, 16).Draw(t, "issuers")
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 30).Draw(t, "entries"), issuers, rapid.IntRange(1, 4).Draw(t, "zones"), c)
+		f.unsentShare = rapid.SampledFrom([]float64{0, 0, 0.3, 0.9}).Draw(t, "unsent")
+		f.unsentAfter = 2 * time.Second
+		weights := evenly(len(f.entries))
+		weights[0] += float64(rapid.IntRange(0, 20).Draw(t, "weight"))
+		load := c.Rate * rapid.Float64Range(0.3, 3).Draw(t, "load")
+		// Buckets are full after a silence, which a burst then uses.
+		f.run(time.Duration(rapid.IntRange(0, 10).Draw(t, "silence")) * time.Second)
+		f.load(load, 0.3, weights)
+		f.run(4 * time.Second)
+		f.load(2*c.Rate, 0.3, weights)
+		f.run(8 * time.Second)
+		if worst := f.worstExcess(func(time.Time) float64 { return windowBound(c, false, issuers) }); worst > 0 {
+			t.Fatalf("%.1f requests beyond the cap in a window", worst)
+		}
+	})
+}
+
+// disturbance is one random disturbance of a fleet.
+func disturb(t *rapid.T, f *fleet, n int) {
+	label := func(s string) string { return fmt.Sprint(s, n) }
+	kind := rapid.SampledFrom([]string{"cut", "kill issuer", "restart issuer", "remove issuer", "add issuer", "pause issuer", "kill entry", "pause entry", "loss"}).Draw(t, label("kind"))
+	lasts := time.Duration(rapid.IntRange(20, 6000).Draw(t, label("lasts"))) * time.Millisecond
+	issuer := f.issuers[fmt.Sprint("s", rapid.IntRange(0, len(f.issuers)-1).Draw(t, label("issuer")))]
+	entry := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, label("entry"))]
+	f.after(time.Duration(rapid.IntRange(0, 15_000).Draw(t, label("at")))*time.Millisecond, func() {
+		switch kind {
+		case "cut":
+			f.cutZones[issuer.zone] = true
+			f.after(lasts, func() { delete(f.cutZones, issuer.zone) })
+		case "kill issuer":
+			issuer.dead = true
+			f.after(lasts, func() { f.restartIssuer(issuer) })
+		case "restart issuer":
+			f.restartIssuer(issuer)
+		case "remove issuer":
+			f.setListed(issuer.name, false)
+			f.after(lasts, func() { f.setListed(issuer.name, true) })
+		case "add issuer":
+			added := f.addIssuer(fmt.Sprint("s", len(f.issuers)), issuer.zone)
+			f.setListed(added.name, true)
+			f.restartIssuer(added)
+		case "pause issuer":
+			issuer.pausedUntil = f.now.Add(lasts)
+		case "kill entry":
+			entry.dead = true
+			f.after(lasts, func() { f.startEntry(entry) })
+		case "pause entry":
+			entry.pausedUntil = f.now.Add(lasts)
+		case "loss":
+			f.loss = rapidShare(lasts)
+			f.after(lasts, func() { f.loss = 0 })
+		}
+	})
+}
+
+// rapidShare is a share of lost messages up to 0.3.
+func rapidShare(d time.Duration) float64 { return 0.3 * float64(d%time.Second) / float64(time.Second) }
+
+// Guards against more requests than the cap and its tolerance allow in any order of cuts, kills,
+// restarts, joins, departures, pauses, lost and late answers, and new versions of the rules that
+// entries get at different times.
+func TestDisturbedFleetKeepsTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := testCap(float64(rapid.IntRange(5, 200).Draw(t, "rate")), float64(rapid.IntRange(0, 300).Draw(t, "burst")))
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 24).Draw(t, "entries"), rapid.IntRange(2, 12).Draw(t, "issuers"), rapid.IntRange(1, 4).Draw(t, "zones"), before)
+		f.unsentShare, f.unsentAfter = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "unsent"), time.Second
+		f.run(time.Duration(rapid.IntRange(0, 5).Draw(t, "silence")) * time.Second)
+		f.load(before.Rate*rapid.Float64Range(0.5, 2.5).Draw(t, "load"), 0.3, evenly(len(f.entries)))
+		for n := range rapid.IntRange(0, 8).Draw(t, "disturbances") {
+			disturb(t, f, n)
+		}
+		after, changesAt, inForceAt := before, f.now.Add(time.Hour), f.now.Add(time.Hour)
+		if rapid.Bool().Draw(t, "new version") {
+			after = Cap{Workspace: "w", Version: 2, Rate: before.Rate * rapid.Float64Range(0.1, 3).Draw(t, "times"), Burst: float64(rapid.IntRange(0, 300).Draw(t, "new burst"))}
+			changesAt = f.now.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "changes at")) * time.Second)
+			// Spare permits of the version before are valid a little longer.
+			inForceAt = changesAt.Add(3*time.Second + spareValidity)
+			for _, e := range f.entries {
+				f.at(changesAt.Add(f.randomTime(3*time.Second)), func() { e.cap = after })
+			}
+		}
+		f.run(20 * time.Second)
+		worst := f.worstExcess(func(start time.Time) float64 {
+			switch {
+			case start.Add(5 * time.Second).Before(changesAt):
+				return windowBound(before, true, 0)
+			case start.Before(inForceAt):
+				return max(windowBound(before, true, 0), windowBound(after, true, 0))
+			}
+			return windowBound(after, true, 0)
+		})
+		if worst > 0 {
+			t.Fatalf("%.1f requests beyond the cap in a window", worst)
+		}
+	})
+}
+
+// Guards against callers that are refused below the cap, with load that is spread evenly or
+// unevenly, and during cuts and after kills.
+func TestCapIsUsable(t *testing.T) {
+	for _, rate := range []float64{10, 28, 200, 1100} {
+		for name, weights := range map[string][]float64{"even": evenly(67), "uneven": unevenly(67)} {
+			t.Run(fmt.Sprint(rate, name), func(t *testing.T) {
+				f := newFleet(1, 67, 9, 3, testCap(rate, rate))
+				f.load(2*rate, 0.3, weights)
+				f.run(5 * time.Second)
+				check := func(what string, lasts time.Duration, least float64) {
+					from := f.now.Sub(f.start)
+					sent := f.questions
+					f.run(lasts)
+					share := float64(f.ranBetween(from, from+lasts)) / (rate * lasts.Seconds())
+					t.Logf("%s: %.3f of the cap, %.0f questions a second", what, share, float64(f.questions-sent)/lasts.Seconds())
+					if share < least {
+						t.Errorf("%s: %.3f of the cap served, want %.2f", what, share, least)
+					}
+				}
+				check("calm", 20*time.Second, 0.95)
+				f.issuers["s4"].dead = true
+				check("issuer killed", 2*time.Second, 0.85)
+				f.restartIssuer(f.issuers["s4"])
+				f.run(4 * time.Second)
+				f.entries[1].dead = true
+				check("entry killed", 2*time.Second, 0.85)
+				f.startEntry(f.entries[1])
+				f.run(time.Second)
+				f.cutZones["z2"] = true
+				check("zone cut", 10*time.Second, 0.85)
+			})
+		}
+	}
+}
