jkforward, jkadmission: refuse programs that can't end in time

No decision read the time that callers state for their programs. An entry now refuses the first turn of a program, truly not run, if it would have to wait and its program isn't expected to end in time. What a program takes is learned by route.

--- /dev/null
+++ b/core/jkadmission/route.go
@@ -0,0 +1,95 @@
+package jkadmission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sampleCount is the number of programs that a route remembers, and minSamples the number
+	// from which they replace the assumed shares.
+	sampleCount = 64
+	minSamples  = 8
+	// assumedOutside and assumedAtEndpoints are the shares of the stated time that a program is
+	// assumed to spend outside endpoints (tools, pauses, the way) and on idle endpoints.
+	assumedOutside     = 0.25
+	assumedAtEndpoints = 0.40
+	// needQuantile is the quantile of the programs of a route by their need. Programs whose later
+	// turns came through other hosts look shorter than they are.
+	needQuantile = 0.6
+	// waitWeight is the weight of one turn in the mean ratio of actual to predicted waits.
+	waitWeight = 0.1
+	// minPredictedWait is the predicted wait from which a turn says something about predictions.
+	minPredictedWait = 20 * time.Millisecond
+	maxWaitRatio     = 3
+)
+
+// programSample holds the shares of the stated time that a program took.
+type programSample struct{ outside, atEndpoints float64 }
+
+func (s programSample) total() float64 { return s.outside + s.atEndpoints }
+
+// routeStats is what is known of the programs of a route.
+type routeStats struct {
+	samples []programSample
+	count   int
+	// typical is the sample at needQuantile.
+	typical programSample
+	// waitRatio is the mean ratio of actual to predicted waits.
+	waitRatio float64
+}
+
+func newRouteStats() *routeStats {
+	return &routeStats{typical: programSample{assumedOutside, assumedAtEndpoints}, waitRatio: 1}
+}
+
+// stretch is the factor by which turns take longer than on idle endpoints.
+func (s *routeStats) stretch(o Outlook) float64 {
+	if o.Alone <= 0 {
+		return 1
+	}
+	return max((s.waitRatio*float64(o.Wait)+float64(o.Run))/float64(o.Alone), 1)
+}
+
+// need returns the expected time of a program with a stated time.
+func (s *routeStats) need(stated time.Duration, o Outlook) time.Duration {
+	return time.Duration(float64(stated) * (s.typical.outside + s.typical.atEndpoints*s.stretch(o)))
+}
+
+// excessWait returns by how much a turn's wait has to fall for a program that is over its time.
+func (s *routeStats) excessWait(stated, over time.Duration, o Outlook) time.Duration {
+	perTurn := s.typical.atEndpoints * float64(stated) / float64(max(o.Alone, time.Millisecond))
+	return min(time.Duration(float64(over)/max(perTurn, 1)), o.Wait)
+}
+
+func (s *routeStats) observeProgram(outside, atEndpoints float64) {
+	sample := programSample{outside, atEndpoints}
+	if len(s.samples) < sampleCount {
+		s.samples = append(s.samples, sample)
+	} else {
+		s.samples[s.count%sampleCount] = sample
+	}
+	s.count++
+	if len(s.samples) < minSamples {
+		return
+	}
+	sorted := slices.Clone(s.samples)
+	slices.SortFunc(sorted, func(a, b programSample) int {
+		switch {
+		case a.total() < b.total():
+			return -1
+		case a.total() > b.total():
+			return 1
+		}
+		return 0
+	})
+	s.typical = sorted[int(float64(len(sorted))*needQuantile)]
+}
+
+func (s *routeStats) observeWait(predicted, actual time.Duration) {
+	if predicted < minPredictedWait {
+		return
+	}
+	ratio := min(float64(max(actual, 0))/float64(predicted), maxWaitRatio)
+	s.waitRatio += (ratio - s.waitRatio) * waitWeight
+}
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -251,7 +251,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		Crashes: e.crashes, Programs: e.newProgramAdmission(), Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
@@ -277,6 +277,14 @@
 	return e.serveOperators(e.settings.Metrics, e.operatorRoutes())
 }
 
+// newProgramAdmission returns the admission of programs, or nil where the settings don't ask for it.
+func (e *Entry) newProgramAdmission() *jkforward.ProgramAdmission {
+	if !e.settings.LearnedPlacement {
+		return nil
+	}
+	return jkforward.NewProgramAdmission(e.timer, e.fleet, e.metrics)
+}
+
 // Limits of callers' connections until the rules set their own. The idle timeout exceeds
 // that of the rules, so that the server never closes an idle connection before the caller
 // expects it to.
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -75,6 +75,12 @@
 	version      string
 	versionBound bool
 
+	// isFirstTurn is set for a turn that begins a program, tracked once its program has been told
+	// of the turn, and outlook is what was predicted for it then.
+	isFirstTurn bool
+	tracked     bool
+	outlook     jksched.Outlook
+
 	// reservation is the name of the reservation in the program's budget, and reservedTokens the
 	// number of its tokens.
 	reservation    string
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -163,7 +163,7 @@
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
 	e, _ := f.direct.Endpoint(p.Endpoint)
-	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, born: f.bornOf(p.Endpoint), delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, born: f.bornOf(p.Endpoint), delay: p.SendDelay, uncached: p.UncachedTokens, outlook: p.Outlook}, nil
 }
 
 // peek returns the endpoint that place would choose, if there is one.
@@ -174,6 +174,20 @@
 	return target{id: e.ID, zone: e.Zone, addr: f.addrs[e.ID], version: e.Version}, ok
 }
 
+// outlook predicts how a call would fare where place would send it now.
+func (f *Fleet) outlook(c jksched.Call) (jksched.Outlook, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.direct.Outlook(f.timer.Now(), c)
+}
+
+// knowsPart reports whether this host knows an endpoint that was sent a prompt part.
+func (f *Fleet) knowsPart(part string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.direct.HasHolder(part)
+}
+
 // chooseVersion returns the software version of the endpoint that place would choose.
 func (f *Fleet) chooseVersion(c jksched.Call) (string, error) {
 	f.mu.Lock()
@@ -192,6 +206,8 @@
 	delay time.Duration
 	// uncached is the number of prompt tokens that the endpoint is expected to read.
 	uncached int64
+	// outlook is what was predicted for the request; zero for an endpoint that is used again.
+	outlook jksched.Outlook
 	// givenUp is set if the request was given up at the endpoint before.
 	givenUp bool
 }
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -36,6 +36,8 @@
 	// workspaces.
 	Currency Currency
 	Quota    Quota
+	// Programs admits new programs; nil admits all of them.
+	Programs *ProgramAdmission
 	// Isolated reports whether this host has no way to any endpoint; nil means that it has.
 	Isolated func() bool
 	// Stop is the planned stop of this host.
@@ -82,8 +84,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
+	defer h.Programs.end(c)
 	defer func() { h.outputs.release(len(c.output)) }()
-	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.checkCopies, h.admit} {
+	for _, step := range []func(*call) *refusal{h.match, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.admitProgram, h.checkCopies, h.admit} {
 		if refused := step(c); refused != nil {
 			h.refuse(c, refused)
 			return
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -71,6 +71,7 @@
 			return h.placementRefusal(c, err)
 		}
 		c.last, c.uncached = to, to.uncached
+		h.Programs.begin(c, to.outlook)
 		outcome := outcomeNotSent
 		if h.awaitPlace(c, to) {
 			outcome = h.attempt(c, to.id, to.addr, min(left, c.deadline.Sub(h.Timer.Now())))
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -90,6 +90,7 @@
 	now := h.Timer.Now()
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = now
+		h.Programs.firstEvent(c, now.Sub(c.sentAt))
 	}
 	if c.events == 0 && c.reportedLoad != nil {
 		h.Fleet.firstEvent(c.last.id, c.uncached, now.Sub(c.sentAt), *c.reportedLoad)
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -250,6 +250,7 @@
 	if err != nil {
 		return Placement{}, err
 	}
+	outlook := d.outlook(now, c, best)
 	best.book(now)
 	best.ownCalls++
 	if best.faults > 0 {
@@ -259,7 +260,7 @@
 		best.engine.observeOutput(c.MaxTokens)
 	}
 	d.recordPlacement(c, best)
-	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}, nil
+	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached, Outlook: outlook}, nil
 }
 
 // Peek returns the endpoint that Place would choose, if there is one.
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -142,6 +142,8 @@
 	SendDelay time.Duration
 	// UncachedTokens is the number of prompt tokens that the endpoint is expected to read.
 	UncachedTokens int64
+	// Outlook is set by a DirectPlacer.
+	Outlook Outlook
 }
 
 // Reason is the reason of a refusal or a command.
--- /dev/null
+++ b/core/jksched/outlook.go
@@ -0,0 +1,44 @@
+package jksched
+
+import (
+	"time"
+)
+
+// Outlook is what a DirectPlacer predicts for a call at the endpoint that it chooses.
+type Outlook struct {
+	// Wait is the time until the call gets a slot, and Run how long it then runs.
+	Wait time.Duration
+	Run  time.Duration
+	// Alone is how long it would run on an endpoint that runs nothing else, and Prefill the part
+	// of it in which the prompt is read.
+	Alone   time.Duration
+	Prefill time.Duration
+}
+
+// Outlook predicts how a call would fare at the endpoint that Place would choose. The error is a
+// *RefusedError.
+func (d *DirectPlacer) Outlook(now time.Time, c Call) (Outlook, error) {
+	best, _, err := d.choose(now, c, nil)
+	if err != nil {
+		return Outlook{}, err
+	}
+	return d.outlook(now, c, best), nil
+}
+
+func (d *DirectPlacer) outlook(now time.Time, c Call, row *directRow) Outlook {
+	out := Outlook{Wait: d.predictedWait(now, c, row), Run: d.runTime(now, c, row)}
+	if c.Kind != KindModel {
+		out.Alone = d.serviceTime(row)
+		return out
+	}
+	output := c.MaxTokens
+	if output <= 0 {
+		output = row.engine.outputTokens()
+	}
+	out.Prefill = time.Duration(row.uncached) * row.engine.prefillPace()
+	out.Alone = time.Duration(output)*row.engine.tokenPace() + out.Prefill
+	return out
+}
+
+// HasHolder reports whether a prompt part was placed at an endpoint, as far as this host knows.
+func (d *DirectPlacer) HasHolder(part string) bool { return len(d.parts[part]) > 0 }
