--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -36,6 +36,8 @@
 	// workspaces.
 	Currency Currency
 	Quota    Quota
+	// Programs admits new programs; nil admits all of them.
+	Programs *ProgramAdmission
 	// Isolated reports whether this host has no way to any endpoint; nil means that it has.
 	Isolated func() bool
 	// Stop is the planned stop of this host.
@@ -83,10 +85,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
+	defer h.Programs.end(c)
 	defer func() { h.outputs.release(len(c.output)) }()
 	defer h.releasePermit(c)
 	steps := []func(*call) *refusal{
-		h.match, h.authenticate, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.takePermit, h.checkCopies, h.admit,
+		h.match, h.authenticate, h.Stop.refusal, h.checkWays, h.readBody, h.Crashes.refusal, h.admitProgram, h.takePermit, h.checkCopies, h.admit,
 	}
 	for _, step := range steps {
 		if refused := step(c); refused != nil {
