entry: leave the rotation where the zone can't keep turns and others can

Cause: an entry of a zone that is cut off with fewer disks than turns need refuses all of them, and stays in rotation, so that the zone's callers try again there and their programs fail. Change: the entry isn't ready while the zones that answer have too few copies (Client.CanKeepTurns), fewer than half of the known hosts are in them, and the copies of the others suffice. Meanwhile answers to callers carry Connection: close.

--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -259,11 +259,15 @@
 // outbox continues to deliver the turn to the others. A host that may not know all copies doesn't
 // take the few that it knows for all.
 func (c *Client) requiredSpread() spread {
-	copies := c.knownCopies()
+	return c.requiredSpreadOf(c.knownCopies(), c.isInReach)
+}
+
+// requiredSpreadOf is requiredSpread for the given copies and those of them that are in reach.
+func (c *Client) requiredSpreadOf(copies []Copy, isInReach func(Copy) bool) spread {
 	known, inReach := map[string]bool{}, map[string]bool{}
 	for _, target := range copies {
 		known[target.Zone] = true
-		if c.isInReach(target) {
+		if isInReach(target) {
 			inReach[target.Zone] = true
 		}
 	}
@@ -291,6 +295,16 @@
 	return nil
 }
 
+// CanKeepTurns reports whether the copies in zones that answer are in enough zones and on enough disks
+// to hold a turn. Unlike CanKeep it is for no certain program, asks no other host, and doesn't count a
+// zone that has just become silent.
+func (c *Client) CanKeepTurns(answers func(zone string) bool) bool {
+	copies := c.knownCopies()
+	needed := c.requiredSpreadOf(copies, func(known Copy) bool { return answers(known.Zone) && c.isInReach(known) })
+	live := slices.DeleteFunc(slices.Clone(copies), func(known Copy) bool { return !answers(known.Zone) || !c.mayTake(known) })
+	return spreadOf(live).covers(needed)
+}
+
 // mayTake reports whether a copy is likely to take a turn, or its zone to be excluded by the time at
 // which the turn ends: a zone that has just been cut off counts as in reach for a moment.
 func (c *Client) mayTake(target Copy) bool {
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -52,6 +52,8 @@
 	settled atomic.Bool
 	counts  *jkforward.Metrics
 	account *jkaccount.Client
+	// rotation decides whether the entry leaves the platform's rotation.
+	rotation *rotation
 
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
@@ -234,6 +236,7 @@
 		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, LossConfirmed: e.probes.LossConfirmed, LossConfirmedAfter: jkprobe.LossConfirmedAfter, RelayAddrs: e.probes.AnsweringAddrs,
 		Observed: func(host string) string { return e.probes.Observe(host).String() },
 	})
+	e.rotation = e.newRotation()
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
 	e.metrics.NewGauge("jk_response_body_bytes", func() float64 { return float64(e.pool.BodyBytes()) })
@@ -251,7 +254,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, OutOfRotation: e.rotation.isOut, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
@@ -293,13 +296,6 @@
 	}
 }
 
-// Ready reports whether the entry takes new connections. An entry that can't reach any
-// endpoint of a service, nor any endpoint through others, isn't ready, so that callers go to entries of other zones.
-func (e *Entry) Ready() bool {
-	rules := e.rules.Load()
-	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() && !e.fleet.HasUnreachableService(rules.Services())
-}
-
 // Run follows the store until stop is closed, then drains the requests in flight and
 // closes all listeners.
 func (e *Entry) Run(stop <-chan struct{}) {
@@ -317,11 +313,13 @@
 	}
 }
 
-// spread sends other entries what this one has learned since the last call. Digests and news
-// have one timer, because each wake-up of a small host costs about as much as what it sends.
+// spread sends other entries what this one has learned since the last call, and decides whether to
+// be in rotation. All of it has one timer, because each wake-up of a small host costs about as much
+// as what it sends.
 func (e *Entry) spread() {
 	e.sendDigest()
 	e.news.tick()
+	e.rotation.decide()
 }
 
 // membersInterval is the interval at which an entry checks which hosts there are, besides
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -38,6 +38,9 @@
 	Quota    Quota
 	// Isolated reports whether this host has no way to any endpoint; nil means that it has.
 	Isolated func() bool
+	// OutOfRotation reports whether this host takes no new connections for now, so that callers
+	// should open theirs elsewhere; nil means that it doesn't.
+	OutOfRotation func() bool
 	// Stop is the planned stop of this host.
 	Stop *HostStop
 	// MaxHeldOutputs bounds the sum of the outputs of retained turns in progress, in bytes; zero
@@ -78,7 +81,7 @@
 	c.lastEventID = c.info.LastEvent
 	h.Metrics.inFlight.Add(1)
 	defer h.Metrics.inFlight.Add(-1)
-	if h.Stop.Begun() {
+	if h.Stop.Begun() || h.OutOfRotation != nil && h.OutOfRotation() {
 		w.Header().Set("Connection", "close")
 	}
 	defer h.finish(c)
--- a/core/jkruleset/ruleset.go
+++ b/core/jkruleset/ruleset.go
@@ -204,6 +204,7 @@
 	routesByHost map[string][]*Route
 	routeCount   int
 	usedServices []string
+	retainsTurns bool
 	// workspaces are nil where requests need no key.
 	workspaces      []*Workspace
 	workspacesByKey map[KeyHash]*Workspace
@@ -224,6 +225,7 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host())
 		s.routesByHost[host] = append(s.routesByHost[host], r)
+		s.retainsTurns = s.retainsTurns || r.Retain()
 		for _, name := range r.Services() {
 			if !slices.Contains(s.usedServices, name) {
 				s.usedServices = append(s.usedServices, name)
@@ -245,6 +247,9 @@
 // RouteCount returns the number of routes.
 func (s *Set) RouteCount() int { return s.routeCount }
 
+// RetainsTurns reports whether any route retains turns.
+func (s *Set) RetainsTurns() bool { return s.retainsTurns }
+
 // Services returns the names of the services of all routes, each once.
 func (s *Set) Services() []string { return s.usedServices }
 
