--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -53,6 +53,8 @@
 	counts  *jkforward.Metrics
 	account *jkaccount.Client
 	quota   *quota
+	// rotation decides whether the entry leaves the platform's rotation.
+	rotation *rotation
 
 	mu        sync.Mutex
 	endpoints map[string]EndpointState
@@ -235,6 +237,7 @@
 		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, LossConfirmed: e.probes.LossConfirmed, LossConfirmedAfter: jkprobe.LossConfirmedAfter, RelayAddrs: e.probes.AnsweringAddrs,
 		Observed: func(host string) string { return e.probes.Observe(host).String() },
 	})
+	e.rotation = e.newRotation()
 	e.counts = jkforward.NewMetrics(e.metrics)
 	e.quota = newQuota(e)
 	e.metrics.NewGauge("jk_crash_suspects", func() float64 { n, _ := e.crashes.Suspects(); return float64(n) })
@@ -253,7 +256,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Programs: e.newProgramAdmission(), Isolated: e.isIsolated, Stop: e.stop,
+		Crashes: e.crashes, Programs: e.newProgramAdmission(), Isolated: e.isIsolated, OutOfRotation: e.rotation.isOut, Stop: e.stop,
 		Quota: jkforward.Quota{Take: e.quota.take}, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
@@ -304,13 +307,6 @@
 	}
 }
 
-// Ready reports whether the entry takes new connections. An entry that can't reach any
-// endpoint of a service, nor any endpoint through others, isn't ready, so that callers go to entries of other zones.
-func (e *Entry) Ready() bool {
-	rules := e.rules.Load()
-	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() && !e.fleet.HasUnreachableService(rules.Services())
-}
-
 // Run follows the store until stop is closed, then drains the requests in flight and
 // closes all listeners.
 func (e *Entry) Run(stop <-chan struct{}) {
@@ -328,12 +324,14 @@
 	}
 }
 
-// spread sends other entries what this one has learned since the last call, and returns unused
-// permits to their issuers. Digests, news and permits have one timer, because each wake-up of a small host costs about as much as what it sends.
+// spread sends other entries what this one has learned since the last call, returns unused permits
+// to their issuers, and decides whether to be in rotation. All of it has one timer, because each
+// wake-up of a small host costs about as much as what it sends.
 func (e *Entry) spread() {
 	e.sendDigest()
 	e.news.tick()
 	e.quota.tick()
+	e.rotation.decide()
 }
 
 // membersInterval is the interval at which an entry checks which hosts there are, besides
--- a/core/jkforward/program.go
+++ b/core/jkforward/program.go
@@ -42,10 +42,10 @@
 
 // admitProgram refuses the first turn of a program that can't be expected to end in time.
 func (h *Handler) admitProgram(c *call) *refusal {
-	if h.Programs == nil || !c.hasStatedTime() || !h.Programs.isFirstTurn(c) {
+	if h.Programs == nil || !c.hasStatedTime() || !h.Programs.beginsProgram(c) {
 		return nil
 	}
-	c.isFirstTurn = true
+	c.beginsProgram = true
 	outlook, err := h.Fleet.outlook(c.schedulerCall())
 	if err != nil {
 		// The same reason will refuse the turn when it is placed, unless it has passed by then.
@@ -66,9 +66,9 @@
 	return c.isStream() && c.service.Model() && c.info.Program != "" && c.info.ProgramLeft > 0
 }
 
-// isFirstTurn reports whether a turn begins a program. On routes that don't retain turns, the
+// beginsProgram reports whether a turn begins a program. On routes that don't retain turns, the
 // prompt of a later turn begins with that of an earlier one, whose endpoint is usually known.
-func (p *ProgramAdmission) isFirstTurn(c *call) bool {
+func (p *ProgramAdmission) beginsProgram(c *call) bool {
 	if c.route.Retain() {
 		return c.info.Previous == ""
 	}
@@ -112,7 +112,7 @@
 	c.tracked, c.outlook = true, o
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.controller.Begin(p.timer.Now(), c.programKey(), c.isFirstTurn, c.admissionRequest(), admissionOutlook(o))
+	p.controller.Begin(p.timer.Now(), c.programKey(), c.beginsProgram, c.admissionRequest(), admissionOutlook(o))
 }
 
 // end records that a turn has ended.
--- a/core/jkquota/issuer.go
+++ b/core/jkquota/issuer.go
@@ -27,6 +27,8 @@
 	// smaller is the largest that was known since then.
 	issuers, smaller int
 	shrinksSince     time.Time
+	// startedAt is when this issuer began to issue. Buckets fill from then on.
+	startedAt time.Time
 
 	issued, refused atomic.Int64
 }
@@ -55,6 +57,9 @@
 	defer i.mu.Unlock()
 	switch {
 	case n >= i.issuers || n == 0:
+		if i.issuers == 0 {
+			i.startedAt = now
+		}
 		i.issuers, i.shrinksSince = n, time.Time{}
 	case i.shrinksSince.IsZero():
 		i.smaller, i.shrinksSince = n, now
@@ -95,7 +100,8 @@
 		if len(i.rows) >= maxIssuerRows {
 			return nil
 		}
-		b = &bucket{version: r.Version, rate: r.Rate, burst: r.Burst, filledAt: now, fullAt: now}
+		// The workspace has been granted nothing since the start, or not for issuerRowPeriod.
+		b = &bucket{version: r.Version, rate: r.Rate, burst: r.Burst, filledAt: i.startedAt, fullAt: now}
 		i.rows[r.Workspace] = b
 	}
 	if r.Version > b.version {
@@ -107,7 +113,7 @@
 }
 
 // dropRows drops buckets that weren't used for issuerRowPeriod. It checks a few rows that the
-// map's order picks at random. A dropped bucket is made again from empty.
+// map's order picks at random. A dropped bucket would be full by then.
 func (i *Issuer) dropRows(now time.Time) {
 	checked := 0
 	for name, b := range i.rows {
