--- a/core/jkforward/scope_test.go
+++ b/core/jkforward/scope_test.go
@@ -1,7 +1,10 @@
 package jkforward
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -96,7 +99,9 @@
 	ask("acme", "/chat/x", "", 200)
 	ask("acme", "/chat/x", "r1", 200)
 	ask("beta", "/chat/x", "r1", 404)
-	ask("beta", "/chat/x", scopedName("acme", "r1"), statusAborted)
+	if answer := f.askRaw(t, "/chat/x", testKey+": "+keyOfWorkspace("beta")+"\r\n"+testPrevious+": "+scopedName("acme", "r1")); !strings.HasPrefix(answer, "HTTP/1.1 400 ") {
+		t.Errorf("a forged name of a turn is answered with %q, want 400", answer)
+	}
 	// A program has 100 tokens, and each turn takes 10.
 	for range 8 {
 		ask("acme", "/stream/x", "", 200)
@@ -111,6 +116,22 @@
 	}
 }
 
+// askRaw sends a request whose header a client wouldn't send, and returns the first line of the answer.
+func (f *keyedFixture) askRaw(t *testing.T, path, header string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\n%s\r\n\r\n", path, header)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	return line
+}
+
 // Guards against continued streams whose record isn't found, or is one of another workspace.
 func TestContinuedStreamsAreScoped(t *testing.T) {
 	f := newKeyedFixture(t)
--- a/core/jkforward/workspace_test.go
+++ b/core/jkforward/workspace_test.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// Guards against a 401 or 404 by rules that were replaced while the entry asked whether they are the newest.
+func TestNewestRulesDecide(t *testing.T) {
+	f := newKeyedFixture(t)
+	f.handler.Currency.MayDeny = func() bool {
+		f.rules.Store(keyedRules(2, testWorkspaces("acme", "beta", "new")...))
+		return true
+	}
+	if status, _, _ := f.ask(t, "/safe/x", "", testKey, keyOfWorkspace("new")); status != 200 {
+		t.Errorf("status %d for a key that was added, want 200", status)
+	}
+	f.rules.Store(keyedRules(1, testWorkspaces("acme")...))
+	if status, _, _ := f.ask(t, "/none/x", ""); status != 503 {
+		t.Errorf("status %d for a route that may have been added, want 503", status)
+	}
+}
+
 // Guards against requests that are sent with a key that was removed, or by an entry whose rules are too
 // old by then, while they waited for a further attempt.
 func TestKeyIsCheckedBeforeEachAttempt(t *testing.T) {
