jkforward: a continued stream isn't a first turn

A caller that takes up a stream has its program under way, so that its permit isn't one of those that a workspace at its cap refuses first.

--- a/core/jkforward/permit.go
+++ b/core/jkforward/permit.go
@@ -56,7 +56,7 @@
 }
 
 // isFirstTurn reports whether the request begins a program's chain. Without a record of turns a first
-// one looks like any other, and counts as one that goes on.
+// one looks like any other, and counts as one that goes on, like the rest of a stream.
 func (c *call) isFirstTurn() bool {
-	return c.isStream() && c.service.Model() && c.route.Retain() && c.info.Previous == ""
+	return c.isStream() && c.service.Model() && c.route.Retain() && c.info.Previous == "" && !c.isContinued()
 }
