jktimer: Uptime counts the suspension of the machine

Cause: the monotonic clock stands still while a machine is suspended, so ages counted by it look younger. Change: Service.Uptime reads CLOCK_BOOTTIME; Manual.Suspend moves it apart from the clock; WithUptime is for tests in a bubble. Measured: go test ./jktimer passes.

--- a/core/jktimer/manual.go
+++ b/core/jktimer/manual.go
@@ -6,12 +6,15 @@
 	"time"
 )
 
-// Manual is a clock for tests that moves only by Advance. Functions that are due run on
+// Manual is a clock for tests that moves only by Advance; Suspend moves its uptime alone. Functions that are due run on
 // the goroutine that calls Advance, in the order of their due times.
 type Manual struct {
 	mu      sync.Mutex
 	current time.Time
-	serial  int
+	// ahead is how much more the uptime has grown than the clock.
+	ahead  time.Duration
+	start  time.Time
+	serial int
 	pending []*manualTimer
 }
 
@@ -23,8 +26,8 @@
 
 // NewManual returns a service and the manual clock that controls it.
 func NewManual(start time.Time) (*Service, *Manual) {
-	m := &Manual{current: start}
-	return &Service{now: m.now, after: m.after}, m
+	m := &Manual{current: start, start: start}
+	return &Service{now: m.now, after: m.after, uptime: m.uptime}, m
 }
 
 // Advance moves the clock by d and runs every function that becomes due.
@@ -44,6 +47,14 @@
 	m.mu.Unlock()
 }
 
+// Suspend moves only the uptime, as the suspension of a machine does: its clock stands still and no
+// function runs.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ahead += d
+}
+
 // Due returns the number of functions that are to run at a time. A test waits for one before
 // it advances the clock past what another goroutine is about to wait for.
 func (m *Manual) Due(at time.Time) int {
@@ -64,6 +75,12 @@
 	return m.current
 }
 
+func (m *Manual) uptime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current.Sub(m.start) + m.ahead
+}
+
 func (m *Manual) after(d time.Duration, run func()) func() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/jktimer/timer.go
+++ b/core/jktimer/timer.go
@@ -12,8 +12,9 @@
 // by function fields: New uses the operating system's clock, NewManual one that moves
 // only when a test advances it.
 type Service struct {
-	now   func() time.Time
-	after func(d time.Duration, run func()) (stop func() bool)
+	now    func() time.Time
+	after  func(d time.Duration, run func()) (stop func() bool)
+	uptime func() time.Duration
 }
 
 // New returns a service on the operating system's clock.
@@ -23,12 +24,23 @@
 		after: func(d time.Duration, run func()) func() bool {
 			return time.AfterFunc(d, run).Stop
 		},
+		uptime: uptime,
 	}
 }
 
+// WithUptime returns a service with the same clock and another source of Uptime. It is meant for
+// tests in a bubble of testing/synctest, where only the package time has a clock of its own.
+func (s *Service) WithUptime(uptime func() time.Duration) *Service {
+	return &Service{now: s.now, after: s.after, uptime: uptime}
+}
+
 // Now returns the current time.
 func (s *Service) Now() time.Time { return s.now() }
 
+// Uptime returns the time since the machine was started, including the time for which it was
+// suspended. Steps of the wall clock don't change it.
+func (s *Service) Uptime() time.Duration { return s.uptime() }
+
 // After runs a function once, d from now, on its own goroutine. The returned function
 // cancels the run and reports whether it did so before the run started.
 func (s *Service) After(d time.Duration, run func()) (stop func() bool) {
--- a/core/jktimer/timer_test.go
+++ b/core/jktimer/timer_test.go
@@ -50,3 +50,29 @@
 		t.Errorf("%d functions are due after stop, want none", n)
 	}
 }
+
+// Guards against an uptime that stands still while the machine is suspended, and against a clock
+// whose tests can't tell the two apart.
+func TestUptimeCountsSuspension(t *testing.T) {
+	s, clock := NewManual(time.Unix(1000, 0))
+	ran := false
+	s.After(time.Second, func() { ran = true })
+	clock.Advance(500 * time.Millisecond)
+	clock.Suspend(time.Minute)
+	if got, want := s.Uptime(), time.Minute+500*time.Millisecond; got != want {
+		t.Errorf("uptime is %s, want %s", got, want)
+	}
+	if got, want := s.Now(), time.Unix(1000, 5e8); !got.Equal(want) || ran {
+		t.Errorf("the clock shows %s, want %s, timer ran: %t", got, want, ran)
+	}
+}
+
+// Guards against a system clock whose uptime isn't read.
+func TestSystemUptimeGrows(t *testing.T) {
+	s := New()
+	first := s.Uptime()
+	s.Wait(2*time.Millisecond, nil)
+	if grown := s.Uptime() - first; first <= 0 || grown < 2*time.Millisecond {
+		t.Errorf("uptime grew by %s from %s, want 2ms at least", grown, first)
+	}
+}
