--- a/core/jktimer/manual.go
+++ b/core/jktimer/manual.go
@@ -12,9 +12,9 @@
 	mu      sync.Mutex
 	current time.Time
 	// ahead is how much more the uptime has grown than the clock.
-	ahead  time.Duration
-	start  time.Time
-	serial int
+	ahead   time.Duration
+	start   time.Time
+	serial  int
 	pending []*manualTimer
 }
 
