--- a/core/jkfollow/relay.go
+++ b/core/jkfollow/relay.go
@@ -250,10 +250,7 @@
 // name selects the first one, which spreads the hosts over the peers. The list is empty on
 // a host that watches the store itself.
 func (r *WatchRelay) peerCandidates() []Peer {
-	peers := r.Peers()
-	slices.SortFunc(peers, func(a, b Peer) int {
-		return cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host))
-	})
+	peers := rankPeers(r.Peers())
 	peers = peers[:min(len(peers), directWatchers)]
 	if len(peers) == 0 || slices.ContainsFunc(peers, func(p Peer) bool { return p.Host == r.Host }) {
 		return nil
@@ -266,6 +263,15 @@
 	return slices.DeleteFunc(peers, func(p Peer) bool { return now.Before(r.avoidUntil[p.Host]) })
 }
 
+// rankPeers sorts hosts by the order in which they call the store for others, which is the same on all
+// hosts.
+func rankPeers(peers []Peer) []Peer {
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host))
+	})
+	return peers
+}
+
 // avoid excludes a peer for avoidPeriod because it didn't answer.
 func (r *WatchRelay) avoid(p Peer) {
 	r.mu.Lock()
