--- a/core/jkentry/apply.go
+++ b/core/jkentry/apply.go
@@ -11,6 +11,10 @@
 
 // apply processes one change of the platform's store.
 func (e *Entry) apply(item jkfollow.Item) {
+	if e.isRules(item) && item.Revision == e.rulesWatch.InForce() {
+		// The watch and the confirmations both bring new rules.
+		return
+	}
 	change, err := e.platform.Decode(item)
 	var unreadable *UnreadableError
 	switch {
@@ -20,10 +24,14 @@
 	case err != nil:
 		e.countIgnored(ignoredUnreadable)
 		e.log.Warn("store change can't be decoded", "key", item.Key, "revision", item.Revision, "via", item.Via, "error", err)
-		return
+		change = Change{}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.isRules(item) {
+		// It also counts for rules that can't be used: those in force are kept in spite of them.
+		defer e.rulesProcessed(item)
+	}
 	switch {
 	case change.Rules != nil:
 		e.setRules(change.Rules, item)
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -44,6 +44,7 @@
 	members    *members
 	watchRelay *jkfollow.WatchRelay
 	follower   *jkfollow.Follower
+	rulesWatch *jkfollow.RulesWatch
 	registry   *registry
 	crashes    *jkforward.CrashWatch
 	zones      *jkforward.ZoneWatch
@@ -104,6 +105,7 @@
 		Peers: func() []jkfollow.Peer { return e.members.watchers(probes.Reachable) }, OnWatch: e.countWatch,
 		Seeds: s.otherSeeds,
 	})
+	e.rulesWatch = e.newRulesWatch()
 	// One watch over all keys costs a third of the store calls of one watch for each kind.
 	e.follower = jkfollow.New(jkfollow.Options{
 		Timer: timer, Log: log.Part("follow"), Source: e.watchRelay.ThroughPeers(), Store: p.Source,
@@ -146,8 +148,8 @@
 // requests don't pass between hosts.
 func isControl(string) bool { return true }
 
-// handle answers one message of another host: a watch of the store, a question for its state,
-// or a message that is relayed to a copy of the ledger.
+// handle answers one message of another host: a watch of the store, a question for its state
+// or for the currency of its rules, or a message that is relayed to a copy of the ledger.
 func (e *Entry) handle(ctx context.Context, s *jkwire.ServerStream) {
 	var err error
 	switch s.Type() {
@@ -155,6 +157,8 @@
 		err = e.watchRelay.Handle(ctx, s)
 	case jkfollow.TypeState:
 		err = e.watchRelay.HandleState(s)
+	case jkfollow.TypeRulesConfirm:
+		err = e.rulesWatch.Handle(s)
 	default:
 		e.account.Handle(ctx, s)
 	}
@@ -163,18 +167,6 @@
 	}
 }
 
-// crossZoneDelay is the assumed one-way network delay between two zones: the larger of
-// the users' published figures.
-const crossZoneDelay = 1400 * time.Microsecond
-
-// assumedDelay returns the assumed one-way network delay between two zones.
-func assumedDelay(from, to string) time.Duration {
-	if from == to {
-		return 0
-	}
-	return crossZoneDelay
-}
-
 // sendDigest sends the loads that endpoints have reported to this entry to other entries.
 func (e *Entry) sendDigest() {
 	data, err := e.fleet.NextDigest()
@@ -202,6 +194,7 @@
 		e.peers.Disconnect(p.Addr)
 		return
 	}
+	e.rulesWatch.HostBack(p.Host)
 	e.follower.Retry()
 }
 
@@ -251,7 +244,7 @@
 	handler := jkforward.NewHandler(jkforward.Options{
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
-		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		Currency: e.currency(), Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
@@ -294,10 +287,11 @@
 }
 
 // Ready reports whether the entry takes new connections. An entry that can't reach any
-// endpoint of a service, nor any endpoint through others, isn't ready, so that callers go to entries of other zones.
+// endpoint of a service, nor any endpoint through others, isn't ready, so that callers go to entries of other zones;
+// nor is one that will soon refuse keys, since its rules may not be the newest.
 func (e *Entry) Ready() bool {
 	rules := e.rules.Load()
-	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() && !e.fleet.HasUnreachableService(rules.Services())
+	return !e.stop.Begun() && rules != nil && e.rulesWatch.IsReady() && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() && !e.fleet.HasUnreachableService(rules.Services())
 }
 
 // Run follows the store until stop is closed, then drains the requests in flight and
@@ -306,6 +300,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.follower.Run(ctx)
+	go e.rulesWatch.Run(ctx)
 	defer e.timer.Every(newsInterval, e.spread)()
 	defer e.timer.Every(membersInterval, e.observeMembers)()
 	go e.registry.run(ctx)
--- a/core/jkentry/relay.go
+++ b/core/jkentry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -101,3 +102,15 @@
 	}
 	return out
 }
+
+// crossZoneDelay is the assumed one-way network delay between two zones: the larger of
+// the users' published figures.
+const crossZoneDelay = 1400 * time.Microsecond
+
+// assumedDelay returns the assumed one-way network delay between two zones.
+func assumedDelay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	return crossZoneDelay
+}
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -122,6 +122,10 @@
 type Platform struct {
 	Source  jkfollow.Source
 	Dialect jkforward.Dialect
+	// RulesKey is the key of the rules in the store. ReadRules reads it by a linearizable read, and
+	// found is false if the store has no rules.
+	RulesKey  string
+	ReadRules func(ctx context.Context) (rules jkfollow.Item, found bool, err error)
 	// Decode decodes one change of the store. It fails with an *UnreadableError for an
 	// entry whose content can't be used.
 	Decode func(item jkfollow.Item) (Change, error)
