--- a/core/jkentry/rotation.go
+++ b/core/jkentry/rotation.go
@@ -193,9 +193,10 @@
 
 // Ready reports whether the entry takes new connections. An entry that can't reach any endpoint of a
 // service, nor any endpoint through others, isn't ready, so that callers go to entries of other
-// zones. Nor is one whose zone can't keep turns while other zones can.
+// zones. Nor is one whose zone can't keep turns while other zones can, nor one that will soon refuse
+// keys, since its rules may not be the newest.
 func (e *Entry) Ready() bool {
 	rules := e.rules.Load()
-	return !e.stop.Begun() && rules != nil && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() &&
+	return !e.stop.Begun() && rules != nil && e.rulesWatch.IsReady() && e.news.settled() && e.fleet.Endpoints() > 0 && !e.isIsolated() &&
 		!e.fleet.HasUnreachableService(rules.Services()) && !e.rotation.decide()
 }
