--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -66,6 +66,8 @@
 	// RelayAddrs returns the addresses of hosts that may reach copies that this host can't
 	// reach.
 	RelayAddrs func() []string
+	// RelayedTypes are further types of messages to storage hosts that this host forwards for others.
+	RelayedTypes []string
 }
 
 // Client reserves and settles budgets and writes and reads turns.
@@ -128,6 +130,12 @@
 	return err
 }
 
+// Call sends a message that isn't about the ledger to a storage host, through another host if this
+// one can't reach it.
+func (c *Client) Call(ctx context.Context, target Copy, messageType string, request, answer any) error {
+	return c.call(ctx, target, messageType, request, answer)
+}
+
 // mayAnswer reports whether a copy that hasn't answered may still do so.
 func (c *Client) mayAnswer(target Copy) bool { return c.Reachable(target.Host) || c.Paused() }
 
--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 	if err := s.Decode(&m); err != nil {
 		return err
 	}
-	if !isLedgerType(m.Type) {
+	if !isLedgerType(m.Type) && !slices.Contains(c.RelayedTypes, m.Type) {
 		return &UnreachableError{Host: m.Host}
 	}
 	for _, target := range c.knownCopies() {
@@ -113,7 +114,7 @@
 	return &UnreachableError{Host: m.Host}
 }
 
-// isLedgerType reports whether messages of a type may be forwarded.
+// isLedgerType reports whether a type is one of the ledger's, which hosts forward.
 func isLedgerType(t string) bool {
 	switch t {
 	case jkledger.TypeReserve, jkledger.TypeWrite, jkledger.TypeChain:
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -17,6 +17,7 @@
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
+	"jasmineknot.example/core/jkquota"
 	"jasmineknot.example/core/jkrelay"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jksched"
@@ -227,7 +228,7 @@
 		Timer: e.timer, Log: e.log.Part("account"), Pool: e.peers, Zone: e.settings.Zone,
 		Metrics: jkaccount.NewMetrics(e.metrics), MaxLostDisks: e.settings.LostDisks, ZoneCount: len(e.settings.Zones),
 		MembersSettled: e.membersSettled, Copies: e.members.copies, Reachable: e.probes.Reachable, Paused: e.probes.JustPaused, Lost: e.isDown, UnreachableFor: e.probes.UnreachableFor,
-		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, LossConfirmed: e.probes.LossConfirmed, LossConfirmedAfter: jkprobe.LossConfirmedAfter, RelayAddrs: e.probes.AnsweringAddrs,
+		ZoneReachable: e.zoneReachable, ZoneSettled: e.probes.ZoneSettled, LossConfirmed: e.probes.LossConfirmed, LossConfirmedAfter: jkprobe.LossConfirmedAfter, RelayAddrs: e.probes.AnsweringAddrs, RelayedTypes: []string{jkquota.TypeTake},
 		Observed: func(host string) string { return e.probes.Observe(host).String() },
 	})
 	e.rotation = e.newRotation()
--- a/core/jkentry/quota.go
+++ b/core/jkentry/quota.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 
+	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkquota"
 	"jasmineknot.example/core/jkruleset"
 	"jasmineknot.example/core/jktimer"
-	"jasmineknot.example/core/jkwire"
 )
 
 // quota asks the issuers for permits for the requests of workspaces with a cap.
@@ -17,15 +17,15 @@
 	wallet  *jkquota.Wallet
 	timer   *jktimer.Service
 	log     jklog.Logger
-	peers   *jkwire.Pool
+	account *jkaccount.Client
 	members *members
 }
 
 // newQuota returns the quota of an entry and registers its metrics.
 func newQuota(e *Entry) *quota {
 	q := &quota{
-		wallet: jkquota.NewWallet(jkquota.WalletOptions{Host: e.settings.Host, Zone: e.settings.Zone, Reachable: e.probes.Reachable}),
-		timer:  e.timer, log: e.log.Part("quota"), peers: e.peers, members: e.members,
+		wallet: jkquota.NewWallet(jkquota.WalletOptions{Host: e.settings.Host, Zone: e.settings.Zone, Reachable: e.mayReachIssuer}),
+		timer:  e.timer, log: e.log.Part("quota"), account: e.account, members: e.members,
 	}
 	for event, count := range map[string]func(jkquota.Counts) int64{
 		"asked":    func(c jkquota.Counts) int64 { return c.Asked },
@@ -40,6 +40,12 @@
 	return q
 }
 
+// mayReachIssuer reports whether an issuer may answer, to this host or through another one: entries
+// that are cut off from the storage hosts can go on serving in this way.
+func (e *Entry) mayReachIssuer(host string) bool {
+	return e.probes.Reachable(host) || !e.isDown(host) && len(e.probes.AnsweringAddrs()) > 0
+}
+
 // take takes a permit for one request, see jkforward.Quota.
 func (q *quota) take(ctx context.Context, w *jkruleset.Workspace, version int64, first bool) (release func(), err error) {
 	c := jkquota.Cap{Workspace: w.Name(), Version: version, Rate: w.Rate(), Burst: w.Burst()}
@@ -88,7 +94,8 @@
 	stop := q.timer.After(jkquota.QuestionTimeout, func() { cancel(context.DeadlineExceeded) })
 	defer stop()
 	defer cancel(nil)
-	err = q.peers.Call(ctx, question.Issuer.Addr, jkquota.TypeTake, &question.Request, &answer)
+	issuer := jkaccount.Copy{Host: question.Issuer.Name, Addr: question.Issuer.Addr, Zone: question.Issuer.Zone}
+	err = q.account.Call(ctx, issuer, jkquota.TypeTake, &question.Request, &answer)
 	return answer, err
 }
 
