--- a/core/jkadmission/burst_test.go
+++ b/core/jkadmission/burst_test.go
@@ -66,7 +66,7 @@
 	stated := time.Duration(statedFactor * float64(time.Duration(turns)*turnTime+time.Duration(turns-1)*pauseTime))
 	b.began++
 	request := Request{ID: id, Route: "chat", Left: stated}
-	if b.control != nil && !b.control.Decide(request, b.outlook()).Admitted {
+	if b.control != nil && !b.control.Decide(b.clock(), request, b.outlook()).Admitted {
 		b.refused++
 		return
 	}
@@ -145,6 +145,30 @@
 	}
 }
 
+// Guards against programs that are admitted since their first turn finds a free endpoint, while later
+// turns of the route wait where their prompts are cached.
+func TestLatestWaitsCount(t *testing.T) {
+	c, now := NewController(), time.Unix(0, 0)
+	r := Request{ID: "r", Route: "chat", Left: 3 * time.Second}
+	free := Outlook{Run: 450 * time.Millisecond, Alone: 300 * time.Millisecond}
+	if d := c.Decide(now, r, free); !d.Admitted {
+		t.Fatalf("before: %+v, want admitted", d)
+	}
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		c.Waited(now, "chat", 0, 500*time.Millisecond)
+	}
+	if d := c.Decide(now, r, free); d.Admitted {
+		t.Errorf("while turns wait 500 ms: %+v, want refused", d)
+	}
+	if d := c.Decide(now, Request{ID: "r", Route: "other", Left: 3 * time.Second}, free); !d.Admitted {
+		t.Errorf("another route: %+v, want admitted", d)
+	}
+	if d := c.Decide(now.Add(3*time.Second), r, free); !d.Admitted {
+		t.Errorf("3 s later: %+v, want admitted", d)
+	}
+}
+
 // Guards against refusals where there is room.
 func TestCalmLoadIsAdmitted(t *testing.T) {
 	for seed := range uint64(5) {
@@ -158,7 +182,7 @@
 // late its program will be.
 func TestFreePlacesAreUsed(t *testing.T) {
 	o := Outlook{Run: 10 * time.Second, Alone: time.Second}
-	if d := NewController().Decide(Request{ID: "r", Route: "chat", Left: time.Second}, o); !d.Admitted {
+	if d := NewController().Decide(time.Unix(0, 0), Request{ID: "r", Route: "chat", Left: time.Second}, o); !d.Admitted {
 		t.Errorf("decision is %+v, want admitted", d)
 	}
 }
@@ -167,7 +191,7 @@
 func TestReturnTimesAreSpread(t *testing.T) {
 	seen := map[time.Duration]bool{}
 	for i := range 100 {
-		d := NewController().Decide(Request{ID: fmt.Sprint(i), Route: "chat", Left: time.Second}, Outlook{Wait: time.Second, Run: time.Second, Alone: time.Second})
+		d := NewController().Decide(time.Unix(0, 0), Request{ID: fmt.Sprint(i), Route: "chat", Left: time.Second}, Outlook{Wait: time.Second, Run: time.Second, Alone: time.Second})
 		if d.Admitted || d.RetryAfter < minRetryAfter/2 || d.RetryAfter > maxRetryAfter*3/2 {
 			t.Fatalf("decision is %+v", d)
 		}
@@ -193,7 +217,7 @@
 		now = now.Add(5 * time.Second)
 	}
 	c.collect(now)
-	if d := c.Decide(r, Outlook{Run: time.Second, Alone: time.Second}); d.Need != 2*time.Second {
+	if d := c.Decide(now, r, Outlook{Run: time.Second, Alone: time.Second}); d.Need != 2*time.Second {
 		t.Errorf("need is %v, want 2s: two turns of 1s on idle endpoints of the 10s stated", d.Need)
 	}
 }
--- a/core/jkadmission/controller.go
+++ b/core/jkadmission/controller.go
@@ -42,6 +42,9 @@
 	// maxPrograms bounds the programs that are tracked, and maxRoutes the routes.
 	maxPrograms = 4096
 	maxRoutes   = 1024
+	// freeWait is the expected wait below which there is room: about the variation of the way to an
+	// endpoint and back.
+	freeWait = 10 * time.Millisecond
 	// endedAfter is how long a program sends no turn before it counts as ended. Callers pause for
 	// tools and for thinking, which takes well under a second.
 	endedAfter = 2 * time.Second
@@ -81,12 +84,13 @@
 	return &Controller{routes: map[string]*routeStats{}, programs: map[string]*programRow{}}
 }
 
-// Decide decides whether a program is admitted. A program whose first turn needn't wait always is.
-func (c *Controller) Decide(r Request, o Outlook) Decision {
+// Decide decides whether a program is admitted. A program whose turns needn't wait always is.
+func (c *Controller) Decide(now time.Time, r Request, o Outlook) Decision {
 	stats := c.route(r.Route)
 	stated := r.Left + r.Waited
+	o.Wait = stats.expectedWait(now, o.Wait)
 	need := stats.need(stated, o)
-	if o.Wait <= 0 || need <= r.Left {
+	if o.Wait < freeWait || need <= r.Left {
 		return Decision{Admitted: true, Need: need}
 	}
 	return Decision{Need: need, RetryAfter: retryAfter(r.ID, stats.excessWait(stated, need-r.Left, o))}
@@ -148,8 +152,8 @@
 }
 
 // Waited records how long a turn waited for its first event beyond what an idle endpoint takes.
-func (c *Controller) Waited(route string, predicted, actual time.Duration) {
-	c.route(route).observeWait(predicted, actual)
+func (c *Controller) Waited(now time.Time, route string, predicted, actual time.Duration) {
+	c.route(route).observeWait(now, predicted, actual)
 }
 
 // collectInterval is the time between two searches for ended programs.
--- a/core/jkadmission/route.go
+++ b/core/jkadmission/route.go
@@ -1,6 +1,7 @@
 package jkadmission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -19,6 +20,8 @@
 	needQuantile = 0.6
 	// waitWeight is the weight of one turn in the mean ratio of actual to predicted waits.
 	waitWeight = 0.1
+	// recentPeriod is the time in which the mean of the latest waits forgets most of what was before.
+	recentPeriod = 500 * time.Millisecond
 	// minPredictedWait is the predicted wait from which a turn says something about predictions.
 	minPredictedWait = 20 * time.Millisecond
 	maxWaitRatio     = 3
@@ -37,18 +40,39 @@
 	typical programSample
 	// waitRatio is the mean ratio of actual to predicted waits.
 	waitRatio float64
+	// recentWait is the mean of the latest actual waits, and recentWeight the weight of its samples
+	// at recentAt.
+	recentWait, recentWeight float64
+	recentAt                 time.Time
 }
 
 func newRouteStats() *routeStats {
 	return &routeStats{typical: programSample{assumedOutside, assumedAtEndpoints}, waitRatio: 1}
 }
 
+// expectedWait returns the expected wait of the turns of a program. A first turn may find a free
+// endpoint, but later ones wait where their prompt is cached, so that what turns of the route have
+// waited lately counts as well.
+func (s *routeStats) expectedWait(now time.Time, predicted time.Duration) time.Duration {
+	wait := s.waitRatio * float64(predicted)
+	if weight := s.weightAt(now); weight > 0 {
+		// One sample may be an exception.
+		wait = max(wait, s.recentWait*weight/(weight+1))
+	}
+	return time.Duration(wait)
+}
+
+// weightAt returns the weight of the latest waits, which they lose with time.
+func (s *routeStats) weightAt(now time.Time) float64 {
+	return s.recentWeight * math.Exp(-float64(now.Sub(s.recentAt))/float64(recentPeriod))
+}
+
 // stretch is the factor by which turns take longer than on idle endpoints.
 func (s *routeStats) stretch(o Outlook) float64 {
 	if o.Alone <= 0 {
 		return 1
 	}
-	return max((s.waitRatio*float64(o.Wait)+float64(o.Run))/float64(o.Alone), 1)
+	return max(float64(o.Wait+o.Run)/float64(o.Alone), 1)
 }
 
 // need returns the expected time of a program with a stated time.
@@ -86,7 +110,10 @@
 	s.typical = sorted[int(float64(len(sorted))*needQuantile)]
 }
 
-func (s *routeStats) observeWait(predicted, actual time.Duration) {
+func (s *routeStats) observeWait(now time.Time, predicted, actual time.Duration) {
+	weight := s.weightAt(now)
+	s.recentWait = (s.recentWait*weight + float64(max(actual, 0))) / (weight + 1)
+	s.recentWeight, s.recentAt = weight+1, now
 	if predicted < minPredictedWait {
 		return
 	}
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -110,6 +111,19 @@
 	return &refusal{status: 503, reason: "account_uncertain", retryAfter: retryAfter}
 }
 
+// rotationRetryAfter is the Retry-After of a turn that this host's zone can't keep: by then callers
+// are sent to other zones.
+const rotationRetryAfter = time.Second
+
+// accountRefusal maps an error of the account to a refusal.
+func (h *Handler) accountRefusal(err error) *refusal {
+	refused := refusalForError(err)
+	if refused.status == http.StatusServiceUnavailable && h.OutOfRotation != nil && h.OutOfRotation() {
+		refused.retryAfter = max(refused.retryAfter, rotationRetryAfter)
+	}
+	return refused
+}
+
 // quorumRetryAfter is the Retry-After of a request for which too few copies
 // answered: about the time in which a host finds another path to them.
 const quorumRetryAfter = 250 * time.Millisecond
--- a/core/jkforward/admit.go
+++ b/core/jkforward/admit.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	if err := h.Account.CanKeep(ctx, c.scoped(c.info.Program)); err != nil {
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
-		return refusalForError(err)
+		return h.accountRefusal(err)
 	}
 	return nil
 }
@@ -57,7 +57,7 @@
 	if chain.err != nil {
 		h.Log.Warn("turn not continued", "request", c.info.Request, "previous", c.info.Previous, "error", chain.err)
 		h.settle(c)
-		return refusalForError(chain.err)
+		return h.accountRefusal(chain.err)
 	}
 	c.body = slices.Concat(chain.earlier, c.input)
 	return nil
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -195,7 +195,7 @@
 		return h.bindUnknown(c)
 	case err != nil:
 		h.Log.Info("turn not admitted", "request", c.info.Request, "program", c.info.Program, "error", err)
-		return refusalForError(err)
+		return h.accountRefusal(err)
 	}
 	c.reservedTokens = r.Tokens
 	return nil
--- a/core/jkforward/program.go
+++ b/core/jkforward/program.go
@@ -87,7 +87,7 @@
 func (p *ProgramAdmission) decide(c *call, o jksched.Outlook) jkadmission.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.controller.Decide(c.admissionRequest(), admissionOutlook(o))
+	return p.controller.Decide(p.timer.Now(), c.admissionRequest(), admissionOutlook(o))
 }
 
 // admissionRequest describes the program of a first turn. A caller that was refused before has
@@ -143,5 +143,5 @@
 	alone := c.outlook.Prefill + (c.outlook.Alone-c.outlook.Prefill)*time.Duration(firstTokens)/time.Duration(output)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.controller.Waited(c.route.Name(), c.outlook.Wait, took-alone)
+	p.controller.Waited(p.timer.Now(), c.route.Name(), c.outlook.Wait, took-alone)
 }
