--- a/core/jkentry/permits.go
+++ b/core/jkentry/permits.go
@@ -124,14 +124,17 @@
 }
 
 // isAloneCutOff reports whether this host may have been removed from the store without knowing.
-// Hosts of a zone that is silent as a whole aren't removed.
 func (p *permits) isAloneCutOff(issuers []jkquota.Host) bool {
 	f := p.follower.Load()
-	if f == nil || p.timer.Now().Sub(f.KnownAt()) < issuerStaleAfter {
-		return false
-	}
-	return slices.ContainsFunc(issuers, func(h jkquota.Host) bool {
-		return h.Zone == p.settings.Zone && h.Name != p.settings.Host && !p.probes.Reachable(h.Name)
+	return f != nil && mayBeRemoved(p.timer.Now().Sub(f.KnownAt()), p.settings, issuers, p.probes.Reachable)
+}
+
+// mayBeRemoved reports whether a host may have been removed from the store, given the age of its last
+// news of it. Hosts of a zone that is silent as a whole aren't removed, and those that are in reach
+// of all others of their zone are silent only together with them.
+func mayBeRemoved(newsAge time.Duration, self Settings, issuers []jkquota.Host, reachable func(host string) bool) bool {
+	return newsAge >= issuerStaleAfter && slices.ContainsFunc(issuers, func(h jkquota.Host) bool {
+		return h.Zone == self.Zone && h.Name != self.Host && !reachable(h.Name)
 	})
 }
 
--- a/core/jkentry/quota_test.go
+++ b/core/jkentry/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 			if n == 39 {
 				zone = "d"
 			}
-			m.set(HostEntry{Host: fmt.Sprint("s", n), Addr: fmt.Sprint("addr", n), Zone: zone, Ledger: n != 5, Leaving: n == 7})
+			m.set(HostEntry{Host: fmt.Sprint("s", n), Addr: fmt.Sprint("addr", n), Zone: zone, Ledger: n%4 != 1, Leaving: n%4 == 2})
 		}
 		return m.issuers()
 	}
@@ -106,8 +107,9 @@
 		if chosen[i] != h {
 			t.Errorf("issuer %d is %v and %v", i, chosen[i], h)
 		}
-		if h.Name == "s5" || h.Name == "s7" {
-			t.Errorf("%s issues permits", h.Name)
+		var n int
+		if _, err := fmt.Sscanf(h.Name, "s%d", &n); err != nil || n%4 == 1 || n%4 == 2 {
+			t.Errorf("%s issues permits, %v", h.Name, err)
 		}
 		zones[h.Zone]++
 	}
@@ -156,3 +158,29 @@
 	s.apply(context.Background(), jkfollow.Item{Key: "leaving", Revision: 4})
 	expect("while leaving", 0)
 }
+
+// Guards against a host that is alone in being cut off and issues on while the others have taken over
+// its part, and against issuers that stop during an outage of the store or a cut of their whole zone.
+func TestHostThatMayBeRemovedStopsIssuing(t *testing.T) {
+	self := Settings{Host: "a1", Zone: "a"}
+	issuers := []jkquota.Host{{Name: "a1", Zone: "a"}, {Name: "a2", Zone: "a"}, {Name: "b1", Zone: "b"}}
+	for _, c := range []struct {
+		what    string
+		age     time.Duration
+		reaches string
+		want    bool
+	}{
+		{"alone in being cut off", issuerStaleAfter, "", true},
+		{"cut off for a short time", issuerStaleAfter - time.Second, "", false},
+		{"cut off with its zone", issuerStaleAfter, "a2", false},
+		{"cut off from its zone", issuerStaleAfter, "b1", true},
+		{"without the store", issuerStaleAfter, "a2 b1", false},
+	} {
+		if got := mayBeRemoved(c.age, self, issuers, func(host string) bool { return strings.Contains(c.reaches, host) }); got != c.want {
+			t.Errorf("%s: may be removed is %v", c.what, got)
+		}
+	}
+	if issuerStaleAfter >= removeAfter {
+		t.Error("an issuer stops later than it may be removed")
+	}
+}
--- a/core/jkquota/wallet.go
+++ b/core/jkquota/wallet.go
@@ -1,6 +1,7 @@
 package jkquota
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -294,6 +295,7 @@
 	defer w.mu.Unlock()
 	checked := 0
 	for name, r := range w.rows {
+		w.dropGone(r)
 		if now.Sub(r.usedAt) >= walletRowPeriod && !r.asking && len(r.waiting) == 0 {
 			delete(w.rows, name)
 			delete(w.returning, name)
@@ -305,6 +307,7 @@
 	var out []*Question
 	for name, r := range w.returning {
 		w.expireSpares(now, r)
+		w.dropGone(r)
 		if q := w.returnQuestion(now, r); q != nil {
 			out = append(out, q)
 		}
@@ -315,6 +318,13 @@
 	return out
 }
 
+// dropGone forgets hosts that don't issue permits any more, with the permits to return to them.
+func (w *Wallet) dropGone(r *row) {
+	maps.DeleteFunc(r.issuers, func(name string, _ *issuerRow) bool {
+		return !slices.ContainsFunc(w.hosts, func(h Host) bool { return h.Name == name })
+	})
+}
+
 // returnQuestion returns a question that returns the permits of one issuer that have waited for
 // returnDelay.
 func (w *Wallet) returnQuestion(now time.Time, r *row) *Question {
--- a/core/jkquota/wallet_test.go
+++ b/core/jkquota/wallet_test.go
@@ -91,6 +91,13 @@
 	if a, _ := i.Take(now, back); a.Granted != 0 {
 		t.Errorf("%d permits for ones that the full bucket had replaced", a.Granted)
 	}
+	// The stamp of an earlier start says nothing about when this one granted permits.
+	again := NewIssuer(now, "a0")
+	again.SetIssuers(now, testHosts(1))
+	again.Take(now, Request{Workspace: "w", Version: 1, Rate: 10, Burst: 10})
+	if a, _ := again.Take(now, back); a.Granted != 0 {
+		t.Errorf("%d permits for ones of an earlier start", a.Granted)
+	}
 }
 
 // Guards against shares that exceed the cap while hosts know different numbers of issuers.
@@ -209,6 +216,20 @@
 	}
 }
 
+// Guards against permits that are kept for ever for an issuer that is gone.
+func TestPermitsOfRemovedIssuersAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := testWallet(now, "a1", "b1")
+	a, q := w.Take(now, testCap(10, 10), false)
+	w.Answer(now, q, Answer{Granted: 1})
+	w.Release(now, a.Permit)
+	w.SetIssuers(nil)
+	w.Tick(now)
+	if len(w.returning) > 0 || len(w.rows["w"].issuers) > 0 {
+		t.Errorf("%d rows with permits to return, %d issuers known", len(w.returning), len(w.rows["w"].issuers))
+	}
+}
+
 // Guards against refusals that don't tell a full cap from silent issuers.
 func TestRefusalTellsWhetherIssuersAnswered(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -282,22 +303,23 @@
 
 // Guards against questions without bound from a workspace far over its cap, and without any issuer.
 func TestQuestionsOverTheCapAreBounded(t *testing.T) {
-	f := newFleet(4, 1, 9, 3, testCap(10, 1))
-	f.load(2000, 0.3, evenly(1))
+	// Each of the 9 buckets has a permit every 30 ms, for one of 10 entries.
+	f := newFleet(4, 10, 9, 3, testCap(300, 1))
+	f.load(6000, 0.3, evenly(10))
 	f.run(2 * time.Second)
 	f.questions = 0
 	f.run(10 * time.Second)
-	// The cap's own questions bring a permit each.
-	if perSecond := float64(f.questions) / 10; perSecond > fruitlessPerSecond+12 {
-		t.Errorf("%.0f questions a second", perSecond)
+	// The questions for the cap itself bring a permit each.
+	if perSecond := float64(f.questions) / 100; perSecond > fruitlessPerSecond+30+5 {
+		t.Errorf("%.0f questions a second and entry", perSecond)
 	}
 	for _, i := range f.issuers {
 		i.dead = true
 	}
 	f.questions = 0
 	f.run(10 * time.Second)
-	if f.questions > 9*11 {
-		t.Errorf("%d questions in 10 s to 9 silent issuers", f.questions)
+	if f.questions > 10*9*11 {
+		t.Errorf("%d questions of 10 entries in 10 s to 9 silent issuers", f.questions)
 	}
 }
 
