--- a/core/jkquota/wallet.go
+++ b/core/jkquota/wallet.go
@@ -1,6 +1,8 @@
 package jkquota
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +66,9 @@
 func (w *Wallet) SetIssuers(hosts []Host) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hosts = hosts
+	if !slices.Equal(w.hosts, hosts) {
+		w.hosts = hosts
+	}
 }
 
 // Cap is the cap of a workspace in a version of the rules.
@@ -78,6 +82,7 @@
 type Permit struct {
 	workspace, issuer string
 	askedAt           time.Time
+	stamp             Stamp
 }
 
 // Refusal is why a request gets no permit.
@@ -191,7 +196,7 @@
 		r.fruitless--
 	}
 	r.gained.add(now, float64(a.Granted+a.GrantedFirst+a.Spare))
-	permit := Permit{workspace: r.cap.Workspace, issuer: q.Issuer.Name, askedAt: q.SentAt}
+	permit := Permit{workspace: r.cap.Workspace, issuer: q.Issuer.Name, askedAt: q.SentAt, stamp: a.Stamp}
 	for _, waiter := range q.waiting {
 		left := &a.Granted
 		if waiter.first {
@@ -254,12 +259,14 @@
 		return
 	}
 	i := r.issuer(p.issuer)
-	if i.returned == 0 {
-		i.returnedAt, i.oldest = now, p.askedAt
-	}
-	if p.askedAt.Before(i.oldest) {
-		i.oldest = p.askedAt
+	switch {
+	case i.returned == 0:
+		i.returnedAt, i.oldest = now, p.stamp
+	case i.oldest.Start != p.stamp.Start:
+		// The issuer has started again: it takes back only its own permits.
+		i.returned, i.oldest = 0, p.stamp
 	}
+	i.oldest.At = min(i.oldest.At, p.stamp.At)
 	i.returned += n
 	// The issuer has a permit once it gets this one back.
 	i.emptyUntil = now
@@ -288,6 +295,7 @@
 	defer w.mu.Unlock()
 	checked := 0
 	for name, r := range w.rows {
+		w.dropGone(r)
 		if now.Sub(r.usedAt) >= walletRowPeriod && !r.asking && len(r.waiting) == 0 {
 			delete(w.rows, name)
 			delete(w.returning, name)
@@ -299,6 +307,7 @@
 	var out []*Question
 	for name, r := range w.returning {
 		w.expireSpares(now, r)
+		w.dropGone(r)
 		if q := w.returnQuestion(now, r); q != nil {
 			out = append(out, q)
 		}
@@ -309,6 +318,13 @@
 	return out
 }
 
+// dropGone forgets hosts that don't issue permits any more, with the permits to return to them.
+func (w *Wallet) dropGone(r *row) {
+	maps.DeleteFunc(r.issuers, func(name string, _ *issuerRow) bool {
+		return !slices.ContainsFunc(w.hosts, func(h Host) bool { return h.Name == name })
+	})
+}
+
 // returnQuestion returns a question that returns the permits of one issuer that have waited for
 // returnDelay.
 func (w *Wallet) returnQuestion(now time.Time, r *row) *Question {
@@ -318,7 +334,7 @@
 			continue
 		}
 		q := &Question{Issuer: h, SentAt: now, row: r, onlyReturns: true, Request: r.request()}
-		i.fillReturns(now, &q.Request)
+		i.fillReturns(&q.Request)
 		if w.isUsable(now, h) {
 			return q
 		}
