upstream: a response that ends with its connection isn't complete if the upload failed

Seen: an endpoint that answers an upload at once with a 200 without a length, sends a part and resets the connection while the upload is being written: the caller gets the part as a complete answer. Cause: the kernel reports the error of a reset once, to the writer or the reader of the connection. If the writer gets it, the reader sees the regular end, which completes a body without length and chunks. The cost is that an endpoint that closes the connection without reading the upload no longer completes such a response: it can't be told from a reset.

--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -45,8 +45,10 @@
 	conn *conn
 	body io.ReadCloser
 	// limit bounds the body, and read is the part of it that was read, both in bytes.
-	limit        int64
-	read         int64
+	limit int64
+	read  int64
+	// framed is set if the body has a length or chunks, so that its end doesn't need that of the connection.
+	framed       bool
 	reusable     bool
 	requestWrite *requestWrite
 	stopCancel   func() bool
@@ -62,16 +64,6 @@
 // the connection is closed.
 const maxOtherAnswers = 2
 
-// maxInlineBody is the size up to which a body is written before the response is
-// read. An endpoint may respond before it has read a longer one.
-const maxInlineBody = 2 << 10
-
-// requestWrite is the state of a request that is being written.
-type requestWrite struct {
-	done chan struct{}
-	err  error
-}
-
 // Send sends a request once and returns the header of its response. Cancelling
 // the context closes the connection, which tells the endpoint to stop. The
 // error is a *NotSentError or an *ExchangeError.
@@ -99,8 +91,8 @@
 		conn: c, body: resp.Body, limit: r.MaxBody, requestWrite: w, stopCancel: stopCancel,
 	}
 	// A body without length and chunks ends with its connection.
-	framed := resp.ContentLength >= 0 || isChunked(resp)
-	out.reusable = framed && !resp.Close && otherAnswers == 0
+	out.framed = resp.ContentLength >= 0 || isChunked(resp)
+	out.reusable = out.framed && !resp.Close && otherAnswers == 0
 	c.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"), p.opt.IdleTimeout)
 	if c.relayed {
 		c.idleTimeout = min(c.idleTimeout, maxRelayedAge)
@@ -122,26 +114,6 @@
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// write sends the request. A failed write shows as a failed read, since an endpoint
-// may respond without reading the whole body.
-func (c *conn) write(r *Request) *requestWrite {
-	w := &requestWrite{done: make(chan struct{})}
-	head := encodeHead(r)
-	if len(r.Body) <= maxInlineBody {
-		head = append(head, r.Body...)
-		_, w.err = c.nc.Write(head)
-		close(w.done)
-		return w
-	}
-	go func() {
-		defer close(w.done)
-		if _, w.err = c.nc.Write(append(head, r.Body...)); w.err != nil {
-			return
-		}
-	}()
-	return w
-}
-
 func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 1024)
@@ -210,7 +182,9 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, which is the
-// end of the connection if the body has neither a length nor chunks.
+// end of the connection if the body has neither a length nor chunks. Such a body isn't complete if the
+// request couldn't be written: a reset is reported to either the writer or the reader of a connection, and
+// the other one may see its regular end. A relay watches the connection to the endpoint itself.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	r.read += int64(n)
@@ -220,6 +194,9 @@
 	if n > 0 && max(r.read, r.Length) > r.limit {
 		return 0, r.TooLong(PartBody, r.limit)
 	}
+	if err == io.EOF && !r.framed && !r.conn.relayed && r.requestWrite.fails(r.conn.pool.timer) {
+		return n, &ExchangeError{Addr: r.conn.addr, Stage: StageBody, Cause: io.ErrUnexpectedEOF}
+	}
 	if err == io.EOF {
 		r.ended = true
 		return n, err
@@ -249,14 +226,3 @@
 		r.conn.pool.putIdle(r.conn)
 	})
 }
-
-// succeeded reports whether the whole request was written. While a part of its body
-// is still to be sent, the connection can't carry another request.
-func (w *requestWrite) succeeded() bool {
-	select {
-	case <-w.done:
-		return w.err == nil
-	default:
-		return false
-	}
-}
