upstream: bytes with a status outside of 100 to 599 are no response

Seen: TestAnswerWithAnInvalidStatusIsNoAnswer on the code before: status 600, 700 and 999 reach the caller ('status 999, body "id: 1...", want 502'), on plain routes, streams and kept turns; 000, 001, 099 and +20 end its connection ('error EOF'), since the handler panics with 'invalid WriteHeader code 0'. Cause: http.ReadResponse takes any three characters that are a number for a status. Change: the exchange ends with an *InvalidStatusError, as for other bytes that aren't a response. The request may be sent again where its route allows that, and the endpoint counts as faulty.

--- a/core/jkforward/early_answer_test.go
+++ b/core/jkforward/early_answer_test.go
@@ -205,3 +205,24 @@
 		}
 	}
 }
+
+// Guards against an answer whose status isn't one, which reaches the caller or ends its connection.
+func TestAnswerWithAnInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "600", "700", "999"} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for framing, header := range map[string]string{"length": "Content-Length: 17\r\n", "unframed": ""} {
+				t.Run(strings.Join([]string{status, proto[5:], framing}, "/"), func(t *testing.T) {
+					front := newEarlyFront(t, newEarlyEndpoint(t, earlyHead(proto+" "+status+" X", header)+earlyEvent, func(_ *net.TCPConn, body io.Reader) {
+						_, _ = io.Copy(io.Discard, body)
+					}))
+					for _, route := range earlyRoutes {
+						got, body, err := upload(front, route, 10)
+						if got != http.StatusBadGateway || err != nil || strings.Contains(body, "data: one") {
+							t.Errorf("%s: status %d, body %q, error %v, want 502", route, got, body, err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/jkupstream/errors.go
+++ b/core/jkupstream/errors.go
@@ -55,3 +55,14 @@
 
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
+
+// InvalidStatusError is the cause of an exchange whose response has a status outside of 100 to 599.
+// Such bytes aren't a response.
+type InvalidStatusError struct {
+	Addr   string
+	Status string
+}
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("response of %s has the invalid status %.20q", e.Addr, e.Status)
+}
--- a/core/jkupstream/exchange.go
+++ b/core/jkupstream/exchange.go
@@ -144,7 +144,11 @@
 		if err != nil {
 			return nil, otherAnswers, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		// ReadResponse takes any three digits for a status.
+		if resp.StatusCode < 100 || resp.StatusCode > 599 {
+			return nil, otherAnswers, &InvalidStatusError{Addr: c.addr, Status: resp.Status}
+		}
+		if resp.StatusCode < 200 {
 			informational++
 			if informational > maxInformational {
 				return nil, otherAnswers, &TooLongError{Addr: c.addr, Part: PartInformational, Limit: maxInformational}
