relay: don't complete a response whose endpoint was reset during an upload

Seen: TestResetInAnUploadBehindARelayDoesNotCompleteAResponse on the code before: 15 of 1,200 answers that were reset are complete (-count 20 -cpu 1,2,8). TestErrorOfTheUploadIsAwaited plays that order of events: 'the tunnel sent "\x00\x05hello\x00\x00", want "\x00\x05hello" without an end'. Cause: as in the exchange without a relay, the error of the reset may reach the relay's writer, and its reader sees the regular end, of which it tells the requesting host. Change: at the end, the relay waits for the write in progress for up to 250 ms and tells of no end if one has failed. The requesting host relies on that, since the relay closes its connection at the end. Measured: 0 of 1,200 complete (same command); jkrelay passes.

--- a/core/jkrelay/relay.go
+++ b/core/jkrelay/relay.go
@@ -110,7 +110,7 @@
 		// Ends the tunnel of a host that is gone.
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
-	t := &tunnel{near: near, far: far}
+	t := &tunnel{near: near, far: far, timer: r.Dialer.Timer}
 	r.mu.Lock()
 	r.open[t] = true
 	r.mu.Unlock()
--- a/core/jkrelay/tunnel.go
+++ b/core/jkrelay/tunnel.go
@@ -8,6 +8,9 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"jasmineknot.example/core/jktimer"
 )
 
 const (
@@ -84,8 +87,12 @@
 // tunnel joins the connection of the requesting host with one to an endpoint.
 type tunnel struct {
 	near, far net.Conn
+	timer     *jktimer.Service
 	// writing guards what is sent to the near end.
 	writing sync.Mutex
+	// sending is held during a write to the far end, and sendFailed is set if one has failed.
+	sending    sync.Mutex
+	sendFailed bool
 }
 
 // leave tells the requesting host that this one is about to stop.
@@ -119,12 +126,42 @@
 	b := make([]byte, maxBlock)
 	for {
 		n, err := t.near.Read(b)
-		if n > 0 && !write(t.far, b[:n]) || err != nil {
+		if n > 0 && !t.send(b[:n]) || err != nil {
 			return
 		}
 	}
 }
 
+// send writes to the endpoint.
+func (t *tunnel) send(b []byte) bool {
+	t.sending.Lock()
+	defer t.sending.Unlock()
+	ok := write(t.far, b)
+	t.sendFailed = t.sendFailed || !ok
+	return ok
+}
+
+// A blocked write fails at once if its connection was reset. The steps let a pause of this process take only
+// a part of the time.
+const (
+	sendEndStep  = 50 * time.Millisecond
+	sendEndSteps = 5
+)
+
+// wasReset reports whether the connection to an endpoint was reset, once it has ended for the reader: the error
+// of a reset may have reached a write, and the reader then sees a regular end. A write that is still
+// blocked after a moment hasn't failed.
+func (t *tunnel) wasReset() bool {
+	for range sendEndSteps {
+		if t.sending.TryLock() {
+			defer t.sending.Unlock()
+			return t.sendFailed
+		}
+		t.timer.Wait(sendEndStep, nil)
+	}
+	return false
+}
+
 // copyBack sends what arrives from the endpoint to the requesting host in blocks.
 func (t *tunnel) copyBack() {
 	b := make([]byte, blockHeader+maxBlock)
@@ -134,7 +171,7 @@
 		if n > 0 && !t.writeBack(b[:blockHeader+n]) {
 			return
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !t.wasReset() {
 			t.writeBack(make([]byte, blockHeader))
 		}
 		if err != nil {
