entry: bound the heads of all callers' requests together

Cause: net/http bounds each head in bytes and time, but not the heads of all connections. Change: the bytes that are read from connections without a request may take a thirty-second of the memory limit (at least two heads); beyond that the connections with the largest heads are closed, counted by jk_heads_closed_total. An ordinary head of 1 to 2 KB is below that share beside a thousand others. Also: gauge jk_out_of_rotation.

--- a/core/jkentry/conns.go
+++ b/core/jkentry/conns.go
@@ -5,12 +5,17 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // callerConns holds the connections of callers. It is safe for concurrent use.
 type callerConns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
+	// heads is the number of bytes that were read of heads so far, and headLimit its bound.
+	heads, headLimit int64
+	headsClosed      *metrics.Counter
 }
 
 type callerConn struct {
@@ -18,6 +23,8 @@
 	busy bool
 	// expired is set if endIdle has ended its reads.
 	expired bool
+	// head is the number of bytes that were read since the connection was opened or became idle.
+	head int64
 }
 
 func newCallerConns() *callerConns { return &callerConns{conns: map[net.Conn]*callerConn{}} }
@@ -27,6 +34,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
+		if one := b.conns[c]; one != nil {
+			b.forgetHead(one)
+		}
 		delete(b.conns, c)
 		return
 	}
@@ -35,6 +45,7 @@
 		one = &callerConn{}
 		b.conns[c] = one
 	}
+	b.forgetHead(one)
 	one.busy = state == http.StateActive
 	if one.busy && one.expired {
 		// Its request was read before the reads ended. net/http reads on while the handler runs.
--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -272,8 +272,8 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: nil, ConnState: e.callers.observe,
 	}
-	e.frontListener = l
-	go e.serve(e.front, l)
+	e.frontListener = e.callers.bound(l, e.settings.MemoryBytes/headsShare, e.metrics)
+	go e.serve(e.front, e.frontListener)
 	if err := e.serveOperators(e.settings.Ready, e.operatorRoutes()); err != nil {
 		return err
 	}
--- /dev/null
+++ b/core/jkentry/heads.go
@@ -0,0 +1,88 @@
+package jkentry
+
+import (
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// headsShare is the part of the memory limit that heads may take while they are being read: one
+// thirty-second. net/http needs about three times the bytes that it reads for them.
+const headsShare = 32
+
+// minHeads is the least bound of the heads, which is that of two of the longest ones.
+const minHeads = 2 * maxHeader
+
+// headListener accepts connections of callers and counts what is read of requests' heads.
+type headListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// headConn is a connection whose reads are counted while it has no request.
+type headConn struct {
+	*net.TCPConn
+	conns *callerConns
+}
+
+// bound returns a listener whose connections are closed where the heads that are being read exceed a
+// number of bytes in sum, the largest one first.
+func (b *callerConns) bound(l net.Listener, limit int64, set *metrics.Set) net.Listener {
+	b.headLimit = max(limit, minHeads)
+	b.headsClosed = set.NewCounter("jk_heads_closed_total")
+	return headListener{Listener: l, conns: b}
+}
+
+// Accept implements net.Listener.
+func (l headListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &headConn{TCPConn: tcp, conns: l.conns}, nil
+	}
+	return c, nil
+}
+
+func (c *headConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.conns.countHead(c, int64(n))
+	}
+	return n, err
+}
+
+// countHead counts bytes that were read from a connection. The bytes of a body aren't counted.
+func (b *callerConns) countHead(c net.Conn, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one := b.conns[c]
+	if one == nil || one.busy {
+		return
+	}
+	one.head += n
+	b.heads += n
+	for b.heads > b.headLimit {
+		b.closeLargest()
+	}
+}
+
+// closeLargest closes the connection with the largest head. The caller holds the lock.
+func (b *callerConns) closeLargest() {
+	var largest net.Conn
+	for c, one := range b.conns {
+		if largest == nil || one.head > b.conns[largest].head {
+			largest = c
+		}
+	}
+	b.forgetHead(b.conns[largest])
+	_ = largest.Close()
+	b.headsClosed.Inc()
+}
+
+// forgetHead ends the count of a connection's head. The caller holds the lock.
+func (b *callerConns) forgetHead(one *callerConn) {
+	b.heads -= one.head
+	one.head = 0
+}
--- a/core/jkentry/rotation.go
+++ b/core/jkentry/rotation.go
@@ -184,11 +184,18 @@
 
 // newRotation returns the entry's rotation.
 func (e *Entry) newRotation() *rotation {
-	return newRotation(rotationOptions{
+	r := newRotation(rotationOptions{
 		log: e.log.Part("rotation"), host: e.settings.Host, zone: e.settings.Zone, now: e.timer.Now, members: e.members,
 		lostDisks: e.settings.LostDisks, settled: e.membersSettled, silentZones: e.probes.SilentZones, canKeepTurns: e.account.CanKeepTurns,
 		keepsTurns: func() bool { rules := e.rules.Load(); return rules != nil && rules.RetainsTurns() },
 	})
+	e.metrics.NewGauge("jk_out_of_rotation", func() float64 {
+		if r.isOut() {
+			return 1
+		}
+		return 0
+	})
+	return r
 }
 
 // Ready reports whether the entry takes new connections. An entry that can't reach any endpoint of a
