forward: bound the callers' bodies that are being read, and end those without progress

Seen: TestCallersBeyondTheLimits on the code before, with a limit of 96 MB for the entry and 120 callers: 154 MB with chunked bodies that stop 1 KB short of 1 MB, in large and in small chunks, 131 MB with announced ones, and 120 MB with chunks over the limit. The other kinds stayed under the limit: announced bodies that aren't sent 23 MB, announced ones over the limit 18 MB, requests without a route 19 MB. Cause: each body has a bound, but neither their sum nor the time that one may take. A refused request awaits the rest of its body without limit before the refusal is sent. Change: buffers of bodies that are being read take an eighth of the memory limit at most, or room for two of the longest bodies. Beyond that, the body with more than its share (limit / bodies) that has had no progress for longest is refused with 503 bodies_full. A body without a byte in ten checks a second apart, or after the time limit of its request, gets 408. Buffers grow with what arrives, not with the announced length. All of these refusals come before the request is sent to an endpoint. Found on the way, by rapid: a buffer that doubles past the limit refused a single body of the longest length.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -255,6 +255,7 @@
 		Timer: e.timer, Log: e.log.Part("forward"), Metrics: e.counts, Rules: e.rules.Load,
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
 		Crashes: e.crashes, Isolated: e.isIsolated, Stop: e.stop, OutOfRotation: e.rotation.isOut, MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		MaxReadBodies: e.settings.MemoryBytes / readBodiesShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
--- a/core/jkentry/heads.go
+++ b/core/jkentry/heads.go
@@ -6,9 +6,12 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// headsShare is the part of the memory limit that heads may take while they are being read: one
-// thirty-second. net/http needs about three times the bytes that it reads for them.
-const headsShare = 32
+// Parts of the memory limit. Bodies of callers may take one eighth while they are being read. Heads may
+// take one thirty-second: net/http needs about three times the bytes that it reads for them.
+const (
+	readBodiesShare = 8
+	headsShare      = 32
+)
 
 // minHeads is the least bound of the heads, which is that of two of the longest ones.
 const minHeads = 2 * maxHeader
--- /dev/null
+++ b/core/jkforward/bodies_test.go
@@ -0,0 +1,131 @@
+package jkforward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jasmineknot.example/core/jktimer"
+)
+
+// bodiesFixture holds bodies that are read, on a clock that stands still.
+type bodiesFixture struct {
+	all         *callerBodies
+	clock       *jktimer.Manual
+	timer       *jktimer.Service
+	interrupted map[string]bool
+}
+
+func newBodiesFixture(limit int64) *bodiesFixture {
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	return &bodiesFixture{all: newCallerBodies(limit, timer), clock: clock, timer: timer, interrupted: map[string]bool{}}
+}
+
+func (f *bodiesFixture) begin(name string, within time.Duration) *callerBody {
+	return f.all.begin(f.timer.Now().Add(within), func() { f.interrupted[name] = true })
+}
+
+// reasonOf returns why a read was ended.
+func reasonOf(err error) bodyEnd {
+	var ended *bodyEndedError
+	if errors.As(err, &ended) {
+		return ended.reason
+	}
+	return ""
+}
+
+// Guards against a caller that is refused although others hold more than their share, and against bodies
+// that stopped short of their end and keep out those that are being sent.
+func TestStoppedBodiesMakeRoom(t *testing.T) {
+	f := newBodiesFixture(1000)
+	stopped, active, small := f.begin("stopped", time.Minute), f.begin("active", time.Minute), f.begin("small", time.Minute)
+	for _, err := range []error{stopped.grow(400, 0), active.grow(500, 0), small.grow(50, 0)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.clock.Advance(100 * time.Millisecond)
+	active.progress()
+	if err := f.begin("next", time.Minute).grow(400, 0); err != nil {
+		t.Errorf("the next body has no room: %v", err)
+	}
+	if !f.interrupted["stopped"] || len(f.interrupted) != 1 {
+		t.Errorf("ended reads: %v, want that of the stopped body", f.interrupted)
+	}
+	if reason := reasonOf(stopped.grow(1, 0)); reason != bodyOverShare {
+		t.Errorf("the read of the stopped body goes on: %q", reason)
+	}
+	if err := small.grow(150, 0); err != nil || f.interrupted["small"] {
+		t.Errorf("the body below its share was ended: %v", err)
+	}
+}
+
+// Guards against bodies that stay open without progress or beyond the time limit of their requests, and
+// against a pause of the process that ends bodies whose bytes are unread.
+func TestBodiesWithoutProgressEnd(t *testing.T) {
+	f := newBodiesFixture(1000)
+	stalled, slow, late := f.begin("stalled", time.Hour), f.begin("slow", time.Hour), f.begin("late", 3*time.Second)
+	f.clock.Advance(2 * bodyCheckInterval)
+	if len(f.interrupted) > 0 {
+		t.Errorf("ended reads %v after two checks", f.interrupted)
+	}
+	for range 6 {
+		f.clock.Advance(2 * bodyCheckInterval)
+		slow.progress()
+		late.progress()
+	}
+	if reason := reasonOf(stalled.end()); reason != bodyStalled {
+		t.Errorf("the stalled body ended by %q", reason)
+	}
+	if reason := reasonOf(late.end()); reason != bodyLate {
+		t.Errorf("the late body ended by %q", reason)
+	}
+	if err := slow.end(); err != nil {
+		t.Errorf("the slow body was ended: %v", err)
+	}
+}
+
+// Guards against bodies that aren't what the caller sent, and a sum that isn't that of the bodies in
+// progress, for any length, announced or not, and any pieces.
+func TestBodyIsWhatTheCallerSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newBodiesFixture(1)
+		size := rapid.IntRange(0, 300<<10).Draw(t, "size")
+		body := bytes.Repeat([]byte("0123456789abcdef!"), size/17+1)[:size]
+		announced := int64(-1)
+		if rapid.Bool().Draw(t, "announced") {
+			announced = int64(size)
+		}
+		var r io.Reader = bytes.NewReader(body)
+		switch rapid.IntRange(0, 2).Draw(t, "pieces") {
+		case 0:
+			r = iotest.HalfReader(r)
+		case 1:
+			r = iotest.DataErrReader(r)
+		}
+		got, err := f.begin("one", time.Minute).readAll(r, announced, 300<<10)
+		if err != nil || !bytes.Equal(got, body) {
+			t.Fatalf("%d of %d bytes, error %v", len(got), size, err)
+		}
+		if f.all.held != 0 || len(f.all.reading) != 0 {
+			t.Fatalf("%d bytes of %d bodies are counted after the end", f.all.held, len(f.all.reading))
+		}
+	})
+}
+
+// Guards against a body that is shorter than announced and counts as complete.
+func TestShortBodyIsBroken(t *testing.T) {
+	f := newBodiesFixture(0)
+	if _, err := f.begin("one", time.Minute).readAll(strings.NewReader("half"), 8, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("error %v, want an unexpected end", err)
+	}
+	if f.all.held != 0 {
+		t.Errorf("%d bytes are counted after the end", f.all.held)
+	}
+}
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -22,6 +22,8 @@
 	// workspace is the caller's workspace; nil without one.
 	workspace *jkruleset.Workspace
 	body      []byte
+	// bodyBegun is set once the read of the caller's body has begun.
+	bodyBegun bool
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
 	// contentKey is set by key.
--- a/core/jkforward/early_answer_test.go
+++ b/core/jkforward/early_answer_test.go
@@ -54,7 +54,7 @@
 }
 
 func (e *earlyEndpoint) serve(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.SetReadBuffer(earlyReadBuffer)
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -246,6 +246,7 @@
 	memoryAccount *memoryAccount
 	metrics       *metrics.Set
 	fleet         *Fleet
+	bodies        *callerBodies
 	callers       http.RoundTripper
 }
 
@@ -301,6 +302,7 @@
 		Crashes: NewCrashWatch(timer, jklog.Discard()),
 		Stop:    NewHostStop(),
 	})
+	f.bodies = h.bodies
 	f.front = &httptest.Server{Listener: listen("front"), Config: &http.Server{Handler: h}}
 	f.front.Start()
 	t.Cleanup(f.front.Close)
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -46,23 +45,27 @@
 	// MaxHeldOutputs bounds the sum of the outputs of retained turns in progress, in bytes; zero
 	// means defaultHeldOutputs.
 	MaxHeldOutputs int64
+	// MaxReadBodies bounds the sum of the requests' bodies that are being read, in bytes; zero means
+	// defaultReadBodies. It has always room for a body of the rules' limit.
+	MaxReadBodies int64
 }
 
 // Handler is the http.Handler that serves callers.
 type Handler struct {
 	Options
 	outputs *heldOutputs
+	bodies  *callerBodies
 	// largeEvents is a semaphore of the large events that are held.
 	largeEvents chan struct{}
 }
 
 // NewHandler returns a handler with the given options.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, outputs: newHeldOutputs(o.MaxHeldOutputs), largeEvents: make(chan struct{}, maxLargeEvents)}
+	return &Handler{Options: o, outputs: newHeldOutputs(o.MaxHeldOutputs), bodies: newCallerBodies(o.MaxReadBodies, o.Timer), largeEvents: make(chan struct{}, maxLargeEvents)}
 }
 
-// refusal is a response that the handler generates itself. With status 402, 404, 413
-// or 503 it states that the request didn't run.
+// refusal is a response that the handler generates itself. With status 402, 404, 408,
+// 413 or 503 it states that the request didn't run.
 type refusal struct {
 	status     int
 	reason     string
@@ -143,29 +146,17 @@
 	if c.request.ContentLength == 0 {
 		return nil
 	}
-	body, err := readAll(http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
+	c.bodyBegun = true
+	interrupt := func() { _ = http.NewResponseController(c.writer).SetReadDeadline(time.Unix(1, 0)) }
+	reading := h.bodies.begin(c.deadline, interrupt)
+	body, err := reading.readAll(http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength, limit)
+	if err != nil {
+		return refusalForBody(err)
 	}
 	c.body, c.input = body, body
 	return nil
 }
 
-// readAll reads a body of the given length, or up to its end if the length isn't
-// positive.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // reserve reserves the maximum number of tokens that the turn can generate in the program's budget,
 // and binds a stream that is resumable to a software version.
 func (h *Handler) reserve(ctx context.Context, c *call) *refusal {
@@ -256,6 +247,7 @@
 		c.status = statusAborted
 		c.abort()
 	}
+	c.boundRest()
 	c.status = refused.status
 	if refused.retryAfter > 0 {
 		c.writer.Header().Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', 3, 64))
