--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -252,7 +252,7 @@
 		Dialect: e.platform.Dialect, Account: e.account.Account(), Fleet: e.fleet, Pool: e.pool,
 		Currency: e.currency(), Crashes: e.crashes, Programs: e.newProgramAdmission(), Isolated: e.isIsolated,
 		OutOfRotation: e.rotation.isOut, Stop: e.stop, Quota: jkforward.Quota{Take: e.quota.take},
-		MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare,
+		MaxHeldOutputs: e.settings.MemoryBytes / heldOutputsShare, MaxReadBodies: e.settings.MemoryBytes / readBodiesShare,
 	})
 	inner, err := listenAt(e.settings.Listeners.Inner, e.settings.Inner)
 	if err != nil {
@@ -270,8 +270,8 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: nil, ConnState: e.callers.observe,
 	}
-	e.frontListener = l
-	go e.serve(e.front, l)
+	e.frontListener = e.callers.bound(l, e.settings.MemoryBytes/headsShare, e.metrics)
+	go e.serve(e.front, e.frontListener)
 	if err := e.serveOperators(e.settings.Ready, e.operatorRoutes()); err != nil {
 		return err
 	}
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -36,6 +36,8 @@
 	isAtEndpoint bool
 
 	body []byte
+	// bodyBegun is set once the read of the caller's body has begun.
+	bodyBegun bool
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
 	// contentKey is set by content.
--- a/core/jkforward/forward_test.go
+++ b/core/jkforward/forward_test.go
@@ -264,6 +264,7 @@
 	metrics       *metrics.Set
 	fleet         *Fleet
 	handler       *Handler
+	bodies        *callerBodies
 	callers       http.RoundTripper
 }
 
@@ -327,7 +328,7 @@
 	}
 	change(&options)
 	h := NewHandler(options)
-	f.handler = h
+	f.handler, f.bodies = h, h.bodies
 	f.front = &httptest.Server{Listener: listen("front"), Config: &http.Server{Handler: h}}
 	f.front.Start()
 	t.Cleanup(f.front.Close)
