jksched: place calls by their learned work

The placer knew one mean time per endpoint, so calls of 10 and 39 ms on one service counted the same, and the caller's length hint, which is right at the median only, was taken for the length of an answer.

With DirectOptions.Learned, the work of a call is predicted from the calls that ended, own calls in flight count by what they have left to do, and a load report of a plain service loses its weight in the time in which the reported calls end.

--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -49,6 +49,8 @@
 	MaxSendDelay time.Duration
 	// MaxParts bounds the number of prompt parts whose holders are tracked.
 	MaxParts int
+	// Learned is set to place calls by their learned costs.
+	Learned bool
 }
 
 // DefaultDirectOptions returns the defaults. The caller sets Zone and Delay.
@@ -118,8 +120,20 @@
 	programHash uint64
 	primary     *directRow
 	utilization float64
-	// placed is the number of calls that Place was called for.
+	// placed is the number of calls that an endpoint was chosen for.
 	placed uint64
+
+	// The fields below are used only if opt.Learned is set. costs holds the learned costs of
+	// calls, and expected what is expected of the call that is being placed.
+	costs    *costModel
+	expected expectedCall
+	// serviceWork and meanOthers are the mean work of a call of its service, and the mean number of
+	// calls of other hosts at an endpoint. isFallback is set if no endpoint with a closed breaker
+	// was left for it.
+	serviceWork float64
+	meanOthers  float64
+	isFallback  bool
+	lastTicket  uint64
 }
 
 // directRow is the host's state for one endpoint.
@@ -152,6 +166,19 @@
 	probing bool
 	// limit is nil for an endpoint that takes any number of requests.
 	limit *sendLimit
+	// calls are the own calls in flight whose work was predicted. paceSamples is the number of
+	// calls of a plain service that its mean pace was measured from.
+	calls       []ownCall
+	paceSamples int
+	// cachedFor is the number of the latest call for which cachedParts was set: bit i is set if
+	// part i of its prompt is expected to be cached.
+	cachedFor   uint64
+	cachedParts uint64
+	// loadAge is the age of the load report at the latest decision, and outlook what was expected
+	// of the call that decision outlookFor was made for.
+	loadAge    time.Duration
+	outlookFor uint64
+	outlook    outlook
 }
 
 // NewDirectPlacer returns a DirectPlacer without endpoints.
@@ -166,19 +193,23 @@
 		enginePaces:      map[string]*enginePace{},
 		rankedEndpoints:  map[string][]*directRow{},
 		returnAt:         map[string]time.Time{},
+		costs:            newCostModel(),
 	}
 }
 
 // SetEndpoint adds an endpoint or changes its description.
 func (d *DirectPlacer) SetEndpoint(e Endpoint) {
 	e.Slots = min(e.Slots, MaxSlots)
-	clear(d.rankedEndpoints)
 	row, ok := d.endpoints[e.ID]
+	if !ok || row.endpoint.Service != e.Service || row.endpoint.State != e.State || row.endpoint.Zone != e.Zone {
+		d.endpointsChanged()
+	}
 	if !ok {
 		row = &directRow{idHash: xxhash.Sum64String(e.ID), pause: d.opt.BreakerPause}
 		d.endpoints[e.ID] = row
 	} else if row.endpoint.Service != e.Service {
 		d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
+		d.endpointsChanged()
 		ok = false
 	}
 	row.endpoint, row.engine = e, d.enginePace(e.Service)
@@ -194,12 +225,17 @@
 	if !ok {
 		return
 	}
-	clear(d.rankedEndpoints)
+	d.endpointsChanged()
 	row.endpoint.State = StateDown
 	delete(d.endpoints, id)
 	d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
 }
 
+// endpointsChanged discards what was derived from the live endpoints.
+func (d *DirectPlacer) endpointsChanged() {
+	clear(d.rankedEndpoints)
+}
+
 func withoutRow(rows []*directRow, row *directRow) []*directRow {
 	if i := slices.Index(rows, row); i >= 0 {
 		return slices.Delete(slices.Clone(rows), i, i+1)
@@ -256,10 +292,14 @@
 		best.probing = true
 	}
 	if c.Kind == KindModel {
-		best.engine.observeOutput(c.MaxTokens)
+		best.engine.observeOutput(d.likelyTokens(c))
 	}
 	d.recordPlacement(c, best)
-	return Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}, nil
+	out := Placement{Endpoint: best.endpoint.ID, PredictedWait: d.predictedWait(now, c, best), SendDelay: delay, UncachedTokens: best.uncached}
+	if d.opt.Learned {
+		d.recordCall(now, c, best, &out)
+	}
+	return out, nil
 }
 
 // Peek returns the endpoint that Place would choose, if there is one.
@@ -304,6 +344,7 @@
 	d.updateOtherHostCalls(now, c.Service)
 	d.utilization = d.serviceUtilization(c.Service)
 	d.programHash = xxhash.Sum64String(c.Program)
+	d.expectCall(c)
 	d.primary = d.primaryEndpoint(c)
 	d.markPreferred(c)
 	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
@@ -347,6 +388,7 @@
 		// endpoint, the call itself serves as the probe.
 		best = fallback
 	}
+	d.isFallback = best != nil && best == fallback
 	switch {
 	case best == nil && limited > 0 && soonestPlace < soonest, best == nil && limited == live && live > 0:
 		return nil, 0, d.limitRefusal(now, c.Service, soonestPlace)
@@ -395,77 +437,3 @@
 	}
 	row.load, row.loadAt, row.ownCallsAtLoad = l, at, row.ownCalls
 }
-
-// DirectOutcome is the result of a run as evidence about its endpoint.
-type DirectOutcome string
-
-// Outcomes of a run. A fault is a failure of the endpoint, a refusal means that its
-// queue was full, and an abandoned run gives no evidence.
-const (
-	DirectServed    DirectOutcome = "served"
-	DirectFault     DirectOutcome = "fault"
-	DirectRefused   DirectOutcome = "refused"
-	DirectAbandoned DirectOutcome = "abandoned"
-)
-
-// Done ends a call that Place or Reserve counted; took is the time until its answer.
-func (d *DirectPlacer) Done(now time.Time, id string, outcome DirectOutcome, took time.Duration) {
-	row, ok := d.endpoints[id]
-	if !ok {
-		return
-	}
-	row.ownCalls = max(row.ownCalls-1, 0)
-	row.probing = false
-	switch outcome {
-	case DirectServed:
-		row.faults, row.pause = 0, d.opt.BreakerPause
-		row.observeServiceTime(took)
-	case DirectFault:
-		d.recordFault(now, row)
-	case DirectRefused:
-		// The endpoint's queue is full: treat it as full until the next load report.
-		row.load.Running, row.load.Slots = d.slots(row), d.slots(row)
-		row.load.Waiting = int(float64(d.slots(row))*d.opt.QueuePerSlot) + 1
-		row.loadAt, row.ownCallsAtLoad = now, 0
-	case DirectAbandoned:
-	}
-}
-
-// recordFault counts a fault and opens the breaker after BreakerFaults in a row.
-func (d *DirectPlacer) recordFault(now time.Time, row *directRow) {
-	row.faults++
-	if row.faults < d.opt.BreakerFaults {
-		return
-	}
-	row.openUntil = now.Add(row.pause)
-	row.pause = min(2*row.pause, d.opt.BreakerMaxPause)
-}
-
-// Unreachable opens the breaker of an endpoint that didn't accept a connection.
-func (d *DirectPlacer) Unreachable(now time.Time, id string) {
-	row, ok := d.endpoints[id]
-	if !ok {
-		return
-	}
-	row.faults = max(row.faults, d.opt.BreakerFaults-1)
-	d.recordFault(now, row)
-}
-
-// observeServiceTime adds a measurement to the smoothed service time.
-func (r *directRow) observeServiceTime(took time.Duration) {
-	if took <= 0 {
-		return
-	}
-	if r.serviceTime == 0 {
-		r.serviceTime = took
-		return
-	}
-	r.serviceTime += (took - r.serviceTime) / 8
-}
-
-// Fault records a failure of an endpoint after Done has been called for its call.
-func (d *DirectPlacer) Fault(now time.Time, id string) {
-	if row, ok := d.endpoints[id]; ok {
-		d.recordFault(now, row)
-	}
-}
--- a/core/jksched/fleet_test.go
+++ b/core/jksched/fleet_test.go
@@ -47,8 +47,9 @@
 	direct     *DirectPlacer
 	reported   map[string]DirectLoad
 	reportedAt map[string]time.Time
-	// placed holds the endpoint and the prompt part of each turn since the last digest.
-	placed [][2]string
+	// placed holds the endpoint, the own and the shared prompt part of each turn since the last
+	// digest.
+	placed [][3]string
 }
 
 type modelEngine struct {
@@ -58,6 +59,10 @@
 	waiting []*modelRun
 	// cache holds the cached prompt parts, the least recently used first.
 	cache []Segment
+	// turns is the number of turns that were sent to the engine.
+	turns int
+	// sharedParts is the number of turns with each shared part.
+	sharedParts map[string]int
 }
 
 type modelRun struct {
@@ -128,6 +133,9 @@
 	aim   float64
 	// rate is the number of programs that arrive in a second.
 	rate func(t time.Duration) float64
+	// learned switches learned placement on. lostDigests is the share of digests that are lost.
+	learned     bool
+	lostDigests float64
 }
 
 // modelKind is a kind of program.
@@ -189,11 +197,11 @@
 func newFleetModel(site modelSite, seed uint64) *fleetModel {
 	m := &fleetModel{now: time.Unix(1000, 0), site: site, seed: seed, rand: rand.New(rand.NewPCG(seed, 1))}
 	for i := range site.engines {
-		m.engines = append(m.engines, &modelEngine{id: fmt.Sprintf("e%02d", i), zone: fmt.Sprint(i % site.zones)})
+		m.engines = append(m.engines, &modelEngine{id: fmt.Sprintf("e%02d", i), zone: fmt.Sprint(i % site.zones), sharedParts: map[string]int{}})
 	}
 	for i := range site.hosts {
 		opt := DefaultDirectOptions()
-		opt.Zone = fmt.Sprint(i % site.zones)
+		opt.Zone, opt.Learned = fmt.Sprint(i%site.zones), site.learned
 		opt.Delay = func(from, to string) time.Duration {
 			if from == to {
 				return 0
@@ -218,6 +226,9 @@
 			continue
 		}
 		sent++
+		if m.site.lostDigests > 0 && m.rand.Float64() < m.site.lostDigests {
+			continue
+		}
 		for id, l := range h.reported {
 			o.direct.MergeReport(m.now, id, l, m.now.Sub(h.reportedAt[id]))
 		}
@@ -354,18 +365,22 @@
 	}
 	e := m.engines[slices.IndexFunc(m.engines, func(e *modelEngine) bool { return e.id == p.Endpoint })]
 	if len(e.waiting) >= m.site.queue {
-		h.direct.Done(m.now, e.id, DirectRefused, 0)
+		h.direct.Finish(m.now, FinishedCall{Endpoint: e.id, Ticket: p.Ticket, Outcome: DirectRefused})
 		m.after(2*time.Millisecond, func() { m.send(h, c, rank, events, served, refused) })
 		return
 	}
 	m.turns++
-	h.placed = append(h.placed, [2]string{e.id, c.Prefix[1].Hash})
+	e.turns++
+	e.sharedParts[c.Prefix[0].Hash]++
+	h.placed = append(h.placed, [3]string{e.id, c.Prefix[1].Hash, c.Prefix[0].Hash})
 	r := &modelRun{host: h, call: c, start: m.now, rank: rank, events: events, uncached: p.UncachedTokens}
 	r.done = func() {
 		for range r.events - 1 {
-			h.direct.Progress(m.now, e.id, int64(m.site.tokensPerEvent), m.now.Sub(r.first)/time.Duration(r.events-1))
+			h.direct.ProgressOf(m.now, e.id, p.Ticket, int64(m.site.tokensPerEvent), m.now.Sub(r.first)/time.Duration(r.events-1))
 		}
-		h.direct.Done(m.now, e.id, DirectServed, m.now.Sub(r.start))
+		h.direct.Finish(m.now, FinishedCall{
+			Endpoint: e.id, Ticket: p.Ticket, Outcome: DirectServed, Took: m.now.Sub(r.start), Tokens: int64(r.events * m.site.tokensPerEvent),
+		})
 		served()
 	}
 	e.waiting = append(e.waiting, r)
--- a/core/jksched/message.go
+++ b/core/jksched/message.go
@@ -70,6 +70,11 @@
 	// Version limits a DirectPlacer to endpoints of this software version if VersionBound is set.
 	Version      string
 	VersionBound bool
+	// Route is the name of the route, and BodyBytes the size of the body. TokenLimit is the most
+	// tokens that the call may generate if MaxTokens is only likely; zero means unknown.
+	Route      string
+	BodyBytes  int64
+	TokenLimit int64
 }
 
 // Endpoint describes a back end: a model's engine or a plain service.
@@ -142,8 +147,25 @@
 	SendDelay time.Duration
 	// UncachedTokens is the number of prompt tokens that the endpoint is expected to read.
 	UncachedTokens int64
+	// Ticket identifies the call for ProgressOf and Finish; zero if its work wasn't predicted.
+	Ticket uint64
+	// PredictedRun is the predicted time from the start of the call to its end, and Reason why
+	// its endpoint was chosen. Both are set only for learned placement.
+	PredictedRun time.Duration
+	Reason       PlacementReason
 }
 
+// PlacementReason is what decided on the endpoint of a call.
+type PlacementReason string
+
+// Reasons of placements: the endpoint is expected to have a part of the prompt in its cache, or
+// was chosen by its load, or no endpoint with a closed breaker was left.
+const (
+	PlacedCached   PlacementReason = "cached"
+	PlacedBalanced PlacementReason = "balanced"
+	PlacedFallback PlacementReason = "fallback"
+)
+
 // Reason is the reason of a refusal or a command.
 type Reason string
 
--- a/core/jksched/predict.go
+++ b/core/jksched/predict.go
@@ -27,12 +27,20 @@
 // estimate moves towards the mean of the service, because an endpoint without recent
 // reports is rarely idle.
 func (d *DirectPlacer) occupancy(now time.Time, row *directRow) int {
-	others := d.otherHostCalls[row.endpoint.Service]
-	if age := now.Sub(row.loadAt); !row.loadAt.IsZero() && age < d.opt.MaxLoadAge {
+	return row.ownCalls + int(d.otherCalls(row, d.otherHostCalls[row.endpoint.Service], now.Sub(row.loadAt))+0.5)
+}
+
+// otherCalls estimates the number of calls of other hosts at the endpoint; others is the mean of
+// the service, and age that of the endpoint's load report.
+func (d *DirectPlacer) otherCalls(row *directRow, others float64, age time.Duration) float64 {
+	if !row.loadAt.IsZero() && age < d.opt.MaxLoadAge {
 		fresh := 1 - float64(age)/float64(d.opt.MaxLoadAge)
+		if d.opt.Learned && row.endpoint.Kind == KindService {
+			fresh = d.freshness(row, age)
+		}
 		others += (reportedOtherHostCalls(row) - others) * fresh
 	}
-	return row.ownCalls + int(others+0.5)
+	return others
 }
 
 // reportedOtherHostCalls returns the number of calls of other hosts in the last report.
@@ -45,7 +53,8 @@
 func (d *DirectPlacer) updateOtherHostCalls(now time.Time, service string) {
 	sum, n := 0.0, 0
 	for _, row := range d.services[service] {
-		if !row.loadAt.IsZero() && now.Sub(row.loadAt) < d.opt.MaxLoadAge {
+		row.loadAge = now.Sub(row.loadAt)
+		if !row.loadAt.IsZero() && row.loadAge < d.opt.MaxLoadAge {
 			// Bounded by the slots, because the queue of a full endpoint says little
 			// about the other endpoints.
 			sum += min(reportedOtherHostCalls(row), float64(d.slots(row)))
@@ -91,6 +100,9 @@
 	if usual == 0 {
 		usual = 1
 	}
+	if row.recentPace == 0 && (row.load.Pace == 0 || row.load.Pace == 1) {
+		return usual
+	}
 	pace, at := row.recentPace, row.recentPaceAt
 	if row.load.Pace > 0 && row.loadAt.After(at) {
 		pace, at = usual*row.load.Pace, row.loadAt
@@ -127,6 +139,9 @@
 
 // runTime predicts how long the call runs on the endpoint once it has a slot.
 func (d *DirectPlacer) runTime(now time.Time, c Call, row *directRow) time.Duration {
+	if d.opt.Learned {
+		return d.outlookOf(now, c, row).run
+	}
 	if c.Kind == KindService {
 		return time.Duration(float64(d.serviceTime(row)) * d.pace(now, row))
 	}
@@ -142,6 +157,9 @@
 
 // serviceTime returns the mean time of a call of a plain service, or the default.
 func (d *DirectPlacer) serviceTime(row *directRow) time.Duration {
+	if d.opt.Learned {
+		return time.Duration(d.serviceWork)
+	}
 	if row.serviceTime > 0 {
 		return row.serviceTime
 	}
@@ -150,6 +168,9 @@
 
 // predictedWait returns the predicted time until a slot is free.
 func (d *DirectPlacer) predictedWait(now time.Time, c Call, row *directRow) time.Duration {
+	if d.opt.Learned {
+		return d.outlookOf(now, c, row).wait
+	}
 	over := d.occupancy(now, row) - d.slots(row) + 1
 	if over <= 0 {
 		return 0
@@ -161,7 +182,11 @@
 // if it has room now.
 func (d *DirectPlacer) queueRetryAfter(now time.Time, row *directRow) time.Duration {
 	slots := d.slots(row)
-	over := d.occupancy(now, row) - int(float64(slots)*(1+d.opt.QueuePerSlot))
+	occupied := int(row.outlook.calls + 0.5)
+	if !d.opt.Learned {
+		occupied = d.occupancy(now, row)
+	}
+	over := occupied - int(float64(slots)*(1+d.opt.QueuePerSlot))
 	if over < 0 {
 		return 0
 	}
@@ -175,6 +200,10 @@
 // cost predicts the latency of the call on the endpoint, plus the delay that it causes to
 // the calls running there.
 func (d *DirectPlacer) cost(now time.Time, c Call, row *directRow) time.Duration {
+	if d.opt.Learned {
+		o := d.outlookOf(now, c, row)
+		return o.wait + o.run + o.caused + d.wayCost(c, row)
+	}
 	cost := d.predictedWait(now, c, row) + d.runTime(now, c, row)
 	occupied := d.occupancy(now, row)
 	if c.Kind == KindModel {
@@ -186,6 +215,12 @@
 		// at the same time.
 		cost += d.serviceTime(row) * time.Duration(occupied) / time.Duration(4*d.slots(row))
 	}
+	return cost + d.wayCost(c, row)
+}
+
+// wayCost returns the part of a call's cost that doesn't depend on the work of the endpoint.
+func (d *DirectPlacer) wayCost(c Call, row *directRow) time.Duration {
+	cost := time.Duration(0)
 	if d.opt.Delay != nil {
 		cost += 2 * d.opt.Delay(d.opt.Zone, row.endpoint.Zone)
 	}
@@ -212,7 +247,10 @@
 // their choices are spread. Calls of one program get the same jitter on all hosts.
 func (d *DirectPlacer) jitter(c Call, row *directRow) time.Duration {
 	usual := d.opt.ServiceTime
-	if c.Kind == KindModel {
+	switch {
+	case d.opt.Learned:
+		usual = time.Duration(d.serviceWork)
+	case c.Kind == KindModel:
 		usual = time.Duration(row.engine.outputTokens()) * row.engine.tokenPace()
 	}
 	span := minJitter + time.Duration(float64(usual)*d.utilization*jitterShare)
@@ -226,6 +264,10 @@
 	if c.Kind != KindModel {
 		return
 	}
+	if d.opt.Learned {
+		d.markCached(c)
+		return
+	}
 	if len(c.Prefix) > 1 {
 		for _, row := range d.preferredEndpoints(c.Service, c.Prefix[0].Hash) {
 			row.preferredFor = d.placed
@@ -273,6 +315,13 @@
 // preferredEndpoints returns the endpoints on which all hosts expect a shared part to be
 // cached.
 func (d *DirectPlacer) preferredEndpoints(service, part string) []*directRow {
+	ranked := d.rankedFor(service, part)
+	share := idlePreferredShare + (fullPreferredShare-idlePreferredShare)*d.utilization
+	return ranked[:min(len(ranked), max(minPreferred, int(float64(len(ranked))*share)))]
+}
+
+// rankedFor returns the live endpoints of a service in the order in which they hold a part.
+func (d *DirectPlacer) rankedFor(service, part string) []*directRow {
 	ranked, known := d.rankedEndpoints[part]
 	if !known {
 		if len(d.rankedEndpoints) >= maxRankedParts {
@@ -281,8 +330,7 @@
 		ranked = d.rankEndpoints(service, part)
 		d.rankedEndpoints[part] = ranked
 	}
-	share := idlePreferredShare + (fullPreferredShare-idlePreferredShare)*d.utilization
-	return ranked[:min(len(ranked), max(minPreferred, int(float64(len(ranked))*share)))]
+	return ranked
 }
 
 // primaryEndpoint returns the endpoint on which all hosts expect a program's own prompt
