jksched: assign endpoints to shared prompt parts by demand

A quarter to a half of a service's endpoints held each shared part, chosen by hash: with six parts, some of 48 engines got no call, and the busiest one far more than the mean.

With DirectOptions.Learned, the number of holders of a part follows its learned share of the calls and the engines' cache, and holders are assigned so that engines expect equal load. Hosts count each other's calls with a part by digests.

--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -49,7 +49,8 @@
 	MaxSendDelay time.Duration
 	// MaxParts bounds the number of prompt parts whose holders are tracked.
 	MaxParts int
-	// Learned is set to place calls by their learned costs.
+	// Learned is set to place calls by their learned costs and the learned demand for shared
+	// prompt parts.
 	Learned bool
 }
 
@@ -124,9 +125,12 @@
 	placed uint64
 
 	// The fields below are used only if opt.Learned is set. costs holds the learned costs of
-	// calls, and expected what is expected of the call that is being placed.
-	costs    *costModel
-	expected expectedCall
+	// calls, demands the demand for shared parts by service, and cacheTokens the cache of an
+	// engine by service. expected is what is expected of the call that is being placed.
+	costs       *costModel
+	demands     map[string]*partDemand
+	cacheTokens map[string]int64
+	expected    expectedCall
 	// serviceWork and meanOthers are the mean work of a call of its service, and the mean number of
 	// calls of other hosts at an endpoint. isFallback is set if no endpoint with a closed breaker
 	// was left for it.
@@ -194,6 +198,8 @@
 		rankedEndpoints:  map[string][]*directRow{},
 		returnAt:         map[string]time.Time{},
 		costs:            newCostModel(),
+		demands:          map[string]*partDemand{},
+		cacheTokens:      map[string]int64{},
 	}
 }
 
@@ -202,14 +208,14 @@
 	e.Slots = min(e.Slots, MaxSlots)
 	row, ok := d.endpoints[e.ID]
 	if !ok || row.endpoint.Service != e.Service || row.endpoint.State != e.State || row.endpoint.Zone != e.Zone {
-		d.endpointsChanged()
+		d.endpointsChanged(e.Service)
 	}
 	if !ok {
 		row = &directRow{idHash: xxhash.Sum64String(e.ID), pause: d.opt.BreakerPause}
 		d.endpoints[e.ID] = row
 	} else if row.endpoint.Service != e.Service {
 		d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
-		d.endpointsChanged()
+		d.endpointsChanged(row.endpoint.Service)
 		ok = false
 	}
 	row.endpoint, row.engine = e, d.enginePace(e.Service)
@@ -225,15 +231,18 @@
 	if !ok {
 		return
 	}
-	d.endpointsChanged()
+	d.endpointsChanged(row.endpoint.Service)
 	row.endpoint.State = StateDown
 	delete(d.endpoints, id)
 	d.services[row.endpoint.Service] = withoutRow(d.services[row.endpoint.Service], row)
 }
 
-// endpointsChanged discards what was derived from the live endpoints.
-func (d *DirectPlacer) endpointsChanged() {
+// endpointsChanged discards what was derived from the live endpoints of a service.
+func (d *DirectPlacer) endpointsChanged(service string) {
 	clear(d.rankedEndpoints)
+	if demand := d.demands[service]; demand != nil {
+		demand.stale = true
+	}
 }
 
 func withoutRow(rows []*directRow, row *directRow) []*directRow {
@@ -344,7 +353,7 @@
 	d.updateOtherHostCalls(now, c.Service)
 	d.utilization = d.serviceUtilization(c.Service)
 	d.programHash = xxhash.Sum64String(c.Program)
-	d.expectCall(c)
+	d.expectCall(now, c)
 	d.primary = d.primaryEndpoint(c)
 	d.markPreferred(c)
 	best, cost := (*directRow)(nil), time.Duration(math.MaxInt64)
--- a/core/jksched/fleet_test.go
+++ b/core/jksched/fleet_test.go
@@ -209,6 +209,7 @@
 			return site.delay
 		}
 		h := &modelHost{zone: opt.Zone, direct: NewDirectPlacer(opt), reported: map[string]DirectLoad{}, reportedAt: map[string]time.Time{}}
+		h.direct.SetCacheTokens("llm", site.memory)
 		for _, e := range m.engines {
 			h.direct.SetEndpoint(Endpoint{ID: e.id, Zone: e.zone, Kind: KindModel, Service: "llm", Slots: site.slots, State: StateLive})
 		}
@@ -237,6 +238,7 @@
 		if o != h && o.zone == h.zone {
 			for _, p := range h.placed {
 				o.direct.MergeHolder(p[0], p[1])
+				o.direct.MergeDemand("llm", Segment{Hash: p[2], Tokens: m.site.sharedTokens}, 1)
 			}
 		}
 	}
--- a/core/jksched/outlook.go
+++ b/core/jksched/outlook.go
@@ -59,10 +59,11 @@
 
 // expectCall predicts the work of the call that is being placed. Without learned placement it
 // does nothing.
-func (d *DirectPlacer) expectCall(c Call) {
+func (d *DirectPlacer) expectCall(now time.Time, c Call) {
 	if !d.opt.Learned {
 		return
 	}
+	d.updateHolders(now, c.Service)
 	d.meanOthers = d.otherHostCalls[c.Service]
 	keys := costKeysOf(c)
 	d.expected = expectedCall{keys: keys}
@@ -187,6 +188,9 @@
 	default:
 		p.Reason = PlacedBalanced
 	}
+	if c.Kind == KindModel {
+		d.observeDemand(c)
+	}
 	row.calls = append(row.calls, ownCall{
 		ticket: d.lastTicket, keys: d.expected.keys, work: d.expected.work, tokens: d.expected.tokens, uncached: float64(row.uncached),
 		hint: d.hint(c), startsAt: now.Add(p.SendDelay + o.wait), waits: o.wait > 0, predicted: p.SendDelay + o.wait + o.run + d.wayTime(row),
--- a/core/jksched/outlook_test.go
+++ b/core/jksched/outlook_test.go
@@ -16,6 +16,7 @@
 	for i := range n {
 		d.SetEndpoint(Endpoint{ID: fmt.Sprintf("e%03d", i), Zone: fmt.Sprint(i % 4), Kind: KindModel, Service: "llm", Slots: 8, State: StateLive})
 	}
+	d.SetCacheTokens("llm", 240000)
 	return d
 }
 
@@ -126,6 +127,7 @@
 						d.SetEndpoint(e)
 						d.Report(start, id, DirectLoad{Running: i % 8, Slots: 8, Pace: 1})
 					}
+					feedDemand(d, 1, 100, 2000)
 					calls := make([]Call, 3200)
 					for i := range calls {
 						calls[i] = turnCall(fmt.Sprint(i))
--- a/core/jksched/predict.go
+++ b/core/jksched/predict.go
@@ -316,6 +316,9 @@
 // cached.
 func (d *DirectPlacer) preferredEndpoints(service, part string) []*directRow {
 	ranked := d.rankedFor(service, part)
+	if holders, ok := d.assignedHolders(service, part, ranked); ok {
+		return holders
+	}
 	share := idlePreferredShare + (fullPreferredShare-idlePreferredShare)*d.utilization
 	return ranked[:min(len(ranked), max(minPreferred, int(float64(len(ranked))*share)))]
 }
