jkforward: place by learned cost where the settings ask for it

The placer could learn, but no entry told it a call's route, workspace, body and output, the cache of engines, or other entries' demand for shared parts.

Entries with LearnedPlacement pass them on. New metrics: jk_placements_total by reason and jk_placement_actual_over_predicted by kind.

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -71,7 +71,7 @@
 		members: newMembers(timer), endpoints: map[string]EndpointState{}, stop: jkforward.NewHostStop(), callers: newCallerConns(),
 	}
 	opt := jksched.DefaultDirectOptions()
-	opt.Zone = s.Zone
+	opt.Zone, opt.Learned = s.Zone, s.LearnedPlacement
 	opt.Delay = assumedDelay
 	e.fleet = jkforward.NewFleet(s.Host, opt, timer)
 	e.zones = jkforward.NewZoneWatch(e.fleet, timer, log.Part("forward"))
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -110,6 +110,10 @@
 		ID: c.info.Request, Program: c.affinityKey(), Kind: jksched.KindService, Service: c.service.Name(),
 		Model: c.info.Model, Deadline: c.deadline, Repeatable: c.route.Repeatable(), Version: c.version, VersionBound: c.versionBound,
 	}
+	out.Route, out.BodyBytes = c.route.Name(), int64(len(c.body))
+	if c.workspace != nil {
+		out.Workspace = c.workspace.Name()
+	}
 	if !c.service.Model() {
 		return out
 	}
@@ -121,6 +125,7 @@
 	}
 	out.MaxTokens = c.info.MaxTokens
 	if c.info.LikelyTokens > 0 {
+		out.TokenLimit = c.info.MaxTokens
 		out.MaxTokens = min(c.info.LikelyTokens, max(c.info.MaxTokens, 1))
 	}
 	return out
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -42,6 +42,10 @@
 	confirmRegistry func(ctx context.Context) bool
 	// recentPlacements holds the latest placements since the last digest.
 	recentPlacements []placement
+	// recentDemand holds the shared parts of the calls placed since the last digest, and isLearned
+	// is set if they count.
+	recentDemand []demandEntry
+	isLearned    bool
 }
 
 // reportedLoad is an endpoint's load report and the time of its arrival.
@@ -53,7 +57,7 @@
 // NewFleet returns a fleet without endpoints for the host with the given name.
 func NewFleet(host string, opt jksched.DirectOptions, timer *jktimer.Service) *Fleet {
 	return &Fleet{
-		self:    Host{Name: host, Zone: opt.Zone},
+		self: Host{Name: host, Zone: opt.Zone}, isLearned: opt.Learned,
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
 		inFlight: map[string]map[*call]tracked{}, cutOffZones: map[string]bool{}, heardAt: map[string]time.Time{},
@@ -162,8 +166,12 @@
 		f.recentPlacements = append(f.recentPlacements, placement{Endpoint: p.Endpoint, Part: c.Prefix[n-1].Hash})
 		f.recentPlacements = f.recentPlacements[max(0, len(f.recentPlacements)-maxDigestPlacements):]
 	}
+	f.recordDemand(c)
 	e, _ := f.direct.Endpoint(p.Endpoint)
-	return target{id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, born: f.bornOf(p.Endpoint), delay: p.SendDelay, uncached: p.UncachedTokens}, nil
+	return target{
+		id: p.Endpoint, zone: e.Zone, addr: f.addrs[p.Endpoint], version: e.Version, born: f.bornOf(p.Endpoint), delay: p.SendDelay,
+		uncached: p.UncachedTokens, ticket: p.Ticket, reason: p.Reason,
+	}, nil
 }
 
 // peek returns the endpoint that place would choose, if there is one.
@@ -194,6 +202,9 @@
 	uncached int64
 	// givenUp is set if the request was given up at the endpoint before.
 	givenUp bool
+	// ticket and reason are those of the placement; they are empty without learned placement.
+	ticket uint64
+	reason jksched.PlacementReason
 }
 
 // leftReusePeriod is the time in which an endpoint that has begun to leave, or whose entry was removed, still takes a
@@ -210,7 +221,7 @@
 	e, known := f.direct.Endpoint(last.id)
 	switch {
 	case !known && mayReturn:
-		last.delay = 0
+		last.delay, last.ticket, last.reason = 0, 0, ""
 		return last, nil
 	case !known:
 		return target{}, nil
@@ -258,11 +269,11 @@
 	return f.direct.IsCrowded(f.timer.Now(), id)
 }
 
-func (f *Fleet) progress(id string, tokens int64, took time.Duration) {
+func (f *Fleet) progress(id string, ticket uint64, tokens int64, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteHeard(id)
-	f.direct.Progress(f.timer.Now(), id, tokens, took)
+	f.direct.ProgressOf(f.timer.Now(), id, ticket, tokens, took)
 }
 
 // firstEvent reports how long the first event of a call took, and the load that the endpoint
@@ -274,13 +285,15 @@
 	f.direct.FirstEvent(id, uncached, took, l)
 }
 
-func (f *Fleet) done(id string, outcome jksched.DirectOutcome, took time.Duration) {
+// done ends a call. It returns the time that the call took relative to the predicted one, if that
+// is known.
+func (f *Fleet) done(call jksched.FinishedCall) (ratio float64, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if outcome == jksched.DirectServed || outcome == jksched.DirectRefused {
-		f.noteHeard(id)
+	if call.Outcome == jksched.DirectServed || call.Outcome == jksched.DirectRefused {
+		f.noteHeard(call.Endpoint)
 	}
-	f.direct.Done(f.timer.Now(), id, outcome, took)
+	return f.direct.Finish(f.timer.Now(), call)
 }
 
 func (f *Fleet) unreachable(id string) {
--- a/core/jkforward/metrics.go
+++ b/core/jkforward/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+
+	"jasmineknot.example/core/jksched"
 )
 
 // Metrics counts the requests of callers and the attempts at endpoints.
@@ -40,6 +42,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// countPlacement counts a call that was placed by its learned cost by the reason for its endpoint.
+func (m *Metrics) countPlacement(reason jksched.PlacementReason) {
+	if reason != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`jk_placements_total{reason=%q}`, string(reason))).Inc()
+	}
+}
+
+// observePrediction adds the time that a call took relative to the predicted one.
+func (m *Metrics) observePrediction(kind jksched.Kind, ratio float64) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`jk_placement_actual_over_predicted{kind=%q}`, string(kind))).Update(ratio)
+}
+
 // countTooLong counts an abandoned response by the part that exceeds its bound.
 func (m *Metrics) countTooLong(part string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jk_answers_too_long_total{part=%q}`, part)).Inc()
--- a/core/jkforward/send.go
+++ b/core/jkforward/send.go
@@ -71,6 +71,7 @@
 			return h.placementRefusal(c, err)
 		}
 		c.last, c.uncached = to, to.uncached
+		h.Metrics.countPlacement(to.reason)
 		outcome := outcomeNotSent
 		if h.awaitPlace(c, to) {
 			outcome = h.attempt(c, to.id, to.addr, min(left, c.deadline.Sub(h.Timer.Now())))
@@ -219,7 +220,7 @@
 	if h.Timer.Wait(to.delay, c.request.Context().Done()) && h.Fleet.takesCalls(to) {
 		return true
 	}
-	h.Fleet.done(to.id, jksched.DirectAbandoned, 0)
+	h.endCall(c, to.id, jksched.DirectAbandoned, 0)
 	return false
 }
 
@@ -282,7 +283,7 @@
 		h.Log.Info("endpoint said something new", "endpoint", id, "limit_per_second", respInfo.Limit, "leaving", respInfo.Leaving, "request", c.info.Request)
 	}
 	outcome := h.forwardResponse(ctx, c, resp, respInfo)
-	h.Fleet.done(id, h.endpointOutcome(c, ctx, outcome), h.Timer.Now().Sub(began))
+	h.endCall(c, id, h.endpointOutcome(c, ctx, outcome), h.Timer.Now().Sub(began))
 	if outcome == outcomeRefused && !c.isTiedTo(id) {
 		c.excluded = append(c.excluded, id)
 	}
@@ -327,7 +328,7 @@
 func (h *Handler) handleSendError(c *call, ctx context.Context, id string, err error) attemptOutcome {
 	var notSent *jkupstream.NotSentError
 	callerLeft := c.request.Context().Err() != nil
-	h.Fleet.done(id, jksched.DirectAbandoned, 0)
+	h.endCall(c, id, jksched.DirectAbandoned, 0)
 	if errors.As(err, &notSent) {
 		if callerLeft {
 			return outcomeCallerLeft
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -95,7 +95,7 @@
 		h.Fleet.firstEvent(c.last.id, c.uncached, now.Sub(c.sentAt), *c.reportedLoad)
 	}
 	if !last.IsZero() {
-		h.Fleet.progress(c.last.id, c.service.EventTokens(), now.Sub(last))
+		h.Fleet.progress(c.last.id, c.last.ticket, c.service.EventTokens(), now.Sub(last))
 	}
 	return now
 }
--- a/core/jkruleset/ruleset.go
+++ b/core/jkruleset/ruleset.go
@@ -186,6 +186,9 @@
 // EventTokens returns the number of tokens in each event of a stream.
 func (s *Service) EventTokens() int64 { return s.config.EventTokens }
 
+// CacheTokens returns the size of a model engine's cache in tokens; zero means unknown.
+func (s *Service) CacheTokens() int64 { return s.config.CacheTokens }
+
 // Limits bounds the size of a caller's requests, the time until their header has been
 // received, and the idle time of a connection.
 type Limits struct {
