--- a/core/jkentry/apply.go
+++ b/core/jkentry/apply.go
@@ -74,7 +74,9 @@
 		e.log.Info("rules ignored, version isn't newer", "version", next.Version(), "in_force", now.Version(), "revision", item.Revision, "via", item.Via)
 		return
 	}
-	e.fleet.SetServices(next)
+	if e.settings.LearnedPlacement {
+		e.fleet.SetServices(next)
+	}
 	e.rules.Store(next)
 	e.log.Info("rules in force", "version", next.Version(), "routes", next.RouteCount(), "revision", item.Revision, "via", item.Via,
 		"silence_ms", item.Silence.Milliseconds())
