--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -92,10 +92,10 @@
 	versionBound bool
 
 	// beginsProgram is set for a turn that begins a program, tracked once its program has been told
-	// of the turn, and outlook is what was predicted for it then.
+	// of the turn, and prediction is what was predicted for it then.
 	beginsProgram bool
 	tracked       bool
-	outlook       jksched.Outlook
+	prediction    jksched.Prediction
 
 	// reservation is the name of the reservation in the program's budget, and reservedTokens the
 	// number of its tokens.
@@ -132,6 +132,10 @@
 		ID: c.info.Request, Program: c.affinityKey(), Kind: jksched.KindService, Service: c.service.Name(),
 		Model: c.info.Model, Deadline: c.deadline, Repeatable: c.route.Repeatable(), Version: c.version, VersionBound: c.versionBound,
 	}
+	out.Route, out.BodyBytes = c.route.Name(), int64(len(c.body))
+	if c.workspace != nil {
+		out.Workspace = c.workspace.Name()
+	}
 	if !c.service.Model() {
 		return out
 	}
@@ -143,6 +147,7 @@
 	}
 	out.MaxTokens = c.info.MaxTokens
 	if c.info.LikelyTokens > 0 {
+		out.TokenLimit = c.info.MaxTokens
 		out.MaxTokens = min(c.info.LikelyTokens, max(c.info.MaxTokens, 1))
 	}
 	return out
--- a/core/jkforward/program.go
+++ b/core/jkforward/program.go
@@ -46,12 +46,12 @@
 		return nil
 	}
 	c.beginsProgram = true
-	outlook, err := h.Fleet.outlook(c.schedulerCall())
+	predicted, err := h.Fleet.predict(c.schedulerCall())
 	if err != nil {
 		// The same reason will refuse the turn when it is placed, unless it has passed by then.
 		return nil
 	}
-	decision := h.Programs.decide(c, outlook)
+	decision := h.Programs.decide(c, predicted)
 	if decision.Admitted {
 		h.Programs.admitted.Inc()
 		return nil
@@ -84,7 +84,7 @@
 	return true
 }
 
-func (p *ProgramAdmission) decide(c *call, o jksched.Outlook) jkadmission.Decision {
+func (p *ProgramAdmission) decide(c *call, o jksched.Prediction) jkadmission.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.controller.Decide(p.timer.Now(), c.admissionRequest(), admissionOutlook(o))
@@ -100,16 +100,16 @@
 	return r
 }
 
-func admissionOutlook(o jksched.Outlook) jkadmission.Outlook {
+func admissionOutlook(o jksched.Prediction) jkadmission.Outlook {
 	return jkadmission.Outlook{Wait: o.Wait, Run: o.Run, Alone: o.Alone}
 }
 
 // begin records that a turn is sent to an endpoint.
-func (p *ProgramAdmission) begin(c *call, o jksched.Outlook) {
+func (p *ProgramAdmission) begin(c *call, o jksched.Prediction) {
 	if p == nil || c.tracked || !c.hasStatedTime() {
 		return
 	}
-	c.tracked, c.outlook = true, o
+	c.tracked, c.prediction = true, o
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.controller.Begin(p.timer.Now(), c.programKey(), c.beginsProgram, c.admissionRequest(), admissionOutlook(o))
@@ -135,13 +135,13 @@
 
 // firstEvent records how long a turn waited, from the time that its first event took.
 func (p *ProgramAdmission) firstEvent(c *call, took time.Duration) {
-	if p == nil || !c.tracked || c.outlook.Alone == 0 {
+	if p == nil || !c.tracked || c.prediction.Alone == 0 {
 		return
 	}
 	output := max(c.schedulerCall().MaxTokens, 1)
 	firstTokens := min(max(c.service.EventTokens(), 1), output)
-	alone := c.outlook.Prefill + (c.outlook.Alone-c.outlook.Prefill)*time.Duration(firstTokens)/time.Duration(output)
+	alone := c.prediction.Prefill + (c.prediction.Alone-c.prediction.Prefill)*time.Duration(firstTokens)/time.Duration(output)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.controller.Waited(p.timer.Now(), c.route.Name(), c.outlook.Wait, took-alone)
+	p.controller.Waited(p.timer.Now(), c.route.Name(), c.prediction.Wait, took-alone)
 }
