jkquota: complete a refusal before its caller sees it

New checks: late answers of quota_pull, and issuers that have just been silent; both were seen red with the decision switched off.

--- a/core/jkquota/next.go
+++ b/core/jkquota/next.go
@@ -146,9 +146,10 @@
 	r.dropDecided()
 }
 
+// refuse decides a request. What the refusal says is complete before its caller sees it.
 func (w *Wallet) refuse(now time.Time, a *Waiter, why *Refusal) {
 	a.Refusal = why
-	close(a.done)
+	defer close(a.done)
 	switch {
 	case why.Unknown:
 		w.unknown.Add(1)
--- a/core/jkquota/wallet_test.go
+++ b/core/jkquota/wallet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -241,6 +242,9 @@
 	if a.Refusal == nil || !a.Refusal.Unknown || !a.Refusal.Starts {
 		t.Errorf("%+v, want a refusal with an unknown cap", a.Refusal)
 	}
+	if a, q := w.Take(now, testCap(10, 10), false); q != nil || a.Refusal == nil || !a.Refusal.Unknown {
+		t.Error("issuers that have just been silent are asked again")
+	}
 	now = now.Add(silencePeriod)
 	a, q = w.Take(now, testCap(10, 10), false)
 	for ; q != nil; q = w.Answer(now, q, Answer{Retry: time.Second, RetryFirst: time.Second}) {
@@ -254,6 +258,50 @@
 	}
 }
 
+// Guards against permits that count twice, or that come from before a pause, when a holder collects
+// them from another issuer.
+func TestHolderCollectsPermitsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := Request{Workspace: "w", Version: 1, Rate: 16, Burst: 16, Count: 100}
+	hosts := []Host{{Name: "a1", Zone: "a"}, {Name: "a2", Zone: "a"}, {Name: "a3", Zone: "a"}}
+	chosen := holders(hosts, q.Workspace, q.Rate, q.Burst)
+	if len(chosen) != 2 {
+		t.Fatalf("holders are %v, want 2", chosen)
+	}
+	holder := NewIssuer(now, chosen[0].Name)
+	other := NewIssuer(now, hosts[slices.IndexFunc(hosts, func(h Host) bool { return !slices.Contains(chosen, h) })].Name)
+	holder.SetIssuers(now, hosts)
+	other.SetIssuers(now, hosts)
+	pull := func(late time.Duration) (moved float64) {
+		holder.Take(now, q)
+		for _, p := range holder.Pulls(now) {
+			a := other.Give(now, p.Request)
+			moved += a.Moved[0]
+			now = now.Add(late)
+			before := holder.rows["w"].level
+			holder.rows["w"].advance(now, holder.share(holder.rows["w"], "w"))
+			filled := holder.rows["w"].level - before
+			holder.Collect(now, p, a)
+			if got := holder.rows["w"].level - before - filled; late > 0 && got != 0 || late == 0 && got != a.Moved[0] {
+				t.Errorf("%.3f of %.3f permits came %v later", got, a.Moved[0], late)
+			}
+		}
+		return moved
+	}
+	pull(0)
+	now = now.Add(PullInterval)
+	if moved := pull(0); moved < 0.6 || moved > 16.0/3*PullInterval.Seconds() {
+		t.Errorf("%.3f permits collected, want those of one interval", moved)
+	}
+	if moved := pull(0); moved != 0 {
+		t.Errorf("%.3f permits collected twice", moved)
+	}
+	now = now.Add(PullInterval)
+	if moved := pull(QuestionTimeout + time.Millisecond); moved == 0 {
+		t.Error("no late permits")
+	}
+}
+
 // Guards against callers that all come back at the same moment.
 func TestRetryTimesAreSpread(t *testing.T) {
 	now := time.Unix(1000, 0)
