jkquota: let a window be used in larger pieces

Buckets get further levels with larger capacities that fill more slowly, so that each keeps the same window. A new bucket has what it would have collected since the issuer began to issue; it was empty, so that the first requests of each workspace were refused.

--- a/core/jkforward/permit.go
+++ b/core/jkforward/permit.go
@@ -21,7 +21,7 @@
 	}
 	ctx, cancel := h.admissionContext(c)
 	defer cancel()
-	release, err := h.Quota.Take(ctx, c.workspace, c.rulesVersion, c.isFirstTurn())
+	release, err := h.Quota.Take(ctx, c.workspace, c.rulesVersion, c.isFirstTurn() || c.beginsProgram)
 	if err == nil {
 		c.release = release
 		return nil
--- a/core/jkquota/bucket.go
+++ b/core/jkquota/bucket.go
@@ -1,6 +1,9 @@
 package jkquota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // spareValidity is how long a spare permit may be used after it was asked for.
 const spareValidity = 300 * time.Millisecond
@@ -20,10 +23,13 @@
 type bucket struct {
 	version     int64
 	rate, burst float64
-	level       float64
-	// filledAt is the time up to which the level is filled, and fullAt when the bucket last was
-	// full, which a new one counts as.
-	filledAt, fullAt time.Time
+	// levels are those of the bucket and of larger ones that fill more slowly. Each permit is taken
+	// from all of them, and granted if one of them has it.
+	levels [levelCount]float64
+	// filledAt is the time up to which the levels are filled, and fullAt when each last was full,
+	// which a new one counts as.
+	filledAt time.Time
+	fullAt   [levelCount]time.Time
 	// spares are the granted spare permits that may still be used, ordered by time.
 	spares     []spareGrant
 	unmetUntil time.Time
@@ -51,31 +57,52 @@
 }
 
 func (b *bucket) fill(to time.Time, s share, outstanding int) {
-	limit := max(s.capacity-float64(outstanding), 0)
+	elapsed := max(to.Sub(b.filledAt).Seconds(), 0)
 	if to.After(b.filledAt) {
-		b.level += s.rate * to.Sub(b.filledAt).Seconds()
 		b.filledAt = to
 	}
-	if b.level >= limit {
-		b.level = limit
-		b.fullAt = b.filledAt
+	for n := range b.levels {
+		b.levels[n] += s.rate * s.pace(n) * elapsed
+		// What was granted longer than a window ago doesn't matter any more.
+		b.levels[n] = max(b.levels[n], -s.inflow*window.Seconds())
+		if limit := max(s.capacity+s.extra(n)-float64(outstanding), 0); b.levels[n] >= limit {
+			b.levels[n] = limit
+			b.fullAt[n] = b.filledAt
+		}
 	}
 }
 
-// takeBack adds permits that weren't used. If the bucket was full since they were granted, it
-// would have lost them if they hadn't been granted.
-func (b *bucket) takeBack(s share, n int, grantedAt time.Time) {
-	if n > 0 && !b.fullAt.After(grantedAt) {
-		b.add(float64(n), s)
+// takeBack adds permits that weren't used. A level that was full since they were granted would have
+// lost them if they hadn't been granted.
+func (b *bucket) takeBack(s share, count int, grantedAt time.Time) {
+	for n := range b.levels {
+		if !b.fullAt[n].After(grantedAt) {
+			b.levels[n] += float64(max(count, 0))
+		}
 	}
+	b.fill(b.filledAt, s, b.outstanding())
 }
 
-// add adds to the level up to the capacity.
-func (b *bucket) add(n float64, s share) {
-	b.level += n
+// add adds permits that others have collected, up to the capacity.
+func (b *bucket) add(count float64, s share) {
+	for n := range b.levels {
+		b.levels[n] += count * s.pace(n)
+	}
 	b.fill(b.filledAt, s, b.outstanding())
 }
 
+// room returns how many permits of others the bucket can take.
+func (b *bucket) room(s share) float64 {
+	return s.capacity - b.levels[0] - float64(b.outstanding())
+}
+
+// removeAll removes permits from all levels.
+func (b *bucket) removeAll(count float64) {
+	for n := range b.levels {
+		b.levels[n] -= count
+	}
+}
+
 // outstanding returns the spare permits that may still be used.
 func (b *bucket) outstanding() int {
 	n := 0
@@ -85,35 +112,46 @@
 	return n
 }
 
-// take removes up to n permits from the level above a reserve.
-func (b *bucket) take(n int, reserve float64) int {
-	n = min(n, int(b.level-reserve+levelTolerance))
+// available is the number of permits for requests that aren't first turns.
+func (b *bucket) available() float64 { return slices.Max(b.levels[:]) }
+
+// availableFirst is the number of permits for first turns.
+func (b *bucket) availableFirst(s share) float64 {
+	most := b.levels[0] - s.reserve(0)
+	for n := 1; n < levelCount; n++ {
+		most = max(most, b.levels[n]-s.reserve(n))
+	}
+	return most
+}
+
+// take removes up to n of the available permits from all levels.
+func (b *bucket) take(n int, available float64) int {
+	n = min(n, int(available+levelTolerance))
 	if n <= 0 {
 		return 0
 	}
-	b.level -= float64(n)
+	b.removeAll(float64(n))
 	return n
 }
 
 // grant answers a request.
 func (b *bucket) grant(now time.Time, s share, r Request) Answer {
 	var a Answer
-	a.Granted = b.take(r.Count, 0)
+	a.Granted = b.take(r.Count, b.available())
 	if a.Granted < r.Count {
 		b.unmetUntil = now.Add(unmetPeriod)
 	}
-	reserve := firstReserve(s.capacity)
 	if !now.Before(b.unmetUntil) {
-		a.GrantedFirst = b.take(r.First, reserve)
+		a.GrantedFirst = b.take(r.First, b.availableFirst(s))
 	}
 	if a.Granted < r.Count {
-		a.Retry = b.retry(s, 0)
+		a.Retry = b.retry(s)
 	}
 	if a.GrantedFirst < r.First {
-		a.RetryFirst = max(b.retry(s, reserve), b.unmetUntil.Sub(now))
+		a.RetryFirst = max(b.retryFirst(s), b.unmetUntil.Sub(now))
 	}
 	if a.Retry == 0 && a.RetryFirst == 0 {
-		a.Spare = b.take(r.Spare, s.capacity/2)
+		a.Spare = b.take(r.Spare, b.levels[0]-s.capacity/2)
 	}
 	if a.Spare > 0 {
 		b.spares = append(b.spares, spareGrant{a.Spare, now.Add(spareValidity)})
@@ -125,20 +163,35 @@
 // turns would hardly get a permit.
 const minReservedCapacity = 2
 
-// firstReserve is the level that is kept for requests that aren't first turns: a quarter of the
-// capacity, and at least one of them.
-func firstReserve(capacity float64) float64 {
-	if capacity < minReservedCapacity {
+// reserve is what a level keeps for requests that aren't first turns: a quarter of the capacity, and
+// at least one of them, and half of what the larger levels have.
+func (s share) reserve(level int) float64 {
+	switch {
+	case level > 0:
+		return (s.capacity + s.extra(level)) / 2
+	case s.capacity < minReservedCapacity:
 		return 0
 	}
-	return max(capacity/4, 1)
+	return max(s.capacity/4, 1)
+}
+
+// retry is the time until there is a permit for a request that isn't a first turn.
+func (b *bucket) retry(s share) time.Duration {
+	return b.untilAbove(s, func(int) float64 { return 0 })
+}
+
+// retryFirst is the time until there is a permit for a first turn.
+func (b *bucket) retryFirst(s share) time.Duration {
+	return b.untilAbove(s, s.reserve)
 }
 
-// retry is the time until there is a permit above a reserve. It is at least a quarter of the time
-// in which the bucket fills: asked more often, it would cost messages and grant nothing more.
-func (b *bucket) retry(s share, reserve float64) time.Duration {
-	next := seconds((1 + reserve - b.level) / s.inflow)
-	return max(next, min(seconds(s.capacity/s.inflow/4), maxRetryFloor))
+// untilAbove returns the time until one of the levels has a permit above its reserve.
+func (b *bucket) untilAbove(s share, reserve func(level int) float64) time.Duration {
+	next := maxRetry
+	for n, level := range b.levels {
+		next = min(next, seconds((1+reserve(n)-level)/(s.inflow*s.pace(n))))
+	}
+	return max(next, s.retryFloor())
 }
 
 // maxRetry bounds the times that are named, for caps of less than a request in a minute.
--- a/core/jkquota/holder.go
+++ b/core/jkquota/holder.go
@@ -21,7 +21,11 @@
 
 // share is what one issuer has of a cap: its rate, the capacity of its bucket, and the rate with
 // what others collect for it.
-type share struct{ rate, capacity, inflow float64 }
+type share struct {
+	rate, capacity, inflow float64
+	// extraCapacity is that of the last level, and slowdown by how much it fills more slowly.
+	extraCapacity, slowdown float64
+}
 
 // holderChoice caches the choice of a workspace's holders.
 type holderChoice struct {
@@ -82,7 +86,8 @@
 // shareOf returns the share of one of several issuers. The capacities of all sum up to the burst.
 func shareOf(rate, burst float64, issuers, holders int, isHolder bool) share {
 	m, k := float64(issuers), float64(holders)
-	s := share{rate: rate / m, capacity: burst / m, inflow: rate / m}
+	extra := extraCapacity(rate)
+	s := share{rate: rate / m, capacity: burst / m, inflow: rate / m, extraCapacity: extra / k, slowdown: extra / (rate * window.Seconds())}
 	collected := min(rate/m*PullInterval.Seconds(), burst/m)
 	switch {
 	case holders >= issuers:
@@ -91,7 +96,7 @@
 		s.capacity = max((burst-(m-k)*collected)/k, 1)
 		s.inflow = rate / k
 	default:
-		s.capacity = collected
+		s.capacity, s.extraCapacity, s.slowdown = collected, 0, 0
 	}
 	return s
 }
--- a/core/jkquota/issuer.go
+++ b/core/jkquota/issuer.go
@@ -24,6 +24,8 @@
 type Issuer struct {
 	host      string
 	startedAt time.Time
+	// issuesSince is when this issuer began to issue. Buckets fill from then on.
+	issuesSince time.Time
 
 	mu   sync.Mutex
 	rows map[string]*bucket
@@ -68,6 +70,9 @@
 	n := len(hosts)
 	switch {
 	case n >= i.issuers || n == 0:
+		if i.issuers == 0 {
+			i.issuesSince = now
+		}
 		i.issuers, i.shrinksSince = n, time.Time{}
 	case i.shrinksSince.IsZero():
 		i.smaller, i.shrinksSince = n, now
@@ -114,7 +119,8 @@
 		if len(i.rows) >= maxIssuerRows {
 			return nil, share{}
 		}
-		b = &bucket{version: c.Version, rate: c.Rate, burst: c.Burst, filledAt: now, fullAt: now}
+		// It was granted nothing since this issuer began to issue, or not for issuerRowPeriod.
+		b = &bucket{version: c.Version, rate: c.Rate, burst: c.Burst, filledAt: i.issuesSince, fullAt: [levelCount]time.Time{now, now, now}}
 		i.rows[c.Workspace] = b
 	}
 	if c.Version > b.version {
@@ -169,7 +175,7 @@
 		b.advance(now, s)
 		// Together the others mustn't give more than the bucket can take.
 		others := float64(len(i.hosts) - len(b.chosen.holders))
-		item := PullItem{Workspace: name, Version: b.version, Rate: b.rate, Burst: b.burst, Room: (s.capacity - b.level - float64(b.outstanding())) / others}
+		item := PullItem{Workspace: name, Version: b.version, Rate: b.rate, Burst: b.burst, Room: b.room(s) / others}
 		if item.Room <= 0 {
 			continue
 		}
@@ -198,8 +204,8 @@
 		if b == nil || i.isHolder(b) {
 			continue
 		}
-		moved[n] = max(min(item.Room, b.level), 0)
-		b.level -= moved[n]
+		moved[n] = max(min(item.Room, b.levels[0]), 0)
+		b.removeAll(moved[n])
 	}
 	return PullAnswer{Moved: moved}
 }
@@ -224,7 +230,7 @@
 }
 
 // dropRows drops buckets that weren't used for issuerRowPeriod. It checks a few rows that the
-// map's order picks at random. A dropped bucket is made again from empty.
+// map's order picks at random. A dropped bucket would be full.
 func (i *Issuer) dropRows(now time.Time) {
 	checked := 0
 	for name, b := range i.rows {
