--- a/core/jkadmission/controller.go
+++ b/core/jkadmission/controller.go
@@ -42,9 +42,9 @@
 	// maxPrograms bounds the programs that are tracked, and maxRoutes the routes.
 	maxPrograms = 4096
 	maxRoutes   = 1024
-	// freeWait is the expected wait below which there is room: about the variation of the way to an
-	// endpoint and back.
-	freeWait = 10 * time.Millisecond
+	// roomStretch is the factor up to which endpoints count as having room. Half-full batches and
+	// the neighbours of endpoints slow turns down by about as much.
+	roomStretch = 1.5
 	// endedAfter is how long a program sends no turn before it counts as ended. Callers pause for
 	// tools and for thinking, which takes well under a second.
 	endedAfter = 2 * time.Second
@@ -84,13 +84,13 @@
 	return &Controller{routes: map[string]*routeStats{}, programs: map[string]*programRow{}}
 }
 
-// Decide decides whether a program is admitted. A program whose turns needn't wait always is.
+// Decide decides whether a program is admitted. Where there is room it always is.
 func (c *Controller) Decide(now time.Time, r Request, o Outlook) Decision {
 	stats := c.route(r.Route)
 	stated := r.Left + r.Waited
 	o.Wait = stats.expectedWait(now, o.Wait)
 	need := stats.need(stated, o)
-	if o.Wait < freeWait || need <= r.Left {
+	if need <= r.Left || stretch(o) <= roomStretch {
 		return Decision{Admitted: true, Need: need}
 	}
 	return Decision{Need: need, RetryAfter: retryAfter(r.ID, stats.excessWait(stated, need-r.Left, o))}
--- a/core/jkadmission/route.go
+++ b/core/jkadmission/route.go
@@ -68,7 +68,7 @@
 }
 
 // stretch is the factor by which turns take longer than on idle endpoints.
-func (s *routeStats) stretch(o Outlook) float64 {
+func stretch(o Outlook) float64 {
 	if o.Alone <= 0 {
 		return 1
 	}
@@ -77,7 +77,7 @@
 
 // need returns the expected time of a program with a stated time.
 func (s *routeStats) need(stated time.Duration, o Outlook) time.Duration {
-	return time.Duration(float64(stated) * (s.typical.outside + s.typical.atEndpoints*s.stretch(o)))
+	return time.Duration(float64(stated) * (s.typical.outside + s.typical.atEndpoints*stretch(o)))
 }
 
 // excessWait returns by how much a turn's wait has to fall for a program that is over its time.
