--- a/core/jksched/plain_test.go
+++ b/core/jksched/plain_test.go
@@ -196,7 +196,7 @@
 	}
 }
 
-// Guards against placement that is worse than without learning when the digests of other hosts are
+// Guards against placement that is no better than without learning when the digests of other hosts are
 // lost or late.
 func TestLostAndLateDigests(t *testing.T) {
 	for _, test := range []struct {
@@ -206,8 +206,8 @@
 		site := twoRoutes
 		site.lostDigests, site.digestDelay = test.lost, test.delay
 		mean, tail, _ := simulatePlain(t, site)
-		if mean[1] > mean[0] || tail[1] > tail[0] {
-			t.Errorf("%+v: short calls take longer than without learned placement", test)
+		if mean[1]*100 > mean[0]*97 || tail[1] > tail[0] {
+			t.Errorf("%+v: the times of short calls aren't 3%% below those without learned placement", test)
 		}
 	}
 }
