--- a/core/jkentry/operators.go
+++ b/core/jkentry/operators.go
@@ -25,7 +25,7 @@
 	return nil
 }
 
-// operatorRoutes returns the handler of the readiness check and of the metrics.
+// operatorRoutes returns the handler of the readiness check, the metrics and the explanation of placements.
 func (e *Entry) operatorRoutes() http.Handler {
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
@@ -35,6 +35,7 @@
 		}
 		return c.NoContent(http.StatusServiceUnavailable)
 	})
+	router.GET(ExplainPath, e.explain)
 	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, e.metrics) })
 	return router
 }
--- a/core/jkruleset/ruleset.go
+++ b/core/jkruleset/ruleset.go
@@ -254,6 +254,18 @@
 // Service returns a service by its name, or nil.
 func (s *Set) Service(name string) *Service { return s.services[name] }
 
+// RouteNamed returns the route with a name, or nil.
+func (s *Set) RouteNamed(name string) *Route {
+	for _, list := range s.routesByHost {
+		for _, r := range list {
+			if r.Name() == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil if no
 // route matches. It ignores the host's port and case.
 func (s *Set) Match(host, path string) *Route {
