jksched: bound what callers say of prompts and outputs in predictions

A hint or a prompt near the largest integer overflowed the predicted times. Both count for 2^24 tokens at most.

--- a/core/jksched/outlook.go
+++ b/core/jksched/outlook.go
@@ -57,6 +57,10 @@
 	minSamplesOfKey = 8
 )
 
+// maxExpectedTokens bounds what callers say of outputs and prompts, so that predictions don't
+// overflow.
+const maxExpectedTokens = 1 << 24
+
 // expectCall predicts the work of the call that is being placed. Without learned placement it
 // does nothing.
 func (d *DirectPlacer) expectCall(now time.Time, c Call) {
@@ -72,6 +76,7 @@
 		if c.TokenLimit > 0 {
 			d.expected.tokens = min(d.expected.tokens, float64(c.TokenLimit))
 		}
+		d.expected.tokens = min(d.expected.tokens, maxExpectedTokens)
 		engine := d.enginePace(c.Service)
 		d.expected.token, d.expected.perCall = float64(engine.tokenPace()), float64(engine.perCall())
 		d.expected.prefill = float64(engine.prefillPace())
@@ -167,7 +172,7 @@
 		out.caused = time.Duration(work * pace / (4 * slots))
 		return out
 	}
-	prefill := float64(row.uncached) * d.expected.prefill
+	prefill := float64(min(row.uncached, maxExpectedTokens)) * d.expected.prefill
 	perCall := d.expected.perCall * d.expected.tokens
 	out.run = time.Duration((d.expected.tokens*d.expected.token + min(calls, slots)*perCall + prefill) * pace)
 	// The others wait while the prompt is read, and are slowed by each token of this call.
@@ -192,7 +197,7 @@
 		d.observeDemand(c)
 	}
 	row.calls = append(row.calls, ownCall{
-		ticket: d.lastTicket, keys: d.expected.keys, work: d.expected.work, tokens: d.expected.tokens, uncached: float64(row.uncached),
+		ticket: d.lastTicket, keys: d.expected.keys, work: d.expected.work, tokens: d.expected.tokens, uncached: float64(min(row.uncached, maxExpectedTokens)),
 		hint: d.hint(c), startsAt: now.Add(p.SendDelay + o.wait), waits: o.wait > 0, predicted: p.SendDelay + o.wait + o.run + d.wayTime(row),
 	})
 }
@@ -273,7 +278,7 @@
 	took := float64(max(f.Took-d.wayTime(row), f.Took/2))
 	pace := d.pace(now, row)
 	if !waited {
-		row.observeServicePace(took / call.work)
+		row.observeServicePace(took / max(call.work, 1))
 	}
 	d.costs.observe(call.keys, took/pace)
 }
