--- a/core/jksched/outlook.go
+++ b/core/jksched/outlook.go
@@ -59,7 +59,15 @@
 
 // maxExpectedTokens bounds what callers say of outputs and prompts, so that predictions don't
 // overflow.
-const maxExpectedTokens = 1 << 24
+const maxExpectedTokens = 1 << 20
+
+// maxPrediction bounds predicted times. Sums of several such ones still fit.
+const maxPrediction = 24 * time.Hour
+
+// predictedTime returns a predicted time in nanoseconds as a duration.
+func predictedTime(ns float64) time.Duration {
+	return time.Duration(min(max(ns, 0), float64(maxPrediction)))
+}
 
 // expectCall predicts the work of the call that is being placed. Without learned placement it
 // does nothing.
@@ -164,19 +172,19 @@
 	out := outlook{calls: calls}
 	if over := calls - slots + 1; over > 0 && calls > 0 {
 		// The call gets a slot when all but slots-1 of the others have ended.
-		out.wait = time.Duration(work * pace / calls * over / slots)
+		out.wait = predictedTime(work * pace / calls * over / slots)
 	}
 	if c.Kind != KindModel {
-		out.run = time.Duration(d.expected.work * pace)
+		out.run = predictedTime(d.expected.work * pace)
 		// Prefers the endpoint with the least work, because other hosts choose at the same time.
-		out.caused = time.Duration(work * pace / (4 * slots))
+		out.caused = predictedTime(work * pace / (4 * slots))
 		return out
 	}
 	prefill := float64(min(row.uncached, maxExpectedTokens)) * d.expected.prefill
 	perCall := d.expected.perCall * d.expected.tokens
-	out.run = time.Duration((d.expected.tokens*d.expected.token + min(calls, slots)*perCall + prefill) * pace)
+	out.run = predictedTime((d.expected.tokens*d.expected.token + min(calls, slots)*perCall + prefill) * pace)
 	// The others wait while the prompt is read, and are slowed by each token of this call.
-	out.caused = time.Duration((prefill + perCall) * calls)
+	out.caused = predictedTime((prefill + perCall) * calls)
 	return out
 }
 
