--- a/core/jkentry/operators.go
+++ b/core/jkentry/operators.go
@@ -25,7 +25,8 @@
 	return nil
 }
 
-// operatorRoutes returns the handler of the readiness check, the metrics and the requests by workspace.
+// operatorRoutes returns the handler of the readiness check, the metrics, the requests by workspace and
+// the explanation of placements.
 func (e *Entry) operatorRoutes() http.Handler {
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
@@ -36,6 +37,7 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	})
 	router.GET("/v1/workspaces", func(c echo.Context) error { return c.JSON(http.StatusOK, e.counts.Workspaces()) })
+	router.GET(ExplainPath, e.explain)
 	router.GET("/metrics", func(c echo.Context) error { return writeMetrics(c, e.metrics) })
 	return router
 }
