--- a/core/jkquota/bucket.go
+++ b/core/jkquota/bucket.go
@@ -21,9 +21,11 @@
 	version     int64
 	rate, burst float64
 	level       float64
-	// filledAt is the time up to which the level is filled, and fullAt when the bucket last was
-	// full, which a new one counts as.
-	filledAt, fullAt time.Time
+	// filledAt is the time up to which the level is filled.
+	filledAt time.Time
+	// step is the number of the issuer's step that is being taken.
+	step uint64
+	lows lowPoints
 	// spares are the granted spare permits that may still be used, ordered by time.
 	spares     []spareGrant
 	unmetUntil time.Time
@@ -56,17 +58,15 @@
 		b.level += s.rate * to.Sub(b.filledAt).Seconds()
 		b.filledAt = to
 	}
-	if b.level >= limit {
-		b.level = limit
-		b.fullAt = b.filledAt
-	}
+	b.level = min(b.level, limit)
+	b.lows.add(b.step, limit-b.level)
 }
 
-// takeBack adds permits that weren't used. If the bucket was full since they were granted, it
-// would have lost them if they hadn't been granted.
-func (b *bucket) takeBack(s share, n int, grantedAt time.Time) {
-	if n > 0 && !b.fullAt.After(grantedAt) {
-		b.add(float64(n), s)
+// takeBack adds permits that weren't used, as far as the bucket has had room for them ever since they
+// were granted: it would have lost the rest if they hadn't been granted.
+func (b *bucket) takeBack(n int, granted uint64) {
+	if n > 0 {
+		b.level += b.lows.use(float64(n), granted)
 	}
 }
 
--- a/core/jkquota/issuer.go
+++ b/core/jkquota/issuer.go
@@ -34,6 +34,8 @@
 	hosts            []Host
 	issuers, smaller int
 	shrinksSince     time.Time
+	// steps counts the steps that changed a bucket.
+	steps uint64
 
 	issued, refused atomic.Int64
 }
@@ -94,10 +96,10 @@
 		i.active[r.Workspace] = b
 	}
 	if r.ReturnedStamp.Start == i.startedAt.UnixNano() {
-		b.takeBack(s, r.Returned, i.startedAt.Add(r.ReturnedStamp.At))
+		b.takeBack(r.Returned, r.ReturnedStamp.Step)
 	}
 	a := b.grant(now, s, r)
-	a.Stamp = Stamp{Start: i.startedAt.UnixNano(), At: now.Sub(i.startedAt)}
+	a.Stamp = Stamp{Start: i.startedAt.UnixNano(), Step: b.step}
 	i.issued.Add(int64(a.Granted + a.GrantedFirst + a.Spare))
 	i.refused.Add(int64(max(r.Count, 0) - a.Granted + max(r.First, 0) - a.GrantedFirst))
 	return a, true
@@ -114,19 +116,28 @@
 		if len(i.rows) >= maxIssuerRows {
 			return nil, share{}
 		}
-		b = &bucket{version: c.Version, rate: c.Rate, burst: c.Burst, filledAt: now, fullAt: now}
+		b = &bucket{version: c.Version, rate: c.Rate, burst: c.Burst, filledAt: now}
+		b.lows.add(i.steps, 0)
 		i.rows[c.Workspace] = b
 	}
 	if c.Version > b.version {
+		i.begin(b)
 		b.advance(now, i.share(b, c.Workspace))
 		b.version, b.rate, b.burst = c.Version, c.Rate, c.Burst
 	}
 	b.usedAt = now
 	s := i.share(b, c.Workspace)
+	i.begin(b)
 	b.advance(now, s)
 	return b, s
 }
 
+// begin begins a step on a bucket.
+func (i *Issuer) begin(b *bucket) {
+	i.steps++
+	b.step = i.steps
+}
+
 // share returns this issuer's share of a workspace's cap.
 func (i *Issuer) share(b *bucket, workspace string) share {
 	chosen := b.chosen.choose(i.hosts, workspace, b.rate, b.burst)
@@ -166,6 +177,7 @@
 		if !i.isPooled(b) || !i.isHolder(b) {
 			continue
 		}
+		i.begin(b)
 		b.advance(now, s)
 		// Together the others mustn't give more than the bucket can take.
 		others := float64(len(i.hosts) - len(b.chosen.holders))
@@ -218,6 +230,7 @@
 			continue
 		}
 		s := i.share(b, item.Workspace)
+		i.begin(b)
 		b.advance(now, s)
 		b.add(min(a.Moved[n], item.Room), s)
 	}
--- a/core/jkquota/message.go
+++ b/core/jkquota/message.go
@@ -27,13 +27,13 @@
 	ReturnedStamp Stamp `msgpack:"returned_stamp"`
 }
 
-// Stamp is when an issuer granted a permit: the time since its start, and the start, which
+// Stamp is when an issuer granted a permit: the number of its step, and its start, which
 // identifies it.
 type Stamp struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Start int64         `msgpack:"start"`
-	At    time.Duration `msgpack:"at"`
+	Start int64  `msgpack:"start"`
+	Step  uint64 `msgpack:"step"`
 }
 
 // Answer grants permits. Retry is the time after which the issuer expects to have a permit for a
--- a/core/jkquota/wallet.go
+++ b/core/jkquota/wallet.go
@@ -266,7 +266,7 @@
 		// The issuer has started again: it takes back only its own permits.
 		i.returned, i.oldest = 0, p.stamp
 	}
-	i.oldest.At = min(i.oldest.At, p.stamp.At)
+	i.oldest.Step = min(i.oldest.Step, p.stamp.Step)
 	i.returned += n
 	// The issuer has a permit once it gets this one back.
 	i.emptyUntil = now
--- a/core/jkquota/wallet_test.go
+++ b/core/jkquota/wallet_test.go
@@ -92,11 +92,27 @@
 	if a, _ := i.Take(now, back); a.Granted != 0 {
 		t.Errorf("%d permits for ones that the full bucket had replaced", a.Granted)
 	}
+	// Two entries return permits of a time in which there was room for one.
+	i = NewIssuer(now, "a0")
+	i.SetIssuers(now, testHosts(1))
+	i.Take(now, Request{Workspace: "w", Version: 1, Rate: 10, Burst: 10})
+	now = now.Add(2 * time.Second)
+	first, _ = i.Take(now, q)
+	now = now.Add(900 * time.Millisecond)
+	i.Take(now, q)
+	for n, want := range []int{1, 0} {
+		one := Request{Workspace: "w", Version: 1, Rate: 10, Burst: 10, Count: 5, Returned: 1, ReturnedStamp: first.Stamp}
+		if a, _ := i.Take(now, one); a.Granted != want {
+			t.Errorf("%d permits for the return number %d of a time with room for one", a.Granted, n)
+		}
+	}
 	// The stamp of an earlier start says nothing about when this one granted permits.
 	again := NewIssuer(now, "a0")
+	back.ReturnedStamp.Step = 0
 	again.SetIssuers(now, testHosts(1))
 	again.Take(now, Request{Workspace: "w", Version: 1, Rate: 10, Burst: 10})
-	if a, _ := again.Take(now, back); a.Granted != 0 {
+	again.Take(now.Add(500*time.Millisecond), q)
+	if a, _ := again.Take(now.Add(500*time.Millisecond), back); a.Granted != 0 {
 		t.Errorf("%d permits for ones of an earlier start", a.Granted)
 	}
 }
