--- a/core/jkaccount/relay.go
+++ b/core/jkaccount/relay.go
@@ -61,7 +61,13 @@
 // relay sends a message to a copy through another host. A host that can't reach the copies
 // itself can go on serving in this way.
 func (c *Client) relay(ctx context.Context, target Copy, messageType string, request, answer any) error {
-	if c.relayBackoffs.isActive(target.Host, c.Timer.Now()) {
+	// Failures of other messages, which have less time or need a newer build, say nothing about the
+	// ledger's.
+	backoff := target.Host
+	if !isLedgerType(messageType) {
+		backoff += "\x00" + messageType
+	}
+	if c.relayBackoffs.isActive(backoff, c.Timer.Now()) {
 		return &UnreachableError{Host: target.Host}
 	}
 	body, err := jkwire.Encode(request)
@@ -76,7 +82,7 @@
 			return nil
 		}
 	}
-	c.relayBackoffs.set(target.Host, c.Timer.Now().Add(relayBackoff))
+	c.relayBackoffs.set(backoff, c.Timer.Now().Add(relayBackoff))
 	return err
 }
 
--- a/core/jkaccount/relay_test.go
+++ b/core/jkaccount/relay_test.go
@@ -80,3 +80,18 @@
 		t.Errorf("a turn is refused after another one was kept: %v", err)
 	}
 }
+
+// Guards against turns that are refused because another message, which relays don't know, couldn't
+// be relayed to the same copies.
+func TestOtherMessagesDontBlockTheLedgersRelays(t *testing.T) {
+	f := newRelayedFixture(t)
+	for _, known := range f.client.Copies() {
+		if err := f.client.Call(context.Background(), known, "other", struct{}{}, &struct{}{}); err == nil {
+			t.Fatalf("message to %s was relayed", known.Host)
+		}
+	}
+	err := f.client.Reserve(context.Background(), jkforward.Reservation{Program: "p", Request: "1", Tokens: 100, Budget: 300, Retention: time.Minute})
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -281,7 +280,8 @@
 		// The server closes the connection after the panic in abort.
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	// Listeners may wrap connections.
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/core/jkforward/program.go
+++ b/core/jkforward/program.go
@@ -69,6 +69,9 @@
 // beginsProgram reports whether a turn begins a program. On routes that don't retain turns, the
 // prompt of a later turn begins with that of an earlier one, whose endpoint is usually known.
 func (p *ProgramAdmission) beginsProgram(c *call) bool {
+	if c.isContinued() {
+		return false
+	}
 	if c.route.Retain() {
 		return c.info.Previous == ""
 	}
--- a/core/jkquota/holder.go
+++ b/core/jkquota/holder.go
@@ -15,6 +15,9 @@
 	// PullInterval is the interval at which a holder asks the other issuers for what they have
 	// collected. They can keep what they collect in it.
 	PullInterval = 125 * time.Millisecond
+	// pooledPulls is the number of intervals of the rate that the burst of a pooled workspace has at
+	// least. Holders with less lose a part of what the others collect between two pulls.
+	pooledPulls = 2
 	// activePeriod is how long after a question of an entry a holder goes on to pull.
 	activePeriod = time.Second
 )
@@ -53,7 +56,7 @@
 		zones[h.Zone] = true
 	}
 	n := max(int(min(burst, 1e6)/burstPerHolder), len(zones))
-	if n >= len(hosts) || burst < rate*PullInterval.Seconds() {
+	if n >= len(hosts) || burst < pooledPulls*rate*PullInterval.Seconds() {
 		return hosts
 	}
 	return FirstOfZones(hosts, workspace, n)
--- a/core/jkquota/low.go
+++ b/core/jkquota/low.go
@@ -13,18 +13,18 @@
 
 // maxLowPoints bounds the memory of a bucket. Beyond it, less is known of the oldest steps, and
 // fewer permits are taken back.
-const maxLowPoints = 32
+const maxLowPoints = 15
 
 // add records the room in a step.
 func (l *lowPoints) add(step uint64, room float64) {
 	for len(*l) > 0 && (*l)[len(*l)-1].room >= room {
 		*l = (*l)[:len(*l)-1]
 	}
-	*l = append(*l, lowPoint{step, room})
-	if len(*l) > maxLowPoints {
+	if len(*l) == maxLowPoints {
 		(*l)[1].room = (*l)[0].room
 		*l = slices.Delete(*l, 0, 1)
 	}
+	*l = append(*l, lowPoint{step, room})
 }
 
 // use uses up to n of the least room since a step and returns how much that is. Whoever uses room of
--- a/core/jkquota/next.go
+++ b/core/jkquota/next.go
@@ -177,7 +177,9 @@
 // refusal returns when a caller may expect a permit: after the earliest time that an issuer named,
 // one caller after the other at the pace at which this entry gets permits.
 func (w *Wallet) refusal(now time.Time, r *row, a *Waiter) *Refusal {
-	earliest, known := now.Add(maxRetryAfter), a.heard
+	// An issuer that has answered lately shows that the cap can be known, also while no more questions
+	// may be asked.
+	earliest, known := now.Add(maxRetryAfter), a.heard || !r.answeredAt.IsZero() && now.Sub(r.answeredAt) < silencePeriod
 	for _, h := range w.holders(r) {
 		i := r.issuers[h.Name]
 		if i == nil || !now.Before(i.emptyAt(a.first)) {
--- a/core/jkquota/row.go
+++ b/core/jkquota/row.go
@@ -32,6 +32,8 @@
 	// fruitlessPerSecond.
 	fruitless   float64
 	fruitlessAt time.Time
+	// answeredAt is when an issuer last answered.
+	answeredAt time.Time
 	// nextCaller is when the last caller that was refused is expected back.
 	nextCaller time.Time
 	refusedAt  time.Time
--- a/core/jkquota/wallet.go
+++ b/core/jkquota/wallet.go
@@ -179,7 +179,7 @@
 	if q.onlyReturns {
 		return nil
 	}
-	r.asking = false
+	r.asking, r.answeredAt = false, now
 	// An answer is late only if this process didn't read it in time.
 	if now.Sub(q.SentAt) > QuestionTimeout {
 		return w.next(now, r)
--- a/core/jkquota/wallet_test.go
+++ b/core/jkquota/wallet_test.go
@@ -405,3 +405,16 @@
 		}
 	}
 }
+
+// Guards against callers beyond a cap that are told that nobody knows the cap, while issuers answer
+// and no more questions may be asked.
+func TestRefusalsAtTheCapAreKnown(t *testing.T) {
+	for _, c := range []Cap{testCap(1100, 100), testCap(1100, 300), testCap(40, 6)} {
+		f := newFleet(1, 67, 9, 3, c)
+		f.load(3*c.Rate, 0.3, unevenly(67))
+		f.run(15 * time.Second)
+		if f.unknown > 0 {
+			t.Errorf("cap %v and %v: %d refusals without a known cap", c.Rate, c.Burst, f.unknown)
+		}
+	}
+}
--- a/core/jksched/prediction.go
+++ b/core/jksched/prediction.go
@@ -16,8 +16,15 @@
 // Predict predicts the times of a call at the endpoint that Place would choose. The error is a
 // *RefusedError.
 func (d *DirectPlacer) Predict(now time.Time, c Call) (Prediction, error) {
+	// A refusal books a time for the caller's return, which only Place may do.
+	returnAt, known := d.returnAt[c.Service]
 	best, _, err := d.choose(now, c, nil)
 	if err != nil {
+		if known {
+			d.returnAt[c.Service] = returnAt
+		} else {
+			delete(d.returnAt, c.Service)
+		}
 		return Prediction{}, err
 	}
 	return d.prediction(now, c, best), nil
