jksched: take the learned crowding out again

The times between events grow with the calls beside them also because of prefills and neighbours, so that the slope is too steep and programs leave the engines that hold their prompts.

--- a/core/jksched/enginepace.go
+++ b/core/jksched/enginepace.go
@@ -21,8 +21,6 @@
 	token time.Duration
 	// prefill is the regression of the time of the first event over the uncached tokens.
 	prefill regression
-	// crowding is the regression of the time per token over the running calls.
-	crowding regression
 	// output is the mean number of tokens of a call.
 	output float64
 }
@@ -41,12 +39,8 @@
 // observeToken adds the time in which a call generated tokens while others ran beside it. It
 // reports whether the estimate was made for the first time.
 func (p *enginePace) observeToken(tokens int64, took time.Duration, running int) (first bool) {
-	perCall := float64(p.perCall()) / float64(p.tokenPace())
+	perCall := float64(p.opt.TokenPacePerCall) / float64(p.opt.TokenPace)
 	sample := float64(took) / float64(tokens) / (1 + float64(running)*perCall)
-	if p.opt.Learned {
-		most := maxPaceRatio * float64(p.tokenPace()+time.Duration(running)*p.perCall())
-		p.crowding.observe(float64(running), min(float64(took)/float64(tokens), most))
-	}
 	p.tokenSamples[p.tokenCount%tokenSampleCount] = time.Duration(sample)
 	p.tokenCount++
 	if p.tokenCount%tokenUpdateInterval != 0 {
@@ -79,24 +73,10 @@
 	return p.token
 }
 
-// maxCrowdingRatio bounds the learned time that a running call adds to a token relative to the
-// assumed one.
-const maxCrowdingRatio = 8
-
-// crowdingPrior is the weight of the assumed slope of crowding: that of 40 samples at which the number
-// of running calls varies by 3.
-const crowdingPrior = 40 * 3 * 3
-
-// perCall returns the time that each running call adds to a token. It is assumed to be the same share
-// of the time per token on all engines. With learned placement it follows what was measured: too low
-// a share fills the batches of the engines that hold a popular prompt, while others have free slots.
+// perCall returns the time that each running call adds to a token. It is the same share of
+// the time per token on all engines.
 func (p *enginePace) perCall() time.Duration {
-	assumed := float64(p.tokenPace()) * float64(p.opt.TokenPacePerCall) / float64(p.opt.TokenPace)
-	if !p.opt.Learned {
-		return time.Duration(assumed)
-	}
-	slope := p.crowding.slopeWithPrior(assumed, crowdingPrior)
-	return time.Duration(min(max(slope, assumed/2), assumed*maxCrowdingRatio))
+	return time.Duration(float64(p.tokenPace()) * float64(p.opt.TokenPacePerCall) / float64(p.opt.TokenPace))
 }
 
 // outputTokens returns the expected number of tokens of a call.
@@ -140,14 +120,10 @@
 	r.xy = r.xy*regressionDecay + x*y
 }
 
-// slope returns the slope with the prior of the prompt tokens.
-func (r *regression) slope(assumed float64) float64 {
-	return r.slopeWithPrior(assumed, priorSamples*priorSpread*priorSpread)
-}
-
-// slopeWithPrior returns the slope, which moves from the assumed one as samples arrive. Samples count
+// slope returns the slope, which moves from the assumed one as samples arrive. Samples count
 // by how far their x are apart.
-func (r *regression) slopeWithPrior(assumed, prior float64) float64 {
+func (r *regression) slope(assumed float64) float64 {
+	const prior = priorSamples * priorSpread * priorSpread
 	if r.n == 0 {
 		return assumed
 	}
--- a/core/jksched/enginepace_test.go
+++ b/core/jksched/enginepace_test.go
@@ -68,24 +68,3 @@
 		d.Done(now, p.Endpoint, DirectServed, time.Second)
 	}
 }
-
-// Guards against batches that are filled because running calls are taken to slow each other down less
-// than they do: an engine whose calls add 7% each is taken for one of 2% without learned placement.
-func TestCrowdingIsLearned(t *testing.T) {
-	opt := DefaultDirectOptions()
-	opt.Learned = true
-	p := &enginePace{opt: &opt}
-	random := rand.New(rand.NewPCG(1, 2))
-	const token, perCall = 1100 * time.Microsecond, 77 * time.Microsecond
-	for range 2000 {
-		running := random.IntN(12)
-		took := float64(token+time.Duration(running)*perCall) * (0.9 + 0.2*random.Float64())
-		p.observeToken(25, time.Duration(25*took), running)
-	}
-	if got := p.perCall(); got < perCall*8/10 || got > perCall*12/10 {
-		t.Errorf("each running call adds %v to a token, want about %v", got, perCall)
-	}
-	if got := p.tokenPace(); got < token*8/10 || got > token*12/10 {
-		t.Errorf("a token takes %v, want about %v", got, token)
-	}
-}
