--- a/core/jkadmission/burst_test.go
+++ b/core/jkadmission/burst_test.go
@@ -169,6 +169,19 @@
 	}
 }
 
+// Guards against refusals because a short first turn makes a usual wait look long.
+func TestShortFirstTurnsAreAdmitted(t *testing.T) {
+	c, now := NewController(), time.Unix(0, 0)
+	r := Request{ID: "r", Route: "chat", Left: 3 * time.Second}
+	for range 20 {
+		c.Begin(now, "p", false, r, Outlook{Run: 300 * time.Millisecond, Alone: 250 * time.Millisecond})
+		c.Waited(now, "chat", 0, 90*time.Millisecond)
+	}
+	if d := c.Decide(now, r, Outlook{Run: 15 * time.Millisecond, Alone: 12 * time.Millisecond}); !d.Admitted {
+		t.Errorf("decision is %+v, want admitted", d)
+	}
+}
+
 // Guards against refusals where there is room.
 func TestCalmLoadIsAdmitted(t *testing.T) {
 	for seed := range uint64(5) {
--- a/core/jkadmission/controller.go
+++ b/core/jkadmission/controller.go
@@ -90,7 +90,7 @@
 	stated := r.Left + r.Waited
 	o.Wait = stats.expectedWait(now, o.Wait)
 	need := stats.need(stated, o)
-	if need <= r.Left || stretch(o) <= roomStretch {
+	if need <= r.Left || stats.stretch(o) <= roomStretch {
 		return Decision{Admitted: true, Need: need}
 	}
 	return Decision{Need: need, RetryAfter: retryAfter(r.ID, stats.excessWait(stated, need-r.Left, o))}
@@ -121,6 +121,7 @@
 // program; the turns of programs that began elsewhere aren't tracked.
 func (c *Controller) Begin(now time.Time, program string, first bool, r Request, o Outlook) {
 	c.collect(now)
+	c.route(r.Route).observeTurn(o.Alone)
 	row := c.programs[program]
 	if row == nil {
 		if !first || len(c.programs) >= maxPrograms {
--- a/core/jkadmission/route.go
+++ b/core/jkadmission/route.go
@@ -20,6 +20,10 @@
 	needQuantile = 0.6
 	// waitWeight is the weight of one turn in the mean ratio of actual to predicted waits.
 	waitWeight = 0.1
+	// assumedTurn is the time of a turn on an idle endpoint until some were seen, and turnWeight the
+	// weight of one turn in the mean.
+	assumedTurn = 250 * time.Millisecond
+	turnWeight  = 0.05
 	// recentPeriod is the time in which the mean of the latest waits forgets most of what was before.
 	recentPeriod = 500 * time.Millisecond
 	// minPredictedWait is the predicted wait from which a turn says something about predictions.
@@ -38,6 +42,8 @@
 	count   int
 	// typical is the sample at needQuantile.
 	typical programSample
+	// meanAlone is the mean time of a turn on an idle endpoint; zero before the first one.
+	meanAlone float64
 	// waitRatio is the mean ratio of actual to predicted waits.
 	waitRatio float64
 	// recentWait is the mean of the latest actual waits, and recentWeight the weight of its samples
@@ -67,23 +73,36 @@
 	return s.recentWeight * math.Exp(-float64(now.Sub(s.recentAt))/float64(recentPeriod))
 }
 
-// stretch is the factor by which turns take longer than on idle endpoints.
-func stretch(o Outlook) float64 {
+// stretch is the factor by which turns take longer than on idle endpoints. Turns differ by a factor of
+// fifty, so that a wait counts against the mean turn of the route, and not against the one at hand.
+func (s *routeStats) stretch(o Outlook) float64 {
 	if o.Alone <= 0 {
 		return 1
 	}
-	return max(float64(o.Wait+o.Run)/float64(o.Alone), 1)
+	alone := s.meanAlone
+	if alone == 0 {
+		alone = max(float64(o.Alone), float64(assumedTurn))
+	}
+	return max(float64(o.Wait)/alone+float64(o.Run)/float64(o.Alone), 1)
+}
+
+// observeTurn adds the time that a turn takes on an idle endpoint.
+func (s *routeStats) observeTurn(alone time.Duration) {
+	if s.meanAlone == 0 {
+		s.meanAlone = float64(max(alone, assumedTurn))
+	}
+	s.meanAlone += (float64(alone) - s.meanAlone) * turnWeight
 }
 
 // need returns the expected time of a program with a stated time.
 func (s *routeStats) need(stated time.Duration, o Outlook) time.Duration {
-	return time.Duration(float64(stated) * (s.typical.outside + s.typical.atEndpoints*stretch(o)))
+	return time.Duration(float64(stated) * (s.typical.outside + s.typical.atEndpoints*s.stretch(o)))
 }
 
 // excessWait returns by how much a turn's wait has to fall for a program that is over its time.
 func (s *routeStats) excessWait(stated, over time.Duration, o Outlook) time.Duration {
-	perTurn := s.typical.atEndpoints * float64(stated) / float64(max(o.Alone, time.Millisecond))
-	return min(time.Duration(float64(over)/max(perTurn, 1)), o.Wait)
+	turns := s.typical.atEndpoints * float64(stated) / max(s.meanAlone, float64(assumedTurn))
+	return min(time.Duration(float64(over)/max(turns, 1)), o.Wait)
 }
 
 func (s *routeStats) observeProgram(outside, atEndpoints float64) {
