--- /dev/null
+++ b/core/jkentry/drain.go
@@ -0,0 +1,62 @@
+package jkentry
+
+import "time"
+
+// deregistrationDelay is how long the platform may still send new connections after the
+// entry stopped being ready: two readiness checks, one a second, and the time of one
+// answer.
+const deregistrationDelay = 2500 * time.Millisecond
+
+// killMargin is the time of the grace period that is left unused, so that the process ends
+// before the platform kills it.
+const killMargin = 600 * time.Millisecond
+
+// flushTimeout bounds how long a stopping entry still delivers pending records to reachable
+// copies.
+const flushTimeout = killMargin / 2
+
+// drainInterval is how often a draining entry checks whether requests are in flight.
+const drainInterval = 20 * time.Millisecond
+
+// lastRequestTime is how long requests are still answered after the listener and the idle
+// connections were closed: one that a caller has sent before it sees the close arrives within
+// that time.
+const lastRequestTime = 100 * time.Millisecond
+
+// drain waits until the platform sends no new connections, then until the requests in
+// flight have ended or the grace period is nearly over. Connections stay open meanwhile, and
+// Shutdown of net/http isn't used: it closes those whose request arrives later without a
+// response.
+// Requests that may last longer than the process are refused; those that were taken before
+// and last longer are answered.
+func (e *Entry) drain() {
+	endsAt := e.timer.Now().Add(e.settings.Grace - killMargin)
+	e.stop.Begin(endsAt)
+	e.relay.Leave()
+	e.log.Info("entry draining", "in_flight", e.counts.InFlight(), "tunnels", e.relay.Tunnels())
+	e.timer.Wait(min(deregistrationDelay, e.settings.Grace/2), nil)
+	for (e.counts.InFlight() > 0 || e.relay.Tunnels() > 0) && e.timer.Now().Before(endsAt) {
+		e.timer.Wait(drainInterval, nil)
+	}
+	if n := e.counts.InFlight(); n > 0 {
+		e.log.Warn("drain timed out with requests in flight", "in_flight", n)
+		e.stop.End()
+	}
+	// What arrives from now on would be cut, so that none of it is passed on.
+	e.stop.Begin(e.timer.Now())
+	_ = e.frontListener.Close()
+	e.callers.endIdle()
+	e.timer.Wait(lastRequestTime, nil)
+	// A request that was taken just before has its own time limit within the grace. Its response
+	// is sent only after it has left the requests in flight.
+	for e.callers.count() > 0 && e.timer.Now().Before(endsAt.Add(lastRequestTime)) {
+		e.callers.endIdle()
+		e.timer.Wait(drainInterval, nil)
+	}
+	if n := e.callers.count(); n > 0 {
+		e.log.Warn("connections cut off by the end of the process", "connections", n)
+	}
+	_ = e.front.Close()
+	e.account.Flush(flushTimeout)
+	e.log.Info("entry stopped")
+}
