--- a/core/jkquota/issuer.go
+++ b/core/jkquota/issuer.go
@@ -11,7 +11,7 @@
 	// shrinkDelay is how long a smaller number of issuers takes to count. Other issuers may not
 	// have learned of the change for about a second.
 	shrinkDelay = 2 * time.Second
-	// maxIssuerRows bounds the memory of an issuer: 20,000 buckets are about 6 MB.
+	// maxIssuerRows bounds the memory of an issuer: 20,000 buckets are 10 to 30 MB.
 	maxIssuerRows = 20_000
 	// issuerRowPeriod is how long a bucket is kept that isn't asked. It exceeds the time in which
 	// all entries get new rules, so that the newest version isn't forgotten.
