jkentry: issue permits at a translated address

A storage host compared the address of its entry in the store with the one it listens at. Where the store names another address at which the others reach it, no host issued permits, and all requests of workspaces with a cap got 503. The host now also takes the address of the first entry that it has read for its own. One that is replaced under its name still stops. Found by a soak with proxies between the processes. The new test gets 0 issuers instead of 1 without the change.

--- a/core/jkentry/permits.go
+++ b/core/jkentry/permits.go
@@ -112,17 +112,23 @@
 // issuers returns the issuers if this host is one of them, else none.
 func (p *permits) issuers() []jkquota.Host {
 	hosts := p.members.issuers()
-	isSelf := func(h jkquota.Host) bool { return h.Name == p.settings.Host && h.Addr == p.settings.Inner }
 	delay := issuerDelay
 	if p.settings.First {
 		delay = firstIssuerDelay
 	}
-	if !p.isListed() || !slices.ContainsFunc(hosts, isSelf) || p.members.knownFor(p.settings.Host) < delay || p.isAloneCutOff(hosts) {
+	if !p.isListed() || !slices.ContainsFunc(hosts, p.isSelf) || p.members.knownFor(p.settings.Host) < delay || p.isAloneCutOff(hosts) {
 		return nil
 	}
 	return hosts
 }
 
+// isSelf reports whether an issuer is this host and not another one that has replaced it under its name.
+// The store may name an address at which the others reach this host through a translation.
+func (p *permits) isSelf(h jkquota.Host) bool {
+	listed := p.listedAs.Load()
+	return h.Name == p.settings.Host && (h.Addr == p.settings.Inner || listed != nil && h.Addr == *listed)
+}
+
 // isAloneCutOff reports whether this host may have been removed from the store without knowing.
 func (p *permits) isAloneCutOff(issuers []jkquota.Host) bool {
 	f := p.follower.Load()
--- a/core/jkentry/quota_test.go
+++ b/core/jkentry/quota_test.go
@@ -118,6 +118,36 @@
 	}
 }
 
+// Guards against a storage host that issues no permits where the store names another address for it than
+// its own, and against one that goes on after another host has got its name.
+func TestStorageHostAtATranslatedAddressIssues(t *testing.T) {
+	entry := func(addr string) Change {
+		return Change{Host: &HostEntry{Host: "a", Zone: "a", Addr: addr, Ledger: true}}
+	}
+	entries := map[string]Change{"translated": entry("198.51.100.1:1"), "replaced": entry("198.51.100.2:1")}
+	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
+	s, err := NewStorage(Settings{Host: "a", Zone: "a", Zones: []string{"a"}, Folder: memoryFolder(t)}.listening(t), scriptedPlatform(entries), timer, jklog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop := make(chan struct{})
+		close(stop)
+		s.Run(stop)
+	})
+	s.listOnce.Do(func() { close(s.hostsListed) })
+	for i, c := range []struct {
+		key  string
+		want int
+	}{{"translated", 1}, {"replaced", 0}} {
+		s.apply(context.Background(), jkfollow.Item{Key: c.key, Revision: int64(i + 1)})
+		clock.Advance(issuerDelay)
+		if got := len(s.permits.issuers()); got != c.want {
+			t.Errorf("%d issuers with the entry %q, want %d", got, c.key, c.want)
+		}
+	}
+}
+
 // Guards against a storage host that issues permits before it knows the others, or after it was
 // taken out of use.
 func TestStorageHostIssuesOnlyWhileItIsListed(t *testing.T) {
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -61,6 +61,8 @@
 	sources  *copySources
 	// retireRequested is set once the store asks to empty this host.
 	retireRequested atomic.Bool
+	// listedAs is the address of the first entry of this host that was read from the store.
+	listedAs atomic.Pointer[string]
 	// wasListed is set if the first list of the store had an entry of this host.
 	wasListed atomic.Bool
 	// hostsListed is closed after the first complete list of the store.
@@ -299,6 +301,9 @@
 	if change.Host != nil && change.Host.Host == t.settings.Host && !t.isListed() {
 		t.wasListed.Store(true)
 	}
+	if change.Host != nil && change.Host.Host == t.settings.Host && !change.Host.Removed {
+		t.listedAs.CompareAndSwap(nil, &change.Host.Addr)
+	}
 	switch {
 	case change.Host != nil && change.Host.Removed:
 		t.hostRemoved(change.Host.Host)
