--- a/core/jkentry/quota.go
+++ b/core/jkentry/quota.go
@@ -41,9 +41,10 @@
 }
 
 // mayReachIssuer reports whether an issuer may answer, to this host or through another one: entries
-// that are cut off from the storage hosts can go on serving in this way.
+// that are cut off from the storage hosts can go on serving in this way. To them these look as if they
+// were down, however long the cut lasts.
 func (e *Entry) mayReachIssuer(host string) bool {
-	return e.probes.Reachable(host) || !e.isDown(host) && len(e.probes.AnsweringAddrs()) > 0
+	return e.probes.Reachable(host) || len(e.probes.AnsweringAddrs()) > 0
 }
 
 // take takes a permit for one request, see jkforward.Quota.
