--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -48,7 +48,9 @@
 	Revocation time.Duration
 	// LearnedPlacement makes entries place requests by their learned costs.
 	LearnedPlacement bool
-	LogLevel         string
+	// LearnedEngines makes entries with LearnedPlacement place calls on model engines by them, too.
+	LearnedEngines bool
+	LogLevel       string
 	// Listeners are open already. Those that are nil are opened at the addresses.
 	Listeners Listeners
 }
