--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -183,9 +183,14 @@
 // answer: what it heard last is as old as the pause.
 func TestCopiesAreAskedAfterAPause(t *testing.T) {
 	f := newFixture(t)
+	// The turn is still being delivered to further copies once it is kept, so that these functions are
+	// set before.
+	var isPaused atomic.Bool
+	reachable := f.client.Reachable
+	f.client.Reachable = func(host string) bool { return !isPaused.Load() && reachable(host) }
+	f.client.Paused = isPaused.Load
 	f.keep(t, jkforward.Turn{Request: "1", Input: []byte("in "), Output: []byte("out\n")})
-	f.client.Reachable = func(string) bool { return false }
-	f.client.Paused = func() bool { return true }
+	isPaused.Store(true)
 	got, err := f.client.Chain(t.Context(), "p", "1")
 	if err != nil || string(got) != "in out\n" {
 		t.Errorf("chain is %q, %v", got, err)
