--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -76,7 +76,7 @@
 		members: newMembers(timer), endpoints: map[string]EndpointState{}, stop: jkforward.NewHostStop(), callers: newCallerConns(),
 	}
 	opt := jksched.DefaultDirectOptions()
-	opt.Zone, opt.Learned, opt.AssumedEngines = s.Zone, s.LearnedPlacement, !s.LearnedEngines
+	opt.Zone, opt.Learned = s.Zone, s.LearnedPlacement
 	opt.Delay = assumedDelay
 	e.fleet = jkforward.NewFleet(s.Host, opt, timer)
 	e.zones = jkforward.NewZoneWatch(e.fleet, timer, log.Part("forward"))
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -48,9 +48,7 @@
 	Revocation time.Duration
 	// LearnedPlacement makes entries place requests by their learned costs.
 	LearnedPlacement bool
-	// LearnedEngines makes entries with LearnedPlacement place calls on model engines by them, too.
-	LearnedEngines bool
-	LogLevel       string
+	LogLevel         string
 	// Listeners are open already. Those that are nil are opened at the addresses.
 	Listeners Listeners
 }
--- a/core/jkforward/fleet.go
+++ b/core/jkforward/fleet.go
@@ -57,7 +57,7 @@
 // NewFleet returns a fleet without endpoints for the host with the given name.
 func NewFleet(host string, opt jksched.DirectOptions, timer *jktimer.Service) *Fleet {
 	return &Fleet{
-		self: Host{Name: host, Zone: opt.Zone}, isLearned: opt.Learned && !opt.AssumedEngines,
+		self: Host{Name: host, Zone: opt.Zone}, isLearned: opt.Learned,
 		notices: map[string]*notice{},
 		timer:   timer, direct: jksched.NewDirectPlacer(opt), addrs: map[string]string{},
 		inFlight: map[string]map[*call]tracked{}, cutOffZones: map[string]bool{}, heardAt: map[string]time.Time{},
--- a/core/jksched/direct.go
+++ b/core/jksched/direct.go
@@ -52,9 +52,6 @@
 	// Learned is set to place calls by their learned costs and the learned demand for shared
 	// prompt parts.
 	Learned bool
-	// AssumedEngines keeps engines out of Learned: their calls are placed by the caller's hints, and
-	// shared parts have the holders that the utilization gives them.
-	AssumedEngines bool
 }
 
 // DefaultDirectOptions returns the defaults. The caller sets Zone and Delay.
--- a/core/jksched/outlook.go
+++ b/core/jksched/outlook.go
@@ -105,7 +105,7 @@
 
 // likelyTokens returns the number of tokens that the call being placed is expected to generate.
 func (d *DirectPlacer) likelyTokens(c Call) int64 {
-	if d.learns(KindModel) {
+	if d.opt.Learned {
 		return max(int64(d.expected.tokens), 1)
 	}
 	return c.MaxTokens
--- a/core/jksched/predict.go
+++ b/core/jksched/predict.go
@@ -139,7 +139,7 @@
 
 // runTime predicts how long the call runs on the endpoint once it has a slot.
 func (d *DirectPlacer) runTime(now time.Time, c Call, row *directRow) time.Duration {
-	if d.learns(c.Kind) {
+	if d.opt.Learned {
 		return d.outlookOf(now, c, row).run
 	}
 	if c.Kind == KindService {
@@ -157,7 +157,7 @@
 
 // serviceTime returns the mean time of a call of a plain service, or the default.
 func (d *DirectPlacer) serviceTime(row *directRow) time.Duration {
-	if d.learns(row.endpoint.Kind) {
+	if d.opt.Learned {
 		return time.Duration(d.serviceWork)
 	}
 	if row.serviceTime > 0 {
@@ -168,7 +168,7 @@
 
 // predictedWait returns the predicted time until a slot is free.
 func (d *DirectPlacer) predictedWait(now time.Time, c Call, row *directRow) time.Duration {
-	if d.learns(c.Kind) {
+	if d.opt.Learned {
 		return d.outlookOf(now, c, row).wait
 	}
 	over := d.occupancy(now, row) - d.slots(row) + 1
@@ -183,7 +183,7 @@
 func (d *DirectPlacer) queueRetryAfter(now time.Time, row *directRow) time.Duration {
 	slots := d.slots(row)
 	occupied := int(row.outlook.calls + 0.5)
-	if !d.learns(row.endpoint.Kind) {
+	if !d.opt.Learned {
 		occupied = d.occupancy(now, row)
 	}
 	over := occupied - int(float64(slots)*(1+d.opt.QueuePerSlot))
@@ -200,7 +200,7 @@
 // cost predicts the latency of the call on the endpoint, plus the delay that it causes to
 // the calls running there.
 func (d *DirectPlacer) cost(now time.Time, c Call, row *directRow) time.Duration {
-	if d.learns(c.Kind) {
+	if d.opt.Learned {
 		o := d.outlookOf(now, c, row)
 		cost := o.wait + o.run + o.caused + d.wayCost(c, row)
 		if cost >= d.bestCost {
@@ -254,7 +254,7 @@
 func (d *DirectPlacer) jitter(c Call, row *directRow) time.Duration {
 	usual := d.opt.ServiceTime
 	switch {
-	case d.learns(c.Kind):
+	case d.opt.Learned:
 		usual = time.Duration(d.serviceWork)
 	case c.Kind == KindModel:
 		usual = time.Duration(row.engine.outputTokens()) * row.engine.tokenPace()
@@ -270,7 +270,7 @@
 	if c.Kind != KindModel {
 		return
 	}
-	if d.learns(c.Kind) {
+	if d.opt.Learned {
 		d.markCached(c)
 		return
 	}
@@ -415,8 +415,3 @@
 		d.partOrder = d.partOrder[1:]
 	}
 }
-
-// learns reports whether calls of a kind are placed by their learned costs.
-func (d *DirectPlacer) learns(kind Kind) bool {
-	return d.opt.Learned && (kind == KindService || !d.opt.AssumedEngines)
-}
