account: log the losses that hold a reservation up

'tokens not reserved ... reserve: 4 of 3 needed copies answered' doesn't say what the reservation waits for: all copies answer and are certain. No change of logic: lossReports keeps the names of the copies in place of their number.

--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -1,7 +1,9 @@
 package jkaccount
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"jasmineknot.example/core/jkledger"
@@ -10,31 +12,31 @@
 // lossReports holds which copies have answered and what their hosts observe of the others.
 type lossReports struct {
 	answered map[string]bool
-	// reporting is the number of those whose observations count.
-	reporting int
+	// reporting are those whose observations count.
+	reporting []string
 	// confirmed holds the hosts whose loss at least one of them has confirmed.
 	confirmed map[string]bool
-	// silent counts for each host the reporting ones that haven't reached it since its loss.
-	silent map[string]int
+	// silent holds for each host the reporting ones that haven't reached it since its loss.
+	silent map[string][]string
 	// returned holds the hosts that at least one of them hasn't copied since they are back, and how long ago they
 	// answered before.
 	returned map[string]time.Duration
 }
 
 func newLossReports() *lossReports {
-	return &lossReports{answered: map[string]bool{}, confirmed: map[string]bool{}, silent: map[string]int{}, returned: map[string]time.Duration{}}
+	return &lossReports{answered: map[string]bool{}, confirmed: map[string]bool{}, silent: map[string][]string{}, returned: map[string]time.Duration{}}
 }
 
 // add adds the answer of a copy.
 func (r *lossReports) add(from string, l jkledger.Losses) {
 	r.answered[from] = true
-	r.reporting++
+	r.reporting = append(r.reporting, from)
 	for _, host := range l.Confirmed {
 		r.confirmed[host] = true
-		r.silent[host]++
+		r.silent[host] = append(r.silent[host], from)
 	}
 	for _, host := range l.NeverReached {
-		r.silent[host]++
+		r.silent[host] = append(r.silent[host], from)
 	}
 	for _, back := range l.Returned {
 		r.returned[back.Host] = max(r.returned[back.Host], back.Since)
@@ -46,7 +48,12 @@
 
 // isContested reports whether a copy that answered reaches a host, or has reached it so lately
 // that the host may be cut off rather than down.
-func (r *lossReports) isContested(host string) bool { return r.silent[host] < r.reporting }
+func (r *lossReports) isContested(host string) bool { return len(r.silent[host]) < len(r.reporting) }
+
+// contesting returns the copies because of which a host is contested.
+func (r *lossReports) contesting(host string) []string {
+	return slices.DeleteFunc(slices.Clone(r.reporting), func(from string) bool { return slices.Contains(r.silent[host], from) })
+}
 
 // isLossHarmless reports whether the other copies have what the copy on a silent host has
 // admitted. This host may be the only one that can't reach it, so that its own observation
@@ -55,6 +62,20 @@
 	return !reports.isContested(host) && (reports.confirmed[host] || c.LossConfirmed(host))
 }
 
+// unprovenLosses describes for a log line the silent hosts whose loss may not be harmless: whether any host has confirmed
+// it, and which copies contest it.
+func (c *Client) unprovenLosses(reports *lossReports) string {
+	var out []string
+	for _, known := range c.knownCopies() {
+		if c.Reachable(known.Host) || c.isLossHarmless(known.Host, reports) {
+			continue
+		}
+		isConfirmed := reports.confirmed[known.Host] || c.LossConfirmed(known.Host)
+		out = append(out, fmt.Sprintf("%s confirmed=%t contested_by=%s", known.Host, isConfirmed, strings.Join(reports.contesting(known.Host), "+")))
+	}
+	return strings.Join(out, ", ")
+}
+
 // isDown reports whether a copy is down while no entry of its zone admits turns without the
 // other zones. A copy that has answered, if only through a relay, isn't down.
 func (c *Client) isDown(target Copy, reports *lossReports) bool {
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -38,7 +38,7 @@
 	}
 	err = o.run(ctx)
 	if err != nil {
-		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies))
+		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies), "unproven_losses", c.unprovenLosses(o.reports))
 		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
 		return "", err
 	}
