probe, entry: don't contest a loss that this host couldn't observe

Callers saw: beside a storage host that was replaced, turns of programs past half of their budgets get 503 account_uncertain in all tries until the host's entry is removed, 20 s or more later (LOST), though all copies answer and are certain. Cause: a loss is harmless once one host has confirmed it and none that answered contests it. A host that was paused, short of processor time or started within 4 s before the lost one's last answer can't confirm it, ever, and that counted as contesting. A pause made the others and their zones look as if they had been out of reach. Change: jkprobe tells silences of its own process from breaks that it has seen. A host that has observed another one for too short a time, and has seen no break, reports it as unobserved, as it did one that it had never reached. jkaccount counts it as before: at least one host has to confirm the loss. A confirmed loss of a host that wasn't copied since an own silence is unobserved as well. Why it is safe: to hand out half of a budget by itself a part of the fleet has to be cut off from the zone that confirms. The model of core/jkaccount follows the rule; TestBudgetHolds* pass with 20,000 checks each. With a model that leaves out what contests, TestBudgetOfACopyThatReturnsAsAnotherGoesDown fails.

--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -16,7 +16,7 @@
 	reporting []string
 	// confirmed holds the hosts whose loss at least one of them has confirmed.
 	confirmed map[string]bool
-	// silent holds for each host the reporting ones that haven't reached it since its loss.
+	// silent holds for each host the reporting ones that don't contest its loss.
 	silent map[string][]string
 	// returned holds the hosts that at least one of them hasn't copied since they are back, and how long ago they
 	// answered before.
@@ -35,7 +35,7 @@
 		r.confirmed[host] = true
 		r.silent[host] = append(r.silent[host], from)
 	}
-	for _, host := range l.NeverReached {
+	for _, host := range l.Unobserved {
 		r.silent[host] = append(r.silent[host], from)
 	}
 	for _, back := range l.Returned {
@@ -46,8 +46,8 @@
 // addNew adds the answer of a copy that is new. Its host hasn't noticed yet which ones are down.
 func (r *lossReports) addNew(from string) { r.answered[from] = true }
 
-// isContested reports whether a copy that answered reaches a host, or has reached it so lately
-// that the host may be cut off rather than down.
+// isContested reports whether a copy that answered reaches a host, or has seen that the host may be cut off rather than
+// down.
 func (r *lossReports) isContested(host string) bool { return len(r.silent[host]) < len(r.reporting) }
 
 // contesting returns the copies because of which a host is contested.
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -90,6 +90,20 @@
 	return source != nil && !source.uncopiedSince.IsZero()
 }
 
+// splitLosses returns the confirmed losses of hosts that this one has copied since they were out of reach, and those
+// of hosts that it hasn't copied since a silence of its own, which contradicts nothing.
+func (s *copySources) splitLosses(confirmed []string, isOwnSilence func(host string) bool) (copied, missed []string) {
+	for _, host := range confirmed {
+		switch {
+		case !s.isUncopied(host):
+			copied = append(copied, host)
+		case isOwnSilence(host):
+			missed = append(missed, host)
+		}
+	}
+	return copied, missed
+}
+
 // uncopied returns all such hosts.
 func (s *copySources) uncopied(now time.Time) []jkledger.Return {
 	s.mu.Lock()
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -279,15 +279,17 @@
 // losses returns the other hosts with a copy that don't answer, or haven't been copied since they are
 // back. The time for which one was back before doesn't tell whether its records were copied.
 func (t *Storage) losses() jkledger.Losses {
-	confirmed, neverReached := t.probes.Losses()
-	confirmed = slices.DeleteFunc(confirmed, t.sources.isUncopied)
+	confirmed, unobserved := t.probes.Losses()
+	confirmed, missed := t.sources.splitLosses(confirmed, t.probes.OwnSilence)
+	unobserved = append(unobserved, missed...)
 	for _, h := range t.vault.LostHosts() {
 		// A host that answered this process isn't lost, or by another silence.
-		if i := slices.Index(neverReached, h.Host); i >= 0 && h.Announced == t.registry.announced(h.Host) {
-			confirmed, neverReached = append(confirmed, h.Host), slices.Delete(neverReached, i, i+1)
+		last, _ := t.probes.LastAnswer(h.Host)
+		if i := slices.Index(unobserved, h.Host); i >= 0 && last.IsZero() && h.Announced == t.registry.announced(h.Host) {
+			confirmed, unobserved = append(confirmed, h.Host), slices.Delete(unobserved, i, i+1)
 		}
 	}
-	return jkledger.Losses{Confirmed: confirmed, NeverReached: neverReached, Returned: t.sources.uncopied(t.timer.Now())}
+	return jkledger.Losses{Confirmed: confirmed, Unobserved: unobserved, Returned: t.sources.uncopied(t.timer.Now())}
 }
 
 // noteLosses keeps the losses that are harmless over a restart: nobody can confirm them after that.
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -44,9 +44,9 @@
 	// Confirmed are the hosts that fell silent alone, while their zone went on answering, and from which the
 	// answering copy has copied since they were out of reach before. The other copies have what they admitted.
 	Confirmed []string `msgpack:"settled_losses,omitempty"`
-	// NeverReached are the hosts that haven't answered since the copy's host started, so that
-	// it can't tell.
-	NeverReached []string `msgpack:"never_reached,omitempty"`
+	// Unobserved are the hosts of which the copy's host can't tell: they haven't answered since it started, or it
+	// started or was paused too shortly before their last answer.
+	Unobserved []string `msgpack:"never_reached,omitempty"`
 	// Returned are the hosts that are back, but from which the answering copy hasn't copied since.
 	Returned []Return `msgpack:"returned,omitempty"`
 }
--- a/core/jkprobe/loss.go
+++ b/core/jkprobe/loss.go
@@ -2,6 +2,19 @@
 
 import "time"
 
+// lossView is what this host has seen of the loss of another one.
+type lossView string
+
+const (
+	// lossContested: the host answers, or did so lately, or its silence may be part of a partition.
+	lossContested lossView = "contested"
+	// lossUnobserved: this host has observed the other one for too short a time to tell, since it started or was
+	// paused, and has seen nothing that contradicts a loss.
+	lossUnobserved lossView = "unobserved"
+	// lossConfirmed: the host fell silent alone.
+	lossConfirmed lossView = "confirmed"
+)
+
 // LossConfirmed reports whether an unreachable host fell silent alone: the zones of the host and
 // of this one were in reach of each other without a break from settleTime before the host's last
 // answer until LossConfirmedAfter after it, and the host itself until its last answer. For a host of the
@@ -10,12 +23,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row := p.peers[host]
-	return row != nil && row.lossConfirmed
+	return row != nil && row.loss == lossConfirmed
 }
 
 // Losses returns the unreachable hosts among those that are always probed: those for which
-// LossConfirmed is true, and those that haven't answered since they were added.
-func (p *Prober) Losses() (confirmed, neverReached []string) {
+// LossConfirmed is true, and those of which this host can't tell. These haven't answered since they were added, or
+// this host started or was paused too shortly before their last answer.
+func (p *Prober) Losses() (confirmed, unobserved []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.unreachableHosts == 0 {
@@ -24,41 +38,83 @@
 	for host, row := range p.peers {
 		switch {
 		case !row.unreachable || !row.peer.AlwaysProbed:
-		case row.lossConfirmed:
+		case row.loss == lossConfirmed:
 			confirmed = append(confirmed, host)
-		case row.lastAnswer.IsZero():
-			neverReached = append(neverReached, host)
+		case row.loss == lossUnobserved || row.lastAnswer.IsZero():
+			unobserved = append(unobserved, host)
 		}
 	}
-	return confirmed, neverReached
+	return confirmed, unobserved
 }
 
 // LossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
 // turn out to be the first one of a partition.
 const LossConfirmedAfter = 2 * time.Second
 
-// confirmLoss remembers that an unreachable host fell silent alone. If its zone is cut off
-// later, the host lacks what was admitted without it and says so.
-func (p *Prober) confirmLoss(now time.Time, row *peerRow) {
-	silent := now.Sub(later(row.lastAnswer, row.addedAt))
-	row.lossConfirmed = row.unreachable && (row.lossConfirmed || silent >= LossConfirmedAfter && p.isSilentAlone(row))
-}
-
-// isSilentAlone reports whether the zones of a silent host and of this one have been in reach of
-// each other since settleTime before the host's last answer, and the host was. One that was back for a shorter
-// time may have records of a cut that nobody has copied. The caller holds the lock.
-func (p *Prober) isSilentAlone(row *peerRow) bool {
+// viewLoss decides what this host has seen of the loss of an unreachable one. A loss that was confirmed stays so: if
+// the zone is cut off later, the host lacks what was admitted without it and says so.
+func (p *Prober) viewLoss(now time.Time, row *peerRow) lossView {
 	last := later(row.lastAnswer, row.addedAt)
-	if len(p.zones) > 0 && last.Sub(row.backAt) < settleTime {
-		return false
+	switch {
+	case !row.unreachable:
+		return lossContested
+	case row.loss == lossConfirmed:
+		return lossConfirmed
+	case now.Sub(last) < LossConfirmedAfter:
+		return lossContested
+	case len(p.zones) == 0:
+		return lossConfirmed
+	case last.Sub(p.lastBreak(row)) < settleTime:
+		return lossContested
 	}
-	for zone, reachable := range p.zones {
-		if row.peer.Zone != p.Zone && row.peer.Zone != zone {
-			continue
+	switch from := p.observedFrom(row); {
+	case last.Sub(from) >= settleTime:
+		return lossConfirmed
+	case now.Sub(from) >= LossConfirmedAfter:
+		return lossUnobserved
+	}
+	return lossContested
+}
+
+// lastBreak returns when this host last saw another one back, or one of the zones that its loss depends on out of reach or
+// back. A host that was back for a short time may have records of a cut that nobody has copied. The caller holds the lock.
+func (p *Prober) lastBreak(row *peerRow) time.Time {
+	last := row.breaks.backAt
+	for _, zone := range p.zonesOf(row) {
+		if !p.zones[zone] {
+			return p.Timer.Now()
 		}
-		if !reachable || last.Sub(later(p.zoneChangedAt[zone], p.startedAt)) < settleTime {
-			return false
+		last = later(last, p.breaksOf(zone).backAt)
+	}
+	return last
+}
+
+// observedFrom returns since when this host has observed another one and these zones. The caller holds the lock.
+func (p *Prober) observedFrom(row *peerRow) time.Time {
+	from := later(p.startedAt, row.breaks.heardFrom)
+	for _, zone := range p.zonesOf(row) {
+		from = later(from, p.breaksOf(zone).heardFrom)
+	}
+	return from
+}
+
+// zonesOf returns the other zones that have to be in reach for a loss to be confirmed: that of the host, or all if it
+// is in the own one.
+func (p *Prober) zonesOf(row *peerRow) []string {
+	var out []string
+	for zone := range p.zones {
+		if row.peer.Zone == p.Zone || row.peer.Zone == zone {
+			out = append(out, zone)
 		}
 	}
-	return true
+	return out
+}
+
+func (p *Prober) breaksOf(zone string) *breaks {
+	b := p.zoneBreaks[zone]
+	if b == nil {
+		b = &breaks{}
+		p.zoneBreaks[zone] = b
+	}
+	return b
 }
--- a/core/jkprobe/observation.go
+++ b/core/jkprobe/observation.go
@@ -23,7 +23,7 @@
 	now := p.Timer.Now()
 	reachable, known := p.zones[row.peer.Zone]
 	return Observation{
-		reachable: !row.unreachable, lossConfirmed: row.lossConfirmed, zoneReachable: !known || reachable,
+		reachable: !row.unreachable, lossConfirmed: row.loss == lossConfirmed, zoneReachable: !known || reachable,
 		silent: now.Sub(later(row.lastAnswer, row.addedAt)), zoneFor: now.Sub(later(p.zoneChangedAt[row.peer.Zone], p.startedAt)),
 	}
 }
--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -79,7 +79,7 @@
 	stop func()
 	// sendTo sends a datagram.
 	sendTo func(kind byte, key uint64, to netip.AddrPort)
-	// startedAt is when this host began to observe the others.
+	// startedAt is when this host began to observe the others: its start, or the end of its last pause.
 	startedAt time.Time
 
 	mu    sync.Mutex
@@ -100,6 +100,8 @@
 	zones map[string]bool
 	// zoneChangedAt is when a zone last became unreachable or reachable again.
 	zoneChangedAt map[string]time.Time
+	// zoneBreaks tells changes of zones from silences of this process itself.
+	zoneBreaks map[string]*breaks
 	// lostZones holds the zones of which OnZoneChange was told last that they are unreachable.
 	lostZones map[string]bool
 }
@@ -112,16 +114,16 @@
 	addedAt     time.Time
 	unreachable bool
 	isProbed    bool
-	// lossConfirmed is set by confirmLoss.
-	lossConfirmed bool
+	// loss is the result of viewLoss at the last tick.
+	loss lossView
 	// probedAt is when the latest probe was sent, and unansweredSince when the first one since
 	// the last answer was.
 	probedAt        time.Time
 	unansweredSince time.Time
 	// silentSince is when an unreachable host last answered, or was added.
 	silentSince time.Time
-	// backAt is when a host that was unreachable last was reachable again.
-	backAt time.Time
+	// breaks are those between this host and the peer.
+	breaks breaks
 }
 
 // Datagram types, sent as the first byte.
@@ -150,7 +152,7 @@
 			return nil, eris.Wrap(err, "listen for probes")
 		}
 	}
-	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, lostZones: map[string]bool{}, stop: func() {}}
+	p := &Prober{Options: o, conn: conn, startedAt: o.Timer.Now(), tickedAt: o.Timer.Now(), peers: map[string]*peerRow{}, byHash: map[uint64]*peerRow{}, zones: map[string]bool{}, zoneChangedAt: map[string]time.Time{}, zoneBreaks: map[string]*breaks{}, lostZones: map[string]bool{}, stop: func() {}}
 	p.sendTo = p.send
 	if o.First {
 		p.startedAt = time.Time{}
@@ -350,11 +352,11 @@
 			continue
 		}
 		row.unreachable = unreachable
+		row.breaks.note(now, !unreachable, p.isLate(now))
 		if unreachable {
 			row.silentSince = last
 			p.unreachableHosts++
 		} else {
-			row.backAt = now
 			p.unreachableHosts--
 		}
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
@@ -362,7 +364,7 @@
 	p.updateZones()
 	zones := p.zoneChanges(now)
 	for _, row := range p.peers {
-		p.confirmLoss(now, row)
+		row.loss = p.viewLoss(now, row)
 	}
 	targets := p.chooseTargets(now)
 	p.mu.Unlock()
@@ -403,6 +405,7 @@
 	for zone, reachable := range answers {
 		if was, known := p.zones[zone]; (known || !reachable) && was != reachable {
 			p.zoneChangedAt[zone] = now
+			p.breaksOf(zone).note(now, reachable, p.isLate(now))
 		}
 		p.zones[zone] = reachable
 	}
@@ -413,7 +416,7 @@
 // lock.
 func (p *Prober) zoneChanges(now time.Time) map[string]bool {
 	changed := map[string]bool{}
-	mayMissAnswers := now.Sub(p.lateAt) < unreachableAfter
+	mayMissAnswers := p.isLate(now)
 	for zone, reachable := range p.zones {
 		if p.lostZones[zone] == !reachable || !reachable && mayMissAnswers {
 			continue
