entry, vault: keep losses that other copies of the zone have confirmed

Callers saw: after a final fault, turns of programs past half of their budgets get 503 account_uncertain in all tries for the 15 s of the recovery, while first turns are served (LOST). Cause: that a host fell silent alone is kept on the disks of those that confirmed it, since nobody can after a restart. A storage host that was paused or started within 4 s before the loss keeps nothing. If the copies of a program are such hosts and ones whose disks are lost with the final fault, nobody knows any more that the loss was harmless; 'unproven_losses="storage-d-1 confirmed=false contested_by="'. Copies without their disks wait for the entry's removal for the same reason. Change: a storage host asks the others of its zone for the losses that it couldn't observe, and keeps those that they have confirmed. What counts is that the two zones were in reach of each other.

--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -57,6 +57,8 @@
 	// takeovers holds the hosts whose programs are being taken over.
 	takeovers map[string]bool
 	sources   *copySources
+	// adopting is set while other copies are asked for losses.
+	adopting atomic.Bool
 	// retireRequested is set once the store asks to empty this host.
 	retireRequested atomic.Bool
 	// listedAs is the address of the first entry of this host that was read from the store.
@@ -182,7 +184,7 @@
 	go t.announce(ctx)
 	go t.catchUp(ctx)
 	defer t.timer.Every(jkquota.PullInterval, t.permits.pull)()
-	defer t.timer.Every(observeInterval, t.noteLosses)()
+	defer t.timer.Every(observeInterval, func() { t.noteLosses(ctx) })()
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
 	<-stop
 	t.log.Info("storage stopping")
@@ -292,16 +294,6 @@
 	return jkledger.Losses{Confirmed: confirmed, Unobserved: unobserved, Returned: t.sources.uncopied(t.timer.Now())}
 }
 
-// noteLosses keeps the losses that are harmless over a restart: nobody can confirm them after that.
-func (t *Storage) noteLosses() {
-	confirmed, _ := t.probes.Losses()
-	for _, host := range confirmed {
-		if t.members.isCopy(host) && !t.sources.isUncopied(host) {
-			t.vault.NoteLoss(jkledger.GoneHost{Host: host, Announced: t.registry.announced(host)})
-		}
-	}
-}
-
 // otherCopies returns the other hosts with a copy of the ledger.
 func (t *Storage) otherCopies() []jkaccount.Copy {
 	return slices.DeleteFunc(t.members.copies(), func(c jkaccount.Copy) bool { return c.Host == t.settings.Host })
--- a/core/jkentry/takeover.go
+++ b/core/jkentry/takeover.go
@@ -103,7 +103,7 @@
 	var out []jkledger.GoneHost
 	for host := range gone {
 		if t.members.isCopyIn(host, t.settings.Zone) && !t.probes.Reachable(host) {
-			out = append(out, jkledger.GoneHost{Host: host, Announced: t.registry.announced(host)})
+			out = append(out, t.goneEntry(host))
 		}
 	}
 	return out
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -19,6 +19,8 @@
 	TypeAdopt = "ledger_adopt"
 	// TypeKeys sends a KeysRequest.
 	TypeKeys = "ledger_keys"
+	// TypeLosses sends a LossesRequest.
+	TypeLosses = "ledger_losses"
 )
 
 // ReserveRequest reserves tokens of a program's budget for one request.
@@ -148,6 +150,14 @@
 	Records int `msgpack:"records"`
 }
 
+// LossesRequest asks a copy which losses it has confirmed.
+type LossesRequest struct{}
+
+// LossesAnswer has the meaning of SyncPart.LostHosts.
+type LossesAnswer struct {
+	LostHosts []GoneHost `msgpack:"lost_hosts,omitempty"`
+}
+
 // KeysRequest asks a copy which records it has.
 type KeysRequest struct{}
 
--- a/core/jkvault/takeovers.go
+++ b/core/jkvault/takeovers.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -199,5 +201,17 @@
 	}
 }
 
+// lossesTimeout bounds a call for the losses that another copy has confirmed.
+const lossesTimeout = time.Second
+
+// ConfirmedLosses returns the hosts whose loss the copy at an address has confirmed as harmless.
+func (v *Vault) ConfirmedLosses(ctx context.Context, addr string) ([]jkledger.GoneHost, error) {
+	ctx, cancel := context.WithTimeout(ctx, lossesTimeout)
+	defer cancel()
+	var a jkledger.LossesAnswer
+	err := v.Pool.Call(ctx, addr, jkledger.TypeLosses, &jkledger.LossesRequest{}, &a)
+	return a.LostHosts, err
+}
+
 // LostHosts returns the hosts that are gone of which NoteLoss was told, also before a restart.
 func (v *Vault) LostHosts() []jkledger.GoneHost { return v.takeovers.lost() }
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -290,6 +290,8 @@
 		err = v.handleAdopt(ctx, s)
 	case jkledger.TypeKeys:
 		err = v.handleKeys(s)
+	case jkledger.TypeLosses:
+		err = s.End(&jkledger.LossesAnswer{LostHosts: v.LostHosts()})
 	default:
 		err = s.Fail("unknown_type", "the message type is not known")
 	}
