probe, entry: let copies that have copied from a lost host confirm its loss

Cause: a host that was back for under 4 s before its last answer may have records of its silence that nobody has copied, so nobody confirmed its loss, and all that had seen the silence contested it, also those that had copied from it meanwhile. Change: jkprobe reports such a loss as one of its own kind. A storage host of another zone confirms it if it has copied from the lost host since, as it has those records then, and contests it until it has. One of the same zone, which copies nothing for this, can't tell. The judgement is one function, copySources.judge, which also keeps silences of the lost host apart from pauses of this process. Why it is safe: the model of core/jkaccount follows it; TestBudgetHolds*, TestBudgetOfACopyThat* and TestBudgetAfterACut* pass with 20,000 checks. Ruled out by that model: not contesting what wasn't copied (TestBudgetOfACopyThatRestartsUnnoticedAfterACut fails).

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -185,16 +185,19 @@
 // until confirmedAfter after it. A host that it noticed down has to be back for as long before its last answer where
 // there are other zones.
 func (f *budgetFixture) settledWhenLost(e *budgetEntry, host string) bool {
-	return f.settledSince(e, host, time.Time{})
+	return !f.wasBackBriefly(e, host) && f.settledSince(e, host, time.Time{})
 }
 
-// settledSince is settledWhenLost for an observer that began at a time and hasn't noticed what ended before.
+// wasBackBriefly reports whether a host that an entry had noticed down was back for less than settledAfter.
+func (f *budgetFixture) wasBackBriefly(e *budgetEntry, host string) bool {
+	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
+	return f.hasOtherZones(e.zone) && lastAnswer.Sub(f.lastNoticedReturn(e, host)) < settledAfter
+}
+
+// settledSince reports whether an observer that began at a time has noticed no partition that bears on the loss of a host.
 func (f *budgetFixture) settledSince(e *budgetEntry, host string, began time.Time) bool {
 	own := f.copies[slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })].Zone
 	lastAnswer := f.now.Add(-f.unreachableFor(e, host))
-	if back := f.lastNoticedReturn(e, host); f.hasOtherZones(e.zone) && back.After(began) && lastAnswer.Sub(back) < settledAfter {
-		return false
-	}
 	return !slices.ContainsFunc(f.partitions, func(p partition) bool {
 		concerns := p.zone == e.zone || p.zone == own || own == e.zone
 		end := p.to
@@ -240,19 +243,21 @@
 		if uncopied {
 			out.Returned = append(out.Returned, jkledger.Return{Host: other.Host, Since: f.now.Sub(before)})
 		}
+		// Nothing is copied from the host's own zone.
+		mayConfirm := lastAnswer.Sub(startedAt) >= settledAfter && (other.Zone != c.Zone || !f.wasBackBriefly(own, other.Host))
 		switch {
 		case uncopied || f.unreachableFor(own, other.Host) <= unreachableAfter:
-		case lastAnswer.Sub(startedAt) >= settledAfter && f.lossConfirmed(own, other.Host):
+		case mayConfirm && f.isUncontested(own, other.Host, time.Time{}):
 			out.Confirmed = append(out.Confirmed, other.Host)
-		case lastAnswer.Before(startedAt), lastAnswer.Sub(startedAt) < settledAfter && f.unobserved(own, other.Host, startedAt):
+		case lastAnswer.Before(startedAt), !mayConfirm && f.isUncontested(own, other.Host, startedAt):
 			out.Unobserved = append(out.Unobserved, other.Host)
 		}
 	}
 	return out
 }
 
-// unobserved reports whether an observer that has just started has noticed nothing that contradicts the loss of a host.
-func (f *budgetFixture) unobserved(e *budgetEntry, host string, startedAt time.Time) bool {
+// isUncontested reports whether an observer that began at a time has noticed nothing that contradicts the loss of a host.
+func (f *budgetFixture) isUncontested(e *budgetEntry, host string, startedAt time.Time) bool {
 	return f.unreachableFor(e, host) >= confirmedAfter && f.settledSince(e, host, startedAt)
 }
 
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -1,6 +1,7 @@
 package jkentry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// uncopiedSince is when a source last answered before it was out of reach, if nothing was copied from it since it
 	// is back, and zero otherwise.
 	uncopiedSince time.Time
+	// wasSilent is set if the source itself was silent since then, and not only this process.
+	wasSilent bool
 }
 
 func newCopySources(zone string, zones int) *copySources {
@@ -59,8 +62,9 @@
 	delete(s.sources, host)
 }
 
-// returned notes that a host is in reach again, with the time of its last answer before.
-func (s *copySources) returned(host string, lastAnswer time.Time) {
+// returned notes that a host is in reach again, with the time of its last answer before, and whether the silence was one
+// of this process.
+func (s *copySources) returned(host string, lastAnswer time.Time, isOwn bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	source := s.sources[host]
@@ -68,6 +72,7 @@
 		return
 	}
 	source.pending = true
+	source.wasSilent = source.wasSilent || !isOwn
 	if source.uncopiedSince.IsZero() {
 		source.uncopiedSince = lastAnswer
 	}
@@ -78,32 +83,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source := s.sources[host]; source != nil {
-		source.pending, source.sinceStart, source.uncopiedSince = false, false, time.Time{}
+		source.pending, source.sinceStart, source.uncopiedSince, source.wasSilent = false, false, time.Time{}, false
 	}
 }
 
-// isUncopied reports whether a host was out of reach, and may have admitted turns then that this one hasn't copied.
-func (s *copySources) isUncopied(host string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	source := s.sources[host]
-	return source != nil && !source.uncopiedSince.IsZero()
+// lossViews are the hosts whose losses are harmless by what this host has seen and copied, and those of which it can't
+// tell. It contests the losses of all others.
+type lossViews struct {
+	confirmed, unobserved []string
 }
 
-// splitLosses returns the confirmed losses of hosts that this one has copied since they were out of reach, and those
-// of hosts that it hasn't copied since a silence of its own, which contradicts nothing.
-func (s *copySources) splitLosses(confirmed []string, isOwnSilence func(host string) bool) (copied, missed []string) {
-	for _, host := range confirmed {
+// judge decides what this host says of hosts that are out of reach. The arguments are those of jkprobe.Losses. A host that
+// was back from a silence before may have records of it that this one lacks, until it has copied them. Nothing is copied
+// from the own zone for this.
+func (s *copySources) judge(confirmed, returned, unobserved []string) lossViews {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out lossViews
+	for _, host := range slices.Concat(confirmed, returned) {
+		source := s.sources[host]
 		switch {
-		case !s.isUncopied(host):
-			copied = append(copied, host)
-		case isOwnSilence(host):
-			missed = append(missed, host)
+		case source == nil && slices.Contains(returned, host), source != nil && source.missedAnswers():
+			out.unobserved = append(out.unobserved, host)
+		case source == nil || source.uncopiedSince.IsZero():
+			out.confirmed = append(out.confirmed, host)
 		}
 	}
-	return copied, missed
+	for _, host := range unobserved {
+		if source := s.sources[host]; source == nil || source.uncopiedSince.IsZero() || source.missedAnswers() {
+			out.unobserved = append(out.unobserved, host)
+		}
+	}
+	return out
 }
 
+// missedAnswers reports whether nothing was copied from a source since silences that were all ones of this process.
+func (s *copySource) missedAnswers() bool { return !s.uncopiedSince.IsZero() && !s.wasSilent }
+
 // uncopied returns all such hosts.
 func (s *copySources) uncopied(now time.Time) []jkledger.Return {
 	s.mu.Lock()
--- a/core/jkentry/behind_test.go
+++ b/core/jkentry/behind_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -25,7 +24,7 @@
 		case "copied":
 			s.copied(hosts[0])
 		case "returned":
-			s.returned(hosts[0], time.Unix(1000, 0))
+			s.returned(hosts[0], time.Unix(1000, 0), false)
 		case "remove":
 			s.remove(hosts[0])
 		default:
@@ -75,18 +74,3 @@
 		t.Error("behind after the other zone was copied")
 	}
 }
-
-// Guards against the loss of a host that counts as contested, since this one was paused before it and hasn't copied from
-// the host after that.
-func TestLossOfAHostThatIsNotCopiedAfterAPauseIsUnobserved(t *testing.T) {
-	s := newCopySources("a", 3)
-	for _, host := range []string{"b-1", "b-2", "c-1"} {
-		s.add(HostEntry{Host: host, Zone: host[:1]}, false)
-	}
-	s.returned("b-1", time.Unix(1000, 0))
-	s.returned("b-2", time.Unix(1000, 0))
-	copied, missed := s.splitLosses([]string{"b-1", "b-2", "c-1"}, func(host string) bool { return host == "b-1" })
-	if !slices.Equal(copied, []string{"c-1"}) || !slices.Equal(missed, []string{"b-1"}) {
-		t.Errorf("losses of %v count as copied and of %v as missed, want c-1 and b-1", copied, missed)
-	}
-}
--- a/core/jkentry/losses.go
+++ b/core/jkentry/losses.go
@@ -7,16 +7,36 @@
 	"jasmineknot.example/core/jkledger"
 )
 
+// losses returns what this host says of the others with a copy that don't answer, or that it hasn't copied since they
+// are back.
+func (t *Storage) losses() jkledger.Losses {
+	seen := t.seenLosses()
+	for _, h := range t.vault.LostHosts() {
+		// A host that answered this process isn't lost, or by another silence.
+		last, _ := t.probes.LastAnswer(h.Host)
+		if i := slices.Index(seen.unobserved, h.Host); i >= 0 && last.IsZero() && h.Announced == t.registry.announced(h.Host) {
+			seen.confirmed, seen.unobserved = append(seen.confirmed, h.Host), slices.Delete(seen.unobserved, i, i+1)
+		}
+	}
+	return jkledger.Losses{Confirmed: seen.confirmed, Unobserved: seen.unobserved, Returned: t.sources.uncopied(t.timer.Now())}
+}
+
+// seenLosses returns what this process has seen and copied itself.
+func (t *Storage) seenLosses() lossViews {
+	l := t.probes.Losses()
+	return t.sources.judge(l.Confirmed(), l.Returned(), l.Unobserved())
+}
+
 // noteLosses keeps the losses that are harmless over a restart: nobody can confirm them after that. Those that this host
 // couldn't observe are asked for.
 func (t *Storage) noteLosses(ctx context.Context) {
-	confirmed, unobserved := t.probes.Losses()
-	for _, host := range confirmed {
-		if t.members.isCopy(host) && !t.sources.isUncopied(host) {
+	seen := t.seenLosses()
+	for _, host := range seen.confirmed {
+		if t.members.isCopy(host) {
 			t.vault.NoteLoss(t.goneEntry(host))
 		}
 	}
-	open := t.unknownLosses(unobserved)
+	open := t.unknownLosses(seen.unobserved)
 	if len(open) == 0 || !t.adopting.CompareAndSwap(false, true) {
 		return
 	}
--- a/core/jkentry/losses_test.go
+++ b/core/jkentry/losses_test.go
@@ -1,6 +1,7 @@
 package jkentry
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -30,3 +31,53 @@
 		awaitLoss(t, running[host], "b-1")
 	}
 }
+
+// Guards against a loss that counts as harmless although this host lacks what the lost one may have recorded, and against
+// one that it contests without having seen anything that contradicts it.
+func TestLossesAreJudgedByWhatWasCopied(t *testing.T) {
+	const (
+		confirmed, returned, unobserved = "confirmed", "returned", "unobserved"
+		contested                       = "contested"
+	)
+	for _, c := range []struct {
+		name, host, seen string
+		// silences are those of the host before; true stands for one of this process.
+		silences []bool
+		copied   bool
+		want     string
+	}{
+		{name: "calm", host: "b-1", seen: confirmed, want: confirmed},
+		{name: "silent before", host: "b-1", seen: confirmed, silences: []bool{false}, want: contested},
+		{name: "silent before, copied", host: "b-1", seen: confirmed, silences: []bool{false}, copied: true, want: confirmed},
+		{name: "paused before", host: "b-1", seen: confirmed, silences: []bool{true}, want: unobserved},
+		{name: "paused after a silence", host: "b-1", seen: confirmed, silences: []bool{false, true}, want: contested},
+		{name: "silent shortly before", host: "b-1", seen: returned, silences: []bool{false}, want: contested},
+		{name: "silent shortly before, copied", host: "b-1", seen: returned, silences: []bool{false}, copied: true, want: confirmed},
+		{name: "silent shortly before, own zone", host: "a-2", seen: returned, silences: []bool{false}, want: unobserved},
+		{name: "paused shortly before", host: "b-1", seen: unobserved, silences: []bool{true}, want: unobserved},
+		{name: "paused shortly before, silent before", host: "b-1", seen: unobserved, silences: []bool{false, true}, want: contested},
+		{name: "started shortly before", host: "b-1", seen: unobserved, want: unobserved},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCopySources("a", 3)
+			s.add(HostEntry{Host: c.host, Zone: c.host[:1]}, false)
+			for _, isOwn := range c.silences {
+				s.returned(c.host, time.Unix(1000, 0), isOwn)
+			}
+			if c.copied {
+				s.copied(c.host)
+			}
+			seen := map[string][]string{c.seen: {c.host}}
+			got, judged := contested, s.judge(seen[confirmed], seen[returned], seen[unobserved])
+			if slices.Contains(judged.confirmed, c.host) {
+				got = confirmed
+			}
+			if slices.Contains(judged.unobserved, c.host) {
+				got = unobserved
+			}
+			if got != c.want {
+				t.Errorf("the loss is %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -14,7 +14,6 @@
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkfollow"
-	"jasmineknot.example/core/jkledger"
 	"jasmineknot.example/core/jklog"
 	"jasmineknot.example/core/jkprobe"
 	"jasmineknot.example/core/jkquota"
@@ -278,22 +277,6 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind() }
 
-// losses returns the other hosts with a copy that don't answer, or haven't been copied since they are
-// back. The time for which one was back before doesn't tell whether its records were copied.
-func (t *Storage) losses() jkledger.Losses {
-	confirmed, unobserved := t.probes.Losses()
-	confirmed, missed := t.sources.splitLosses(confirmed, t.probes.OwnSilence)
-	unobserved = append(unobserved, missed...)
-	for _, h := range t.vault.LostHosts() {
-		// A host that answered this process isn't lost, or by another silence.
-		last, _ := t.probes.LastAnswer(h.Host)
-		if i := slices.Index(unobserved, h.Host); i >= 0 && last.IsZero() && h.Announced == t.registry.announced(h.Host) {
-			confirmed, unobserved = append(confirmed, h.Host), slices.Delete(unobserved, i, i+1)
-		}
-	}
-	return jkledger.Losses{Confirmed: confirmed, Unobserved: unobserved, Returned: t.sources.uncopied(t.timer.Now())}
-}
-
 // otherCopies returns the other hosts with a copy of the ledger.
 func (t *Storage) otherCopies() []jkaccount.Copy {
 	return slices.DeleteFunc(t.members.copies(), func(c jkaccount.Copy) bool { return c.Host == t.settings.Host })
@@ -388,7 +371,7 @@
 	if !t.members.isCopy(p.Host) {
 		return
 	}
-	t.sources.returned(p.Host, t.timer.Now().Add(-silent))
+	t.sources.returned(p.Host, t.timer.Now().Add(-silent), t.probes.OwnSilence(p.Host))
 	go t.copyFrom(t.running, p.Host, p.Addr, silent+catchUpMargin)
 }
 
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -175,7 +175,7 @@
 	pass(5*time.Second, "b1", "b2")
 	b1.Close()
 	pass(3*time.Second, "b2")
-	if confirmed, _ := s.probes.Losses(); !slices.Equal(confirmed, []string{"b1"}) {
+	if confirmed := s.probes.Losses().Confirmed(); !slices.Equal(confirmed, []string{"b1"}) {
 		t.Fatalf("the prober confirms the loss of %v", confirmed)
 	}
 	want := []jkledger.Return{{Host: "b1", Since: 10 * time.Second}}
--- a/core/jkprobe/loss.go
+++ b/core/jkprobe/loss.go
@@ -11,6 +11,9 @@
 	// lossUnobserved: this host has observed the other one for too short a time to tell, since it started or was
 	// paused, and has seen nothing that contradicts a loss.
 	lossUnobserved lossView = "unobserved"
+	// lossReturned: the host fell silent alone, but had been back for a short time only after a silence before. It may
+	// have records of that one which nobody has copied.
+	lossReturned lossView = "returned"
 	// lossConfirmed: the host fell silent alone.
 	lossConfirmed lossView = "confirmed"
 )
@@ -26,25 +29,41 @@
 	return row != nil && row.loss == lossConfirmed
 }
 
-// Losses returns the unreachable hosts among those that are always probed: those for which
-// LossConfirmed is true, and those of which this host can't tell. These haven't answered since they were added, or
-// this host started or was paused too shortly before their last answer.
-func (p *Prober) Losses() (confirmed, unobserved []string) {
+// Losses are the unreachable hosts among those that are always probed whose losses aren't contested.
+type Losses struct {
+	confirmed, returned, unobserved []string
+}
+
+// Confirmed returns the hosts for which LossConfirmed is true.
+func (l Losses) Confirmed() []string { return l.confirmed }
+
+// Returned returns the hosts that fell silent alone, shortly after they were back from another silence.
+func (l Losses) Returned() []string { return l.returned }
+
+// Unobserved returns the hosts of which this one can't tell. They haven't answered since they were added, or this host
+// started or was paused too shortly before their last answer.
+func (l Losses) Unobserved() []string { return l.unobserved }
+
+// Losses returns what this host has seen of those that are unreachable.
+func (p *Prober) Losses() Losses {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var out Losses
 	if p.unreachableHosts == 0 {
-		return nil, nil
+		return out
 	}
 	for host, row := range p.peers {
 		switch {
 		case !row.unreachable || !row.peer.AlwaysProbed:
 		case row.loss == lossConfirmed:
-			confirmed = append(confirmed, host)
+			out.confirmed = append(out.confirmed, host)
+		case row.loss == lossReturned:
+			out.returned = append(out.returned, host)
 		case row.loss == lossUnobserved || row.lastAnswer.IsZero():
-			unobserved = append(unobserved, host)
+			out.unobserved = append(out.unobserved, host)
 		}
 	}
-	return confirmed, unobserved
+	return out
 }
 
 // LossConfirmedAfter is the silence after which a host that is silent alone in its zone won't
@@ -64,10 +83,12 @@
 		return lossContested
 	case len(p.zones) == 0:
 		return lossConfirmed
-	case last.Sub(p.lastBreak(row)) < settleTime:
+	case last.Sub(p.lastZoneBreak(row)) < settleTime:
 		return lossContested
 	}
 	switch from := p.observedFrom(row); {
+	case last.Sub(from) >= settleTime && last.Sub(row.breaks.backAt) < settleTime:
+		return lossReturned
 	case last.Sub(from) >= settleTime:
 		return lossConfirmed
 	case now.Sub(from) >= LossConfirmedAfter:
@@ -76,10 +97,10 @@
 	return lossContested
 }
 
-// lastBreak returns when this host last saw another one back, or one of the zones that its loss depends on out of reach or
-// back. A host that was back for a short time may have records of a cut that nobody has copied. The caller holds the lock.
-func (p *Prober) lastBreak(row *peerRow) time.Time {
-	last := row.breaks.backAt
+// lastZoneBreak returns when one of the zones on which a host's loss depends was last out of reach. The caller holds the
+// lock.
+func (p *Prober) lastZoneBreak(row *peerRow) time.Time {
+	var last time.Time
 	for _, zone := range p.zonesOf(row) {
 		if !p.zones[zone] {
 			return p.Timer.Now()
--- a/core/jkprobe/loss_test.go
+++ b/core/jkprobe/loss_test.go
@@ -15,11 +15,12 @@
 func TestLossSoonAfterAPauseIsNotContested(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// paused is how long this process doesn't run, and cut how long zone b is silent instead.
-		paused, cut time.Duration
+		// alone is how long b1 is silent at first, paused how long this process doesn't run after that, and cut how
+		// long zone b is silent in the end.
+		alone, paused, cut time.Duration
 		// up is the time from then until b1 falls silent.
-		up                    time.Duration
-		confirmed, unobserved bool
+		up                              time.Duration
+		confirmed, returned, unobserved bool
 	}{
 		{name: "paused for long", paused: 3 * time.Second, up: time.Second, unobserved: true},
 		{name: "paused", paused: time.Second, up: time.Second, unobserved: true},
@@ -27,6 +28,8 @@
 		{name: "paused earlier", paused: time.Second, up: settleTime + time.Second, confirmed: true},
 		{name: "cut off", cut: 1500 * time.Millisecond, up: time.Second},
 		{name: "paused during a cut", paused: time.Second, cut: LossConfirmedAfter + time.Second, up: time.Second},
+		{name: "alone before", alone: 1500 * time.Millisecond, up: time.Second, returned: true},
+		{name: "alone before, paused after", alone: 1500 * time.Millisecond, paused: time.Second, up: time.Second, unobserved: true},
 		{name: "calm", up: time.Second, confirmed: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -59,6 +62,10 @@
 				}
 			}
 			run(2 * settleTime)
+			run(c.alone, "b1")
+			if c.alone > 0 {
+				run(2 * probeInterval)
+			}
 			if c.paused > 0 {
 				// The answers to the last probes aren't read before the pause.
 				for _, row := range p.peers {
@@ -70,7 +77,10 @@
 			run(c.cut, "b1", "b2")
 			run(c.up)
 			run(LossConfirmedAfter+unreachableAfter, "b1")
-			confirmed, unobserved := p.Losses()
+			if got := slices.Contains(p.Losses().Returned(), "b1"); got != c.returned {
+				t.Errorf("the host counts as back shortly before: %t, want %t", got, c.returned)
+			}
+			confirmed, unobserved := p.Losses().Confirmed(), p.Losses().Unobserved()
 			if got := slices.Contains(confirmed, "b1"); got != c.confirmed {
 				t.Errorf("the loss is confirmed: %t, want %t", got, c.confirmed)
 			}
--- a/core/jkprobe/prober_test.go
+++ b/core/jkprobe/prober_test.go
@@ -152,7 +152,7 @@
 		for _, row := range p.peers {
 			row.loss = p.viewLoss(timer.Now(), row)
 		}
-		confirmed, unobserved := p.Losses()
+		confirmed, unobserved := p.Losses().Confirmed(), p.Losses().Unobserved()
 		for _, host := range hosts {
 			if got := p.LossConfirmed(host); got != slices.Contains(want, host) || got != slices.Contains(confirmed, host) {
 				t.Errorf("%s: loss of %s is confirmed: %t, among the losses: %t", when, host, got, slices.Contains(confirmed, host))
@@ -250,7 +250,7 @@
 		"b2": {peer: Peer{Host: "b2", Zone: "b", AlwaysProbed: true}, unreachable: true, lastAnswer: timer.Now()},
 		"b3": {peer: Peer{Host: "b3", Zone: "b", AlwaysProbed: true}},
 	}}
-	if confirmed, unobserved := p.Losses(); len(confirmed) > 0 || !slices.Equal(unobserved, []string{"b1"}) {
+	if confirmed, unobserved := p.Losses().Confirmed(), p.Losses().Unobserved(); len(confirmed) > 0 || !slices.Equal(unobserved, []string{"b1"}) {
 		t.Errorf("confirmed losses are %v and unobserved ones %v, want only b1 unobserved", confirmed, unobserved)
 	}
 }
