hosts: don't count a silence anew after a pause of its observer

Cause: an observer counts for how long a host is silent while its zone answers, and starts anew when the zone doesn't. Right after a pause of the observer itself nobody has answered, so each pause of its own set the count back. On a busy machine the mark of a silent host (8 s) and its removal (20 s) come late, on which copies without their disks and refused turns wait. Measured: TestPausesOfObserversDoNotEndASilence fails without it ('isn't marked after 12s of silence').

--- a/core/jkentry/entry.go
+++ b/core/jkentry/entry.go
@@ -120,7 +120,7 @@
 	e.registry = newRegistry(registryOptions{
 		timer: timer, log: log.Part("hosts"), own: HostEntry{Host: s.Host, Zone: s.Zone, Addr: s.Inner},
 		put: p.PutHost, swap: p.SwapHost, observes: true, storeReachable: e.follower.StoreReachable,
-		lastAnswer: probes.LastAnswer, reachable: probes.Reachable, runAsync: runInGoroutine,
+		lastAnswer: probes.LastAnswer, reachable: probes.Reachable, paused: probes.JustPaused, runAsync: runInGoroutine,
 	})
 	return e, e.listen()
 }
--- a/core/jkentry/registry.go
+++ b/core/jkentry/registry.go
@@ -86,6 +86,9 @@
 	// lastAnswer returns when a host last answered and whether it is probed.
 	lastAnswer func(host string) (last time.Time, probed bool)
 	reachable  func(host string) bool
+	// paused reports whether this process was paused just now, so that answers may be unread. It is set on hosts that
+	// observe others.
+	paused func() bool
 	// runAsync runs a store call without blocking the caller.
 	runAsync func(call func())
 }
@@ -216,10 +219,13 @@
 }
 
 // observe adds one observation of each other host and returns the entries that are due to
-// be marked or removed.
+// be marked or removed. Nothing is observed right after a pause of this process, which ends no silence either.
 func (r *registry) observe(storeReachable bool) []entryChange {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.paused() {
+		return nil
+	}
 	now := r.timer.Now()
 	var out []entryChange
 	for host, row := range r.rows {
--- a/core/jkentry/registry_test.go
+++ b/core/jkentry/registry_test.go
@@ -27,6 +27,8 @@
 	silent      map[string]time.Time
 	storeCutOff map[string]bool
 	swaps       int
+	// paused is set right after a pause of all processes, when nobody has heard from the others.
+	paused bool
 	// writesRefused is set while the store answers reads but refuses writes.
 	writesRefused bool
 	removed       []string
@@ -74,6 +76,9 @@
 		},
 		storeReachable: func() bool { return !f.storeCutOff[own.Host] },
 		lastAnswer: func(host string) (time.Time, bool) {
+			if f.paused {
+				return f.timer.Now().Add(-2 * observeInterval), true
+			}
 			if last, ok := f.silent[host]; ok && last.Before(began) {
 				return time.Time{}, true
 			} else if ok {
@@ -81,7 +86,8 @@
 			}
 			return f.timer.Now(), true
 		},
-		reachable: func(host string) bool { _, ok := f.silent[host]; return !ok },
+		reachable: func(host string) bool { _, ok := f.silent[host]; return !ok && !f.paused },
+		paused:    func() bool { return f.paused },
 		runAsync:  func(call func()) { call() },
 	})
 	f.running[own.Host] = r
@@ -278,6 +284,23 @@
 	}
 }
 
+// Guards against a silent host that is never marked, since each pause of an observer makes it count anew.
+func TestPausesOfObserversDoNotEndASilence(t *testing.T) {
+	f := newRegistryFixture(t)
+	f.stop("storage-a-1")
+	for range 3 {
+		f.pass(suspectStorageAfter / 2)
+		f.paused = true
+		f.pass(observeInterval)
+		f.paused = false
+	}
+	if !f.entries["storage-a-1"].Suspected {
+		t.Errorf("%+v isn't marked after %s of silence", f.entries["storage-a-1"], 3*suspectStorageAfter/2)
+	}
+	f.pass(settled)
+	f.expectEntry("storage-a-1", false)
+}
+
 // Guards against a removal before a host could refute the mark: the store refused the mark
 // for long, so that removeAfter has passed by the time it is written.
 func TestSuspectedHostHasTimeToRefute(t *testing.T) {
