entry: don't hand on losses that are harmless by copied records only

Cause: since a storage host confirms the loss of a host that was back for a short time if it has copied its records since. It copies those of its own programs, but kept the loss on disk, where other copies of the zone ask for it and a restart makes it a loss that they confirm, though they may lack what the lost host had of their programs. Change: such losses count for the host itself and aren't kept. Test: TestLossOfAHostThatIsNotCopiedIsNotConfirmed/back_shortly_before, with what was kept before: 'the loss is kept: true, want false'.

--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -87,10 +87,10 @@
 	}
 }
 
-// lossViews are the hosts whose losses are harmless by what this host has seen and copied, and those of which it can't
-// tell. It contests the losses of all others.
+// lossViews are the hosts whose losses are harmless by what this host has seen, those whose losses are harmless since it has
+// copied their records of an earlier silence, and those of which it can't tell. It contests the losses of all others.
 type lossViews struct {
-	confirmed, unobserved []string
+	confirmed, copied, unobserved []string
 }
 
 // judge decides what this host says of hosts that are out of reach. The arguments are those of jkprobe.Losses. A host that
@@ -101,11 +101,14 @@
 	defer s.mu.Unlock()
 	var out lossViews
 	for _, host := range slices.Concat(confirmed, returned) {
-		source := s.sources[host]
+		source, isReturned := s.sources[host], slices.Contains(returned, host)
 		switch {
-		case source == nil && slices.Contains(returned, host), source != nil && source.missedAnswers():
+		case source == nil && isReturned, source != nil && source.missedAnswers():
 			out.unobserved = append(out.unobserved, host)
-		case source == nil || source.uncopiedSince.IsZero():
+		case source != nil && !source.uncopiedSince.IsZero():
+		case isReturned:
+			out.copied = append(out.copied, host)
+		default:
 			out.confirmed = append(out.confirmed, host)
 		}
 	}
--- a/core/jkentry/losses.go
+++ b/core/jkentry/losses.go
@@ -11,14 +11,15 @@
 // are back.
 func (t *Storage) losses() jkledger.Losses {
 	seen := t.seenLosses()
+	confirmed := slices.Concat(seen.confirmed, seen.copied)
 	for _, h := range t.vault.LostHosts() {
 		// A host that answered this process isn't lost, or by another silence.
 		last, _ := t.probes.LastAnswer(h.Host)
 		if i := slices.Index(seen.unobserved, h.Host); i >= 0 && last.IsZero() && h.Announced == t.registry.announced(h.Host) {
-			seen.confirmed, seen.unobserved = append(seen.confirmed, h.Host), slices.Delete(seen.unobserved, i, i+1)
+			confirmed, seen.unobserved = append(confirmed, h.Host), slices.Delete(seen.unobserved, i, i+1)
 		}
 	}
-	return jkledger.Losses{Confirmed: seen.confirmed, Unobserved: seen.unobserved, Returned: t.sources.uncopied(t.timer.Now())}
+	return jkledger.Losses{Confirmed: confirmed, Unobserved: seen.unobserved, Returned: t.sources.uncopied(t.timer.Now())}
 }
 
 // seenLosses returns what this process has seen and copied itself.
@@ -28,7 +29,8 @@
 }
 
 // noteLosses keeps the losses that are harmless over a restart: nobody can confirm them after that. Those that this host
-// couldn't observe are asked for.
+// couldn't observe are asked for. Those that are harmless since it has copied the host's records aren't kept, as others
+// that ask for them may lack these.
 func (t *Storage) noteLosses(ctx context.Context) {
 	seen := t.seenLosses()
 	for _, host := range seen.confirmed {
--- a/core/jkentry/losses_test.go
+++ b/core/jkentry/losses_test.go
@@ -36,8 +36,8 @@
 // one that it contests without having seen anything that contradicts it.
 func TestLossesAreJudgedByWhatWasCopied(t *testing.T) {
 	const (
-		confirmed, returned, unobserved = "confirmed", "returned", "unobserved"
-		contested                       = "contested"
+		confirmed, copied, returned = "confirmed", "copied", "returned"
+		unobserved, contested       = "unobserved", "contested"
 	)
 	for _, c := range []struct {
 		name, host, seen string
@@ -52,7 +52,7 @@
 		{name: "paused before", host: "b-1", seen: confirmed, silences: []bool{true}, want: unobserved},
 		{name: "paused after a silence", host: "b-1", seen: confirmed, silences: []bool{false, true}, want: contested},
 		{name: "silent shortly before", host: "b-1", seen: returned, silences: []bool{false}, want: contested},
-		{name: "silent shortly before, copied", host: "b-1", seen: returned, silences: []bool{false}, copied: true, want: confirmed},
+		{name: "silent shortly before, copied", host: "b-1", seen: returned, silences: []bool{false}, copied: true, want: copied},
 		{name: "silent shortly before, own zone", host: "a-2", seen: returned, silences: []bool{false}, want: unobserved},
 		{name: "paused shortly before", host: "b-1", seen: unobserved, silences: []bool{true}, want: unobserved},
 		{name: "paused shortly before, silent before", host: "b-1", seen: unobserved, silences: []bool{false, true}, want: contested},
@@ -72,6 +72,9 @@
 			if slices.Contains(judged.confirmed, c.host) {
 				got = confirmed
 			}
+			if slices.Contains(judged.copied, c.host) {
+				got = copied
+			}
 			if slices.Contains(judged.unobserved, c.host) {
 				got = unobserved
 			}
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -133,8 +133,16 @@
 	eventually(t, "copy that isn't behind", func() bool { return !s.behind() })
 }
 
-// Guards against the loss of a host that counts as harmless although this one hasn't copied from it since it was back.
+// Guards against the loss of a host that counts as harmless although this one hasn't copied from it since it was back, and
+// against one that others adopt, who may lack what was copied.
 func TestLossOfAHostThatIsNotCopiedIsNotConfirmed(t *testing.T) {
+	t.Run("back for long", func(t *testing.T) { testLossOfAHostThatIsNotCopied(t, 5*time.Second, true) })
+	t.Run("back shortly before", func(t *testing.T) { testLossOfAHostThatIsNotCopied(t, 2*time.Second, false) })
+}
+
+// testLossOfAHostThatIsNotCopied plays the loss of a host that was back for a time, and checks whether it is kept.
+func testLossOfAHostThatIsNotCopied(t *testing.T, up time.Duration, isKept bool) {
+	t.Helper()
 	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
 	entries := map[string]Change{}
 	s, err := NewStorage(Settings{Host: "a", Zone: "a", Zones: []string{"a", "b"}, Folder: memoryFolder(t), First: true}.listening(t), scriptedPlatform(entries), timer, jklog.Discard())
@@ -172,13 +180,13 @@
 	answer("b2")
 	pass(2*time.Second, "b2")
 	b1 := answer("b1")
-	pass(5*time.Second, "b1", "b2")
+	pass(up, "b1", "b2")
 	b1.Close()
 	pass(3*time.Second, "b2")
-	if confirmed := s.probes.Losses().Confirmed(); !slices.Equal(confirmed, []string{"b1"}) {
+	if confirmed := s.probes.Losses().Confirmed(); slices.Contains(confirmed, "b1") != isKept {
 		t.Fatalf("the prober confirms the loss of %v", confirmed)
 	}
-	want := []jkledger.Return{{Host: "b1", Since: 10 * time.Second}}
+	want := []jkledger.Return{{Host: "b1", Since: up + 5*time.Second}}
 	if got := s.losses(); len(got.Confirmed)+len(got.Unobserved) > 0 || !slices.Equal(got.Returned, want) {
 		t.Errorf("%+v are reported before b1 is copied", got)
 	}
@@ -186,4 +194,8 @@
 	if got := s.losses(); !slices.Equal(got.Confirmed, []string{"b1"}) || len(got.Returned) > 0 {
 		t.Errorf("%+v are reported after b1 is copied", got)
 	}
+	s.noteLosses(t.Context())
+	if kept := len(s.vault.LostHosts()) > 0; kept != isKept {
+		t.Errorf("the loss is kept: %t, want %t", kept, isKept)
+	}
 }
