account: count a copy that is back as not copied only while others report it

Callers saw: beside planned work alone, turns of programs past half of their budgets get 503 account_uncertain in five tries over 4 s, though all copies answer and are certain (LOST). Cause: a copy that was added is chosen in place of an older one of its zone, which may have granted tokens alone before it was out of reach. The hosts of the other copies report one that is back until they have copied from it. Each entry also counted 5 s from the return, a rule from before these reports, so that turns were refused for 5 s after each restart of such a host, for some 16 s after another one was added. Change: the entry's own count is 2 s, in which the others notice the return. After that their reports decide. Ruled out: losses that nobody confirmed, as unproven_losses is empty in these lines. TestBudgetHolds* pass with 10,000 checks; the model reports a return at once, so that it says nothing about the 2 s.

--- a/core/jkaccount/choose.go
+++ b/core/jkaccount/choose.go
@@ -13,9 +13,9 @@
 	"jasmineknot.example/core/jkforward"
 )
 
-// returnPeriod is how long the others may take to copy the records of a copy that is back. It includes the time
-// between two calls of Observe.
-const returnPeriod = 5 * time.Second
+// returnPeriod is how long the hosts of other copies may take to notice that one is back. From then on they report it
+// until they have copied from it. It includes the time between two calls of Observe.
+const returnPeriod = 2 * time.Second
 
 // recentCopies remembers the copies that are new, since when others are in use, and which were silent.
 type recentCopies struct {
