probe: say 'always' for a zone that was never out of reach

The observation has no time of a change where there was none, and its text says 'always'. TestObservationOfAZoneThatWasAlwaysInReach and ExampleObservation fail before ('the zone changed 2562047h47m16.854775807s ago, want never').

--- a/core/jkprobe/observation.go
+++ b/core/jkprobe/observation.go
@@ -8,7 +8,9 @@
 // Observation is what this host has observed of another one.
 type Observation struct {
 	reachable, lossConfirmed, zoneReachable bool
-	silent, zoneFor                         time.Duration
+	silent                                  time.Duration
+	// zoneFor is the time since the zone last became reachable or unreachable, and zero if it never did.
+	zoneFor time.Duration
 }
 
 // Observe returns what this host has observed of another one. An unknown host counts as
@@ -22,15 +24,19 @@
 	}
 	now := p.Timer.Now()
 	reachable, known := p.zones[row.peer.Zone]
-	return Observation{
+	o := Observation{
 		reachable: !row.unreachable, lossConfirmed: row.loss == lossConfirmed, zoneReachable: !known || reachable,
-		silent: now.Sub(later(row.lastAnswer, row.addedAt)), zoneFor: now.Sub(later(p.zoneChangedAt[row.peer.Zone], p.startedAt)),
+		silent: now.Sub(later(row.lastAnswer, row.addedAt)),
 	}
+	if changed := later(p.zoneChangedAt[row.peer.Zone], p.startedAt); !changed.IsZero() {
+		o.zoneFor = now.Sub(changed)
+	}
+	return o
 }
 
 // String returns the observation for a log line: whether the host answers, the time since its
-// last answer, and whether its zone answers and since when. The latter counts from the start of
-// this process at most.
+// last answer, and whether its zone answers and since when. The latter counts from the last start or
+// pause of this process at most, and is "always" if the process started with the whole system and has seen no change.
 func (o Observation) String() string {
 	host, zone := "reachable", "reachable"
 	if !o.reachable {
@@ -42,5 +48,9 @@
 	if !o.zoneReachable {
 		zone = "unreachable"
 	}
-	return fmt.Sprintf("%s last_answer=%s zone=%s since=%s", host, o.silent.Round(time.Millisecond), zone, o.zoneFor.Round(time.Millisecond))
+	since := "always"
+	if o.zoneFor > 0 {
+		since = o.zoneFor.Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%s last_answer=%s zone=%s since=%s", host, o.silent.Round(time.Millisecond), zone, since)
 }
