account: record what copies hold of budgets, so that silent ones needn't be judged

Callers past half of their budgets got 503 account_uncertain while a storage host was stopped, replaced or cut off: in five tries and more for as long as a zone was cut off, and for 2 to 3 s beside a planned stop.

Cause: the bound of what a copy may grant alone was known when it answered, and nobody kept it. A copy grants without a majority only up to half of the budget, counting all that it has recorded.

Change: the settlement of a turn records what each copy counted when it answered the reservation, with the spendings that others lack. A majority of copies that aren't behind grants the rest of the budget, less what the others may yet grant by that. Inference stays for what isn't recorded.

Ruled out: escrow for a zone (programs that begin in a cut have no record of it); a new field of spendings (hosts of former builds refuse longer arrays).

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -85,6 +85,9 @@
 	// addedAt is when a host was added.
 	addedAt map[string]time.Time
 	entries []*budgetEntry
+	// outbox holds what entries keep for copies out of their reach, if they don't restart before it is delivered.
+	outbox       []undelivered
+	deliversLate bool
 	// granted is the number of tokens of all admitted turns, and turns the number of all
 	// reservations.
 	granted int64
@@ -492,7 +495,7 @@
 	r := jkforward.Reservation{Program: "p", Request: fmt.Sprint(f.turns), Tokens: tokens, Budget: budget, Retention: time.Hour}
 	copies := e.client.replicas(r.Program)
 	q := &quorum{spendings: spendings{}, copies: len(copies)}
-	reports := newLossReports()
+	reports, answers := newLossReports(), map[string][]jkledger.Spending{}
 	for _, c := range copies {
 		if !f.answers(e, c) {
 			continue
@@ -501,6 +504,7 @@
 		reports.add(c.Host, losses)
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
+		answers[c.Host] = l.Spendings(r.Program)
 		q.add(&jkledger.ReserveAnswer{Spendings: l.Spendings(r.Program), Certain: true, Behind: f.isBehind(c), Losses: losses}, e.client.standsIn(r.Program, c))
 	}
 	answering := slices.DeleteFunc(slices.Clone(copies), func(c Copy) bool { return !f.answers(e, c) })
@@ -514,12 +518,15 @@
 		l := f.ledgers[c.Host]
 		l.Apply(f.now, jkledger.Record{Spending: &jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: tokens, Retention: r.Retention}})
 		q.spendings.merge(l.Spendings(r.Program))
+		answers[c.Host] = l.Spendings(r.Program)
 	}
 	all := slices.Concat(copies, successors)
+	q.allowance = e.client.allowance(r, copies, successors, reports, q.spendings)
 	q.exclusive, q.parted = e.client.isExclusive(r.Program, copies, successors, reports), e.client.isParted(r.Program, copies, reports)
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
+		f.settle(e, r, copies, successors, answers)
 		for _, c := range answering {
 			if !q.hasMajority() {
 				f.unreplicated[c.Host] = map[string]bool{}
@@ -534,6 +541,39 @@
 	}
 }
 
+// undelivered are the records that an entry holds for a copy out of its reach.
+type undelivered struct {
+	from    *budgetEntry
+	to      Copy
+	records []jkledger.Record
+}
+
+// settle settles a turn that used all that it had reserved, on the copies that answer.
+func (f *budgetFixture) settle(e *budgetEntry, r jkforward.Reservation, copies, successors []Copy, answers map[string][]jkledger.Spending) {
+	recording := &recording{reservation: r, answers: answers}
+	spending := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Settled: true, Retention: r.Retention}
+	for _, c := range slices.Concat(copies, successors) {
+		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(spending, c.Host)})
+	}
+	f.deliver()
+	if !f.deliversLate {
+		f.outbox = nil
+	}
+}
+
+// deliver delivers what entries hold for copies that are in reach.
+func (f *budgetFixture) deliver() {
+	f.outbox = slices.DeleteFunc(f.outbox, func(u undelivered) bool {
+		if !f.answers(u.from, u.to) {
+			return false
+		}
+		for _, r := range u.records {
+			f.ledgers[u.to.Host].Apply(f.now, r)
+		}
+		return true
+	})
+}
+
 // advance lets time pass. Entries observe added copies meanwhile, as those of a daemon do.
 func (f *budgetFixture) advance(d time.Duration) {
 	for len(f.addedAt) > 0 && d > probePhase {
@@ -551,6 +591,7 @@
 	defer f.listen()
 	f.now = f.now.Add(d)
 	f.clock.Advance(d)
+	f.deliver()
 	for _, to := range f.copies {
 		for _, from := range f.copies {
 			_, downTo := f.downSince[to.Host]
@@ -817,9 +858,12 @@
 }
 
 // check fails if more is granted than the budget and one turn.
-func (f *budgetFixture) check(t interface{ Errorf(string, ...any) }) {
-	if f.granted > turnBudget+turnTokens {
-		t.Errorf("%d tokens are handed out of a budget of %d and one turn of %d", f.granted, turnBudget, turnTokens)
+func (f *budgetFixture) check(t interface{ Errorf(string, ...any) }) { f.checkOf(t, turnBudget) }
+
+// checkOf is check for another budget.
+func (f *budgetFixture) checkOf(t interface{ Errorf(string, ...any) }, budget int64) {
+	if f.granted > budget+turnTokens {
+		t.Errorf("%d tokens are handed out of a budget of %d and one turn of %d", f.granted, budget, turnTokens)
 	}
 }
 
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -80,6 +80,7 @@
 	outbox        *outbox
 	relayBackoffs *relayBackoffs
 	recent        recentCopies
+	recordings    recordings
 }
 
 // NewClient returns a client.
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
 )
 
@@ -161,10 +162,32 @@
 // they are down, and lost copies in whose place one of the given was chosen if the others have
 // what they admitted. The successors have no vote, but may admit turns elsewhere.
 func (c *Client) isExclusive(program string, copies, successors []Copy, reports *lossReports) bool {
-	mayAdmit := func(target Copy) bool { return !reports.answered[target.Host] && !c.isDown(target, reports) }
+	mayAdmit := func(target Copy) bool { return c.mayAdmitAlone(target, reports) }
 	return !slices.ContainsFunc(slices.Concat(copies, successors), mayAdmit) && len(c.replaced(program, copies, reports)) == 0
 }
 
+// allowance returns how many tokens the turns of a program may have together, by a majority's word: the budget and one
+// turn, less what may be granted elsewhere. Each copy that hasn't answered and may admit turns without a majority grants
+// its share at most, less what it is known to count, whether it is lost, cut off or slow.
+func (c *Client) allowance(r jkforward.Reservation, copies, successors []Copy, reports *lossReports, known spendings) int64 {
+	left := r.Budget + r.Tokens
+	leave := func(target Copy) { left -= max(partitionShare(r)-known.heldBy(target.Host), 0) }
+	for _, target := range slices.Concat(copies, successors) {
+		if c.mayAdmitAlone(target, reports) {
+			leave(target)
+		}
+	}
+	for _, other := range c.replaced(r.Program, copies, reports) {
+		leave(other)
+	}
+	return left
+}
+
+// mayAdmitAlone reports whether a copy that hasn't answered may admit turns without a majority.
+func (c *Client) mayAdmitAlone(target Copy, reports *lossReports) bool {
+	return !reports.answered[target.Host] && !c.isDown(target, reports)
+}
+
 // replaced returns the lost copies whose places the given ones have, and that may have admitted turns of which the
 // others don't know.
 func (c *Client) replaced(program string, copies []Copy, reports *lossReports) []Copy {
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -34,9 +34,10 @@
 
 // keepOperation writes one turn to copies in several zones.
 type keepOperation struct {
-	client  *Client
-	turn    jkforward.Turn
-	records []jkledger.Record
+	client *Client
+	turn   jkforward.Turn
+	// recording is what the copies have answered to the turn's reservation, or nil.
+	recording *recording
 	// changed signals that an outcome has changed.
 	changed chan struct{}
 	// targets holds the copies that the turn was sent to.
@@ -86,13 +87,19 @@
 func (c *Client) newKeepOperation(t jkforward.Turn) *keepOperation {
 	return &keepOperation{
 		client: c, turn: t, changed: make(chan struct{}, 1), outcomes: map[string]outcome{},
-		records: []jkledger.Record{
-			{Spending: &jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}},
-			{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}},
-		},
+		recording: c.recordings.take(cmp.Or(t.Reservation, t.Request)),
 	}
 }
 
+// recordsFor returns the records of the turn and its spending for a host.
+func (k *keepOperation) recordsFor(host string) []jkledger.Record {
+	t := k.turn
+	spending := jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}
+	return append(k.recording.settlement(spending, host), jkledger.Record{
+		Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention},
+	})
+}
+
 func (k *keepOperation) run(ctx context.Context) error {
 	c := k.client
 	for _, target := range c.replicas(k.turn.Program) {
@@ -130,7 +137,7 @@
 func (k *keepOperation) sendTo(target Copy) {
 	k.targets = append(slices.DeleteFunc(k.targets, func(t Copy) bool { return t.Host == target.Host }), target)
 	k.set(target.Host, outcomeWaiting)
-	k.client.outbox.send(target, k.records, func(o outcome) bool {
+	k.client.outbox.send(target, k.recordsFor(target.Host), func(o outcome) bool {
 		defer notify(k.changed)
 		return k.set(target.Host, o)
 	})
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -21,6 +21,9 @@
 	// exclusive is set if no other part of the fleet can admit turns of the program by
 	// itself: each copy has answered, or is down in a reachable zone.
 	exclusive bool
+	// allowance is how many tokens all turns may have together whatever the copies that didn't answer grant without a
+	// majority, by Client.allowance.
+	allowance int64
 	// parted is set if the copies that answered may admit turns without a majority, by Client.isParted.
 	parted bool
 }
@@ -46,6 +49,14 @@
 
 func (q *quorum) hasMajority() bool { return q.votes() >= majority(q.copies) }
 
+// hasRegularMajority reports whether copies with the records of all majorities are a majority themselves.
+func (q *quorum) hasRegularMajority() bool { return q.regularAnswers >= majority(q.copies) }
+
+// isAllowed reports whether the budget covers the turn and all that other parts of the fleet may grant by themselves.
+func (q *quorum) isAllowed(r jkforward.Reservation) bool {
+	return q.hasRegularMajority() && q.spendings.total() <= min(q.allowance, r.Budget)
+}
+
 // partitionShare returns the tokens that one side of a network partition may grant while
 // the other side may admit turns of the same program. It is half of what may be granted at
 // most, which is the budget and one more turn. Programs request about twice the tokens that
@@ -63,7 +74,7 @@
 // isEnough reports whether the answers so far admit the turn without waiting for the other
 // copies.
 func (q *quorum) isEnough(r jkforward.Reservation) bool {
-	return q.hasMajority() && q.spendings.total() <= min(partitionShare(r), r.Budget)
+	return q.hasMajority() && q.spendings.total() <= min(partitionShare(r), r.Budget) || q.isAllowed(r)
 }
 
 // decide returns an error unless the budget covers the reservation. It is called once all
@@ -80,6 +91,8 @@
 		return nil
 	case q.hasMajority() && total <= partitionShare(r):
 		return nil
+	case q.isAllowed(r):
+		return nil
 	case q.parted && q.coversAlone(r):
 		return nil
 	}
@@ -123,6 +136,15 @@
 	return sum
 }
 
+// heldBy returns how many tokens the copy on a host is known to count.
+func (s spendings) heldBy(host string) int64 {
+	most := int64(0)
+	for _, one := range s {
+		most = max(most, jkledger.HoldingOf(one, host))
+	}
+	return most
+}
+
 // settled returns the number of tokens of the spendings that are no reservations.
 func (s spendings) settled() int64 {
 	sum := int64(0)
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -178,6 +178,7 @@
 	request := &jkledger.ReserveRequest{Marks: true, Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
+	o.client.recordings.begin(r)
 	for _, target := range slices.Concat(o.copies, o.successors, o.extra) {
 		o.pending++
 		go func() {
@@ -188,6 +189,7 @@
 				o.log.add(target.Host, describeFailure(err))
 			} else {
 				o.log.add(target.Host, describeReserveAnswer(&a))
+				o.client.recordings.add(r.Request, target.Host, a.Spendings)
 				out.content = &a
 			}
 			select {
@@ -204,6 +206,7 @@
 	if a.content == nil {
 		return
 	}
+	defer o.judgeAllowance()
 	if slices.Contains(o.successors, a.from) {
 		o.reports.addNew(a.from.Host)
 	} else {
@@ -220,9 +223,17 @@
 	o.quorum.unprovenAnswers = o.client.countUnproven(o.reservation.Program, o.certain, o.reports)
 }
 
+// judgeAllowance sets what the turns of the program may have together, if that is more than their partitionShare.
+func (o *reserveOperation) judgeAllowance() {
+	if o.quorum.spendings.total() > partitionShare(o.reservation) {
+		o.quorum.allowance = o.client.allowance(o.reservation, o.copies, o.successors, o.reports, o.quorum.spendings)
+	}
+}
+
 // decide returns an error unless the answers so far admit the reservation.
 func (o *reserveOperation) decide() error {
 	o.quorum.exclusive = o.client.isExclusive(o.reservation.Program, o.copies, o.successors, o.reports)
+	o.judgeAllowance()
 	o.quorum.parted = o.client.isParted(o.reservation.Program, o.copies, o.reports)
 	err := o.quorum.decide(o.reservation)
 	var noQuorum *jkforward.NoQuorumError
@@ -276,13 +287,12 @@
 // It doesn't wait for them. If a settlement is lost, the reservation stays, so that the
 // program is charged more tokens than it used.
 func (c *Client) Settle(s jkforward.Settlement) {
-	records := []jkledger.Record{{Spending: &jkledger.Spending{
-		Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention,
-	}}}
+	recording := c.recordings.take(s.Request)
+	spending := jkledger.Spending{Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention}
 	copies := c.replicas(s.Program)
 	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
-		c.outbox.send(target, records, nil)
+		c.outbox.send(target, recording.settlement(spending, target.Host), nil)
 	}
 }
 
