entry: take no new connections once a stopping entry has refused a request

Callers that open a connection for each try got 503 host_stopping again and again from entries in the last 3 s of their grace: up to 6 tries of one turn within 0.8 s (the users' measurement), as the listener stayed open until the end.

Cause: whether an entry can still serve a request and whether it takes connections were decided apart.

Change: 2.5 s after the signal, when the platform sends no more connections, the entry closes its listener as soon as it has refused a request that may outlast it and nothing waits to be accepted. A refused connection costs callers no request, and proxies try the next host. While callers have connections, the entry goes on to answer them until the end of its grace.

--- a/core/jkentry/drain.go
+++ b/core/jkentry/drain.go
@@ -46,7 +46,8 @@
 	if now.Sub(signalled) <= deregistrationDelay {
 		endsAt = now.Add(e.settings.Grace - killMargin)
 	}
-	for (e.hasUnread() || e.counts.InFlight() > 0 || e.relay.Tunnels() > 0) && e.timer.Now().Before(endsAt) {
+	for (e.hasUnread() || e.counts.InFlight() > 0 || e.relay.Tunnels() > 0 || e.isAwaited()) && e.timer.Now().Before(endsAt) {
+		e.turnAwayCallers()
 		e.timer.Wait(drainInterval, nil)
 	}
 	if n := e.counts.InFlight(); n > 0 {
@@ -76,6 +77,18 @@
 	e.log.Info("entry stopped")
 }
 
+// turnAwayCallers closes the listener once the entry has refused a request that may outlast it. A caller whose connection
+// is refused tries another host at once, while an entry that went on to listen would answer its next tries with 503.
+func (e *Entry) turnAwayCallers() {
+	if e.stop.HasRefused() && !jkintake.HasUnaccepted(e.frontListener) {
+		_ = e.frontListener.Close()
+	}
+}
+
+// isAwaited reports whether the entry has refused requests and callers still have connections to it. A request on one of them gets
+// an answer until the end of the grace, where a closed connection wouldn't tell whether it has run.
+func (e *Entry) isAwaited() bool { return e.stop.HasRefused() && e.callers.Count() > 0 }
+
 // hasUnread reports whether callers have sent what the process hasn't read. The kernel resets such
 // connections when they or the listener are closed.
 func (e *Entry) hasUnread() bool {
--- a/core/jkforward/stop.go
+++ b/core/jkforward/stop.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	endsAt time.Time
 	ended  bool
+	// refused is set once a request was refused for the stop.
+	refused bool
 	// onEnds holds what End calls, by the number of its registration.
 	onEnds map[int]func()
 	last   int
@@ -43,6 +45,13 @@
 	return !s.endsAt.IsZero()
 }
 
+// HasRefused reports whether a request was refused because it may last longer than the host.
+func (s *HostStop) HasRefused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 // End breaks off the exchanges in flight, whose callers get a response that says so.
 func (s *HostStop) End() {
 	s.mu.Lock()
@@ -85,5 +94,6 @@
 	if s.endsAt.IsZero() || !c.deadline.After(s.endsAt) {
 		return nil
 	}
+	s.refused = true
 	return &refusal{status: http.StatusServiceUnavailable, reason: "host_stopping", retryAfter: stoppingRetryAfter}
 }
