account, ledger: holdings count only for who knows what they presuppose

Change: holdings name by hashes all spendings that the copies had, so that a reader checks them; they begin with a byte that no header can hold, have their own fields apart from the request's name, and count for half of the retention. A copy's own row of the request tells what it counts. Copies that haven't answered get none, reservations without tokens and refused ones have none, and a program with over 64 requests has none. Recordings that nobody settles are dropped.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -1,6 +1,7 @@
 package jkaccount
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -88,6 +89,9 @@
 	// outbox holds what entries keep for copies out of their reach, if they don't restart before it is delivered.
 	outbox       []undelivered
 	deliversLate bool
+	// retention is that of the program, one hour if it is zero, and requestPrefix begins the names of its requests.
+	retention     time.Duration
+	requestPrefix string
 	// granted is the number of tokens of all admitted turns, and turns the number of all
 	// reservations.
 	granted int64
@@ -492,7 +496,7 @@
 // reserve admits a turn as Client.Reserve does.
 func (f *budgetFixture) reserve(e *budgetEntry, tokens, budget int64) {
 	f.turns++
-	r := jkforward.Reservation{Program: "p", Request: fmt.Sprint(f.turns), Tokens: tokens, Budget: budget, Retention: time.Hour}
+	r := jkforward.Reservation{Program: "p", Request: f.requestPrefix + fmt.Sprint(f.turns), Tokens: tokens, Budget: budget, Retention: cmp.Or(f.retention, time.Hour)}
 	copies := e.client.replicas(r.Program)
 	q := &quorum{spendings: spendings{}, copies: len(copies)}
 	reports, answers := newLossReports(), map[string][]jkledger.Spending{}
@@ -553,7 +557,7 @@
 	recording := &recording{reservation: r, answers: answers}
 	spending := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Settled: true, Retention: r.Retention}
 	for _, c := range slices.Concat(copies, successors) {
-		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(spending, c.Host)})
+		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(f.now, spending, c.Host)})
 	}
 	f.deliver()
 	if !f.deliversLate {
@@ -591,6 +595,9 @@
 	defer f.listen()
 	f.now = f.now.Add(d)
 	f.clock.Advance(d)
+	for _, l := range f.ledgers {
+		l.Expire(f.now)
+	}
 	f.deliver()
 	for _, to := range f.copies {
 		for _, from := range f.copies {
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -171,7 +171,7 @@
 // its share at most, less what it is known to count, whether it is lost, cut off or slow.
 func (c *Client) allowance(r jkforward.Reservation, copies, successors []Copy, reports *lossReports, known spendings) int64 {
 	left := r.Budget + r.Tokens
-	leave := func(target Copy) { left -= max(partitionShare(r)-known.heldBy(target.Host), 0) }
+	leave := func(target Copy) { left -= max(partitionShare(r)-known.heldBy(target.Host, c.Timer.Now()), 0) }
 	for _, target := range slices.Concat(copies, successors) {
 		if c.mayAdmitAlone(target, reports) {
 			leave(target)
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -95,7 +95,7 @@
 func (k *keepOperation) recordsFor(host string) []jkledger.Record {
 	t := k.turn
 	spending := jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}
-	return append(k.recording.settlement(spending, host), jkledger.Record{
+	return append(k.recording.settlement(k.client.Timer.Now(), spending, host), jkledger.Record{
 		Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention},
 	})
 }
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -1,6 +1,10 @@
 package jkaccount
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
 )
@@ -137,12 +141,8 @@
 }
 
 // heldBy returns how many tokens the copy on a host is known to count.
-func (s spendings) heldBy(host string) int64 {
-	most := int64(0)
-	for _, one := range s {
-		most = max(most, jkledger.HoldingOf(one, host))
-	}
-	return most
+func (s spendings) heldBy(host string, now time.Time) int64 {
+	return jkledger.HeldBy(host, slices.Collect(maps.Values(s)), now)
 }
 
 // settled returns the number of tokens of the spendings that are no reservations.
--- a/core/jkaccount/recorded_test.go
+++ b/core/jkaccount/recorded_test.go
@@ -1,6 +1,7 @@
 package jkaccount
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -136,6 +137,73 @@
 	})
 }
 
+// Guards against a budget that is exceeded since a copy that is cut off for longer than the retention has forgotten what it had
+// recorded, while the program goes on elsewhere.
+func TestBudgetOfACopyThatHasForgottenWhatItRecorded(t *testing.T) {
+	for name, first := range map[string]int{"half is recorded": 2, "all is recorded": 4} {
+		t.Run(name, func(t *testing.T) {
+			f := newBudgetFixture(3, 1, 3)
+			f.retention = 10 * time.Second
+			a, c := f.entries[0], f.entries[2]
+			f.advance(5 * time.Second)
+			for range first {
+				f.reserve(a, turnTokens, turnBudget)
+			}
+			f.cut("c")
+			for range 20 {
+				f.advance(time.Second)
+				f.reserve(a, turnTokens, turnBudget)
+			}
+			for range 5 {
+				f.reserve(c, turnTokens, turnBudget)
+			}
+			f.check(t)
+		})
+	}
+}
+
+// Guards against holdings that a copy gets without the spendings which they presuppose, since the copy that it copies from goes
+// down meanwhile, or offers only what it added within a time.
+func TestBudgetOfHoldingsThatAreCopiedAlone(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	a, c := f.entries[0], f.entries[2]
+	f.advance(5 * time.Second)
+	f.cut("c")
+	f.advance(1500 * time.Millisecond)
+	for range 7 {
+		f.reserve(c, turnTokens, manyTurnsBudget)
+	}
+	f.heal()
+	f.advance(300 * time.Millisecond)
+	for _, s := range f.ledgers["c0"].Spendings("p") {
+		if jkledger.IsHoldings(s) {
+			f.ledgers["a0"].Apply(f.now, jkledger.Record{Spending: &s})
+		}
+	}
+	f.down("c0")
+	for range 20 {
+		f.advance(100 * time.Millisecond)
+		f.reserve(a, turnTokens, manyTurnsBudget)
+	}
+	f.checkOf(t, manyTurnsBudget)
+}
+
+// Guards against callers that raise what a copy is known to count by the names of their requests.
+func TestBudgetOfRequestsNamedAsHoldings(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	f.requestPrefix = "c0=100000"
+	f.advance(5 * time.Second)
+	f.cut("c")
+	f.advance(1500 * time.Millisecond)
+	for range 5 {
+		f.reserve(f.entries[0], turnTokens, turnBudget)
+	}
+	for range 5 {
+		f.reserve(f.entries[2], turnTokens, turnBudget)
+	}
+	f.check(t)
+}
+
 // Guards against a copy that is taken to count what it was only asked to reserve, since less of it may be used.
 func TestHoldingsCountWhatIsSettled(t *testing.T) {
 	r := &recording{
@@ -145,13 +213,14 @@
 			"b-1": {{Request: "first", Tokens: 30}, {Request: "now", Tokens: 10}},
 		},
 	}
-	records := r.settlement(jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true}, "b-1")
+	now := time.Unix(1000, 0)
+	records := r.settlement(now, jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1")
 	known := spendings{}
 	for _, one := range records {
 		known.merge([]jkledger.Spending{*one.Spending})
 	}
 	for host, want := range map[string]int64{"a-1": 24, "b-1": 4, "c-1": 0} {
-		if got := known.heldBy(host); got != want {
+		if got := known.heldBy(host, now); got != want {
 			t.Errorf("%s is taken to count %d tokens, want %d", host, got, want)
 		}
 	}
@@ -162,7 +231,32 @@
 		t.Error("b-1 isn't told of the second turn, which only a-1 knows")
 	}
 	r.reservation.Budget = 4500
-	if records := r.settlement(jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true}, "b-1"); len(records) != 1 {
+	if records := r.settlement(now, jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1"); len(records) != 1 {
 		t.Errorf("%d records settle a turn of a program that is far from its share, want one", len(records))
 	}
 }
+
+// Guards against a request that is sent again, and counts less on a copy that has settled it, and against recordings that are kept
+// for ever.
+func TestRecordingsEnd(t *testing.T) {
+	var all recordings
+	now := time.Unix(1000, 0)
+	all.begin(now, jkforward.Reservation{Request: "without tokens"})
+	for i := range maxRecordings + 10 {
+		all.begin(now.Add(time.Duration(i)*time.Second), jkforward.Reservation{Request: fmt.Sprint(i), Tokens: 1})
+	}
+	if n := len(all.all); n > int(maxRecordingAge/time.Second)+10 {
+		t.Errorf("%d recordings are kept, want those of %s", n, maxRecordingAge)
+	}
+	r := &recording{
+		reservation: jkforward.Reservation{Program: "p", Request: "again", Tokens: 10, Budget: 5},
+		answers:     map[string][]jkledger.Spending{"a-1": {{Request: "again", Settled: true, Tokens: 2}}, "b-1": {{Request: "again", Tokens: 4}}},
+	}
+	known := spendings{}
+	for _, one := range r.settlement(now, jkledger.Spending{Program: "p", Request: "again", Tokens: 9, Settled: true, Retention: time.Minute}, "b-1") {
+		known.merge([]jkledger.Spending{*one.Spending})
+	}
+	if a, b := known.heldBy("a-1", now), known.heldBy("b-1", now); a != 2 || b != 4 {
+		t.Errorf("a-1 and b-1 are taken to count %d and %d tokens, want 2 and 4", a, b)
+	}
+}
--- a/core/jkaccount/recordings.go
+++ b/core/jkaccount/recordings.go
@@ -1,7 +1,10 @@
 package jkaccount
 
 import (
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"jasmineknot.example/core/jkforward"
 	"jasmineknot.example/core/jkledger"
@@ -15,20 +18,33 @@
 
 // recording is a reservation with the spendings that copies have answered, by host, after they have recorded it.
 type recording struct {
+	begunAt     time.Time
 	reservation jkforward.Reservation
 	answers     map[string][]jkledger.Spending
 }
 
-// begin starts to collect the answers to a reservation.
-func (r *recordings) begin(reservation jkforward.Reservation) {
+// begin starts to collect the answers to a reservation. One without tokens isn't settled.
+func (r *recordings) begin(now time.Time, reservation jkforward.Reservation) {
+	if reservation.Tokens == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.all == nil {
 		r.all = map[string]*recording{}
 	}
-	r.all[reservation.Request] = &recording{reservation: reservation, answers: map[string][]jkledger.Spending{}}
+	if len(r.all) >= maxRecordings {
+		maps.DeleteFunc(r.all, func(_ string, one *recording) bool { return now.Sub(one.begunAt) > maxRecordingAge })
+	}
+	r.all[reservation.Request] = &recording{begunAt: now, reservation: reservation, answers: map[string][]jkledger.Spending{}}
 }
 
+// Recordings of reservations that were never settled are dropped at maxRecordingAge once there are maxRecordings.
+const (
+	maxRecordings   = 4096
+	maxRecordingAge = 2 * time.Minute
+)
+
 // add notes what a host has answered. After the reservation was settled that has no effect.
 func (r *recordings) add(request, host string, known []jkledger.Spending) {
 	r.mu.Lock()
@@ -47,23 +63,35 @@
 	return one
 }
 
+// maxHeldRequests bounds the requests of one Holdings. Programs with more of them have none.
+const maxHeldRequests = 64
+
 // settlement returns the records that settle the reservation on a host. Once the program nears its partitionShare, they say
-// what the copies hold, with all spendings of these that this host hasn't answered.
-func (r *recording) settlement(s jkledger.Spending, host string) []jkledger.Record {
+// what the copies hold, with the spendings of these that this host hasn't answered.
+func (r *recording) settlement(now time.Time, s jkledger.Spending, host string) []jkledger.Record {
 	settled := jkledger.Record{Spending: &s}
-	if r == nil || len(r.answers) == 0 {
+	if r == nil || s.Tokens == 0 || r.answers[host] == nil {
 		return []jkledger.Record{settled}
 	}
-	all, known, holdings, most := spendings{}, spendings{}, jkledger.Holdings{}, int64(0)
+	all, known, most := spendings{}, spendings{}, int64(0)
+	h := &jkledger.Holdings{At: now, Tokens: map[string]int64{}}
 	for from, answer := range r.answers {
 		all.merge(answer)
-		// A copy counts no less than it has been told that was used.
 		own := spendings{}
 		own.merge(answer)
-		holdings[from] = own.settled() + min(s.Tokens, r.reservation.Tokens)
-		most = max(most, holdings[from])
+		h.Tokens[from] = own.settled()
+		// A copy counts what is reserved until it learns what was used.
+		if one := own[s.Request]; !one.Settled {
+			h.Tokens[from] += min(s.Tokens, one.Tokens)
+		}
+		most = max(most, h.Tokens[from])
+	}
+	for request, one := range all {
+		if one.Tokens > 0 {
+			h.Requests = append(h.Requests, request)
+		}
 	}
-	if 2*most < partitionShare(r.reservation) {
+	if 2*most < partitionShare(r.reservation) || len(h.Requests) > maxHeldRequests {
 		return []jkledger.Record{settled}
 	}
 	known.merge(r.answers[host])
@@ -73,6 +101,7 @@
 			out = append(out, jkledger.Record{Spending: &one})
 		}
 	}
-	said := holdings.Spending(s.Program, s.Request, s.Retention)
+	slices.Sort(h.Requests)
+	said := h.Spending(s.Program, s.Request, s.Retention)
 	return append(out, settled, jkledger.Record{Spending: &said})
 }
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -178,7 +178,7 @@
 	request := &jkledger.ReserveRequest{Marks: true, Spending: jkledger.Spending{
 		Program: r.Program, Request: r.Request, Tokens: r.Tokens, Retention: r.Retention,
 	}}
-	o.client.recordings.begin(r)
+	o.client.recordings.begin(o.client.Timer.Now(), r)
 	for _, target := range slices.Concat(o.copies, o.successors, o.extra) {
 		o.pending++
 		go func() {
@@ -292,7 +292,7 @@
 	copies := c.replicas(s.Program)
 	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
-		c.outbox.send(target, recording.settlement(spending, target.Host), nil)
+		c.outbox.send(target, recording.settlement(c.Timer.Now(), spending, target.Host), nil)
 	}
 }
 
--- a/core/jkledger/holdings.go
+++ b/core/jkledger/holdings.go
@@ -1,37 +1,93 @@
 package jkledger
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Holdings says by host how many tokens of a program its copy counted at least when a reservation was settled. Copies that
-// have it also have all spendings which these hosts had then. It is kept as a settled spending without tokens, so that hosts
-// of builds that don't know it hand it on.
-type Holdings map[string]int64
+// Holdings says what the copies of a program counted when they had recorded a reservation. It is kept as a settled spending
+// without tokens, so that hosts of builds that don't know it hand it on.
+type Holdings struct {
+	// At is when the reservation was settled.
+	At time.Time
+	// Tokens holds by host how many tokens the copy counted at least.
+	Tokens map[string]int64
+	// Requests are the requests whose spendings the copies had.
+	Requests []string
+}
 
-// holdingsPrefix begins the request of a spending that is a Holdings. Requests of callers have no such byte.
-const holdingsPrefix = "holdings\x00"
+// holdingsPrefix begins the request of a spending that is a Holdings. No header of a caller can hold it.
+const holdingsPrefix = "\x00holdings\x00"
 
 // Spending returns the spending that says the holdings at the settlement of a reservation.
-func (h Holdings) Spending(program, reservation string, retention time.Duration) Spending {
-	var name strings.Builder
-	name.WriteString(holdingsPrefix + reservation)
-	for _, host := range slices.Sorted(maps.Keys(h)) {
-		name.WriteString("\x00" + host + "=" + strconv.FormatInt(h[host], 10))
+func (h *Holdings) Spending(program, reservation string, retention time.Duration) Spending {
+	hosts := make([]string, 0, len(h.Tokens))
+	for _, host := range slices.Sorted(maps.Keys(h.Tokens)) {
+		hosts = append(hosts, host+"="+strconv.FormatInt(h.Tokens[host], 10))
+	}
+	hashes := make([]byte, 0, requestHashSize*len(h.Requests))
+	for _, request := range h.Requests {
+		hashes = binary.BigEndian.AppendUint32(hashes, hashRequest(request))
 	}
-	return Spending{Program: program, Request: name.String(), Settled: true, Retention: retention}
+	name := holdingsPrefix + strings.Join([]string{strconv.FormatInt(h.At.UnixMilli(), 10), strings.Join(hosts, " "), hex.EncodeToString(hashes), reservation}, "\x00")
+	return Spending{Program: program, Request: name, Settled: true, Retention: retention}
 }
 
-// HoldingOf returns how many tokens a spending says that the copy on a host counted, and zero if it says nothing of that.
-func HoldingOf(s Spending, host string) int64 {
-	if !strings.HasPrefix(s.Request, holdingsPrefix) {
-		return 0
+// requestHashSize is the size of the hash of a request in bytes.
+const requestHashSize = 4
+
+func hashRequest(request string) uint32 { return uint32(xxhash.Sum64String(request)) }
+
+// HeldBy returns how many tokens the copy on a host is known to count by the spendings of a program. Holdings say nothing
+// without a spending that the copies had, as these may have been granted by one of them alone, nor once the copy may have
+// dropped what it had.
+func HeldBy(host string, all []Spending, now time.Time) int64 {
+	var known map[uint32]bool
+	most := int64(0)
+	for _, s := range all {
+		at, hosts, hashes, ok := parseHoldings(s)
+		if !ok || now.Sub(at).Abs() > s.Retention/2 {
+			continue
+		}
+		if known == nil {
+			known = make(map[uint32]bool, len(all))
+			for _, other := range all {
+				known[hashRequest(other.Request)] = true
+			}
+		}
+		if tokens := tokensOf(host, hosts); tokens > most && knowsAll(known, hashes) {
+			most = tokens
+		}
 	}
-	for _, part := range strings.Split(s.Request[len(holdingsPrefix):], "\x00") {
+	return most
+}
+
+// IsHoldings reports whether a spending says holdings.
+func IsHoldings(s Spending) bool { return strings.HasPrefix(s.Request, holdingsPrefix) }
+
+func parseHoldings(s Spending) (at time.Time, hosts string, hashes []byte, ok bool) {
+	content, ok := strings.CutPrefix(s.Request, holdingsPrefix)
+	parts := strings.SplitN(content, "\x00", 4)
+	if !ok || len(parts) < 4 {
+		return time.Time{}, "", nil, false
+	}
+	ms, err := strconv.ParseInt(parts[0], 10, 64)
+	if err != nil {
+		return time.Time{}, "", nil, false
+	}
+	hashes, err = hex.DecodeString(parts[2])
+	return time.UnixMilli(ms), parts[1], hashes, err == nil && len(hashes)%requestHashSize == 0
+}
+
+func tokensOf(host, hosts string) int64 {
+	for _, part := range strings.Split(hosts, " ") {
 		if tokens, ok := strings.CutPrefix(part, host+"="); ok {
 			// What can't be read says nothing.
 			n, _ := strconv.ParseInt(tokens, 10, 64)
@@ -40,3 +96,12 @@
 	}
 	return 0
 }
+
+func knowsAll(known map[uint32]bool, hashes []byte) bool {
+	for one := range slices.Chunk(hashes, requestHashSize) {
+		if !known[binary.BigEndian.Uint32(one)] {
+			return false
+		}
+	}
+	return true
+}
