jkintake, test: drive the clock until the unread answer ends

Cause: a fault of the test. It advances its manual clock 30 times, 20 ms of real time apart, and waits for the end of the answer without a bound after that. Checks count from the last progress. This one depends on real time: the handler of the unread answer has to run, and the kernel takes the last 20 KB 0.2 s after the first 110 KB, with a probe of the window. If that comes after the 19th check the bound isn't reached, and no check follows.

Change: the clock goes on until the answer ends, for 20 s at most. The test counts the checks without progress itself, so that it now fails for an answer that ends too early, too, and the slow caller has to get all that it asks for. Answers have no end, and share their memory.

Ruled out: a fault of the product.

--- a/core/jkintake/writes_test.go
+++ b/core/jkintake/writes_test.go
@@ -1,7 +1,6 @@
 package jkintake
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -21,10 +20,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, ended := NewConns(timer), make(chan error, 2)
+	b, ended, part := NewConns(timer), make(chan struct{}, 2), make([]byte, 64<<20)
 	server := &http.Server{ConnState: b.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, err := w.Write(bytes.Repeat([]byte("x"), 64<<20))
-		ended <- err
+		for err := error(nil); err == nil; {
+			_, err = w.Write(part)
+		}
+		ended <- struct{}{}
 	})}
 	go func() { _ = server.Serve(b.Listen(inner, Limits{}, metrics.NewSet())) }()
 	defer func() { _ = server.Close() }()
@@ -39,20 +40,48 @@
 		}
 		return c
 	}
-	_, slow := dial(), dial()
-	for range 3 * maxChecks {
-		_, _ = io.CopyN(io.Discard, slow, 1<<20)
+	unread, slow := dial(), dial()
+	// Where processors are busy the answer may begin later than that of the slow caller, so that checks count from its last
+	// progress only.
+	checks, taken := 0, uint64(0)
+	await(t, "end of the unread answer", func() bool {
+		if _, err := io.CopyN(io.Discard, slow, 1<<20); err != nil {
+			t.Fatalf("the slow caller got %v", err)
+		}
 		time.Sleep(20 * time.Millisecond)
+		if n, waits := b.progress(unread); waits && n == taken {
+			checks++
+		} else {
+			checks, taken = 0, n
+		}
 		clock.Advance(checkInterval)
+		if b.unreadClosed.Get() == 0 && checks > maxChecks+1 {
+			t.Fatalf("open after %d checks without progress", checks)
+		}
+		return b.unreadClosed.Get() > 0
+	})
+	if checks < maxChecks {
+		t.Errorf("closed after %d checks without progress", checks)
 	}
-	if err := <-ended; err == nil {
-		t.Error("the unread answer was written")
-	}
+	await(t, "end of the write", func() bool { return len(ended) == 1 })
 	await(t, "one open connection", func() bool { return b.Count() == 1 })
 	if n := b.unreadClosed.Get(); n != 1 {
 		t.Errorf("%d connections were closed, want one", n)
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(slow, 34<<20)); err != nil {
+	if _, err := io.CopyN(io.Discard, slow, 34<<20); err != nil {
 		t.Errorf("the slow caller got %v", err)
 	}
 }
+
+// progress returns the number of bytes that a caller's machine has taken, and whether an answer waits for the caller.
+func (b *Conns) progress(caller net.Conn) (taken uint64, waits bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		if tcp, ok := c.(*callerTCPConn); ok && c.RemoteAddr().String() == caller.LocalAddr().String() {
+			taken, _ = acknowledged(tcp)
+			return taken, tcp.writes.Load() > 0
+		}
+	}
+	return 0, false
+}
