probe: a pause is noticed where answers are read ahead of its tick

A process that was paused reads the answers to its last probes once it runs again. If it does so before its first tick, no host counted as silent: those hosts had answered just now. A copy isn't behind then, doesn't copy what it missed, and may grant half of a budget alone in a later cut. Found by a review in the model of the prober; no caller is known to have met it. As old as the prober.

Change: after a pause all hosts have been silent since the last tick before it, at the latest. The silence that is told with their return counts from there as well.

Cost: an entry that reads answers first takes all hosts for silent until the next tick, as it does after every other pause.

--- a/core/jkprobe/prober.go
+++ b/core/jkprobe/prober.go
@@ -125,7 +125,7 @@
 	// the last answer was.
 	probedAt        time.Time
 	unansweredSince time.Time
-	// silentSince is when an unreachable host last answered, or was added.
+	// silentSince is when an unreachable host last answered before its silence, or was added.
 	silentSince time.Time
 	// breaks are those between this host and the peer.
 	breaks breaks
@@ -351,7 +351,6 @@
 		if !row.isProbed {
 			continue
 		}
-		last := later(row.lastAnswer, row.addedAt)
 		unreachable := row.silence(now) > unreachableAfter
 		if unreachable == row.unreachable {
 			continue
@@ -359,7 +358,7 @@
 		row.unreachable = unreachable
 		row.breaks.note(now, !unreachable, p.isLate(now))
 		if unreachable {
-			row.silentSince = last
+			row.silentSince = earlier(later(row.lastAnswer, row.addedAt), row.unansweredSince)
 		}
 		changes = append(changes, change{row.peer, !unreachable, now.Sub(row.silentSince)})
 	}
@@ -391,6 +390,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // updateZones updates the reachability of the other zones. A zone is unreachable if none of
 // its probed hosts answers. The caller holds the lock.
 func (p *Prober) updateZones() {
--- a/core/jkprobe/schedule.go
+++ b/core/jkprobe/schedule.go
@@ -11,15 +11,16 @@
 	maxProbeInterval = time.Second
 )
 
-// notePause treats all hosts as silent since their last answers, because this process was
-// paused and may have missed what they sent. They are back with their next answers.
+// notePause treats all hosts as silent since the last tick at the latest, because this process was
+// paused and may have missed what they sent. They are back with their next answers: those that were
+// unread in the pause may have been sent before it.
 func (p *Prober) notePause() {
 	// What happened to the zones meanwhile isn't known either.
 	p.startedAt = p.Timer.Now()
 	p.pausedFor = p.startedAt.Sub(p.tickedAt)
 	for _, row := range p.peers {
 		if row.unansweredSince.IsZero() {
-			row.unansweredSince = later(row.lastAnswer, row.addedAt)
+			row.unansweredSince = later(earlier(row.lastAnswer, p.tickedAt), row.addedAt)
 		}
 	}
 }
--- a/core/jkprobe/unread_test.go
+++ b/core/jkprobe/unread_test.go
@@ -9,8 +9,13 @@
 // answers to its last probes were unread, and are read ahead of the tick after the pause.
 func TestPauseIsNoticedAfterUnreadAnswers(t *testing.T) {
 	f := newFleet(t)
-	host, silent := f.up["a1"], map[string]bool{}
-	host.OnHostChange = func(p Peer, reachable bool, _ time.Duration) { silent[p.Host] = silent[p.Host] || !reachable }
+	host, silent, missed := f.up["a1"], map[string]bool{}, map[string]time.Duration{}
+	host.OnHostChange = func(p Peer, reachable bool, since time.Duration) {
+		silent[p.Host] = silent[p.Host] || !reachable
+		if reachable {
+			missed[p.Host] = max(missed[p.Host], since)
+		}
+	}
 	f.clock.Advance(probeInterval)
 	f.pause("a1", 5*time.Second)
 	host.tick()
@@ -26,4 +31,7 @@
 	if !silent["b1"] {
 		t.Error("a1 was paused for 5s, and b1 never counted as silent")
 	}
+	if got := missed["b1"]; got < 5*time.Second {
+		t.Errorf("a1 was paused for 5s, and b1 is back from a silence of %s", got)
+	}
 }
