jkprocess, test: hold the ports of hosts while these are down

Cause: a fault of the test. It starts the host anew for each kind of crowd. Its port was one that the kernel had chosen for its first start, and was free for any other program while it was down.

Change: the tests of this package choose the ports of all hosts, and hold them with a socket that is bound and doesn't listen. The kernel chooses such a port for nobody, while a host that asks for the very address gets it. heldPorts of jkentry listens until it hands its sockets over, which a host in another process can't take.

--- a/jasmineknotd/jkprocess/site_test.go
+++ b/jasmineknotd/jkprocess/site_test.go
@@ -125,14 +125,11 @@
 func (s *site) startHost(name, zone string, o options) {
 	s.t.Helper()
 	h := jksite.Host{
-		Name: name, Zone: zone, Listen: "127.0.0.1:0", HTTP: "127.0.0.1:0", Platform: "http://" + s.platform.ready.Address,
+		Name: name, Zone: zone, Listen: holdPort(s.t), HTTP: holdPort(s.t), Platform: "http://" + s.platform.ready.Address,
 		DataFolder: filepath.Join(s.folder, "data-"+name), Intervals: o.intervals, Limits: o.limits,
 	}
 	s.writeSettings(h)
 	p := &host{process: s.startProcess(name, "jasmineknotd", "run", "--settings", s.settingsPath(name)), zone: zone, folder: h.DataFolder}
-	h.Listen, h.HTTP = p.ready.Listen, p.ready.HTTP
-	// A restart keeps the addresses, which the configuration names.
-	s.writeSettings(h)
 	s.desc.Hosts = append(s.desc.Hosts, h)
 	s.hosts = append(s.hosts, p)
 }
