--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -56,7 +56,6 @@
 	// takeovers holds the hosts whose programs are being taken over.
 	takeovers map[takeoverKey]bool
 	sources   *copySources
-	noted     notedLosses
 	// adopting is set while other copies are asked for losses, and replicating while they are asked to copy
 	// reservations.
 	adopting    atomic.Bool
@@ -190,7 +189,6 @@
 	defer t.timer.Every(jkquota.PullInterval, t.permits.pull)()
 	defer t.timer.Every(observeInterval, func() { t.noteLosses(ctx) })()
 	defer t.timer.Every(observeInterval, func() { t.replicate(ctx) })()
-	defer t.timer.Every(observeInterval, t.askForNotes)()
 	t.log.Info("storage started", "host", t.settings.Host, "zone", t.settings.Zone, "inner", t.settings.Inner)
 	<-stop
 	t.log.Info("storage stopping", "replicated", t.vault.Replicated())
@@ -324,7 +322,7 @@
 		known := t.silentEntry(change.Host.Host)
 		t.registry.set(*change.Host, item.Revision)
 		if next := t.silentEntry(change.Host.Host); next.Suspected && next != known {
-			t.repeatTakeover(change.Host.Host, sinceMark)
+			t.repeatTakeover(change.Host.Host)
 			t.startSpread()
 		}
 		// Entries show whether a zone is in reach whose only storage host is down.
@@ -342,7 +340,6 @@
 func (t *Storage) hostRemoved(host string) {
 	t.members.remove(host)
 	t.sources.remove(host)
-	t.noted.forget(host)
 	t.vault.HostAnswered(host)
 	t.probes.RemovePeer(host)
 }
@@ -381,7 +378,6 @@
 		t.startSpread()
 		return
 	}
-	t.noted.forget(p.Host)
 	t.vault.HostAnswered(p.Host)
 	if f := t.follower.Load(); f != nil {
 		f.Retry()
--- a/core/jkentry/takeover.go
+++ b/core/jkentry/takeover.go
@@ -13,34 +13,24 @@
 // them noticed the loss, which takes 7 s of silence.
 var takeoverDelays = []time.Duration{1200 * time.Millisecond, 7 * time.Second}
 
-// takeoverKey is a host whose programs are taken over, and since when.
+// takeoverKey is a host whose programs are taken over, and whether that is repeated since it was marked as suspected.
 type takeoverKey struct {
-	host  string
-	since takeoverSince
+	host     string
+	repeated bool
 }
 
-// takeoverSince is the event since which a host's programs are taken over.
-type takeoverSince string
-
-const (
-	sinceSilence takeoverSince = "silence"
-	// sinceNoted: hosts of all other zones have noted that it fell silent alone.
-	sinceNoted takeoverSince = "noted"
-	// sinceMark: it was marked as suspected. Before that, entries may have reached it.
-	sinceMark takeoverSince = "mark"
-)
-
 // startTakeover copies the programs of a host of the own zone that is silent or leaving, unless
 // that is in progress. Otherwise this zone would keep no copy of them, and the hosts of the other
 // zones may be replaced next.
 func (t *Storage) startTakeover(host string) {
-	t.runTakeover(takeoverKey{host: host, since: sinceSilence}, takeoverDelays)
+	t.runTakeover(takeoverKey{host: host}, takeoverDelays)
 }
 
-// repeatTakeover copies the programs of a silent host of the own zone again.
-func (t *Storage) repeatTakeover(host string, since takeoverSince) {
+// repeatTakeover copies the programs of a silent host of the own zone again, since it was marked as suspected: before
+// that, entries may have reached it.
+func (t *Storage) repeatTakeover(host string) {
 	if !t.probes.Reachable(host) {
-		t.runTakeover(takeoverKey{host: host, since: since}, []time.Duration{0})
+		t.runTakeover(takeoverKey{host: host, repeated: true}, []time.Duration{0})
 	}
 }
 
@@ -137,10 +127,9 @@
 	return out
 }
 
-// silentEntry is goneEntry with whether the host is suspected, and whether the other zones have noted its loss.
+// silentEntry is goneEntry with whether the host is suspected.
 func (t *Storage) silentEntry(host string) jkledger.GoneHost {
 	out := t.goneEntry(host)
-	out.Noted = t.noted.has(out)
 	out.Suspected = t.registry.isSuspected(host)
 	return out
 }
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -138,8 +138,6 @@
 	Announced int64  `msgpack:"announced"`
 	// Suspected is set in a Takeover that began after the host's entry was marked. By then no entry reaches the host.
 	Suspected bool `msgpack:"suspected,omitempty"`
-	// Noted is set in a Takeover that began after hosts of all other zones had noted that the host fell silent alone.
-	Noted bool `msgpack:"noted,omitempty"`
 }
 
 // Takeover is that a copy has copied the programs that it holds because hosts of its zone are gone, from
@@ -150,12 +148,11 @@
 }
 
 // Covers reports whether the copy has taken over what a host had of the programs of hosts that are gone, after
-// they were marked for those with Suspected. For those with Noted, too, it is enough that their loss was noted before.
+// they were marked for those with Suspected.
 func (t Takeover) Covers(gone []GoneHost, from string) bool {
 	isMissing := func(host GoneHost) bool {
 		return !slices.ContainsFunc(t.Gone, func(known GoneHost) bool {
-			return known.Host == host.Host && known.Announced == host.Announced &&
-				(known.Suspected || known.Noted && host.Noted || !host.Suspected)
+			return known.Host == host.Host && known.Announced == host.Announced && (known.Suspected || !host.Suspected)
 		})
 	}
 	return slices.Contains(t.From, from) && !slices.ContainsFunc(gone, isMissing)
--- a/core/jkvault/losses.go
+++ b/core/jkvault/losses.go
@@ -172,7 +172,7 @@
 	var out []string
 	hosts := slices.Clone(gone.Gone)
 	for i, h := range hosts {
-		hosts[i].Suspected, hosts[i].Noted = true, l.isSilenceNoted(h, gone.Zone)
+		hosts[i].Suspected = !l.isSilenceNoted(h, gone.Zone)
 	}
 	check := func(host string) {
 		isCovered := func(t jkledger.Takeover) bool { return t.Covers(hosts, host) }
