account, forward: a turn renews the part of its chain that other programs began

Cause: a turn renews the retention of those before it in the ledgers that hold both (Ledger.touch). The copies of a turn are chosen by its program. Where another program continues from a turn, its turns are on copies of its own, which have none or a part of the chain; the copies of the first program hear nothing of it, and drop the turns at their own retention. From then on the chain has a hole.

What callers saw: the new program's turns go on until the first program's turns are past their retention and 5 to 10 s, and are refused with 503 'account_uncertain' from then on at all entries ('chain: ... needed copies answered'), in touch and without any planned work: LOST. A program whose copies are those of the first one, in each zone or in one, isn't struck.

Change: Account.Chain returns also the programs of the chain's turns, and Keep sends the turn to the copies of those that aren't the turn's own as well. Nobody waits for these, and they don't count for the turn's spread.

Not covered: a copy of the first program that loses its disk gets its program's turns back, not those of the new one. It renews nothing more of that chain; the copies in other zones do.

Ruled out: 404. A hole behind the previous turn is never taken for an unknown turn (chainWalk.decide), so the answer was 503 each time.

--- a/core/jkaccount/chain.go
+++ b/core/jkaccount/chain.go
@@ -13,9 +13,9 @@
 // hedgeDelay is how long the nearest copy may take before the others are asked too.
 const hedgeDelay = 150 * time.Millisecond
 
-// Chain returns the inputs and outputs of a chain, the oldest turn first. It asks the
+// Chain returns the turns of a chain. It asks the
 // nearest of the program's copies and, if that lacks a turn or is slow, all others.
-func (c *Client) Chain(ctx context.Context, program, request string) ([]byte, error) {
+func (c *Client) Chain(ctx context.Context, program, request string) (jkforward.Chain, error) {
 	ctx, cancel := c.withTimeout(ctx, answerTimeout)
 	defer cancel()
 	w := &chainWalk{
@@ -52,12 +52,12 @@
 	content *jkledger.ChainAnswer
 }
 
-func (w *chainWalk) run(ctx context.Context) ([]byte, error) {
+func (w *chainWalk) run(ctx context.Context) (jkforward.Chain, error) {
 	w.copies = w.client.replicas(w.program)
 	others := slices.DeleteFunc(slices.Clone(w.client.knownCopies()), func(o Copy) bool { return slices.Contains(w.copies, o) })
 	w.copies = append(w.copies, others...)
 	if len(w.copies) == 0 {
-		return nil, &jkforward.NoQuorumError{Operation: "chain", Needed: 1}
+		return jkforward.Chain{}, &jkforward.NoQuorumError{Operation: "chain", Needed: 1}
 	}
 	ticks := make(chan struct{}, 1)
 	defer w.client.Timer.Every(timeoutStep, func() { notify(ticks) })()
@@ -80,7 +80,7 @@
 		}
 		if missing != "" && (len(w.pending) == 0 || waited >= callTimeout) {
 			if err := w.decide(next); !w.mayGetAnswer() || !isNoQuorum(err) {
-				return nil, err
+				return jkforward.Chain{}, err
 			}
 		}
 		select {
@@ -89,7 +89,7 @@
 		case <-ticks:
 			waited += timeoutStep
 		case <-ctx.Done():
-			return nil, w.decide(next)
+			return jkforward.Chain{}, w.decide(next)
 		}
 	}
 }
@@ -175,12 +175,18 @@
 }
 
 // concatenate returns the inputs and outputs of a chain whose turns are all known.
-func (w *chainWalk) concatenate() []byte {
-	var chain []jkledger.Turn
+func (w *chainWalk) concatenate() jkforward.Chain {
+	var (
+		chain    []jkledger.Turn
+		programs []string
+	)
 	size := 0
 	for request := w.request; request != ""; {
 		t := w.turns[request]
 		chain = append(chain, t)
+		if !slices.Contains(programs, t.Program) {
+			programs = append(programs, t.Program)
+		}
 		size += len(t.Input) + len(t.Output)
 		request = t.Previous
 	}
@@ -188,5 +194,5 @@
 	for _, t := range slices.Backward(chain) {
 		out = append(append(out, t.Input...), t.Output...)
 	}
-	return out
+	return jkforward.Chain{Content: out, Programs: programs}
 }
--- a/core/jkaccount/chain_test.go
+++ b/core/jkaccount/chain_test.go
@@ -166,7 +166,7 @@
 	f.keep(t, jkforward.Turn{Request: "1", Input: []byte("one "), Output: []byte("un\n")})
 	f.keep(t, jkforward.Turn{Request: "2", Previous: "1", Input: []byte("two "), Output: []byte("deux\n")})
 	got, err := f.client.Chain(context.Background(), "p", "2")
-	if err != nil || string(got) != "one un\ntwo deux\n" {
+	if err != nil || string(got.Content) != "one un\ntwo deux\n" {
 		t.Errorf("chain is %q, %v", got, err)
 	}
 }
@@ -207,7 +207,7 @@
 	f.keep(t, jkforward.Turn{Request: "1", Input: []byte("in "), Output: []byte("out\n")})
 	isPaused.Store(true)
 	got, err := f.client.Chain(t.Context(), "p", "1")
-	if err != nil || string(got) != "in out\n" {
+	if err != nil || string(got.Content) != "in out\n" {
 		t.Errorf("chain is %q, %v", got, err)
 	}
 	r := jkforward.Reservation{Program: "p", Request: "2", Tokens: 1, Budget: 10, Retention: time.Minute}
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -98,6 +98,7 @@
 	for _, target := range c.replicas(k.turn.Program) {
 		k.sendTo(target)
 	}
+	k.renewChain()
 	recheck := make(chan struct{}, 1)
 	stop := c.Timer.Every(recheckInterval, func() { notify(recheck) })
 	defer stop()
@@ -118,6 +119,24 @@
 	}
 }
 
+// renewChain sends the turn to the copies of the other programs that its chain has turns of: a turn renews the retention of
+// those before it only where it is. Nobody waits for these copies, and they don't count for the turn.
+func (k *keepOperation) renewChain() {
+	c := k.client
+	sent := map[string]bool{}
+	for _, target := range k.targets {
+		sent[target.Host] = true
+	}
+	for _, program := range k.turn.ChainPrograms {
+		for _, target := range c.replicas(program) {
+			if !sent[target.Host] {
+				sent[target.Host] = true
+				c.outbox.send(target, k.records[1:], nil)
+			}
+		}
+	}
+}
+
 // notify signals on a channel of capacity one without blocking.
 func notify(changed chan<- struct{}) {
 	select {
--- a/core/jkaccount/keep_test.go
+++ b/core/jkaccount/keep_test.go
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	got, err := f.client.Chain(context.Background(), program, "1")
-	if err != nil || string(got) != "in out\n" {
+	if err != nil || string(got.Content) != "in out\n" {
 		t.Errorf("chain is %q, %v", got, err)
 	}
 }
@@ -130,7 +130,7 @@
 	back.Store(true)
 	last := fmt.Sprint(turns - 1)
 	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		if got, err := f.client.Chain(t.Context(), "p", last); err == nil && len(got) == 512<<10 {
+		if got, err := f.client.Chain(t.Context(), "p", last); err == nil && len(got.Content) == 512<<10 {
 			return
 		}
 	}
--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -41,7 +41,7 @@
 	deadline := time.Now().Add(5 * time.Second)
 	for time.Now().Before(deadline) {
 		got, err := f.client.Chain(t.Context(), "p", "1")
-		if err == nil && string(got) == "in out\n" {
+		if err == nil && string(got.Content) == "in out\n" {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/core/jkaccount/stall_test.go
+++ b/core/jkaccount/stall_test.go
@@ -141,7 +141,7 @@
 		f.write(t, f.copies[host], turns[i])
 	}
 	got, err := f.client.Chain(t.Context(), "p", "3")
-	if err != nil || string(got) != "one two three" {
+	if err != nil || string(got.Content) != "one two three" {
 		t.Errorf("chain is %q, %v", got, err)
 	}
 }
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -39,6 +39,16 @@
 	Output      []byte
 	Tokens      int64
 	Retention   time.Duration
+	// ChainPrograms are the programs that the turns before it were answered for.
+	ChainPrograms []string
+}
+
+// Chain is what precedes a turn.
+type Chain struct {
+	// Content is the inputs and outputs, the oldest turn first.
+	Content []byte
+	// Programs are those that the turns were answered for.
+	Programs []string
 }
 
 // Account stores the budgets and turns of programs, shared by all hosts.
@@ -51,15 +61,14 @@
 	Continue func(ctx context.Context, r Reservation, origin string) (version string, err error)
 	// Settle returns without waiting for the copies.
 	Settle func(s Settlement)
-	// Chain returns the inputs and outputs of the turns up to and including the
-	// given request, which usually belongs to the program. It fails with an
-	// *UnknownTurnError or a *NoQuorumError.
-	Chain func(ctx context.Context, program, request string) ([]byte, error)
+	// Chain returns the turns up to and including the given request, which usually belongs to
+	// the program. It fails with an *UnknownTurnError or a *NoQuorumError.
+	Chain func(ctx context.Context, program, request string) (Chain, error)
 	// CanKeep fails with a *NoQuorumError if Keep would wait for copies that are out of reach.
 	CanKeep func(ctx context.Context, program string) error
 	// Keep returns once the turn is on enough copies to survive the tolerated
 	// number of failures, and retries until the context ends. It also settles the
-	// turn's reservation.
+	// turn's reservation, and renews the retention of its chain.
 	Keep func(ctx context.Context, t Turn) error
 }
 
--- a/core/jkforward/account_test.go
+++ b/core/jkforward/account_test.go
@@ -38,14 +38,15 @@
 			defer m.mu.Unlock()
 			m.settled = append(m.settled, fmt.Sprintf("%q %d", s.Request, s.Tokens))
 		},
-		Chain: func(ctx context.Context, _, request string) ([]byte, error) {
+		Chain: func(ctx context.Context, _, request string) (Chain, error) {
 			if m.chain != nil {
-				return m.chain(ctx)
+				content, err := m.chain(ctx)
+				return Chain{Content: content}, err
 			}
 			if request == "known" {
-				return []byte("earlier "), nil
+				return Chain{Content: []byte("earlier ")}, nil
 			}
-			return nil, &UnknownTurnError{Request: request}
+			return Chain{}, &UnknownTurnError{Request: request}
 		},
 		CanKeep: func(context.Context, string) error { return m.canKeepErr },
 		Keep: func(ctx context.Context, t Turn) error {
--- a/core/jkforward/admit.go
+++ b/core/jkforward/admit.go
@@ -59,14 +59,14 @@
 		h.settle(c)
 		return h.accountRefusal(chain.err)
 	}
-	c.body = slices.Concat(chain.earlier, c.input)
+	c.body, c.chainPrograms = slices.Concat(chain.earlier.Content, c.input), chain.earlier.Programs
 	return nil
 }
 
 // chainReading reads the earlier turns of a chain. The result is set once read is closed.
 type chainReading struct {
 	read    chan struct{}
-	earlier []byte
+	earlier Chain
 	err     error
 }
 
--- a/core/jkforward/call.go
+++ b/core/jkforward/call.go
@@ -45,6 +45,8 @@
 	answer []byte
 	// input is the body as the caller sent it, without the earlier turns.
 	input []byte
+	// chainPrograms are the programs of the earlier turns.
+	chainPrograms []string
 	// contentKey is set by content.
 	contentKey jkcrash.Key
 
--- a/core/jkforward/scope_test.go
+++ b/core/jkforward/scope_test.go
@@ -33,15 +33,15 @@
 			return "v1", n.reserve(r)
 		},
 		Settle: func(s Settlement) { n.note(s.Program, s.Request) },
-		Chain: func(_ context.Context, program, request string) ([]byte, error) {
+		Chain: func(_ context.Context, program, request string) (Chain, error) {
 			n.note(program, request)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			turn, ok := n.turns[request]
 			if !ok {
-				return nil, &UnknownTurnError{Request: request}
+				return Chain{}, &UnknownTurnError{Request: request}
 			}
-			return turn.Output, nil
+			return Chain{Content: turn.Output}, nil
 		},
 		CanKeep: func(_ context.Context, program string) error {
 			n.note(program)
--- a/core/jkforward/stream.go
+++ b/core/jkforward/stream.go
@@ -175,7 +175,7 @@
 	err := h.Account.Keep(ctx, Turn{
 		Request: c.scoped(c.info.Request), Previous: c.previousTurn(), Program: c.scoped(c.info.Program), Reservation: c.reservation,
 		Input: c.input, Output: c.output, Tokens: c.events * max(c.service.EventTokens(), 1),
-		Retention: c.route.Retention(),
+		Retention: c.route.Retention(), ChainPrograms: c.chainPrograms,
 	})
 	switch {
 	case err == nil:
