--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -95,9 +95,12 @@
 func (k *keepOperation) recordsFor(host string) []jkledger.Record {
 	t := k.turn
 	spending := jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}
-	return append(k.recording.settlement(k.client.Timer.Now(), spending, host), jkledger.Record{
-		Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention},
-	})
+	return append(k.recording.settlement(k.client.Timer.Now(), spending, host), k.turnRecord())
+}
+
+func (k *keepOperation) turnRecord() jkledger.Record {
+	t := k.turn
+	return jkledger.Record{Turn: &jkledger.Turn{Request: t.Request, Previous: t.Previous, Program: t.Program, Input: t.Input, Output: t.Output, Retention: t.Retention}}
 }
 
 func (k *keepOperation) run(ctx context.Context) error {
@@ -138,7 +141,7 @@
 		for _, target := range c.replicas(program) {
 			if !sent[target.Host] {
 				sent[target.Host] = true
-				c.outbox.send(target, k.records[1:], nil)
+				c.outbox.send(target, []jkledger.Record{k.turnRecord()}, nil)
 			}
 		}
 	}
