account: release the reservation of a refused try before it is answered

What callers saw: after a fault of all hosts a program was told 402 for good, though its whole turns had used less than its budget by more than one turn.

Cause: a refusal says that the request hasn't run, but its settlement without tokens was only queued, for up to 30 ms with others. An entry that was killed meanwhile left the reservation, at the most of the turn, on all copies for good.

Change: Account.Release, which waits until more copies than may lose their disks at once have the settlement on disk. It waits for copies that answered the reservation only, and for 0.3 s at most. Writes that somebody waits for no longer wait for the delay of settlements.

Ruled out: lost turns (all copies answer, and the chain isn't asked), and a settlement that was dropped (the last try was refused less than 30 ms before the fault, and the copies count one more try than there were whole turns).

TestRefusedTryIsSettledBeforeItsAnswer fails on ("has spent 100 of 100 tokens").

--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -92,7 +92,7 @@
 
 // Account returns the client's functions for a request handler.
 func (c *Client) Account() jkforward.Account {
-	return jkforward.Account{Reserve: c.Reserve, Continue: c.Continue, Settle: c.Settle, Chain: c.Chain, CanKeep: c.CanKeep, Keep: c.Keep}
+	return jkforward.Account{Reserve: c.Reserve, Continue: c.Continue, Settle: c.Settle, Release: c.Release, Chain: c.Chain, CanKeep: c.CanKeep, Keep: c.Keep}
 }
 
 // callTimeout is how long copies are waited for before an operation is decided by the answers
--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -25,6 +25,8 @@
 	pending []pendingWrite
 	// running is set while a sender runs or is about to start.
 	running bool
+	// endDelay cancels the start of a sender after settleBatchDelay, and reports whether it had not begun.
+	endDelay func() bool
 	// failure is the outcome of the last write if it failed, and empty otherwise.
 	failure outcome
 }
@@ -84,21 +86,32 @@
 	q.pending = append(q.pending, pendingWrite{records: records, queuedAt: o.client.Timer.Now(), sync: onOutcome != nil, onOutcome: onOutcome})
 	overflow := q.pending[:max(0, len(q.pending)-maxQueued)]
 	q.pending = q.pending[len(overflow):]
-	idle, failure := !q.running, q.failure
+	starts, failure := !q.running, q.failure
+	if !starts && onOutcome != nil {
+		starts = q.endDelay()
+	}
 	q.running = true
+	if starts {
+		delay := settleBatchDelay
+		if onOutcome != nil {
+			delay = 0
+		}
+		q.endDelay = o.start(q, delay)
+	}
 	o.mu.Unlock()
 	o.drop(target, overflow)
 	if onOutcome != nil && failure != "" {
 		onOutcome(failure)
 	}
-	if !idle {
-		return
-	}
-	delay := settleBatchDelay
-	if onOutcome != nil {
-		delay = 0
+}
+
+// start starts the sender of a queue after a delay.
+func (o *outbox) start(q *queue, delay time.Duration) (cancel func() bool) {
+	if delay > 0 {
+		return o.client.Timer.After(delay, func() { o.run(q) })
 	}
-	o.client.Timer.After(delay, func() { o.run(q) })
+	go o.run(q)
+	return func() bool { return false }
 }
 
 // flushPollInterval is the interval at which Flush checks whether all records are
--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -1,6 +1,7 @@
 package jkaccount
 
 import (
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,6 +76,23 @@
 	}
 }
 
+// Guards against budgets that are spent by refused tries, since their entry was killed before it settled them.
+func TestRefusedTryIsSettledBeforeItsAnswer(t *testing.T) {
+	f := newManualFixture(t)
+	// A turn before leaves a settlement that waits for others.
+	f.client.Settle(jkforward.Settlement{Program: "p", Request: "0", Tokens: 1, Retention: time.Minute})
+	r := jkforward.Reservation{Program: "p", Request: "1", Tokens: 100, Budget: 50, Retention: time.Minute}
+	var spent *jkforward.BudgetSpentError
+	if err := f.client.Reserve(t.Context(), r); !errors.As(err, &spent) {
+		t.Fatalf("error is %v, want a *BudgetSpentError", err)
+	}
+	f.client = NewClient(f.client.Options)
+	r.Request, r.Tokens, r.Budget = "2", 50, 100
+	if err := f.client.Reserve(t.Context(), r); err != nil {
+		t.Error(err)
+	}
+}
+
 // isDone reports whether a channel is closed.
 func isDone(done <-chan struct{}) bool {
 	select {
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -13,8 +14,7 @@
 
 // Reserve reserves tokens of the program's budget on its copies. It fails with a
 // *jkforward.BudgetSpentError if the budget doesn't cover them, and with a
-// *jkforward.NoQuorumError if too few copies answered; the reservation is then settled with
-// no tokens.
+// *jkforward.NoQuorumError if too few copies answered; the reservation is then released.
 func (c *Client) Reserve(ctx context.Context, r jkforward.Reservation) error {
 	_, err := c.reserve(ctx, newReserveOperation(c, r))
 	return err
@@ -40,7 +40,7 @@
 	if err != nil {
 		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies),
 			"unproven_losses", c.unprovenLosses(o.reports), "replaced", c.describeReplaced(o), "unsettled_zones", c.unsettledZones())
-		c.Settle(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		c.Release(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
 		return "", err
 	}
 	if o.origin == "" {
@@ -287,12 +287,55 @@
 // It doesn't wait for them. If a settlement is lost, the reservation stays, so that the
 // program is charged more tokens than it used.
 func (c *Client) Settle(s jkforward.Settlement) {
-	recording := c.recordings.take(s.Request)
+	c.settle(s, c.recordings.take(s.Request), func(string) func(outcome) bool { return nil })
+}
+
+// Release settles the reservation of a request that hasn't run. It returns once the copies that have recorded the
+// reservation have the settlement on disk, or enough of them that some may lose theirs. It doesn't wait for copies that
+// fail, and for none for longer than callTimeout.
+func (c *Client) Release(s jkforward.Settlement) {
+	r := c.recordings.take(s.Request)
+	if r == nil {
+		r = &recording{}
+	}
+	results, awaited := make(chan outcome, len(r.answers)), 0
+	c.settle(s, r, func(host string) func(outcome) bool {
+		if r.answers[host] == nil {
+			return nil
+		}
+		awaited++
+		var once sync.Once
+		return func(o outcome) bool {
+			once.Do(func() { results <- o })
+			return false
+		}
+	})
+	ctx, cancel := c.withTimeout(context.Background(), callTimeout)
+	defer cancel()
+	written := 0
+	for range awaited {
+		select {
+		case o := <-results:
+			if o == outcomeWritten {
+				written++
+			}
+		case <-ctx.Done():
+			return
+		}
+		if written > c.MaxLostDisks {
+			return
+		}
+	}
+}
+
+// settle queues a settlement for all copies of the program. The function that onOutcome returns for a host has the meaning
+// of pendingWrite.onOutcome.
+func (c *Client) settle(s jkforward.Settlement, r *recording, onOutcome func(host string) func(outcome) bool) {
 	spending := jkledger.Spending{Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention}
 	copies := c.replicas(s.Program)
 	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
-		c.outbox.send(target, recording.settlement(c.Timer.Now(), spending, target.Host), nil)
+		c.outbox.send(target, r.settlement(c.Timer.Now(), spending, target.Host), onOutcome(target.Host))
 	}
 }
 
--- a/core/jkforward/account_test.go
+++ b/core/jkforward/account_test.go
@@ -38,6 +38,11 @@
 			defer m.mu.Unlock()
 			m.settled = append(m.settled, fmt.Sprintf("%q %d", s.Request, s.Tokens))
 		},
+		Release: func(s Settlement) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.settled = append(m.settled, fmt.Sprintf("%q %d before the answer", s.Request, s.Tokens))
+		},
 		Chain: func(ctx context.Context, _, request string) (Chain, error) {
 			if m.chain != nil {
 				content, err := m.chain(ctx)
--- a/core/jkforward/admit.go
+++ b/core/jkforward/admit.go
@@ -56,7 +56,7 @@
 	<-chain.read
 	if chain.err != nil {
 		h.Log.Warn("turn not continued", "request", c.info.Request, "previous", c.info.Previous, "error", chain.err)
-		h.settle(c)
+		h.release(c)
 		return h.accountRefusal(chain.err)
 	}
 	c.body, c.chainPrograms = slices.Concat(chain.earlier.Content, c.input), chain.earlier.Programs
--- a/core/jkforward/admit_test.go
+++ b/core/jkforward/admit_test.go
@@ -98,7 +98,7 @@
 			}
 			f.memoryAccount.mu.Lock()
 			defer f.memoryAccount.mu.Unlock()
-			if got := strings.Join(f.memoryAccount.settled, ""); (got == `"r1" 0`) != c.reserved {
+			if got := strings.Join(f.memoryAccount.settled, ""); (got == `"r1" 0 before the answer`) != c.reserved {
 				t.Errorf("settled are %q", got)
 			}
 			if seen := f.endpoints["e1"].seen; len(seen) > 0 {
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -106,6 +106,9 @@
 	}
 	defer h.settle(c)
 	if refused := h.run(c); refused != nil {
+		if !c.headerSent {
+			h.release(c)
+		}
 		h.refuse(c, refused)
 	}
 }
@@ -240,10 +243,23 @@
 	if c.reservedTokens == 0 {
 		return
 	}
-	h.Account.Settle(Settlement{
+	h.Account.Settle(h.settlement(c))
+}
+
+// release returns the whole reservation of a request to the budget, before it is refused.
+func (h *Handler) release(c *call) {
+	if c.reservedTokens == 0 {
+		return
+	}
+	h.Account.Release(h.settlement(c))
+	c.reservedTokens = 0
+}
+
+func (h *Handler) settlement(c *call) Settlement {
+	return Settlement{
 		Program: c.scoped(c.info.Program), Request: c.reservation,
 		Tokens: c.events * max(c.service.EventTokens(), 1), Retention: c.route.Retention(),
-	})
+	}
 }
 
 // refuse sends a refusal. If part of a stream was sent already, it aborts the
--- a/core/jkforward/scope_test.go
+++ b/core/jkforward/scope_test.go
@@ -32,7 +32,8 @@
 			n.note(origin)
 			return "v1", n.reserve(r)
 		},
-		Settle: func(s Settlement) { n.note(s.Program, s.Request) },
+		Settle:  func(s Settlement) { n.note(s.Program, s.Request) },
+		Release: func(s Settlement) { n.note(s.Program, s.Request) },
 		Chain: func(_ context.Context, program, request string) (Chain, error) {
 			n.note(program, request)
 			n.mu.Lock()
--- a/core/jkforward/version.go
+++ b/core/jkforward/version.go
@@ -101,7 +101,7 @@
 	}
 	if !ok {
 		h.Metrics.countContinued(continuedUnknown)
-		h.settle(c)
+		h.release(c)
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_stream", retryAfter: slotRetryAfter}
 	}
 	h.Metrics.countContinued(continuedOnlyVersion)
