forward: a refusal waits for copies until its deadline and the end of a planned stop only

A request that a stopping host breaks off at the end of its grace (killMargin before the kill), or that is refused at its deadline, was answered that much later; the process closes connections 0.1 s (lastRequestTime) after that, without an answer. By reading of Entry.drain; not seen with real processes.

Change: Account.Release has a context, which ends with the deadline, the caller and HostStop.End. A 502 or 504 says nothing of the budget, so that it doesn't wait.

Measured: TestRefusalWaitsForCopiesUntilItsDeadlineAndTheEndOfAStopOnly fails in both cases with a context that doesn't end.

--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies),
 			"unproven_losses", c.unprovenLosses(o.reports), "replaced", c.describeReplaced(o), "unsettled_zones", c.unsettledZones())
-		c.Release(jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		// The chain that isn't found ends the context, and the caller is refused all the same.
+		c.Release(context.WithoutCancel(ctx), jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
 		return "", err
 	}
 	if o.origin == "" {
@@ -292,8 +293,8 @@
 
 // Release settles the reservation of a request that hasn't run. It returns once the copies that have recorded the
 // reservation have the settlement on disk, or enough of them that some may lose theirs. It doesn't wait for copies that
-// fail, and for none for longer than callTimeout.
-func (c *Client) Release(s jkforward.Settlement) {
+// fail, and for none for longer than callTimeout or after the context has ended.
+func (c *Client) Release(ctx context.Context, s jkforward.Settlement) {
 	r := c.recordings.take(s.Request)
 	if r == nil {
 		r = &recording{}
@@ -310,7 +311,7 @@
 			return false
 		}
 	})
-	ctx, cancel := c.withTimeout(context.Background(), callTimeout)
+	ctx, cancel := c.withTimeout(ctx, callTimeout)
 	defer cancel()
 	written := 0
 	for range awaited {
--- a/core/jkforward/account.go
+++ b/core/jkforward/account.go
@@ -62,8 +62,8 @@
 	// Settle returns without waiting for the copies.
 	Settle func(s Settlement)
 	// Release is Settle for a request that hasn't run, and waits for the copies: its caller is told so, which has to hold
-	// even if all hosts fail right after.
-	Release func(s Settlement)
+	// even if all hosts fail right after. It waits until the context ends at most.
+	Release func(ctx context.Context, s Settlement)
 	// Chain returns the turns up to and including the given request, which usually belongs to
 	// the program. It fails with an *UnknownTurnError or a *NoQuorumError.
 	Chain func(ctx context.Context, program, request string) (Chain, error)
--- a/core/jkforward/account_test.go
+++ b/core/jkforward/account_test.go
@@ -38,7 +38,7 @@
 			defer m.mu.Unlock()
 			m.settled = append(m.settled, fmt.Sprintf("%q %d", s.Request, s.Tokens))
 		},
-		Release: func(s Settlement) {
+		Release: func(_ context.Context, s Settlement) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.settled = append(m.settled, fmt.Sprintf("%q %d before the answer", s.Request, s.Tokens))
--- a/core/jkforward/admit_test.go
+++ b/core/jkforward/admit_test.go
@@ -127,3 +127,41 @@
 	}
 	<-ended
 }
+
+// Guards against connections that end without an answer at the end of a planned stop, which the process outlasts by 0.1 s.
+func TestRefusalWaitsForCopiesUntilItsDeadlineAndTheEndOfAStopOnly(t *testing.T) {
+	for name, within := range map[string]time.Duration{"stop": time.Second, "deadline": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			ended := make(chan struct{})
+			defer close(ended)
+			f.handler.Account.Release = func(ctx context.Context, _ Settlement) {
+				if name == "stop" {
+					f.handler.Stop.End()
+				}
+				select {
+				case <-ctx.Done():
+				case <-ended:
+				}
+			}
+			f.memoryAccount.chain = func(ctx context.Context) ([]byte, error) {
+				time.Sleep(2 * chainHeadStart)
+				return nil, &UnknownTurnError{Request: "known"}
+			}
+			f.memoryAccount.holdReserve = func(ctx context.Context) error {
+				<-ctx.Done()
+				return nil
+			}
+			answered := make(chan int, 1)
+			go func() { answered <- f.continueTurn(t) }()
+			select {
+			case status := <-answered:
+				if status != http.StatusNotFound {
+					t.Errorf("status is %d, want 404", status)
+				}
+			case <-time.After(within):
+				t.Error("not answered")
+			}
+		})
+	}
+}
--- a/core/jkforward/handler.go
+++ b/core/jkforward/handler.go
@@ -106,7 +106,8 @@
 	}
 	defer h.settle(c)
 	if refused := h.run(c); refused != nil {
-		if !c.headerSent {
+		// A status that leaves open whether the request has run promises nothing about its budget.
+		if !c.headerSent && !c.mayHaveRun {
 			h.release(c)
 		}
 		h.refuse(c, refused)
@@ -246,12 +247,16 @@
 	h.Account.Settle(h.settlement(c))
 }
 
-// release returns the whole reservation of a request to the budget, before it is refused.
+// release returns the whole reservation of a request to the budget, before it is refused. A host that stops waits for no
+// answer that comes after its end or the request's deadline.
 func (h *Handler) release(c *call) {
 	if c.reservedTokens == 0 {
 		return
 	}
-	h.Account.Release(h.settlement(c))
+	ctx, cancel := h.deadlineContext(c, max(c.deadline.Sub(h.Timer.Now()), 0))
+	defer cancel()
+	defer h.Stop.onEnd(cancel)()
+	h.Account.Release(ctx, h.settlement(c))
 	c.reservedTokens = 0
 }
 
--- a/core/jkforward/scope_test.go
+++ b/core/jkforward/scope_test.go
@@ -33,7 +33,7 @@
 			return "v1", n.reserve(r)
 		},
 		Settle:  func(s Settlement) { n.note(s.Program, s.Request) },
-		Release: func(s Settlement) { n.note(s.Program, s.Request) },
+		Release: func(_ context.Context, s Settlement) { n.note(s.Program, s.Request) },
 		Chain: func(_ context.Context, program, request string) (Chain, error) {
 			n.note(program, request)
 			n.mu.Lock()
