account: what holdings allow waits for the copies in reach

Callers could be admitted beyond a budget that is spent while all copies were up: an entry took the holdings of a majority for enough as soon as two copies had answered, before the third one, in reach, said that the rest is spent.

Cause: holdings rely on two majorities that share a copy. They don't while a host is being emptied: the one in its place is chosen at once, without records until these are handed over. Before more than half of a budget waited for each copy in reach.

Change: what is allowed beyond the share waits for copies in reach, for 0.3 s at most as before. Silent ones aren't waited for.

Measured: TestBudgetSpentOnACopyThatAnswersLater fails before (admitted), passes with the change, and with an allowance of zero in place of holdings.

--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -78,7 +78,7 @@
 // isEnough reports whether the answers so far admit the turn without waiting for the other
 // copies.
 func (q *quorum) isEnough(r jkforward.Reservation) bool {
-	return q.hasMajority() && q.spendings.total() <= min(partitionShare(r), r.Budget) || q.isAllowed(r)
+	return q.hasMajority() && q.spendings.total() <= min(partitionShare(r), r.Budget)
 }
 
 // decide returns an error unless the budget covers the reservation. It is called once all
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -164,9 +164,13 @@
 	return nil
 }
 
-// isEnough reports whether the answers so far admit the reservation and hold that of the origin.
+// isEnough reports whether the answers so far admit the reservation and hold that of the origin. What is allowed beside silent
+// copies waits for those in reach: a copy that has just taken the place of another one lacks what that one recorded.
 func (o *reserveOperation) isEnough() bool {
-	if !o.quorum.isEnough(o.reservation) || len(o.awaited) > 0 {
+	isAllowed := o.quorum.isAllowed(o.reservation) && !slices.ContainsFunc(o.copies, func(target Copy) bool {
+		return !o.reports.answered[target.Host] && o.client.mayAnswer(target)
+	})
+	if !o.quorum.isEnough(o.reservation) && !isAllowed || len(o.awaited) > 0 {
 		return false
 	}
 	_, known := o.quorum.spendings.versionOf(o.origin)
