account, ledger: holdings are of the time at which their reservation was begun

A copy could be taken to count what it has dropped: holdings counted for half of the retention from the settlement of their turn on, and a copy drops what it has after the retention from its last record on, which may be the reservation. With a retention of a minute that is so for a turn of over 35 s.

Change: holdings are of the time at which the reservation was begun, before any copy recorded it. Late settlements get holdings that count for less time.

A cut of over the retention breaks budgets as before (TestBudgetOfACopyThatHasForgottenWhatItRecorded, known red).

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -554,10 +554,10 @@
 
 // settle settles a turn that used all that it had reserved, on the copies that answer.
 func (f *budgetFixture) settle(e *budgetEntry, r jkforward.Reservation, copies, successors []Copy, answers map[string][]jkledger.Spending) {
-	recording := &recording{reservation: r, answers: answers}
+	recording := &recording{begunAt: f.now, reservation: r, answers: answers}
 	spending := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Settled: true, Retention: r.Retention}
 	for _, c := range slices.Concat(copies, successors) {
-		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(f.now, spending, c.Host)})
+		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(spending, c.Host)})
 	}
 	f.deliver()
 	if !f.deliversLate {
--- a/core/jkaccount/keep.go
+++ b/core/jkaccount/keep.go
@@ -95,7 +95,7 @@
 func (k *keepOperation) recordsFor(host string) []jkledger.Record {
 	t := k.turn
 	spending := jkledger.Spending{Program: t.Program, Request: cmp.Or(t.Reservation, t.Request), Tokens: t.Tokens, Settled: true, Retention: t.Retention}
-	return append(k.recording.settlement(k.client.Timer.Now(), spending, host), k.turnRecord())
+	return append(k.recording.settlement(spending, host), k.turnRecord())
 }
 
 func (k *keepOperation) turnRecord() jkledger.Record {
--- a/core/jkaccount/recorded_places_test.go
+++ b/core/jkaccount/recorded_places_test.go
@@ -37,3 +37,19 @@
 		t.Errorf("turn beyond the budget: %v, want that it is spent", err)
 	}
 }
+
+// Guards against holdings that outlast what they tell of: a copy may have dropped what it recorded before a long turn was settled.
+func TestHoldingsOfALongTurnEndBeforeACopyForgets(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	r := &recording{
+		begunAt: begun, reservation: jkforward.Reservation{Program: "p", Request: "long", Tokens: 10, Budget: 10},
+		answers: map[string][]jkledger.Spending{"a-1": {{Request: "long", Tokens: 10}}},
+	}
+	known := spendings{}
+	for _, one := range r.settlement(jkledger.Spending{Program: "p", Request: "long", Tokens: 10, Settled: true, Retention: time.Minute}, "a-1") {
+		known.merge([]jkledger.Spending{*one.Spending})
+	}
+	if got := known.heldBy("a-1", begun.Add(66*time.Second)); got != 0 {
+		t.Errorf("a-1 is taken to count %d tokens 66 s after it recorded them, for a retention of a minute", got)
+	}
+}
--- a/core/jkaccount/recorded_test.go
+++ b/core/jkaccount/recorded_test.go
@@ -206,15 +206,15 @@
 
 // Guards against a copy that is taken to count what it was only asked to reserve, since less of it may be used.
 func TestHoldingsCountWhatIsSettled(t *testing.T) {
+	now := time.Unix(1000, 0)
 	r := &recording{
-		reservation: jkforward.Reservation{Program: "p", Request: "now", Tokens: 10, Budget: 45},
+		begunAt: now, reservation: jkforward.Reservation{Program: "p", Request: "now", Tokens: 10, Budget: 45},
 		answers: map[string][]jkledger.Spending{
 			"a-1": {{Request: "first", Tokens: 20, Settled: true}, {Request: "second", Tokens: 10}, {Request: "now", Tokens: 10}},
 			"b-1": {{Request: "first", Tokens: 30}, {Request: "now", Tokens: 10}},
 		},
 	}
-	now := time.Unix(1000, 0)
-	records := r.settlement(now, jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1")
+	records := r.settlement(jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1")
 	known := spendings{}
 	for _, one := range records {
 		known.merge([]jkledger.Spending{*one.Spending})
@@ -231,7 +231,7 @@
 		t.Error("b-1 isn't told of the second turn, which only a-1 knows")
 	}
 	r.reservation.Budget = 4500
-	if records := r.settlement(now, jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1"); len(records) != 1 {
+	if records := r.settlement(jkledger.Spending{Program: "p", Request: "now", Tokens: 4, Settled: true, Retention: time.Minute}, "b-1"); len(records) != 1 {
 		t.Errorf("%d records settle a turn of a program that is far from its share, want one", len(records))
 	}
 }
@@ -249,11 +249,11 @@
 		t.Errorf("%d recordings are kept, want those of %s", n, maxRecordingAge)
 	}
 	r := &recording{
-		reservation: jkforward.Reservation{Program: "p", Request: "again", Tokens: 10, Budget: 5},
-		answers:     map[string][]jkledger.Spending{"a-1": {{Request: "again", Settled: true, Tokens: 2}}, "b-1": {{Request: "again", Tokens: 4}}},
+		begunAt: now, reservation: jkforward.Reservation{Program: "p", Request: "again", Tokens: 10, Budget: 5},
+		answers: map[string][]jkledger.Spending{"a-1": {{Request: "again", Settled: true, Tokens: 2}}, "b-1": {{Request: "again", Tokens: 4}}},
 	}
 	known := spendings{}
-	for _, one := range r.settlement(now, jkledger.Spending{Program: "p", Request: "again", Tokens: 9, Settled: true, Retention: time.Minute}, "b-1") {
+	for _, one := range r.settlement(jkledger.Spending{Program: "p", Request: "again", Tokens: 9, Settled: true, Retention: time.Minute}, "b-1") {
 		known.merge([]jkledger.Spending{*one.Spending})
 	}
 	if a, b := known.heldBy("a-1", now), known.heldBy("b-1", now); a != 2 || b != 4 {
--- a/core/jkaccount/recordings.go
+++ b/core/jkaccount/recordings.go
@@ -68,13 +68,13 @@
 
 // settlement returns the records that settle the reservation on a host. Once the program nears its partitionShare, they say
 // what the copies hold, with the spendings of these that this host hasn't answered.
-func (r *recording) settlement(now time.Time, s jkledger.Spending, host string) []jkledger.Record {
+func (r *recording) settlement(s jkledger.Spending, host string) []jkledger.Record {
 	settled := jkledger.Record{Spending: &s}
 	if r == nil || s.Tokens == 0 || r.answers[host] == nil {
 		return []jkledger.Record{settled}
 	}
 	all, known, most := spendings{}, spendings{}, int64(0)
-	h := &jkledger.Holdings{At: now, Tokens: map[string]int64{}}
+	h := &jkledger.Holdings{At: r.begunAt, Tokens: map[string]int64{}}
 	for from, answer := range r.answers {
 		all.merge(answer)
 		own := spendings{}
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -296,7 +296,7 @@
 	copies := c.replicas(s.Program)
 	copies = slices.Concat(copies, c.successors(s.Program, copies))
 	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
-		c.outbox.send(target, recording.settlement(c.Timer.Now(), spending, target.Host), nil)
+		c.outbox.send(target, recording.settlement(spending, target.Host), nil)
 	}
 }
 
--- a/core/jkledger/holdings.go
+++ b/core/jkledger/holdings.go
@@ -15,7 +15,7 @@
 // Holdings says what the copies of a program counted when they had recorded a reservation. It is kept as a settled spending
 // without tokens, so that hosts of builds that don't know it hand it on.
 type Holdings struct {
-	// At is when the reservation was settled.
+	// At is when the reservation was begun. The copies recorded it later, and may drop that before it is settled.
 	At time.Time
 	// Tokens holds by host how many tokens the copy counted at least.
 	Tokens map[string]int64
