account: turns of silent copies may be larger than the one that is judged

A budget could be exceeded by more than one turn where three copies are silent, each cut off by itself: what they may still grant was counted by the most tokens of the turn that is judged, and each may grant a larger one. One or two of them grant two halves of a turn more, which the bound holds.

Change: of three and more, the most that one of them may grant counts: a copy that counts h tokens admits no turn of more than the budget less 2h by itself.

Ruled out: none of it for three and more, which would leave copies to inference that may grant nothing.

--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -170,8 +170,8 @@
 // turn, less what may be granted elsewhere. Each copy that hasn't answered and may admit turns without a majority grants
 // its share at most, less what it is known to count, whether it is lost, cut off or slow.
 func (c *Client) allowance(r jkforward.Reservation, copies, successors []Copy, reports *lossReports, known spendings) int64 {
-	left := r.Budget + r.Tokens
-	leave := func(target Copy) { left -= max(partitionShare(r)-known.heldBy(target.Host, c.Timer.Now()), 0) }
+	var held []int64
+	leave := func(target Copy) { held = append(held, known.heldBy(target.Host, c.Timer.Now())) }
 	for _, target := range slices.Concat(copies, successors) {
 		if c.mayAdmitAlone(target, reports) {
 			leave(target)
@@ -180,6 +180,16 @@
 	for _, other := range c.replaced(r.Program, copies, reports) {
 		leave(other)
 	}
+	if len(held) > 2 {
+		// Each of them may grant a larger turn than this one, and two halves of that are within one turn.
+		for _, tokens := range held {
+			r.Tokens = max(r.Tokens, r.Budget-2*tokens)
+		}
+	}
+	left := r.Budget + r.Tokens
+	for _, tokens := range held {
+		left -= max(partitionShare(r)-tokens, 0)
+	}
 	return left
 }
 
--- a/core/jkaccount/recorded_places_test.go
+++ b/core/jkaccount/recorded_places_test.go
@@ -10,6 +10,29 @@
 	"jasmineknot.example/core/jkledger"
 )
 
+// Guards against three silent copies that each grant a turn which is larger than those of the others. What a turn is at most counts once.
+func TestBudgetOfSilentCopiesThatGrantLargerTurns(t *testing.T) {
+	const budget, small, large = 100, 1, 20
+	f := newBudgetFixture(7, 1, 7)
+	f.advance(5 * time.Second)
+	for range 10 {
+		f.reserve(f.entries[0], 4, budget)
+	}
+	for _, zone := range []string{"e", "f", "g"} {
+		f.cut(zone)
+	}
+	f.advance(2 * time.Second)
+	for range 40 {
+		f.reserve(f.entries[0], small, budget)
+	}
+	for _, e := range f.entries[4:] {
+		f.reserve(e, large, budget)
+	}
+	if f.granted > budget+large {
+		t.Errorf("%d tokens are handed out of a budget of %d and one turn of %d", f.granted, budget, large)
+	}
+}
+
 // Guards against a budget that is granted without the word of a copy in reach, which knows that it is spent and is a little slower.
 func TestBudgetSpentOnACopyThatAnswersLater(t *testing.T) {
 	f := newFixture(t)
