known red: holdings of copies in whose place others are that lack their records

Budgets are exceeded with holdings where two majorities share no copy that has the records, or where what a copy counted isn't there any more, and aren't without them: - a host is being emptied, and the one in its place is a regular copy without its records until these are handed over, 0.5 s later at the earliest. With a copy that was cut off it is a majority that knows of the first half only, if the third one is silent. In a cut zone it grants the share which, by the holdings of the former one, the others have granted. The latter breaks budgets without holdings as well, if the former one had granted the share; - a host is removed and added again under its name without its disk, and copies from one other zone, which lacks what it had.

--- a/core/jkaccount/recorded_places_test.go
+++ b/core/jkaccount/recorded_places_test.go
@@ -10,6 +10,93 @@
 	"jasmineknot.example/core/jkledger"
 )
 
+// unlist makes a host with a copy one that is no longer listed.
+func (f *budgetFixture) unlist(host string) {
+	f.copies = slices.DeleteFunc(f.copies, func(c Copy) bool { return c.Host == host })
+	for _, e := range f.entries {
+		e.client.Observe()
+	}
+}
+
+// reserveTimes reserves several turns in a row.
+func (f *budgetFixture) reserveTimes(n int, e *budgetEntry) {
+	for range n {
+		f.reserve(e, turnTokens, turnBudget)
+	}
+}
+
+// Guards against the share of a cut zone that is granted once more, by a copy that has copied nothing: the host in whose place it is
+// is being emptied. The former one may have granted the share, or the others the rest since that one had recorded it.
+func TestBudgetOfACutZoneWhoseCopyIsEmptied(t *testing.T) {
+	for name, isAlone := range map[string]bool{"the zone had granted it": true, "the others had": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newBudgetFixture(3, 2, 3)
+			a, c := f.entries[0], f.entries[2]
+			f.advance(5 * time.Second)
+			if !isAlone {
+				f.reserveTimes(2, a)
+			}
+			f.cut("c")
+			f.advance(1500 * time.Millisecond)
+			if isAlone {
+				f.reserveTimes(2, c)
+			}
+			f.reserveTimes(2, a)
+			f.unlist(f.copyIn(c, "c"))
+			f.advance(100 * time.Millisecond)
+			f.reserveTimes(2, c)
+			f.check(t)
+		})
+	}
+}
+
+// Guards against two majorities without a copy in common: a host is being emptied, and the one in its place has copied nothing.
+// The other one of them was cut off while the rest was granted beside it.
+func TestBudgetOfAnEmptiedCopyBesideOneThatWasCutOff(t *testing.T) {
+	f := newBudgetFixture(3, 2, 3)
+	a, b := f.entries[0], f.entries[1]
+	f.advance(5 * time.Second)
+	own, emptied := f.copyIn(b, "b"), f.copyIn(b, "c")
+	f.reserveTimes(2, b)
+	f.cut("a")
+	f.advance(1500 * time.Millisecond)
+	f.reserveTimes(2, b)
+	f.heal()
+	f.unlist(emptied)
+	f.advance(100 * time.Millisecond)
+	f.down(own)
+	f.reserveTimes(2, a)
+	f.check(t)
+}
+
+// Guards against holdings of a copy that has lost its disk: its host was removed and is added again under its name, and has
+// copied from a host only that lacks what the former one had recorded.
+func TestBudgetOfACopyThatIsAddedAgainWithoutItsDisk(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	a, b, c := f.entries[0], f.entries[1], f.entries[2]
+	f.advance(5 * time.Second)
+	f.cut("a")
+	f.advance(1500 * time.Millisecond)
+	f.reserveTimes(2, b)
+	f.down("c0")
+	f.advance(10 * time.Second)
+	f.heal()
+	f.advance(time.Second)
+	f.down("b0")
+	f.advance(10 * time.Second)
+	f.unlist("c0")
+	delete(f.downSince, "c0")
+	f.addCopy(Copy{Host: "c0", Zone: "c"})
+	f.advance(10 * time.Second)
+	f.upAgain("b0")
+	f.advance(100 * time.Millisecond)
+	f.cut("c")
+	f.advance(2200 * time.Millisecond)
+	f.reserveTimes(4, a)
+	f.reserveTimes(4, c)
+	f.check(t)
+}
+
 // Guards against three silent copies that each grant a turn which is larger than those of the others. What a turn is at most counts once.
 func TestBudgetOfSilentCopiesThatGrantLargerTurns(t *testing.T) {
 	const budget, small, large = 100, 1, 20
