account: release also what copies record after the admission was cancelled

A chain that isn't found ends the admission while the reservation is under way. Its copies have the message and record it, but haven't answered, so that Release waited for none of them: the turn was refused at once and its settlement waited for 30 ms as before.

Change: a cancelled admission waits for the copies in reach that haven't answered, too, with the same bounds. One that ended by its time doesn't: its copies had the time (TestReservationEndsWithItsCaller).

Left: copies that answer nothing within 0.3 s of the refusal.

--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -1,7 +1,9 @@
 package jkaccount
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,6 +95,29 @@
 	}
 }
 
+// Guards against the same where the admission ends before the copies, which have got the reservation, answer it: so it does
+// once the turn's chain isn't found.
+func TestTryThatEndsBeforeItsCopiesAnswerIsSettledBeforeItsAnswer(t *testing.T) {
+	f := newManualFixture(t)
+	end := sync.OnceFunc(f.stall("a", "b", "c"))
+	defer end()
+	ctx, endAdmission := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- f.client.Reserve(ctx, reservation("1")) }()
+	f.awaitStalled(t, 2*timeoutStep, result)
+	endAdmission()
+	time.AfterFunc(2*timeoutStep, end)
+	if err := <-result; err == nil {
+		t.Fatal("tokens were reserved without an answer")
+	}
+	f.client = NewClient(f.client.Options)
+	end()
+	time.Sleep(stallTime)
+	if err := f.client.Reserve(t.Context(), reservation("2")); err != nil {
+		t.Error(err)
+	}
+}
+
 // isDone reports whether a channel is closed.
 func isDone(done <-chan struct{}) bool {
 	select {
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -40,8 +40,9 @@
 	if err != nil {
 		c.Log.Info("tokens not reserved", "request", r.Request, "program", r.Program, "error", err, "copies", o.log.describe(o.copies),
 			"unproven_losses", c.unprovenLosses(o.reports), "replaced", c.describeReplaced(o), "unsettled_zones", c.unsettledZones())
-		// The chain that isn't found ends the context, and the caller is refused all the same.
-		c.Release(context.WithoutCancel(ctx), jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention})
+		// An admission that is cancelled, as its chain isn't found, is refused before copies had the time to answer.
+		isAwaited := func(target Copy) bool { return errors.Is(context.Cause(ctx), context.Canceled) && c.mayAnswer(target) }
+		c.release(context.WithoutCancel(ctx), jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention}, isAwaited)
 		return "", err
 	}
 	if o.origin == "" {
@@ -288,29 +289,35 @@
 // It doesn't wait for them. If a settlement is lost, the reservation stays, so that the
 // program is charged more tokens than it used.
 func (c *Client) Settle(s jkforward.Settlement) {
-	c.settle(s, c.recordings.take(s.Request), func(string) func(outcome) bool { return nil })
+	r := c.recordings.take(s.Request)
+	for _, target := range c.settledCopies(s.Program) {
+		c.settle(s, r, target, nil)
+	}
 }
 
 // Release settles the reservation of a request that hasn't run. It returns once the copies that have recorded the
 // reservation have the settlement on disk, or enough of them that some may lose theirs. It doesn't wait for copies that
 // fail, and for none for longer than callTimeout or after the context has ended.
 func (c *Client) Release(ctx context.Context, s jkforward.Settlement) {
-	r := c.recordings.take(s.Request)
-	if r == nil {
-		r = &recording{}
-	}
-	results, awaited := make(chan outcome, len(r.answers)), 0
-	c.settle(s, r, func(host string) func(outcome) bool {
-		if r.answers[host] == nil {
-			return nil
-		}
-		awaited++
-		var once sync.Once
-		return func(o outcome) bool {
-			once.Do(func() { results <- o })
-			return false
+	c.release(ctx, s, func(Copy) bool { return false })
+}
+
+// release is Release that waits also for the given ones of the copies that haven't answered the reservation.
+func (c *Client) release(ctx context.Context, s jkforward.Settlement, isAwaited func(Copy) bool) {
+	r, copies := c.recordings.take(s.Request), c.settledCopies(s.Program)
+	results, awaited := make(chan outcome, len(copies)), 0
+	for _, target := range copies {
+		var onOutcome func(outcome) bool
+		if r != nil && (r.answers[target.Host] != nil || isAwaited(target)) {
+			awaited++
+			var once sync.Once
+			onOutcome = func(o outcome) bool {
+				once.Do(func() { results <- o })
+				return false
+			}
 		}
-	})
+		c.settle(s, r, target, onOutcome)
+	}
 	ctx, cancel := c.withTimeout(ctx, callTimeout)
 	defer cancel()
 	written := 0
@@ -329,15 +336,17 @@
 	}
 }
 
-// settle queues a settlement for all copies of the program. The function that onOutcome returns for a host has the meaning
-// of pendingWrite.onOutcome.
-func (c *Client) settle(s jkforward.Settlement, r *recording, onOutcome func(host string) func(outcome) bool) {
+// settle queues a settlement for a copy. The argument onOutcome has the meaning of pendingWrite.onOutcome.
+func (c *Client) settle(s jkforward.Settlement, r *recording, target Copy, onOutcome func(outcome) bool) {
 	spending := jkledger.Spending{Program: s.Program, Request: s.Request, Tokens: s.Tokens, Settled: true, Retention: s.Retention}
-	copies := c.replicas(s.Program)
-	copies = slices.Concat(copies, c.successors(s.Program, copies))
-	for _, target := range slices.Concat(copies, c.extraCopies(s.Program, copies)) {
-		c.outbox.send(target, r.settlement(c.Timer.Now(), spending, target.Host), onOutcome(target.Host))
-	}
+	c.outbox.send(target, r.settlement(c.Timer.Now(), spending, target.Host), onOutcome)
+}
+
+// settledCopies returns the copies that get the settlements of a program.
+func (c *Client) settledCopies(program string) []Copy {
+	copies := c.replicas(program)
+	copies = slices.Concat(copies, c.successors(program, copies))
+	return slices.Concat(copies, c.extraCopies(program, copies))
 }
 
 // extraCopies returns further copies that record the spendings of a program if so few of its own
