--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -118,6 +118,33 @@
 	}
 }
 
+// Guards against the same beside copies that the entry has lost and found again just before.
+func TestRefusedTryIsSettledOnCopiesThatAreBack(t *testing.T) {
+	f := newManualFixture(t)
+	f.lost["a"], f.lost["b"], f.lost["c"] = true, true, true
+	failed := make(chan outcome, len(f.copies))
+	for _, target := range f.copies {
+		f.client.outbox.send(target, nil, func(o outcome) bool {
+			failed <- o
+			return false
+		})
+	}
+	for range f.copies {
+		<-failed
+	}
+	clear(f.lost)
+	r := jkforward.Reservation{Program: "p", Request: "1", Tokens: 100, Budget: 50, Retention: time.Minute}
+	var spent *jkforward.BudgetSpentError
+	if err := f.client.Reserve(t.Context(), r); !errors.As(err, &spent) {
+		t.Fatalf("error is %v, want a *BudgetSpentError", err)
+	}
+	f.client = NewClient(f.client.Options)
+	r.Request, r.Tokens, r.Budget = "2", 50, 100
+	if err := f.client.Reserve(t.Context(), r); err != nil {
+		t.Error(err)
+	}
+}
+
 // isDone reports whether a channel is closed.
 func isDone(done <-chan struct{}) bool {
 	select {
