--- a/core/jkaccount/outbox_test.go
+++ b/core/jkaccount/outbox_test.go
@@ -1,7 +1,9 @@
 package jkaccount
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,6 +95,56 @@
 	}
 }
 
+// Guards against the same where the admission ends before the copies, which have got the reservation, answer it: so it does
+// once the turn's chain isn't found.
+func TestTryThatEndsBeforeItsCopiesAnswerIsSettledBeforeItsAnswer(t *testing.T) {
+	f := newManualFixture(t)
+	end := sync.OnceFunc(f.stall("a", "b", "c"))
+	defer end()
+	ctx, endAdmission := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- f.client.Reserve(ctx, reservation("1")) }()
+	f.awaitStalled(t, 2*timeoutStep, result)
+	endAdmission()
+	time.AfterFunc(2*timeoutStep, end)
+	if err := <-result; err == nil {
+		t.Fatal("tokens were reserved without an answer")
+	}
+	f.client = NewClient(f.client.Options)
+	end()
+	time.Sleep(stallTime)
+	if err := f.client.Reserve(t.Context(), reservation("2")); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against the same beside copies that the entry has lost and found again just before.
+func TestRefusedTryIsSettledOnCopiesThatAreBack(t *testing.T) {
+	f := newManualFixture(t)
+	f.lost["a"], f.lost["b"], f.lost["c"] = true, true, true
+	failed := make(chan outcome, len(f.copies))
+	for _, target := range f.copies {
+		f.client.outbox.send(target, nil, func(o outcome) bool {
+			failed <- o
+			return false
+		})
+	}
+	for range f.copies {
+		<-failed
+	}
+	clear(f.lost)
+	r := jkforward.Reservation{Program: "p", Request: "1", Tokens: 100, Budget: 50, Retention: time.Minute}
+	var spent *jkforward.BudgetSpentError
+	if err := f.client.Reserve(t.Context(), r); !errors.As(err, &spent) {
+		t.Fatalf("error is %v, want a *BudgetSpentError", err)
+	}
+	f.client = NewClient(f.client.Options)
+	r.Request, r.Tokens, r.Budget = "2", 50, 100
+	if err := f.client.Reserve(t.Context(), r); err != nil {
+		t.Error(err)
+	}
+}
+
 // isDone reports whether a channel is closed.
 func isDone(done <-chan struct{}) bool {
 	select {
