account: release refused tries also on copies that have just come back

Cause: the queue of a copy that was out of reach keeps the failure of its last write until the backoff ends, and reports it at once, so that Release waited for no copy. Found by the review.

Change: Release waits for writes only, not for failures; a record that somebody waits for ends the backoff of a copy that was unreachable and isn't any more. One that fails in reach keeps its backoff.

--- a/core/jkaccount/outbox.go
+++ b/core/jkaccount/outbox.go
@@ -29,6 +29,8 @@
 	endDelay func() bool
 	// failure is the outcome of the last write if it failed, and empty otherwise.
 	failure outcome
+	// awaited ends the backoff after a failed write.
+	awaited chan struct{}
 }
 
 // pendingWrite is a set of records that is written to a copy as a whole.
@@ -79,7 +81,7 @@
 	o.mu.Lock()
 	q := o.queues[target.Host]
 	if q == nil {
-		q = &queue{}
+		q = &queue{awaited: make(chan struct{}, 1)}
 		o.queues[target.Host] = q
 	}
 	q.target = target
@@ -100,8 +102,13 @@
 	}
 	o.mu.Unlock()
 	o.drop(target, overflow)
-	if onOutcome != nil && failure != "" {
-		onOutcome(failure)
+	if onOutcome == nil || failure == "" {
+		return
+	}
+	onOutcome(failure)
+	if failure == outcomeUnreachable && o.client.Reachable(target.Host) {
+		// The copy is back since.
+		notify(q.awaited)
 	}
 }
 
@@ -173,7 +180,7 @@
 	if awaited {
 		pause = awaitedRetryBackoff
 	}
-	o.client.Timer.Wait(pause, nil)
+	o.client.Timer.Wait(pause, q.awaited)
 	if !o.refreshTarget(q) {
 		o.dropAll(q)
 	}
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"jasmineknot.example/core/jkforward"
@@ -300,43 +299,37 @@
 }
 
 // Release settles the reservation of a request that hasn't run. It returns once the copies that have recorded the
-// reservation have the settlement on disk, or enough of them that some may lose theirs. It doesn't wait for copies that
-// fail, and for none for longer than callTimeout or after the context has ended.
+// reservation have the settlement on disk, or enough of them that some may lose theirs. It doesn't wait for longer than
+// callTimeout, nor after the context has ended.
 func (c *Client) Release(ctx context.Context, s jkforward.Settlement) {
 	c.release(ctx, s, func(Copy) bool { return false })
 }
 
 // release is Release that waits also for the given ones of the copies that haven't answered the reservation.
 func (c *Client) release(ctx context.Context, s jkforward.Settlement, isAwaited func(Copy) bool) {
+	ctx, cancel := c.withTimeout(ctx, callTimeout)
+	defer cancel()
 	r, copies := c.recordings.take(s.Request), c.settledCopies(s.Program)
-	results, awaited := make(chan outcome, len(copies)), 0
+	written, awaited := make(chan struct{}, len(copies)), 0
 	for _, target := range copies {
 		var onOutcome func(outcome) bool
 		if r != nil && (r.answers[target.Host] != nil || isAwaited(target)) {
 			awaited++
-			var once sync.Once
 			onOutcome = func(o outcome) bool {
-				once.Do(func() { results <- o })
-				return false
+				if o == outcomeWritten {
+					written <- struct{}{}
+				}
+				return o != outcomeWritten && ctx.Err() == nil
 			}
 		}
 		c.settle(s, r, target, onOutcome)
 	}
-	ctx, cancel := c.withTimeout(ctx, callTimeout)
-	defer cancel()
-	written := 0
-	for range awaited {
+	for range min(awaited, c.MaxLostDisks+1) {
 		select {
-		case o := <-results:
-			if o == outcomeWritten {
-				written++
-			}
+		case <-written:
 		case <-ctx.Done():
 			return
 		}
-		if written > c.MaxLostDisks {
-			return
-		}
 	}
 }
 
