jkentry, jkvault: count an early takeover by the silence that other zones saw before it

A copy that lost its disk became certain without a turn that was on b-1 only, and its program would have gone on without it: only b-2 didn't reach b-1 and took over before the mark of suspicion, b-1 took a turn after that and went down alone, which a-2 and c-2 noted as a confirmed loss (known red, TestCopyWaitsForASilentHostThatOthersReachedAfterTheTakeover).

Cause: a takeover from before the mark counted if hosts of all other zones had noted that the host fell silent alone. That says when the host was silent, not that the takeover began after it.

A host now names a silence that it sees by itself, the silent host and when that one last answered, by its own clock. Before a successor copies it asks the hosts of the other zones which silences they see, and keeps them with the takeover. A note of a loss has the silence by which it was confirmed. A takeover from before the mark counts if a host of each other zone has noted a silence that the takeover has. An answer in between makes it another one, so no clocks are compared. A silence is told of once it is 1 s older than the first probe without an answer, for which time entries retry writes. Takeovers that began after the mark count as before.

Messages: optional fields in the answers to ledger_sync and ledger_losses, and in the takeovers. Former builds ignore them. What those say or have on disk has none, so that their early takeovers don't count and a copy waits for the mark, or for the removal.

Tests: the case 'before the mark, noted' of jkvault wanted a copy to be certain by a note alone, which is the fault. It is five cases now, of which only the one with the noted silence is certain.

Ruled out: the time of the last answer beside clocks and their skew, since the takeover begins 2 s after the silence only; a successor that takes over again once the loss is noted, since a fault of all may come right after the note.

--- a/core/jkentry/losses.go
+++ b/core/jkentry/losses.go
@@ -75,7 +75,7 @@
 	seen := t.seenLosses()
 	for _, host := range seen.confirmed {
 		if t.members.isCopy(host) {
-			t.vault.NoteLoss(t.goneEntry(host))
+			t.vault.NoteLoss(t.goneEntry(host), t.silence(host))
 		}
 	}
 	for _, host := range seen.replicated {
@@ -97,6 +97,36 @@
 	return jkledger.GoneHost{Host: host, Announced: t.registry.announced(host)}
 }
 
+// silence returns the silence of a host as this one sees it, or the zero value for one that isn't silent long enough.
+func (t *Storage) silence(host string) jkledger.Silence {
+	last := t.probes.LastAnswerBeforeSilence(host)
+	if last.IsZero() {
+		return jkledger.Silence{}
+	}
+	return jkledger.Silence{Host: host, SeenBy: t.settings.Host, LastAnswer: last.UnixNano()}
+}
+
+// silences returns the silences that this host sees.
+func (t *Storage) silences() []jkledger.Silence {
+	var out []jkledger.Silence
+	for _, c := range t.otherCopies() {
+		if s := t.silence(c.Host); s.Host != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// silenceOf returns the silence of a host among several, or the zero value.
+func silenceOf(host string, silences []jkledger.Silence) jkledger.Silence {
+	for _, s := range silences {
+		if s.Host == host {
+			return s
+		}
+	}
+	return jkledger.Silence{}
+}
+
 // unknownLosses returns the silent hosts of other zones whose loss isn't noted.
 func (t *Storage) unknownLosses(silent []string) []jkledger.GoneHost {
 	known := t.vault.LostHosts()
@@ -113,15 +143,15 @@
 // reach of each other, which goes for this host as well.
 func (t *Storage) adoptLosses(ctx context.Context, open []jkledger.GoneHost) {
 	for _, n := range t.neighbours() {
-		confirmed, err := t.vault.ConfirmedLosses(ctx, n.Addr)
+		known, err := t.vault.LossesOf(ctx, n.Addr)
 		if err != nil {
 			t.log.Debug("losses not asked for", "from", n.Host, "error", err)
 			continue
 		}
-		for _, gone := range confirmed {
+		for _, gone := range known.LostHosts {
 			if slices.Contains(open, gone) && !t.probes.Reachable(gone.Host) {
 				t.log.Info("loss confirmed by another copy", "host", gone.Host, "from", n.Host)
-				t.vault.NoteLoss(gone)
+				t.vault.NoteLoss(gone, silenceOf(gone.Host, known.Silences))
 			}
 		}
 	}
--- a/core/jkentry/spread.go
+++ b/core/jkentry/spread.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jkvault"
 )
 
 // startSpread copies all programs that this host holds from the other copies while hosts of other zones are suspected
@@ -42,7 +43,7 @@
 			if !t.vault.Certain() || asked[source.Host] || !t.probes.Reachable(source.Host) || t.vault.HasTakenOver(silent, source.Host) {
 				continue
 			}
-			asked[source.Host] = t.vault.TakeOver(ctx, source.Addr, nil, silent, since)
+			asked[source.Host] = t.vault.TakeOver(ctx, source.Addr, nil, jkvault.Silent{Hosts: silent, Since: since})
 		}
 		if !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
 			return
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -81,7 +81,7 @@
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
 	vault, err := jkvault.Open(jkvault.Options{
 		Timer: timer, Log: log.Part("ledger"), Host: s.Host, Folder: s.Folder, Pool: t.peers, First: s.First,
-		Holds: t.holds, AnyHolds: t.anyHolds, Neighbours: t.neighbours, TakesOver: t.takesOver, Behind: t.behind, Losses: t.losses,
+		Holds: t.holds, AnyHolds: t.anyHolds, Neighbours: t.neighbours, TakesOver: t.takesOver, Behind: t.behind, Losses: t.losses, Silences: t.silences,
 		Sources: t.recoverySources, MaxLostDisks: s.LostDisks, IsNew: func() bool { return !t.wasListed.Load() },
 	})
 	if err != nil {
--- a/core/jkentry/takeover.go
+++ b/core/jkentry/takeover.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"jasmineknot.example/core/jkaccount"
 	"jasmineknot.example/core/jkledger"
+	"jasmineknot.example/core/jkvault"
 )
 
 // takeoverDelays are the times before the two rounds of a takeover. Processes that restart at
@@ -76,19 +78,25 @@
 	asked := map[string]bool{}
 	for t.isGone(host) && !isOver() {
 		// Before the hosts that are gone, so that one that is back in between isn't noted as gone.
-		since := t.vault.Answers()
+		silent := jkvault.Silent{Since: t.vault.Answers()}
 		gone := t.goneHosts(host)
-		silent := t.silentHosts(gone)
+		silent.Hosts = t.silentHosts(gone)
+		var sources []jkaccount.Copy
 		missing := 0
 		for _, source := range t.otherCopies() {
-			if asked[source.Host] || gone[source.Host] {
-				continue
-			}
-			if !t.probes.Reachable(source.Host) {
+			switch {
+			case asked[source.Host] || gone[source.Host]:
+			case !t.probes.Reachable(source.Host):
 				missing++
-				continue
+			default:
+				sources = append(sources, source)
 			}
-			if !t.vault.TakeOver(ctx, source.Addr, hostNames(gone), silent, since) {
+		}
+		if len(sources) > 0 {
+			silent.Seen = t.seenSilences(ctx)
+		}
+		for _, source := range sources {
+			if !t.vault.TakeOver(ctx, source.Addr, hostNames(gone), silent) {
 				missing++
 				continue
 			}
@@ -134,6 +142,31 @@
 	return out
 }
 
+// seenSilences returns the silences that the hosts of the other zones see, which this one may not reach alone.
+func (t *Storage) seenSilences(ctx context.Context) []jkledger.Silence {
+	var (
+		mu    sync.Mutex
+		calls sync.WaitGroup
+		out   []jkledger.Silence
+	)
+	for _, c := range t.otherCopies() {
+		if c.Zone == t.settings.Zone || !t.probes.Reachable(c.Host) {
+			continue
+		}
+		calls.Go(func() {
+			known, err := t.vault.LossesOf(ctx, c.Addr)
+			if err != nil {
+				t.log.Debug("silences not asked for", "from", c.Host, "error", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, known.Seen...)
+		})
+	}
+	calls.Wait()
+	return out
+}
+
 func hostNames(hosts map[string]bool) []string {
 	out := make([]string, 0, len(hosts))
 	for host := range hosts {
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -129,6 +129,17 @@
 	// LostHosts are hosts that are gone whose loss the answering copy has confirmed as harmless: they fell
 	// silent alone, and it had copied from them.
 	LostHosts []GoneHost `msgpack:"lost_hosts,omitempty"`
+	// Silences are those of LostHosts.
+	Silences []Silence `msgpack:"silences,omitempty"`
+}
+
+// Silence is that a host doesn't answer another one. It is the same one as long as all fields are equal.
+type Silence struct {
+	Host   string `msgpack:"host"`
+	SeenBy string `msgpack:"seen_by"`
+	// LastAnswer is when the host last answered, in nanoseconds by the clock of SeenBy, with which other clocks aren't
+	// compared.
+	LastAnswer int64 `msgpack:"last_answer"`
 }
 
 // GoneHost is a host that is gone, with the revision at which it wrote its entry in the store last. One that
@@ -145,6 +156,9 @@
 type Takeover struct {
 	Gone []GoneHost `msgpack:"gone"`
 	From []string   `msgpack:"from"`
+	// Silences are the silences of these hosts of which hosts of other zones told the copy before it copied. None of
+	// earlier releases has them.
+	Silences []Silence `msgpack:"silences,omitempty"`
 }
 
 // Covers reports whether the copy has taken over what a host had of the programs of hosts that are gone, after
@@ -170,12 +184,15 @@
 	Records int `msgpack:"records"`
 }
 
-// LossesRequest asks a copy which losses it has confirmed.
+// LossesRequest asks a copy which losses it has confirmed and which silences its host sees.
 type LossesRequest struct{}
 
-// LossesAnswer has the meaning of SyncPart.LostHosts.
+// LossesAnswer holds LostHosts and Silences as in SyncPart.
 type LossesAnswer struct {
 	LostHosts []GoneHost `msgpack:"lost_hosts,omitempty"`
+	Silences  []Silence  `msgpack:"silences,omitempty"`
+	// Seen are the silences that the copy's host sees at the moment. None of earlier releases has them.
+	Seen []Silence `msgpack:"seen,omitempty"`
 }
 
 // KeysRequest asks a copy which records it has.
--- a/core/jkprobe/silent.go
+++ b/core/jkprobe/silent.go
@@ -6,6 +6,21 @@
 // milliseconds, and up to 100 ms where processor time is limited.
 const overdueAfter = 200 * time.Millisecond
 
+// writeTime is for how long writes that were in flight when a host fell silent are retried.
+const writeTime = time.Second
+
+// LastAnswerBeforeSilence returns when a host that has been out of reach for writeTime at least last answered, and zero for others
+// and for one that never did.
+func (p *Prober) LastAnswerBeforeSilence(host string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.peers[host]
+	if row == nil || !row.unreachable || row.silence(p.Timer.Now()) < probeInterval+writeTime {
+		return time.Time{}
+	}
+	return row.lastAnswer
+}
+
 // SilentZones returns the zones, the own one among them, that seem to be silent: none of their
 // probed hosts has answered within one interval of probes and overdueAfter, and at least one of
 // them has an overdue probe. It is known earlier than ZoneReachable and less certain: the loss of
--- a/core/jkprobe/silent_test.go
+++ b/core/jkprobe/silent_test.go
@@ -114,3 +114,29 @@
 		t.Errorf("silent zones %v, uncertain %t, want an uncertain silence of b", silent, uncertain)
 	}
 }
+
+// Guards against a silence that is told of while writes which the host has acknowledged may be on their way to others, and
+// against two silences that look the same.
+func TestSilenceIsToldOfOnceItsWritesAreOver(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	f.cut["b4"] = true
+	f.pass(writeTime)
+	if last := f.prober.LastAnswerBeforeSilence("b4"); !last.IsZero() {
+		t.Error("the silence is told of too early")
+	}
+	f.pass(2 * probeInterval)
+	first := f.prober.LastAnswerBeforeSilence("b4")
+	if first.IsZero() {
+		t.Error("the silence isn't told of")
+	}
+	clear(f.cut)
+	f.pass(2 * probeInterval)
+	if last := f.prober.LastAnswerBeforeSilence("b4"); !last.IsZero() {
+		t.Error("a host that answers is silent")
+	}
+	f.cut["b4"] = true
+	f.pass(writeTime + 2*probeInterval)
+	if last := f.prober.LastAnswerBeforeSilence("b4"); !last.After(first) {
+		t.Errorf("last answers %v and %v before two silences", first, last)
+	}
+}
--- a/core/jkvault/losses.go
+++ b/core/jkvault/losses.go
@@ -154,13 +154,14 @@
 	return out
 }
 
-// isSilenceNoted reports whether the other zones have noted that a host which is gone fell silent alone: one host of each
-// that has kept its disk.
-func (l *losses) isSilenceNoted(gone jkledger.GoneHost, zone string) bool {
+// isSilenceNoted reports whether the other zones have noted that a host which is gone fell silent alone, by one of several
+// silences: one host of each that has kept its disk.
+func (l *losses) isSilenceNoted(gone jkledger.GoneHost, zone string, seen []jkledger.Silence) bool {
+	isSeen := func(s jkledger.Silence) bool { return s.Host == gone.Host && slices.Contains(seen, s) }
 	noted := map[string]bool{}
 	for _, other := range l.sources {
 		if copied := l.copied[other.Addr]; other.Zone != zone && copied.host == other.Host && copied.certain {
-			noted[other.Zone] = noted[other.Zone] || slices.Contains(copied.lostHosts, gone)
+			noted[other.Zone] = noted[other.Zone] || slices.Contains(copied.lostHosts, gone) && slices.ContainsFunc(copied.silences, isSeen)
 		}
 	}
 	return len(noted) > 0 && !slices.Contains(slices.Collect(maps.Values(noted)), false)
@@ -170,12 +171,14 @@
 // a host since that took no more records. For a host of another zone, they are those from which it hasn't copied its own.
 func (l *losses) leftBy(successor copiedSource, gone Source, others ...string) []string {
 	var out []string
-	hosts := slices.Clone(gone.Gone)
-	for i, h := range hosts {
-		hosts[i].Suspected = !l.isSilenceNoted(h, gone.Zone)
-	}
 	check := func(host string) {
-		isCovered := func(t jkledger.Takeover) bool { return t.Covers(hosts, host) }
+		isCovered := func(t jkledger.Takeover) bool {
+			hosts := slices.Clone(gone.Gone)
+			for i, h := range hosts {
+				hosts[i].Suspected = !l.isSilenceNoted(h, gone.Zone, t.Silences)
+			}
+			return t.Covers(hosts, host)
+		}
 		if host != gone.Host && !slices.ContainsFunc(successor.takeovers, isCovered) {
 			out = append(out, host)
 		}
--- a/core/jkvault/recovery.go
+++ b/core/jkvault/recovery.go
@@ -47,9 +47,10 @@
 	certain, recovered bool
 	// neighbours are the hosts of this copy's zone in whose place it may have taken records.
 	neighbours []string
-	// takeovers and lostHosts are what the copy said with its records, as in SyncPart.
+	// takeovers, lostHosts and silences are what the copy said with its records, as in SyncPart.
 	takeovers []jkledger.Takeover
 	lostHosts []jkledger.GoneHost
+	silences  []jkledger.Silence
 }
 
 // hasLostRecords reports whether the copy may lack records that it acknowledged, or did so before it copied them
@@ -83,7 +84,7 @@
 	}
 	r.copied[addr] = copiedSource{
 		host: from.host, certain: known.certain || from.last.Certain, recovered: from.last.Recovered,
-		neighbours: append(known.neighbours, neighbours...), takeovers: from.last.Takeovers, lostHosts: from.last.LostHosts,
+		neighbours: append(known.neighbours, neighbours...), takeovers: from.last.Takeovers, lostHosts: from.last.LostHosts, silences: from.last.Silences,
 	}
 	r.records += from.records
 }
--- a/core/jkvault/recovery_test.go
+++ b/core/jkvault/recovery_test.go
@@ -217,16 +217,21 @@
 // hasTakenOver makes a node say that it has taken over from hosts since the host gone was marked as suspected.
 func (n *node) hasTakenOver(t *testing.T, from ...string) {
 	t.Helper()
-	n.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: true}, from...)
+	n.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: true}, nil, from...)
 }
 
-func (n *node) hasTakenOverFrom(t *testing.T, gone jkledger.GoneHost, from ...string) {
+func (n *node) hasTakenOverFrom(t *testing.T, gone jkledger.GoneHost, seen []jkledger.Silence, from ...string) {
 	t.Helper()
-	if err := n.vault.takeovers.end([]jkledger.GoneHost{gone}, n.vault.Answers(), from...); err != nil {
+	if err := n.vault.takeovers.end(Silent{Hosts: []jkledger.GoneHost{gone}, Since: n.vault.Answers(), Seen: seen}, from...); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// silences are those of a host that last answered at a time, as another host sees them.
+func silences(host string, lastAnswer int64) []jkledger.Silence {
+	return []jkledger.Silence{{Host: host, SeenBy: "other", LastAnswer: lastAnswer}}
+}
+
 // Guards against a copy that does without a host that is down with its disk, while the ones that
 // take over from it couldn't get what it shares with a lost or missing disk.
 func TestHostThatIsGoneIsMissingUnlessItsSuccessorsHaveTakenOver(t *testing.T) {
@@ -237,9 +242,11 @@
 		isNew              bool
 		missing, uncertain bool
 		lostDisks          int
-		// unmarked is set if the host wasn't marked before, and noted if another zone has noted that it fell silent alone.
-		unmarked, noted bool
-		want            bool
+		// unmarked is set if the host wasn't marked before. The silences are those that the other zone told of before, and that
+		// it has noted since.
+		unmarked    bool
+		seen, noted []jkledger.Silence
+		want        bool
 	}{
 		"both have taken over":                     {first: "self", second: "self", lostDisks: 1, want: true},
 		"one was late":                             {first: "self", lostDisks: 1},
@@ -252,7 +259,11 @@
 		"another one is missing":                   {missing: true, first: "self", second: "self", lostDisks: 2},
 		"taken over from both":                     {missing: true, first: "self other", second: "other self", lostDisks: 2, want: true},
 		"before the mark":                          {first: "self", second: "self", lostDisks: 1, unmarked: true},
-		"before the mark, noted":                   {first: "self", second: "self", lostDisks: 1, unmarked: true, noted: true, want: true},
+		"before the mark, noted":                   {first: "self", second: "self", lostDisks: 1, unmarked: true, seen: silences("gone", 1), noted: silences("gone", 1), want: true},
+		"before the mark and the silence, noted":   {first: "self", second: "self", lostDisks: 1, unmarked: true, noted: silences("gone", 1)},
+		"before the mark, other silence noted":     {first: "self", second: "self", lostDisks: 1, unmarked: true, seen: silences("gone", 1), noted: silences("gone", 2)},
+		"before the mark, silence not noted":       {first: "self", second: "self", lostDisks: 1, unmarked: true, seen: silences("gone", 1)},
+		"before the mark, noted without a silence": {first: "self", second: "self", lostDisks: 1, unmarked: true, seen: silences("gone", 1), noted: silences("", 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			first, second := start(t, memoryFolder(t), true), start(t, memoryFolder(t), true)
@@ -263,10 +274,10 @@
 				for _, name := range strings.Fields(from) {
 					names = append(names, hosts[name])
 				}
-				successor.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: !c.unmarked}, names...)
+				successor.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: !c.unmarked}, c.seen, names...)
 			}
-			if c.noted {
-				other.vault.NoteLoss(jkledger.GoneHost{Host: "gone"})
+			for _, silence := range c.noted {
+				other.vault.NoteLoss(jkledger.GoneHost{Host: "gone"}, silence)
 			}
 			n.vault.MaxLostDisks, n.vault.IsNew = c.lostDisks, func() bool { return c.isNew }
 			n.vault.Sources = func() ([]Source, bool) {
@@ -304,7 +315,7 @@
 			successor, other, n := start(t, memoryFolder(t), false), start(t, memoryFolder(t), true), start(t, memoryFolder(t), false)
 			for from, copied := range map[*node]bool{n: c.self, successor: c.successor} {
 				if copied {
-					other.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: !c.unmarked}, from.folder)
+					other.hasTakenOverFrom(t, jkledger.GoneHost{Host: "gone", Suspected: !c.unmarked}, nil, from.folder)
 				}
 			}
 			n.vault.MaxLostDisks = 2
--- a/core/jkvault/sync.go
+++ b/core/jkvault/sync.go
@@ -47,7 +47,10 @@
 		}
 		partStart, size = i, 0
 	}
-	err := s.End(&jkledger.SyncPart{Records: records[partStart:], Certain: certain, Recovered: !v.openedCertain, Takeovers: takeovers, LostHosts: v.LostHosts()})
+	lost, silences := v.takeovers.confirmed()
+	err := s.End(&jkledger.SyncPart{
+		Records: records[partStart:], Certain: certain, Recovered: !v.openedCertain, Takeovers: takeovers, LostHosts: lost, Silences: silences,
+	})
 	if err == nil {
 		v.noteCopied(s.Peer().Host, begin, &m, since)
 	}
--- a/core/jkvault/takeover.go
+++ b/core/jkvault/takeover.go
@@ -8,10 +8,10 @@
 )
 
 // TakeOver copies the records of the programs that this host has taken over from hosts of its
-// zone that are gone, and remembers that if the vault at the address was certain, for those that were
-// silent with the answers since. It reports whether that one sent all that it has. Without hosts that are gone,
-// it copies the records of all programs that this host holds. Like CatchUp, it waits for other calls to end.
-func (v *Vault) TakeOver(ctx context.Context, addr string, gone []string, silent []jkledger.GoneHost, since Answers) (sent bool) {
+// zone that are gone, and remembers that for the silent ones if the vault at the address was certain. It reports
+// whether that one sent all that it has. Without hosts that are gone, it copies the records of all programs that
+// this host holds. Like CatchUp, it waits for other calls to end.
+func (v *Vault) TakeOver(ctx context.Context, addr string, gone []string, silent Silent) (sent bool) {
 	v.catchUpMu.Lock()
 	defer v.catchUpMu.Unlock()
 	request := &jkledger.SyncRequest{Gone: gone}
@@ -29,7 +29,7 @@
 		return false
 	}
 	if r.last.Certain {
-		if err := v.takeovers.end(silent, since, r.host); err != nil {
+		if err := v.takeovers.end(silent, r.host); err != nil {
 			v.Log.Warn("takeovers not written", "error", err)
 		}
 	}
--- a/core/jkvault/takeovers.go
+++ b/core/jkvault/takeovers.go
@@ -14,6 +14,7 @@
 
 	"jasmineknot.example/core/jkledger"
 	"jasmineknot.example/core/jkrecord"
+	"jasmineknot.example/core/jkwire"
 )
 
 // takeoversFile is the file of the takeovers and losses in the ledger's folder.
@@ -30,6 +31,8 @@
 	// losses are the hosts whose loss was confirmed as harmless, and replicated those of which only the reservations
 	// are known to be on others.
 	losses, replicated []jkledger.GoneHost
+	// silences are those of losses.
+	silences []jkledger.Silence
 	// answers counts how often each host has answered after a silence.
 	answers Answers
 
@@ -42,6 +45,7 @@
 type takeoversContent struct {
 	Takeovers []jkledger.Takeover `msgpack:"takeovers"`
 	Losses    []jkledger.GoneHost `msgpack:"losses"`
+	Silences  []jkledger.Silence  `msgpack:"silences,omitempty"`
 	// Replicated are the hosts that NoteReplicated was told of.
 	Replicated []jkledger.GoneHost `msgpack:"replicated,omitempty"`
 }
@@ -49,6 +53,15 @@
 // Answers counts how often each host has answered after a silence, at a time.
 type Answers map[string]int
 
+// Silent are hosts that are silent before their programs are taken over.
+type Silent struct {
+	Hosts []jkledger.GoneHost
+	// Since are the answers until before that.
+	Since Answers
+	// Seen are the silences that hosts of other zones have told of.
+	Seen []jkledger.Silence
+}
+
 // since returns the answers until now.
 func (t *takeovers) since() Answers {
 	t.mu.Lock()
@@ -58,11 +71,11 @@
 
 // end records that the programs of silent hosts were taken over from copies that were certain. Hosts that have
 // answered since may have taken more records.
-func (t *takeovers) end(silent []jkledger.GoneHost, since Answers, from ...string) error {
+func (t *takeovers) end(silent Silent, from ...string) error {
 	t.mu.Lock()
-	gone := slices.DeleteFunc(slices.Clone(silent), func(h jkledger.GoneHost) bool { return t.answers[h.Host] != since[h.Host] })
+	gone := slices.DeleteFunc(slices.Clone(silent.Hosts), func(h jkledger.GoneHost) bool { return t.answers[h.Host] != silent.Since[h.Host] })
 	slices.SortFunc(gone, func(a, b jkledger.GoneHost) int { return cmp.Compare(a.Host, b.Host) })
-	changed := t.add(gone, from...)
+	changed := t.add(gone, silent.Seen, from...)
 	t.mu.Unlock()
 	if !changed {
 		return nil
@@ -70,14 +83,21 @@
 	return t.write()
 }
 
-// add adds a source to the row of the hosts that are gone, and reports whether it is new. The caller holds the lock.
-func (t *takeovers) add(gone []jkledger.GoneHost, from ...string) bool {
+// add adds a source to the row of the hosts that are gone and of their silences, and reports whether it is new. The caller
+// holds the lock.
+func (t *takeovers) add(gone []jkledger.GoneHost, seen []jkledger.Silence, from ...string) bool {
 	if len(gone) == 0 {
 		return false
 	}
-	i := slices.IndexFunc(t.rows, func(row jkledger.Takeover) bool { return slices.Equal(row.Gone, gone) })
+	silences := slices.DeleteFunc(slices.Clone(seen), func(s jkledger.Silence) bool { return !slices.ContainsFunc(gone, isOf(s.Host)) })
+	slices.SortFunc(silences, func(a, b jkledger.Silence) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.SeenBy, b.SeenBy))
+	})
+	i := slices.IndexFunc(t.rows, func(row jkledger.Takeover) bool {
+		return slices.Equal(row.Gone, gone) && slices.Equal(row.Silences, silences)
+	})
 	if i < 0 {
-		t.rows = append(t.rows, jkledger.Takeover{Gone: gone})
+		t.rows = append(t.rows, jkledger.Takeover{Gone: gone, Silences: silences})
 		i = len(t.rows) - 1
 	}
 	// Answers that are being sent have the former slice.
@@ -92,17 +112,41 @@
 	return changed
 }
 
-// lose adds a host to one of the lists of lost ones, and reports whether that is new.
-func (t *takeovers) lose(list *[]jkledger.GoneHost, host jkledger.GoneHost) bool {
+// replicate adds a host to the list of replicated ones, and reports whether that is new.
+func (t *takeovers) replicate(host jkledger.GoneHost) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if slices.Contains(*list, host) {
+	if slices.Contains(t.replicated, host) {
 		return false
 	}
-	*list = append(slices.DeleteFunc(slices.Clone(*list), isOf(host.Host)), host)
+	t.replicated = append(slices.DeleteFunc(slices.Clone(t.replicated), isOf(host.Host)), host)
 	return true
 }
 
+// confirm notes a loss with the silence by which it was confirmed, whose host is empty if that isn't known, and reports
+// whether that is new.
+func (t *takeovers) confirm(host jkledger.GoneHost, silence jkledger.Silence) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isUnknown := silence.Host == ""
+	if slices.Contains(t.losses, host) && (isUnknown || slices.Contains(t.silences, silence)) {
+		return false
+	}
+	t.losses = append(slices.DeleteFunc(slices.Clone(t.losses), isOf(host.Host)), host)
+	t.silences = slices.DeleteFunc(slices.Clone(t.silences), isSilenceOf(host.Host))
+	if !isUnknown {
+		t.silences = append(t.silences, silence)
+	}
+	return true
+}
+
+// confirmed returns the losses with their silences.
+func (t *takeovers) confirmed() ([]jkledger.GoneHost, []jkledger.Silence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.losses), slices.Clone(t.silences)
+}
+
 // lost returns the hosts on one of these lists.
 func (t *takeovers) lost(list *[]jkledger.GoneHost) []jkledger.GoneHost {
 	t.mu.Lock()
@@ -115,6 +159,10 @@
 	return func(h jkledger.GoneHost) bool { return h.Host == host }
 }
 
+func isSilenceOf(host string) func(jkledger.Silence) bool {
+	return func(s jkledger.Silence) bool { return s.Host == host }
+}
+
 // answered forgets what was taken over from a host that answers again or was removed, and reports whether
 // there was anything.
 func (t *takeovers) answered(host string) bool {
@@ -127,12 +175,13 @@
 		return false
 	}
 	t.losses = slices.DeleteFunc(slices.Clone(t.losses), isHost)
+	t.silences = slices.DeleteFunc(slices.Clone(t.silences), isSilenceOf(host))
 	t.replicated = slices.DeleteFunc(slices.Clone(t.replicated), isHost)
 	former := t.rows
 	t.rows = nil
 	for _, row := range former {
 		others := slices.DeleteFunc(slices.Clone(row.Gone), isHost)
-		t.add(others, row.From...)
+		t.add(others, row.Silences, row.From...)
 	}
 	return true
 }
@@ -148,7 +197,8 @@
 func (t *takeovers) write() error {
 	t.saveMu.Lock()
 	defer t.saveMu.Unlock()
-	data, err := msgpack.Marshal(&takeoversContent{Takeovers: t.all(), Losses: t.lost(&t.losses), Replicated: t.lost(&t.replicated)})
+	lost, silences := t.confirmed()
+	data, err := msgpack.Marshal(&takeoversContent{Takeovers: t.all(), Losses: lost, Silences: silences, Replicated: t.lost(&t.replicated)})
 	if err != nil {
 		return eris.Wrap(err, "encode takeovers")
 	}
@@ -167,7 +217,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rows, t.losses, t.replicated = read.Takeovers, read.Losses, read.Replicated
+	t.rows, t.losses, t.silences, t.replicated = read.Takeovers, read.Losses, read.Silences, read.Replicated
 }
 
 // HostAnswered forgets what was taken over from a host that answers again, since it may take more records
@@ -198,16 +248,17 @@
 // Takeovers returns what this copy has taken over from other copies.
 func (v *Vault) Takeovers() []jkledger.Takeover { return v.takeovers.all() }
 
-// NoteLoss records that the other copies have what a host that is gone has acknowledged.
-func (v *Vault) NoteLoss(host jkledger.GoneHost) {
-	if v.takeovers.lose(&v.takeovers.losses, host) {
+// NoteLoss records that the other copies have what a host that is gone has acknowledged, and by which silence that is
+// known. Its zero value stands for one that isn't known.
+func (v *Vault) NoteLoss(host jkledger.GoneHost, silence jkledger.Silence) {
+	if v.takeovers.confirm(host, silence) {
 		v.saveTakeovers()
 	}
 }
 
 // NoteReplicated records that the other copies have all reservations that a host that is gone has admitted.
 func (v *Vault) NoteReplicated(host jkledger.GoneHost) {
-	if v.takeovers.lose(&v.takeovers.replicated, host) {
+	if v.takeovers.replicate(host) {
 		v.saveTakeovers()
 	}
 }
@@ -215,13 +266,22 @@
 // lossesTimeout bounds a call for the losses that another copy has confirmed.
 const lossesTimeout = time.Second
 
-// ConfirmedLosses returns the hosts whose loss the copy at an address has confirmed as harmless.
-func (v *Vault) ConfirmedLosses(ctx context.Context, addr string) ([]jkledger.GoneHost, error) {
+// LossesOf returns what the copy at an address says of hosts that are gone.
+func (v *Vault) LossesOf(ctx context.Context, addr string) (a jkledger.LossesAnswer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, lossesTimeout)
 	defer cancel()
+	err = v.Pool.Call(ctx, addr, jkledger.TypeLosses, &jkledger.LossesRequest{}, &a)
+	return a, err
+}
+
+// handleLosses says which losses this copy has confirmed and which silences its host sees.
+func (v *Vault) handleLosses(s *jkwire.ServerStream) error {
 	var a jkledger.LossesAnswer
-	err := v.Pool.Call(ctx, addr, jkledger.TypeLosses, &jkledger.LossesRequest{}, &a)
-	return a.LostHosts, err
+	a.LostHosts, a.Silences = v.takeovers.confirmed()
+	if v.Silences != nil {
+		a.Seen = v.Silences()
+	}
+	return s.End(&a)
 }
 
 // LostHosts returns the hosts that are gone of which NoteLoss was told, also before a restart.
--- a/core/jkvault/takeovers_test.go
+++ b/core/jkvault/takeovers_test.go
@@ -24,23 +24,22 @@
 		return out
 	}
 	all := open()
-	type pendingTakeover struct {
-		silent []jkledger.GoneHost
-		since  Answers
-	}
-	pending := map[string]pendingTakeover{}
+	pending := map[string]Silent{}
 	datadriven.RunTest(t, "testdata/takeovers", func(t *testing.T, d *datadriven.TestData) string {
 		words := strings.Fields(d.Input)
 		switch d.Cmd {
 		case "begin":
-			p := pendingTakeover{since: all.since()}
+			p := Silent{Since: all.since()}
 			for _, host := range words[1:] {
-				p.silent = append(p.silent, jkledger.GoneHost{Host: host})
+				host, seenBy, isSeen := strings.Cut(host, "@")
+				p.Hosts = append(p.Hosts, jkledger.GoneHost{Host: host})
+				if isSeen {
+					p.Seen = append(p.Seen, jkledger.Silence{Host: host, SeenBy: seenBy})
+				}
 			}
 			pending[words[0]] = p
 		case "end":
-			p := pending[words[0]]
-			if err := all.end(p.silent, p.since, words[1:]...); err != nil {
+			if err := all.end(pending[words[0]], words[1:]...); err != nil {
 				t.Error(err)
 			}
 		case "answered":
@@ -64,7 +63,11 @@
 			for _, h := range row.Gone {
 				gone = append(gone, h.Host)
 			}
-			fmt.Fprintf(&out, "%v from %v\n", gone, row.From)
+			fmt.Fprintf(&out, "%v from %v", gone, row.From)
+			for _, s := range row.Silences {
+				fmt.Fprintf(&out, ", %s silent for %s", s.Host, s.SeenBy)
+			}
+			out.WriteByte('\n')
 		}
 		return out.String()
 	})
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -47,6 +47,8 @@
 	Behind func() bool
 	// Losses returns the hosts of other copies that don't answer; nil means that all do.
 	Losses func() jkledger.Losses
+	// Silences returns the silences of other copies' hosts that this host sees; nil means that all answer.
+	Silences func() []jkledger.Silence
 	// Sources returns the other copies that may have records which this one lacks, and whether
 	// all of them are known. Nil means that there are none.
 	Sources func() (sources []Source, allKnown bool)
@@ -295,7 +297,7 @@
 	case jkledger.TypeKeys:
 		err = v.handleKeys(s)
 	case jkledger.TypeLosses:
-		err = s.End(&jkledger.LossesAnswer{LostHosts: v.LostHosts()})
+		err = v.handleLosses(s)
 	default:
 		err = s.Fail("unknown_type", "the message type is not known")
 	}
