core: spendings stay while another zone is out of reach

Callers saw: budgets that are exceeded.

Cause: a copy drops a program's spendings once it hasn't seen it used for the retention, though in a cut it can't see that.

Change: a copy keeps spendings beyond their retention while a zone with a storage host isn't settled (ZoneSettled: 4 s, or 1 s after a silence of its own, so that the tick that ends a silence and what it notes aren't raced), while records of a storage host of another zone are to be copied, before the first list, and just after a pause. Turns, which take the memory, expire as before. A start keeps the programs that have expired since the last record of the log. Kept are 8 MiB at most: a zone that is lost as a whole stays listed for ever. A copy that drops some of these takes the sources that are apart for uncopied and copies them in full, so that it grants nothing alone until then. probes is read only after the list was, which is closed after it is set: the timer of the vault runs earlier. The model has the rule without the 4 s and without the bound, drops at a start what had expired when the host stopped, and counts a zone as out of reach by cuts only, 1.05 s late.

Ruled out: to be behind once something has expired (the cut zone serves no budgets after the first retention); no bound; keeping turns. docs/decisions/budgets.md, section Retention, has what is left: beyond the bound, restarts within a cut, and programs that can't renew a budget in a cut.

Tests: the closures of testLossOfAHostThatIsNotCopied became methods, with the same checks; copied takes what begin returned.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -595,8 +595,10 @@
 	defer f.listen()
 	f.now = f.now.Add(d)
 	f.clock.Advance(d)
-	for _, l := range f.ledgers {
-		l.Expire(f.now)
+	for _, c := range f.copies {
+		if !f.isApart(c) {
+			f.ledgers[c.Host].Expire(f.now)
+		}
 	}
 	f.deliver()
 	for _, to := range f.copies {
@@ -620,6 +622,16 @@
 	}
 }
 
+// isApart reports whether a copy's host keeps what has expired: it doesn't run, has missing records of other zones to copy, or
+// has noticed that it doesn't reach one.
+func (f *budgetFixture) isApart(c Copy) bool {
+	_, down := f.downSince[c.Host]
+	return down || slices.ContainsFunc(f.copies, func(other Copy) bool {
+		_, uncopied := f.uncopied[c.Host][other.Host]
+		return uncopied || f.missing[c.Host][other.Host] || f.cutOff(observer(c), other.Zone) > unreachableAfter+probePhase
+	})
+}
+
 // copy notes that a host has copied from another one. Once all of the other zones have, nothing is unreplicated.
 func (f *budgetFixture) copy(from, to Copy) {
 	copiedBy := f.unreplicated[from.Host]
@@ -804,6 +816,8 @@
 }
 
 func (f *budgetFixture) upAgain(host string) {
+	// The log that a start reads doesn't say what had expired and was kept.
+	f.ledgers[host].Expire(f.downSince[host])
 	f.back(host)
 	f.startedAt[host] = f.now
 }
--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	sources map[string]*copySource
+	// drops is how often this host has dropped spendings that others may count.
+	drops int
 }
 
 // copySource is a copy on a host in another zone.
@@ -32,6 +34,8 @@
 	// uncopiedSince is when a source last answered before it was out of reach, if nothing was copied from it since it
 	// is back, and zero otherwise.
 	uncopiedSince time.Time
+	// droppedAt is the number of drops at the last one of spendings that the source may count.
+	droppedAt int
 	// wasSilent is set if the source itself was silent since then, and not only this process.
 	wasSilent bool
 }
@@ -88,15 +92,52 @@
 	}
 }
 
-// copied notes that all missing records of a host were copied.
-func (s *copySources) copied(host string) {
+// begin returns the number of drops, for copied. The records that are requested have to be read after that.
+func (s *copySources) begin() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if source := s.sources[host]; source != nil {
+	return s.drops
+}
+
+// copied notes that all missing records of a host were copied since begin.
+func (s *copySources) copied(host string, begin int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if source := s.sources[host]; source != nil && source.droppedAt <= begin {
 		source.pending, source.sinceStart, source.uncopiedSince, source.wasSilent = false, false, time.Time{}, false
 	}
 }
 
+// isApart reports whether a source may have gone on with programs without this host: its zone isn't settled, or not all of
+// its missing records were copied.
+func (s *copySources) isApart(isSettled func(zone string) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, source := range s.sources {
+		if source.isApart(isSettled) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *copySource) isApart(isSettled func(zone string) bool) bool {
+	return s.pending || !isSettled(s.zone)
+}
+
+// dropped notes that this host has dropped spendings that the sources which are apart may count. All records have to be
+// copied from these.
+func (s *copySources) dropped(isSettled func(zone string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drops++
+	for _, source := range s.sources {
+		if source.isApart(isSettled) {
+			source.pending, source.sinceStart, source.droppedAt = true, true, s.drops
+		}
+	}
+}
+
 // lossViews are the hosts whose losses are harmless by what this host has seen, those whose losses are harmless since it has
 // copied their records of an earlier silence, those of which it can't tell, and those that said themselves that none of their
 // reservations is missing. Those of which it can't tell either, and whose turns of an earlier silence it may lack, are
--- a/core/jkentry/behind_test.go
+++ b/core/jkentry/behind_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 )
 
 // Guards against a copy that grants half of a budget in a partition although it lacks what
-// the others granted while it was down, and against one that grants nothing in any partition.
+// the others granted while it was down, or has dropped it, and against one that grants nothing in any partition.
 func TestCopyIsBehind(t *testing.T) {
 	var s *copySources
 	run := func(line string) string {
@@ -19,10 +20,14 @@
 		switch verb {
 		case "behind":
 			return fmt.Sprintln(s.behind())
+		case "apart":
+			return fmt.Sprintln(s.isApart(isSettledBut(hosts)))
+		case "dropped":
+			s.dropped(isSettledBut(hosts))
 		case "add":
 			s.add(HostEntry{Host: hosts[0], Zone: hosts[0][:1]}, len(hosts) > 1)
 		case "copied":
-			s.copied(hosts[0])
+			s.copied(hosts[0], s.begin())
 		case "returned":
 			s.returned(hosts[0], time.Unix(1000, 0), false)
 		case "missed":
@@ -55,6 +60,10 @@
 	})
 }
 
+func isSettledBut(zones []string) func(zone string) bool {
+	return func(zone string) bool { return !slices.Contains(zones, zone) }
+}
+
 // argNames returns the arguments of a command without values.
 func argNames(d *datadriven.TestData) []string {
 	var out []string
@@ -71,7 +80,7 @@
 	if !s.behind() {
 		t.Error("not behind before the other zone was copied")
 	}
-	s.copied("b1")
+	s.copied("b1", s.begin())
 	if s.behind() {
 		t.Error("behind after the other zone was copied")
 	}
--- a/core/jkentry/losses_test.go
+++ b/core/jkentry/losses_test.go
@@ -72,7 +72,7 @@
 				s.returned(c.host, time.Unix(1000, 0), isOwn)
 			}
 			if c.copied {
-				s.copied(c.host)
+				s.copied(c.host, s.begin())
 			}
 			seen := map[string][]string{c.seen: {c.host}}
 			var said []string
--- a/core/jkentry/recovery.go
+++ b/core/jkentry/recovery.go
@@ -65,8 +65,9 @@
 		}
 	}
 	for _, source := range sources {
+		begin := r.sources.begin()
 		if r.probes.Reachable(source.Host) && r.vault.CatchUp(ctx, []string{source.Addr}, 0) {
-			r.sources.copied(source.Host)
+			r.sources.copied(source.Host, begin)
 		}
 	}
 }
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -81,7 +81,7 @@
 	t.peers = jkwire.NewPool(jkwire.PoolOptions{Self: self, IsControl: isControl, Counters: &jkwire.Counters{}, ReceiveTimeout: silenceTimeout, Timer: timer})
 	vault, err := jkvault.Open(jkvault.Options{
 		Timer: timer, Log: log.Part("ledger"), Host: s.Host, Folder: s.Folder, Pool: t.peers, First: s.First,
-		Holds: t.holds, AnyHolds: t.anyHolds, Neighbours: t.neighbours, TakesOver: t.takesOver, Behind: t.behind, Losses: t.losses,
+		Holds: t.holds, AnyHolds: t.anyHolds, Neighbours: t.neighbours, TakesOver: t.takesOver, Behind: t.behind, Apart: t.apart, Dropped: t.dropped, Losses: t.losses,
 		Sources: t.recoverySources, MaxLostDisks: s.LostDisks, IsNew: func() bool { return !t.wasListed.Load() },
 	})
 	if err != nil {
@@ -272,8 +272,9 @@
 // copyFromAll copies what the other storage hosts have recorded while this one was down.
 func (t *Storage) copyFromAll(ctx context.Context) {
 	for _, c := range t.otherCopies() {
+		begin := t.sources.begin()
 		if t.vault.CatchUp(ctx, []string{c.Addr}, t.vault.CatchUpWindow()) {
-			t.sources.copied(c.Host)
+			t.sources.copied(c.Host, begin)
 		}
 	}
 }
@@ -282,6 +283,22 @@
 // or out of reach.
 func (t *Storage) behind() bool { return t.sources.behind() || t.probes.JustResumed() }
 
+// apart reports whether copies in other zones may have gone on with programs without this one. That isn't known before the
+// hosts are.
+func (t *Storage) apart() bool { return !t.isListed() || t.sources.isApart(t.isZoneSettled) }
+
+// dropped notes that the ledger has dropped spendings that copies in other zones may count.
+func (t *Storage) dropped() {
+	if t.isListed() {
+		t.sources.dropped(t.isZoneSettled)
+	}
+}
+
+// isZoneSettled reports whether a zone has been in reach for so long that its copies which may have to be copied are noted.
+func (t *Storage) isZoneSettled(zone string) bool {
+	return !t.probes.JustResumed() && t.probes.ZoneSettled(zone)
+}
+
 // otherCopies returns the other hosts with a copy of the ledger.
 func (t *Storage) otherCopies() []jkaccount.Copy {
 	return slices.DeleteFunc(t.members.copies(), func(c jkaccount.Copy) bool { return c.Host == t.settings.Host })
@@ -413,7 +430,7 @@
 func (t *Storage) copyFrom(ctx context.Context, host, addr string, within time.Duration) {
 	requested := t.timer.Now()
 	for {
-		window := t.timer.Now().Sub(requested) + within
+		window, begin := t.timer.Now().Sub(requested)+within, t.sources.begin()
 		_, sinceStart := t.sources.isPending(host)
 		t.mu.Lock()
 		all := within == 0 || t.needFullCopy[addr]
@@ -428,7 +445,7 @@
 			t.mu.Lock()
 			delete(t.needFullCopy, addr)
 			t.mu.Unlock()
-			t.sources.copied(host)
+			t.sources.copied(host, begin)
 			return
 		}
 		pending, _ := t.sources.isPending(host)
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -140,8 +140,16 @@
 	t.Run("back shortly before", func(t *testing.T) { testLossOfAHostThatIsNotCopied(t, 2*time.Second, false) })
 }
 
-// testLossOfAHostThatIsNotCopied plays the loss of a host that was back for a time, and checks whether it is kept.
-func testLossOfAHostThatIsNotCopied(t *testing.T, up time.Duration, isKept bool) {
+// probedStorage is the storage host of zone a on a manual clock, beside hosts of zone b that answer probes only.
+type probedStorage struct {
+	*Storage
+	t     *testing.T
+	timer *jktimer.Service
+	clock *jktimer.Manual
+	ports map[string]*heldPorts
+}
+
+func newProbedStorage(t *testing.T, hosts ...string) *probedStorage {
 	t.Helper()
 	timer, clock := jktimer.NewManual(time.Unix(1000, 0))
 	entries := map[string]Change{}
@@ -155,35 +163,46 @@
 		s.Run(stop)
 	})
 	s.listOnce.Do(func() { close(s.hostsListed) })
-	// answer makes a host answer probes; its ledger can't be copied.
-	ports := map[string]*heldPorts{}
-	answer := func(host string) *jkprobe.Prober {
-		p, err := jkprobe.Listen(jkprobe.Options{Timer: timer, Log: jklog.Discard(), Host: host, Zone: "b", Addr: ports[host].addr(), Socket: ports[host].probes})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return p
-	}
-	for _, host := range []string{"b1", "b2"} {
-		ports[host] = holdPorts(t)
-		entries[host] = Change{Host: &HostEntry{Host: host, Zone: "b", Addr: ports[host].addr(), Ledger: true}}
+	out := &probedStorage{Storage: s, t: t, timer: timer, clock: clock, ports: map[string]*heldPorts{}}
+	for _, host := range hosts {
+		out.ports[host] = holdPorts(t)
+		entries[host] = Change{Host: &HostEntry{Host: host, Zone: "b", Addr: out.ports[host].addr(), Ledger: true}}
 		s.apply(context.Background(), jkfollow.Item{Key: host, Revision: 1})
 	}
-	// pass lets time pass in which hosts answer.
-	pass := func(d time.Duration, hosts ...string) {
-		for end := timer.Now().Add(d); timer.Now().Before(end); {
-			clock.Advance(250 * time.Millisecond)
-			for _, host := range hosts {
-				eventually(t, "answer of "+host, func() bool { last, _ := s.probes.LastAnswer(host); return last.Equal(timer.Now()) })
-			}
+	return out
+}
+
+// answer makes a host answer probes; its ledger can't be copied.
+func (s *probedStorage) answer(host string) *jkprobe.Prober {
+	s.t.Helper()
+	p, err := jkprobe.Listen(jkprobe.Options{Timer: s.timer, Log: jklog.Discard(), Host: host, Zone: "b", Addr: s.ports[host].addr(), Socket: s.ports[host].probes})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return p
+}
+
+// pass lets time pass in which hosts answer.
+func (s *probedStorage) pass(d time.Duration, hosts ...string) {
+	s.t.Helper()
+	for end := s.timer.Now().Add(d); s.timer.Now().Before(end); {
+		s.clock.Advance(250 * time.Millisecond)
+		for _, host := range hosts {
+			eventually(s.t, "answer of "+host, func() bool { last, _ := s.probes.LastAnswer(host); return last.Equal(s.timer.Now()) })
 		}
 	}
-	answer("b2")
-	pass(2*time.Second, "b2")
-	b1 := answer("b1")
-	pass(up, "b1", "b2")
+}
+
+// testLossOfAHostThatIsNotCopied plays the loss of a host that was back for a time, and checks whether it is kept.
+func testLossOfAHostThatIsNotCopied(t *testing.T, up time.Duration, isKept bool) {
+	t.Helper()
+	s := newProbedStorage(t, "b1", "b2")
+	s.answer("b2")
+	s.pass(2*time.Second, "b2")
+	b1 := s.answer("b1")
+	s.pass(up, "b1", "b2")
 	b1.Close()
-	pass(3*time.Second, "b2")
+	s.pass(3*time.Second, "b2")
 	if confirmed := s.probes.Losses().Confirmed(); slices.Contains(confirmed, "b1") != isKept {
 		t.Fatalf("the prober confirms the loss of %v", confirmed)
 	}
@@ -191,7 +210,7 @@
 	if got := s.losses(); len(got.Confirmed)+len(got.Unobserved) > 0 || !slices.Equal(got.Returned, want) {
 		t.Errorf("%+v are reported before b1 is copied", got)
 	}
-	s.sources.copied("b1")
+	s.sources.copied("b1", s.sources.begin())
 	if got := s.losses(); !slices.Equal(got.Confirmed, []string{"b1"}) || len(got.Returned) > 0 {
 		t.Errorf("%+v are reported after b1 is copied", got)
 	}
@@ -201,6 +220,37 @@
 	}
 }
 
+// Guards against a budget that is exceeded since a copy that is cut off has forgotten what it had counted, and against spendings
+// that are kept for ever.
+func TestSpendingsStayWhileAZoneIsOutOfReach(t *testing.T) {
+	s := newProbedStorage(t, "b1")
+	b1 := s.answer("b1")
+	s.pass(5*time.Second, "b1")
+	pool := jkwire.NewPool(jkwire.PoolOptions{Self: jkwire.Hello{Host: "e", Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{}})
+	t.Cleanup(pool.Close)
+	m := &jkledger.WriteRequest{Sync: true, Records: []jkledger.Record{{Spending: &jkledger.Spending{Program: "p", Request: "1", Tokens: 1, Settled: true, Retention: time.Second}}}}
+	if err := pool.Call(t.Context(), s.settings.Inner, jkledger.TypeWrite, m, nil); err != nil {
+		t.Fatal(err)
+	}
+	check := func(when string, want int) {
+		t.Helper()
+		if got, _, _ := s.vault.Size(); got != want {
+			t.Errorf("%d programs %s, want %d", got, when, want)
+		}
+	}
+	b1.Close()
+	s.pass(time.Minute)
+	check("in the cut", 1)
+	// Its socket is closed.
+	s.ports["b1"] = &heldPorts{inner: s.ports["b1"].inner}
+	t.Cleanup(s.answer("b1").Close)
+	s.pass(15*time.Second, "b1")
+	check("before the others are copied", 1)
+	s.sources.copied("b1", s.sources.begin())
+	s.pass(10*time.Second, "b1")
+	check("after that", 0)
+}
+
 // Guards against a copy that was paused, and that grants half of a budget in a cut which hides all others as it runs again,
 // though these have granted the whole budget meanwhile.
 func TestCopyThatWasPausedIsBehindInACut(t *testing.T) {
--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -386,11 +386,49 @@
 
 // Expire removes the programs and turns that were not used within their retention.
 func (l *Ledger) Expire(now time.Time) {
+	l.ExpirePrograms(now, 0)
+	l.ExpireTurns(now)
+}
+
+// ExpirePrograms removes the programs that were not used within their retention, the ones that were used first at first,
+// until the others of them take maxBytes at most. It reports whether it removed any.
+func (l *Ledger) ExpirePrograms(now time.Time, maxBytes int64) (removed bool) {
+	var expired []string
+	size := int64(0)
 	for name, row := range l.programs {
 		if row.lastUse.isExpired(now, row.retention) {
-			delete(l.programs, name)
+			expired = append(expired, name)
+			size += row.bytes()
+		}
+	}
+	slices.SortFunc(expired, func(a, b string) int { return l.programs[a].lastUse.at.Compare(l.programs[b].lastUse.at) })
+	for _, name := range expired {
+		if size <= maxBytes {
+			break
 		}
+		size -= l.programs[name].bytes()
+		delete(l.programs, name)
+		removed = true
 	}
+	return removed
+}
+
+// About what a program and a spending take in memory beside their names.
+const (
+	programBytes  = 1000
+	spendingBytes = 150
+)
+
+func (p *programRow) bytes() int64 {
+	size := int64(programBytes)
+	for _, s := range p.spendings {
+		size += int64(spendingBytes + len(s.spending.Program) + len(s.spending.Request))
+	}
+	return size
+}
+
+// ExpireTurns removes the turns that were not used within their retention.
+func (l *Ledger) ExpireTurns(now time.Time) {
 	for request, row := range l.turns {
 		if row.lastUse.isExpired(now, row.turn.Retention) {
 			l.bytes -= int64(len(row.turn.Input) + len(row.turn.Output))
--- a/core/jkledger/ledger_test.go
+++ b/core/jkledger/ledger_test.go
@@ -186,3 +186,30 @@
 		_ = l.Close()
 	})
 }
+
+// Guards against programs that are kept beyond their retention without a bound, and against recent ones that are removed first.
+func TestExpiredProgramsAreBounded(t *testing.T) {
+	l, now := New(), time.Unix(1000, 0)
+	for i := range 10 {
+		l.Apply(now.Add(time.Duration(i)*time.Second), Record{Spending: &Spending{Program: fmt.Sprint(i), Request: "1", Tokens: 1, Retention: 3 * time.Second}})
+	}
+	end := now.Add(16500 * time.Millisecond)
+	if l.ExpirePrograms(end, 10*(programBytes+spendingBytes+2)) {
+		t.Error("programs were removed within the bound")
+	}
+	if !l.ExpirePrograms(end, 2*(programBytes+spendingBytes+2)) || l.Programs() != 3 || l.Total("9")+l.Total("8")+l.Total("7") != 3 {
+		t.Errorf("%d programs are kept, want the one within its retention and the last two of the others", l.Programs())
+	}
+}
+
+// Guards against a copy that counts less than it did before it was down for longer than the retention, though others may have
+// gone on with the program.
+func TestStartKeepsWhatExpiredMeanwhile(t *testing.T) {
+	l, at := New(), time.Unix(1000, 0)
+	replay := NewReplay(at.Add(time.Hour), l, 10)
+	replay.Add(Record{Spending: &Spending{Program: "p", Request: "1", Tokens: 1, Retention: time.Second}, Time: at.UnixMilli()})
+	replay.End(at.Add(time.Hour))
+	if l.Total("p") != 1 {
+		t.Error("the start has removed the program")
+	}
+}
--- a/core/jkledger/replay.go
+++ b/core/jkledger/replay.go
@@ -69,10 +69,11 @@
 	p.records++
 }
 
-// End removes what has expired since the last record, and makes Records and Keys return the
-// recent records as if they had been added now.
+// End removes the turns that have expired since the last record, and makes Records and Keys return the
+// recent records as if they had been added now. Programs that have expired since then stay, as other copies may have gone on
+// with them.
 func (p *Replay) End(now time.Time) {
-	p.ledger.Expire(now)
+	p.ledger.ExpireTurns(now)
 	for _, id := range p.recent {
 		p.ledger.markAdded(now, id)
 	}
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -45,6 +45,11 @@
 	// Behind reports whether this copy may lack records that others have added while it was
 	// down or out of reach. Nil means never.
 	Behind func() bool
+	// Apart reports whether other copies may have gone on with programs without this one, which then keeps spendings beyond
+	// their retention. Nil means never.
+	Apart func() bool
+	// Dropped is called when some of these were dropped nevertheless, since they took too much memory.
+	Dropped func()
 	// Losses returns the hosts of other copies that don't answer; nil means that all do.
 	Losses func() jkledger.Losses
 	// Sources returns the other copies that may have records which this one lacks, and whether
@@ -72,6 +77,8 @@
 	recovery      recovery
 	takeovers     takeovers
 	replication   replication
+	// dropped is set once spendings were dropped while other copies were apart.
+	dropped atomic.Bool
 	// saving counts the writes of takeovers that no caller waits for.
 	saving sync.WaitGroup
 	// catchUpMu is held by the one call of CatchUp that runs.
@@ -161,7 +168,7 @@
 func (v *Vault) CatchUpWindow() time.Duration {
 	lastUsed := v.log.LastUsed()
 	down := v.openedAt.Sub(lastUsed)
-	if !v.openedCertain || lastUsed.IsZero() || down < 0 {
+	if !v.openedCertain || lastUsed.IsZero() || down < 0 || v.dropped.Load() {
 		return 0
 	}
 	return v.Timer.Now().Sub(v.openedAt) + down + catchUpMargin
@@ -174,10 +181,28 @@
 	return v.ledger.Programs(), v.ledger.Turns(), v.ledger.Bytes()
 }
 
+// maxExpiredBytes bounds the memory for spendings that are kept beyond their retention.
+const maxExpiredBytes = 8 << 20
+
+// expire removes what has expired. Spendings stay while copies are apart: a copy that has forgotten what it counted would
+// grant half of the budget again.
 func (v *Vault) expire() {
+	isApart := v.Apart != nil && v.Apart()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.ledger.Expire(v.Timer.Now())
+	now := v.Timer.Now()
+	if !isApart {
+		v.ledger.Expire(now)
+		return
+	}
+	v.ledger.ExpireTurns(now)
+	if !v.ledger.ExpirePrograms(now, maxExpiredBytes) {
+		return
+	}
+	if !v.dropped.Swap(true) {
+		v.Log.Warn("spendings dropped while other copies are apart")
+	}
+	v.Dropped()
 }
 
 // errClosed is returned for records that arrive after Close, as those that CatchUp is still
