relay: release the slot of a refused tunnel before the answer

Callers saw: an entry with its last free tunnel could be told "busy" though another request had just been refused.

Cause: Handle counts a request among the tunnels while it is checked, and took it off after the answer was written, so that the requesting host could ask again before.

Change: a request without a tunnel is taken off before its answer.

Ruled out: the tunnels of the test's first case, which stay open as expected.

Measured: TestRelayServesItsOwnHostsAndEndpointsOnly, -count 1500, eight processes at once: 183 of 12,000 runs fail on, 0 of 12,000 with the change.

--- a/core/jkrelay/relay.go
+++ b/core/jkrelay/relay.go
@@ -97,9 +97,12 @@
 
 // Handle answers a request for a tunnel and keeps the tunnel open until one of its ends closes it.
 func (r *Relay) Handle(ctx context.Context, s *jkwire.ServerStream, near net.Conn) {
-	defer r.tunnels.Add(-1)
 	far, endpoint, result := r.connect(ctx, s, r.tunnels.Add(1))
-	if far != nil {
+	if far == nil {
+		// Before the answer: its host may ask again at once.
+		r.tunnels.Add(-1)
+	} else {
+		defer r.tunnels.Add(-1)
 		defer far.Close()
 	}
 	if err := s.End(&JoinAnswer{Result: result}); err != nil || far == nil {
