ledger: leave abandoned reservations to the one turn beyond the budget

Callers saw: after a failure of all hosts a program got 402 for good, though its budget held one more turn. Its last try was being admitted when its entry was killed, and had reached no endpoint.

Cause: a reservation is on the copies before its request is sent. With its entry gone nobody can tell what was used of it, and it counted at its most for good.

Change: a copy calls a reservation abandoned if it isn't settled and the connection over which it was made has ended, or the copy has started since. Abandoned reservations count towards the budget and one turn, the most that is ever granted, and no longer towards the budget itself.

Ruled out: dropping them after the time limit, which breaks budgets; leaving out all reservations that aren't settled, which lets sub-agents that run in parallel exceed budgets in calm; a note before each request, a round trip and a sync more (docs/decisions/budgets.md).

--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -12,6 +12,8 @@
 // quorum collects the answers of a program's copies to one reservation.
 type quorum struct {
 	spendings spendings
+	// connected are the requests whose reservations a copy doesn't call abandoned.
+	connected map[string]bool
 	// copies is the number of copies that were asked.
 	copies int
 	// certainAnswers counts the answers of copies that have lost no records.
@@ -32,10 +34,14 @@
 	parted bool
 }
 
+func newQuorum(copies int) *quorum {
+	return &quorum{spendings: spendings{}, connected: map[string]bool{}, copies: copies}
+}
+
 // add counts the answer of a copy. The argument standsIn has the meaning of
 // Client.standsIn.
 func (q *quorum) add(a *jkledger.ReserveAnswer, standsIn bool) {
-	q.spendings.merge(a.Spendings)
+	q.addSpendings(a)
 	if !a.Certain {
 		return
 	}
@@ -45,6 +51,16 @@
 	}
 }
 
+// addSpendings adds the spendings of an answer.
+func (q *quorum) addSpendings(a *jkledger.ReserveAnswer) {
+	q.spendings.merge(a.Spendings)
+	for _, s := range a.Spendings {
+		if !s.Settled && !slices.Contains(a.Abandoned, s.Request) {
+			q.connected[s.Request] = true
+		}
+	}
+}
+
 // majority returns the size at which any two sets of copies have one in common.
 func majority(copies int) int { return copies/2 + 1 }
 
@@ -58,7 +74,25 @@
 
 // isAllowed reports whether the budget covers the turn and all that other parts of the fleet may grant by themselves.
 func (q *quorum) isAllowed(r jkforward.Reservation) bool {
-	return q.hasRegularMajority() && q.spendings.total() <= min(q.allowance, r.Budget)
+	return q.hasRegularMajority() && q.spendings.total() <= q.allowance && !q.isSpent(r)
+}
+
+// isSpent reports whether the budget doesn't cover the turn. Abandoned reservations are covered by the one turn that may be
+// granted beyond the budget: nobody knows whether they were used, and their callers ask for the same turn again.
+func (q *quorum) isSpent(r jkforward.Reservation) bool {
+	total := q.spendings.total()
+	return total-q.abandoned() > r.Budget || total > r.Budget+r.Tokens
+}
+
+// abandoned returns the tokens of all abandoned reservations.
+func (q *quorum) abandoned() int64 {
+	sum := int64(0)
+	for request, one := range q.spendings {
+		if !one.Settled && !q.connected[request] {
+			sum += one.Tokens
+		}
+	}
+	return sum
 }
 
 // partitionShare returns the tokens that one side of a network partition may grant while
@@ -89,7 +123,7 @@
 	switch {
 	case q.certainAnswers == 0:
 		return noQuorum
-	case total > r.Budget:
+	case q.isSpent(r):
 		return &jkforward.BudgetSpentError{Program: r.Program, Spent: total - r.Tokens, Budget: r.Budget}
 	case q.hasMajority() && q.exclusive:
 		return nil
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -44,6 +44,10 @@
 		c.release(context.WithoutCancel(ctx), jkforward.Settlement{Program: r.Program, Request: r.Request, Retention: r.Retention}, isAwaited)
 		return "", err
 	}
+	if spent := o.quorum.spendings.total(); spent > r.Budget {
+		c.Log.Info("tokens reserved beside abandoned reservations", "request", r.Request, "program", r.Program, "reserved", r.Tokens,
+			"abandoned", o.quorum.abandoned(), "spent", spent, "budget", r.Budget)
+	}
 	if o.origin == "" {
 		return "", nil
 	}
@@ -96,7 +100,7 @@
 	return &reserveOperation{
 		client: c, reservation: r, copies: copies, successors: successors, awaited: awaited,
 		extra: c.extraCopies(r.Program, slices.Concat(copies, successors)), answers: make(chan reserveAnswer),
-		quorum: &quorum{spendings: spendings{}, copies: len(copies)}, reports: newLossReports(), log: newAnswerLog(c),
+		quorum: newQuorum(len(copies)), reports: newLossReports(), log: newAnswerLog(c),
 	}
 }
 
@@ -218,7 +222,7 @@
 		o.reports.add(a.from.Host, a.content.Losses)
 	}
 	if !slices.Contains(o.copies, a.from) {
-		o.quorum.spendings.merge(a.content.Spendings)
+		o.quorum.addSpendings(a.content)
 		return
 	}
 	o.quorum.add(a.content, o.client.standsIn(o.reservation.Program, a.from))
--- a/core/jkledger/ledger.go
+++ b/core/jkledger/ledger.go
@@ -257,6 +257,16 @@
 	return out
 }
 
+// IsReserved reports whether a program's request has reserved tokens that aren't settled.
+func (l *Ledger) IsReserved(program, request string) bool {
+	row := l.programs[program]
+	if row == nil {
+		return false
+	}
+	s, ok := row.spendings[request]
+	return ok && !s.spending.Settled
+}
+
 // SpendingAdded returns when the spending of a program's request was added, and whether it is known.
 func (l *Ledger) SpendingAdded(program, request string) (at time.Time, ok bool) {
 	row := l.programs[program]
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -43,7 +43,10 @@
 	// Behind is set while the copy may lack records that others have added while it was
 	// down or out of reach.
 	Behind bool `msgpack:"behind,omitempty"`
-	Losses `msgpack:",inline"`
+	// Abandoned are the requests of Spendings that aren't settled and whose entry has probably ended: the connection
+	// over which the copy was sent the reservation is closed, or the copy has started since.
+	Abandoned []string `msgpack:"abandoned,omitempty"`
+	Losses    `msgpack:",inline"`
 }
 
 // Losses are the hosts of other copies that don't answer the host of the answering copy.
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -88,9 +88,10 @@
 	// neighbourKeys holds the newest answers of the neighbours by host. catchUpMu guards it.
 	neighbourKeys map[string]neighbourKeys
 
-	// mu guards ledger, sealed, closed, the buffer of log and syncWaiters.
-	mu     sync.Mutex
-	ledger *jkledger.Ledger
+	// mu guards ledger, connected, sealed, closed, the buffer of log and syncWaiters.
+	mu        sync.Mutex
+	ledger    *jkledger.Ledger
+	connected connectedReservations
 	// sealed is set by Seal, and closed by Close.
 	sealed bool
 	closed bool
@@ -115,7 +116,7 @@
 
 // Open reads the log in the folder and starts the vault.
 func Open(o Options) (*Vault, error) {
-	v := &Vault{Options: o, recovery: recovery{copied: map[string]copiedSource{}}, neighbourKeys: map[string]neighbourKeys{}, ledger: jkledger.New(), wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	v := &Vault{Options: o, recovery: recovery{copied: map[string]copiedSource{}}, neighbourKeys: map[string]neighbourKeys{}, ledger: jkledger.New(), connected: connectedReservations{}, wake: make(chan struct{}, 1), stopped: make(chan struct{})}
 	replay := jkledger.NewReplay(o.Timer.Now(), v.ledger, recentRecords)
 	log, err := jkledger.OpenLog(o.Folder, replay.Add)
 	if err != nil {
@@ -193,6 +194,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.Timer.Now()
+	v.connected.expire(v.ledger)
 	if !isApart {
 		v.ledger.Expire(now)
 		return
@@ -359,7 +361,9 @@
 	certain := v.certain.Load()
 	v.mu.Lock()
 	done, err := v.addForEntry([]jkledger.Record{{Spending: &m.Spending}})
+	v.connected.add(&m.Spending, s.Disconnected())
 	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: certain, Behind: v.Behind != nil && v.Behind()}
+	answer.Abandoned = v.connected.abandoned(answer.Spendings)
 	v.mu.Unlock()
 	if err != nil {
 		return err
--- a/core/jkwire/server.go
+++ b/core/jkwire/server.go
@@ -383,6 +383,9 @@
 // Peer returns the daemon that opened the stream.
 func (s *ServerStream) Peer() Hello { return s.conn.peer }
 
+// Disconnected returns a channel that is closed once the connection to the peer has ended.
+func (s *ServerStream) Disconnected() <-chan struct{} { return s.conn.running.Done() }
+
 // Decode decodes the request's body into v.
 func (s *ServerStream) Decode(v any) error {
 	return eris.Wrapf(msgpack.Unmarshal(s.body, v), "decode %s", s.messageType)
