jkentry: copy again what was dropped once a zone is back

What callers would see: after a cut in which a copy kept over 8 MiB of expired spendings, the copy stays behind for good. It grants nothing alone in the next cut, doesn't count where others are silent, and keeps what has expired, until the other zone's hosts are silent once more.

Cause: marks sources that are apart as pending when it drops spendings. A zone counts as apart for 4 s after it is back, and for as long as it is copied; the timer of the vault drops each 5 s. A drop during the copying made copied do nothing, after which copyFrom ended; one after that marked a source for which no copyFrom ran. Found by review.

Change: copyFrom goes on until a copying counts, and the first drop since the last copying starts one from each source in reach.

'go test -race -timeout 280s -parallel 2 ./jkentry' passes (load 8 to 13).

--- a/core/jkentry/behind.go
+++ b/core/jkentry/behind.go
@@ -34,7 +34,7 @@
 	// uncopiedSince is when a source last answered before it was out of reach, if nothing was copied from it since it
 	// is back, and zero otherwise.
 	uncopiedSince time.Time
-	// droppedAt is the number of drops at the last one of spendings that the source may count.
+	// droppedAt is the number of drops at the last one of spendings that the source may count, or 0 once these were copied.
 	droppedAt int
 	// wasSilent is set if the source itself was silent since then, and not only this process.
 	wasSilent bool
@@ -99,13 +99,17 @@
 	return s.drops
 }
 
-// copied notes that all missing records of a host were copied since begin.
-func (s *copySources) copied(host string, begin int) {
+// copied notes that all missing records of a host were copied since begin, unless some were dropped meanwhile. It reports
+// whether none is missing.
+func (s *copySources) copied(host string, begin int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if source := s.sources[host]; source != nil && source.droppedAt <= begin {
-		source.pending, source.sinceStart, source.uncopiedSince, source.wasSilent = false, false, time.Time{}, false
+	source := s.sources[host]
+	if source == nil || source.droppedAt > begin {
+		return false
 	}
+	source.pending, source.sinceStart, source.droppedAt, source.uncopiedSince, source.wasSilent = false, false, 0, time.Time{}, false
+	return true
 }
 
 // isApart reports whether a source may have gone on with programs without this host: its zone isn't settled, or not all of
@@ -126,16 +130,21 @@
 }
 
 // dropped notes that this host has dropped spendings that the sources which are apart may count. All records have to be
-// copied from these.
-func (s *copySources) dropped(isSettled func(zone string) bool) {
+// copied from these. It returns those of which that wasn't noted already.
+func (s *copySources) dropped(isSettled func(zone string) bool) (hosts []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drops++
-	for _, source := range s.sources {
-		if source.isApart(isSettled) {
-			source.pending, source.sinceStart, source.droppedAt = true, true, s.drops
+	for host, source := range s.sources {
+		if !source.isApart(isSettled) {
+			continue
+		}
+		if source.droppedAt == 0 {
+			hosts = append(hosts, host)
 		}
+		source.pending, source.sinceStart, source.droppedAt = true, true, s.drops
 	}
+	return hosts
 }
 
 // lossViews are the hosts whose losses are harmless by what this host has seen, those whose losses are harmless since it has
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -287,10 +287,17 @@
 // hosts are.
 func (t *Storage) apart() bool { return !t.isListed() || t.sources.isApart(t.isZoneSettled) }
 
-// dropped notes that the ledger has dropped spendings that copies in other zones may count.
+// dropped notes that the ledger has dropped spendings that copies in other zones may count, and copies from those in reach.
+// The others are copied once they are back.
 func (t *Storage) dropped() {
-	if t.isListed() {
-		t.sources.dropped(t.isZoneSettled)
+	if !t.isListed() {
+		return
+	}
+	hosts := t.sources.dropped(t.isZoneSettled)
+	for _, c := range t.otherCopies() {
+		if slices.Contains(hosts, c.Host) && t.probes.Reachable(c.Host) {
+			go t.copyFrom(t.running, c.Host, c.Addr, 0)
+		}
 	}
 }
 
@@ -445,8 +452,9 @@
 			t.mu.Lock()
 			delete(t.needFullCopy, addr)
 			t.mu.Unlock()
-			t.sources.copied(host, begin)
-			return
+			if t.sources.copied(host, begin) {
+				return
+			}
 		}
 		pending, _ := t.sources.isPending(host)
 		if !pending || !t.probes.Reachable(host) || !t.timer.Wait(catchUpRetryInterval, ctx.Done()) {
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +149,8 @@
 	timer *jktimer.Service
 	clock *jktimer.Manual
 	ports map[string]*heldPorts
+	// entries are those of the store.
+	entries map[string]Change
 }
 
 func newProbedStorage(t *testing.T, hosts ...string) *probedStorage {
@@ -163,15 +167,47 @@
 		s.Run(stop)
 	})
 	s.listOnce.Do(func() { close(s.hostsListed) })
-	out := &probedStorage{Storage: s, t: t, timer: timer, clock: clock, ports: map[string]*heldPorts{}}
+	out := &probedStorage{Storage: s, t: t, timer: timer, clock: clock, ports: map[string]*heldPorts{}, entries: entries}
 	for _, host := range hosts {
-		out.ports[host] = holdPorts(t)
-		entries[host] = Change{Host: &HostEntry{Host: host, Zone: "b", Addr: out.ports[host].addr(), Ledger: true}}
-		s.apply(context.Background(), jkfollow.Item{Key: host, Revision: 1})
+		out.list(host)
 	}
 	return out
 }
 
+// list adds the entry of a host that doesn't run.
+func (s *probedStorage) list(host string) {
+	s.t.Helper()
+	s.ports[host] = holdPorts(s.t)
+	s.entries[host] = Change{Host: &HostEntry{Host: host, Zone: "b", Addr: s.ports[host].addr(), Ledger: true}}
+	s.apply(context.Background(), jkfollow.Item{Key: host, Revision: 1})
+}
+
+// serve makes a host answer each message with an empty part of a ledger.
+func (s *probedStorage) serve(host string, onMessage func()) {
+	s.t.Helper()
+	_ = s.ports[host].inner.Close()
+	l, err := net.Listen("tcp", s.ports[host].addr())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := jkwire.NewServer(l, jkwire.ServerOptions{
+		Self: jkwire.Hello{Host: host, Version: jkwire.ProtocolVersion}, IsControl: isControl, Counters: &jkwire.Counters{},
+		Handle: func(_ context.Context, stream *jkwire.ServerStream) {
+			onMessage()
+			_ = stream.End(&jkledger.SyncPart{Certain: true})
+		},
+	})
+	s.t.Cleanup(server.Close)
+}
+
+// isCopied reports whether nothing of a host that answers is missing a little later.
+func (s *probedStorage) isCopied(host string) bool {
+	s.t.Helper()
+	s.pass(250*time.Millisecond, host)
+	pending, _ := s.sources.isPending(host)
+	return !pending
+}
+
 // answer makes a host answer probes; its ledger can't be copied.
 func (s *probedStorage) answer(host string) *jkprobe.Prober {
 	s.t.Helper()
@@ -251,6 +287,42 @@
 	check("after that", 0)
 }
 
+// Guards against a copy that stays behind for good, since it has dropped spendings while it copied from a zone that was just
+// back, or right after that.
+func TestSpendingsDroppedOnceAZoneIsBackAreCopied(t *testing.T) {
+	for name, isDuring := range map[string]bool{"while it copies": true, "after that": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newProbedStorage(t, "b1")
+			var copies atomic.Int32
+			var dropsNext atomic.Bool
+			s.serve("b1", func() {
+				copies.Add(1)
+				if dropsNext.CompareAndSwap(true, false) {
+					s.dropped()
+				}
+			})
+			isCopied := func() bool {
+				s.pass(250*time.Millisecond, "b1")
+				return copies.Load() > 0 && s.isCopied("b1")
+			}
+			b1 := s.answer("b1")
+			eventually(t, "copied records", isCopied)
+			b1.Close()
+			s.pass(2 * time.Second)
+			copies.Store(0)
+			dropsNext.Store(isDuring)
+			// Its socket is closed.
+			s.ports["b1"] = &heldPorts{inner: s.ports["b1"].inner}
+			t.Cleanup(s.answer("b1").Close)
+			if !isDuring {
+				eventually(t, "copied records", isCopied)
+				s.dropped()
+			}
+			eventually(t, "copied spendings", isCopied)
+		})
+	}
+}
+
 // Guards against a copy that was paused, and that grants half of a budget in a cut which hides all others as it runs again,
 // though these have granted the whole budget meanwhile.
 func TestCopyThatWasPausedIsBehindInACut(t *testing.T) {
