ledger: only a turn without others goes beyond the budget beside silent copies

Callers would see (in the model only): of three turns at once, each of which another copy doesn't answer, all are granted, two turns beyond the budget.

Cause: each of them is granted by two copies of three and knows one of the others only. Turns beside holdings were granted up to the budget before, whose one turn more covered what such turns don't know of each other. Now an abandoned reservation may have used that.

Change: a turn that is granted beside copies that haven't answered, by what these are known to count, goes beyond the budget only if no other turn is open.

Ruled out: no such turn beyond the budget beside silent copies, which refuses the turn of an ended entry for as long as its zone is gone; a change of what all copies grant, where of two turns one sees the other.

--- a/core/jkaccount/abandoned_test.go
+++ b/core/jkaccount/abandoned_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"jasmineknot.example/core/jkforward"
+	"jasmineknot.example/core/jkledger"
 )
 
 // Guards against a program that is told that its budget is spent, though it holds one more turn, since the entry of a try
@@ -34,3 +37,34 @@
 		})
 	}
 }
+
+// Guards against two turns beyond the budget, of three at once each of which lacks another copy: all copies have recorded
+// an abandoned turn, and each has two of the three, one of which knows of the other.
+func TestBudgetOfTurnsAtOnceThatLackDifferentCopies(t *testing.T) {
+	recorded := func(requests ...string) *jkledger.ReserveAnswer {
+		a := &jkledger.ReserveAnswer{Certain: true, Abandoned: []string{"lost"}}
+		for _, request := range append(requests, "first", "lost") {
+			a.Spendings = append(a.Spendings, jkledger.Spending{Request: request, Tokens: turnTokens, Settled: request == "first"})
+		}
+		return a
+	}
+	granted := 2 * turnTokens
+	for _, answers := range [][]*jkledger.ReserveAnswer{
+		{recorded("a"), recorded("b", "a")},
+		{recorded("b"), recorded("c", "b")},
+		{recorded("c"), recorded("a", "c")},
+	} {
+		q := newQuorum(3)
+		for _, a := range answers {
+			q.add(a, false)
+		}
+		// The silent copy is known to count as much as a part of the fleet may grant.
+		q.allowance = 4 * turnTokens
+		if q.decide(jkforward.Reservation{Tokens: turnTokens, Budget: 3 * turnTokens}) == nil {
+			granted += turnTokens
+		}
+	}
+	if granted > 4*turnTokens {
+		t.Errorf("%d tokens are granted of a budget of %d", granted, 3*turnTokens)
+	}
+}
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -72,9 +72,12 @@
 // hasRegularMajority reports whether copies with the records of all majorities are a majority themselves.
 func (q *quorum) hasRegularMajority() bool { return q.regularAnswers >= majority(q.copies) }
 
-// isAllowed reports whether the budget covers the turn and all that other parts of the fleet may grant by themselves.
+// isAllowed reports whether the budget covers the turn and all that other parts of the fleet may grant by themselves. Of turns
+// at once each may lack another one, on a copy that hasn't answered, so that only one without others goes beyond the budget.
 func (q *quorum) isAllowed(r jkforward.Reservation) bool {
-	return q.hasRegularMajority() && q.spendings.total() <= q.allowance && !q.isSpent(r)
+	total := q.spendings.total()
+	isAlone := total-q.spendings.settled()-q.abandoned() <= r.Tokens
+	return q.hasRegularMajority() && total <= q.allowance && !q.isSpent(r) && (total <= r.Budget || isAlone)
 }
 
 // isSpent reports whether the budget doesn't cover the turn. Abandoned reservations are covered by the one turn that may be
