ledger: let holdings name the disks of copies

Callers saw 60 tokens granted of a budget of 45 and one turn of 10: a storage host was removed and added again without its disk while the one that had the spendings was down. It copied from a zone that lacked them, and holdings went on saying of its host that it counted them (TestBudgetOfACopyThatIsAddedAgainWithoutItsDisk). The same with 61 where a turn ends after a copy that had recorded it lost its disk, without a removal (TestBudgetOfACopyThatLostItsDiskDuringATurn, new; the other disks had no copy of what it granted alone).

A copy names its disk at the first start on it, says the name with its answers (ReserveAnswer is a map) and in its host's entry in the store. Holdings name the disk that answered, and count for a copy whose listed disk is that one. Beside builds without names they name hosts alone; such builds find no holdings of named copies, and infer as before holdings.

Ruled out on paper: a new host that is certain, or not behind, only after all sources has no vote or no second half beside a host that is down, and the other order stays. The disk of the last answer is unknown or out of date to entries that didn't ask the host since. Left: a lost disk whose host can't write its entry, as the store is out of reach, is still listed as the former one.

Both tests above fail with names left out of holdings.

--- a/core/jkaccount/budget_fixture_test.go
+++ b/core/jkaccount/budget_fixture_test.go
@@ -91,6 +91,8 @@
 	deliversLate bool
 	// abandoned are the requests whose entries have ended.
 	abandoned []string
+	// settleAbandoned settles the last turn, as an entry that hasn't ended.
+	settleAbandoned func()
 	// retention is that of the program, one hour if it is zero, and requestPrefix begins the names of its requests.
 	retention     time.Duration
 	requestPrefix string
@@ -143,7 +145,7 @@
 	f.timer, f.clock = jktimer.NewManual(f.now)
 	for z := range zones {
 		for h := range hosts {
-			c := Copy{Host: fmt.Sprintf("%c%d", 'a'+z, h), Zone: string(rune('a' + z))}
+			c := Copy{Host: fmt.Sprintf("%c%d", 'a'+z, h), Zone: string(rune('a' + z)), Disk: "first"}
 			f.copies = append(f.copies, c)
 			f.ledgers[c.Host] = jkledger.New()
 		}
@@ -538,8 +540,9 @@
 	err := q.decide(r)
 	if err == nil {
 		f.granted += tokens
-		if !slices.Contains(f.abandoned, r.Request) {
-			f.settle(e, r, copies, successors, answers)
+		one := newRecording(f.now, r, all, answers)
+		if f.settleAbandoned = func() { f.settle(e, one, all) }; !slices.Contains(f.abandoned, r.Request) {
+			f.settleAbandoned()
 		}
 		for _, c := range answering {
 			if !q.hasMajority() {
@@ -555,6 +558,15 @@
 	}
 }
 
+// newRecording returns what an entry notes of the answers to a reservation.
+func newRecording(now time.Time, r jkforward.Reservation, asked []Copy, answers map[string][]jkledger.Spending) *recording {
+	out := &recording{begunAt: now, reservation: r, answers: answers, disks: map[string]string{}}
+	for _, c := range asked {
+		out.disks[c.Host] = c.Disk
+	}
+	return out
+}
+
 // undelivered are the records that an entry holds for a copy out of its reach.
 type undelivered struct {
 	from    *budgetEntry
@@ -563,11 +575,11 @@
 }
 
 // settle settles a turn that used all that it had reserved, on the copies that answer.
-func (f *budgetFixture) settle(e *budgetEntry, r jkforward.Reservation, copies, successors []Copy, answers map[string][]jkledger.Spending) {
-	recording := &recording{begunAt: f.now, reservation: r, answers: answers}
+func (f *budgetFixture) settle(e *budgetEntry, one *recording, asked []Copy) {
+	r := one.reservation
 	spending := jkledger.Spending{Program: r.Program, Request: r.Request, Tokens: r.Tokens, Settled: true, Retention: r.Retention}
-	for _, c := range slices.Concat(copies, successors) {
-		f.outbox = append(f.outbox, undelivered{e, c, recording.settlement(spending, c.Host)})
+	for _, c := range asked {
+		f.outbox = append(f.outbox, undelivered{e, c, one.settlement(spending, c.Host)})
 	}
 	f.deliver()
 	if !f.deliversLate {
@@ -917,7 +929,14 @@
 	f.addCopy(added)
 }
 
+// loseDisk gives a host that is down an empty disk.
+func (f *budgetFixture) loseDisk(host string) {
+	i := slices.IndexFunc(f.copies, func(c Copy) bool { return c.Host == host })
+	f.copies[i].Disk, f.ledgers[host] = fmt.Sprint(f.now.UnixMilli()), jkledger.New()
+}
+
 func (f *budgetFixture) addCopy(c Copy) {
+	c.Disk = fmt.Sprint(f.now.UnixMilli())
 	f.copies = append(f.copies, c)
 	f.ledgers[c.Host] = jkledger.New()
 	f.miss(c)
--- a/core/jkaccount/client.go
+++ b/core/jkaccount/client.go
@@ -20,6 +20,8 @@
 	Host string
 	Addr string
 	Zone string
+	// Disk names the disk that the host has at present, and is empty if it doesn't say that.
+	Disk string
 	// New is set while other hosts may not know this host yet.
 	New bool
 }
--- a/core/jkaccount/down.go
+++ b/core/jkaccount/down.go
@@ -171,7 +171,9 @@
 // its share at most, less what it is known to count, whether it is lost, cut off or slow.
 func (c *Client) allowance(r jkforward.Reservation, copies, successors []Copy, reports *lossReports, known spendings) int64 {
 	var held []int64
-	leave := func(target Copy) { held = append(held, known.heldBy(target.Host, c.Timer.Now())) }
+	leave := func(target Copy) {
+		held = append(held, known.heldBy(jkledger.HolderName(target.Host, target.Disk), c.Timer.Now()))
+	}
 	for _, target := range slices.Concat(copies, successors) {
 		if c.mayAdmitAlone(target, reports) {
 			leave(target)
--- a/core/jkaccount/quorum.go
+++ b/core/jkaccount/quorum.go
@@ -177,9 +177,9 @@
 	return sum
 }
 
-// heldBy returns how many tokens the copy on a host is known to count.
-func (s spendings) heldBy(host string, now time.Time) int64 {
-	return jkledger.HeldBy(host, slices.Collect(maps.Values(s)), now)
+// heldBy returns how many tokens the copy with a jkledger.HolderName is known to count.
+func (s spendings) heldBy(holder string, now time.Time) int64 {
+	return jkledger.HeldBy(holder, slices.Collect(maps.Values(s)), now)
 }
 
 // settled returns the number of tokens of the spendings that are no reservations.
--- a/core/jkaccount/recorded_places_test.go
+++ b/core/jkaccount/recorded_places_test.go
@@ -97,6 +97,45 @@
 	f.check(t)
 }
 
+// Guards against holdings of a turn that ends after a copy which has recorded it has lost its disk, with what only that one knew.
+func TestBudgetOfACopyThatLostItsDiskDuringATurn(t *testing.T) {
+	f := newBudgetFixture(3, 1, 3)
+	a, c := f.entries[0], f.entries[2]
+	f.advance(5 * time.Second)
+	f.cut("c")
+	f.advance(1500 * time.Millisecond)
+	f.reserveTimes(2, c)
+	f.heal()
+	f.abandon(a, 1, turnBudget)
+	f.down("c0")
+	f.loseDisk("c0")
+	f.advance(time.Second)
+	f.upAgain("c0")
+	f.advance(10 * time.Second)
+	f.cut("c")
+	f.advance(2 * time.Second)
+	f.settleAbandoned()
+	f.reserveTimes(4, a)
+	f.reserveTimes(4, c)
+	f.check(t)
+}
+
+// Guards against holdings of no disk, which say nothing of copies whose disks are listed.
+func TestHoldingsNameTheDisksThatAnswer(t *testing.T) {
+	f := newFixture(t)
+	if err := f.client.Reserve(t.Context(), jkforward.Reservation{Program: "p", Request: "1", Tokens: 50, Budget: 100, Retention: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	r := f.client.recordings.take("1")
+	all := spendings{}
+	for _, one := range r.settlement(jkledger.Spending{Program: "p", Request: "1", Tokens: 50, Settled: true, Retention: time.Minute}, "a") {
+		all.merge([]jkledger.Spending{*one.Spending})
+	}
+	if disk := r.disks["a"]; disk == "" || all.heldBy(jkledger.HolderName("a", disk), r.begunAt) != 50 || all.heldBy("a", r.begunAt) != 0 {
+		t.Errorf("a with the disk %q isn't the one that is known to count 50 tokens", disk)
+	}
+}
+
 // Guards against three silent copies that each grant a turn which is larger than those of the others. What a turn is at most counts once.
 func TestBudgetOfSilentCopiesThatGrantLargerTurns(t *testing.T) {
 	const budget, small, large = 100, 1, 20
--- a/core/jkaccount/recordings.go
+++ b/core/jkaccount/recordings.go
@@ -21,6 +21,8 @@
 	begunAt     time.Time
 	reservation jkforward.Reservation
 	answers     map[string][]jkledger.Spending
+	// disks holds by host the disks on which these are.
+	disks map[string]string
 }
 
 // begin starts to collect the answers to a reservation. One without tokens isn't settled.
@@ -36,7 +38,7 @@
 	if len(r.all) >= maxRecordings {
 		maps.DeleteFunc(r.all, func(_ string, one *recording) bool { return now.Sub(one.begunAt) > maxRecordingAge })
 	}
-	r.all[reservation.Request] = &recording{begunAt: now, reservation: reservation, answers: map[string][]jkledger.Spending{}}
+	r.all[reservation.Request] = &recording{begunAt: now, reservation: reservation, answers: map[string][]jkledger.Spending{}, disks: map[string]string{}}
 }
 
 // Recordings of reservations that were never settled are dropped at maxRecordingAge once there are maxRecordings.
@@ -46,11 +48,11 @@
 )
 
 // add notes what a host has answered. After the reservation was settled that has no effect.
-func (r *recordings) add(request, host string, known []jkledger.Spending) {
+func (r *recordings) add(request, host string, a *jkledger.ReserveAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if one := r.all[request]; one != nil {
-		one.answers[host] = known
+		one.answers[host], one.disks[host] = a.Spendings, a.Disk
 	}
 }
 
@@ -79,12 +81,13 @@
 		all.merge(answer)
 		own := spendings{}
 		own.merge(answer)
-		h.Tokens[from] = own.settled()
+		counted := own.settled()
 		// A copy counts what is reserved until it learns what was used.
 		if one := own[s.Request]; !one.Settled {
-			h.Tokens[from] += min(s.Tokens, one.Tokens)
+			counted += min(s.Tokens, one.Tokens)
 		}
-		most = max(most, h.Tokens[from])
+		h.Tokens[jkledger.HolderName(from, r.disks[from])] = counted
+		most = max(most, counted)
 	}
 	for request, one := range all {
 		if one.Tokens > 0 {
--- a/core/jkaccount/reserve.go
+++ b/core/jkaccount/reserve.go
@@ -198,7 +198,7 @@
 				o.log.add(target.Host, describeFailure(err))
 			} else {
 				o.log.add(target.Host, describeReserveAnswer(&a))
-				o.client.recordings.add(r.Request, target.Host, a.Spendings)
+				o.client.recordings.add(r.Request, target.Host, &a)
 				out.content = &a
 			}
 			select {
--- a/core/jkentry/members.go
+++ b/core/jkentry/members.go
@@ -89,7 +89,7 @@
 	var out []jkaccount.Copy
 	for _, h := range m.hosts {
 		if h.Ledger && !h.Leaving {
-			out = append(out, jkaccount.Copy{Host: h.Host, Addr: h.Addr, Zone: h.Zone, New: m.isNew(h.Host)})
+			out = append(out, jkaccount.Copy{Host: h.Host, Addr: h.Addr, Zone: h.Zone, Disk: h.Disk, New: m.isNew(h.Host)})
 		}
 	}
 	slices.SortFunc(out, func(a, b jkaccount.Copy) int {
--- a/core/jkentry/recovery_test.go
+++ b/core/jkentry/recovery_test.go
@@ -435,3 +435,15 @@
 	f := newRecoveryFixture(t, 1, "a-1")
 	checkTaken(t, f.entries["a-1"].Addr)
 }
+
+// Guards against entries that don't learn that a storage host has another disk: they would go on counting what it had recorded on the
+// former one.
+func TestHostIsListedWithItsDisk(t *testing.T) {
+	f := newRecoveryFixture(t, 1, "a-1")
+	s := f.run(f.settings("a-1", true))
+	isListed := func() bool { c := s.members.copies(); return len(c) == 1 && c[0].Disk == s.vault.Disk() }
+	eventually(t, "a list with the disk of a-1", isListed)
+	if got := f.entry("a-1").Disk; got != s.vault.Disk() {
+		t.Errorf("a-1 is listed with the disk %q, want %q", got, s.vault.Disk())
+	}
+}
--- a/core/jkentry/settings.go
+++ b/core/jkentry/settings.go
@@ -89,6 +89,8 @@
 	Addr string `json:"addr"`
 	// Ledger is set for hosts with a copy of the ledger.
 	Ledger bool `json:"ledger"`
+	// Disk names the disk of that copy. Entries of earlier releases don't have it.
+	Disk string `json:"disk,omitempty"`
 	// Leaving is set while the host hands its records over before it is removed.
 	Leaving bool `json:"leaving"`
 	// HandedOver is set once a leaving host has handed its records over.
--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -234,7 +234,7 @@
 
 // hostEntry returns the host's own entry for the store.
 func (t *Storage) hostEntry(leaving bool) HostEntry {
-	return HostEntry{Host: t.settings.Host, Zone: t.settings.Zone, Addr: t.settings.Inner, Ledger: true, Leaving: leaving}
+	return HostEntry{Host: t.settings.Host, Zone: t.settings.Zone, Addr: t.settings.Inner, Ledger: true, Disk: t.vault.Disk(), Leaving: leaving}
 }
 
 // catchUpRetryInterval is the time between two attempts to copy records from other hosts,
--- a/core/jkledger/message.go
+++ b/core/jkledger/message.go
@@ -46,7 +46,9 @@
 	// Abandoned are the requests of Spendings that aren't settled and whose entry has probably ended: the connection
 	// over which the copy was sent the reservation is closed, or the copy has started since.
 	Abandoned []string `msgpack:"abandoned,omitempty"`
-	Losses    `msgpack:",inline"`
+	// Disk names the disk of the copy. Copies of earlier releases don't say it.
+	Disk   string `msgpack:"disk,omitempty"`
+	Losses `msgpack:",inline"`
 }
 
 // Losses are the hosts of other copies that don't answer the host of the answering copy.
--- a/core/jkvault/vault.go
+++ b/core/jkvault/vault.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -71,6 +73,8 @@
 	Options
 
 	openedAt time.Time
+	// disk names the disk of the folder.
+	disk string
 	// openedCertain is set if the copy had all records that it ever acknowledged when it was
 	// opened, and certain once it has. Answers read certain before the records that it vouches
 	// for.
@@ -129,6 +133,7 @@
 		return nil, err
 	}
 	replay.End(v.openedAt)
+	v.disk = v.openDisk()
 	v.uncompacted = max(log.ReadBytes()-v.ledger.Bytes(), 0)
 	v.sealed = v.hasMarker(sealedMarker)
 	if o.First || v.hasMarker(certainMarker) {
@@ -158,6 +163,25 @@
 	}
 }
 
+// diskFile holds the name of the disk, which a lost or replaced one doesn't have.
+const diskFile = "disk"
+
+// openDisk reads the name of the disk, and names one that has none.
+func (v *Vault) openDisk() string {
+	if name := v.log.ReadFile(diskFile); len(name) > 0 {
+		return string(name)
+	}
+	name := fmt.Sprintf("%08x", rand.Uint32())
+	if err := v.log.WriteFile(diskFile, []byte(name)); err != nil {
+		// Without the file, the disk has another name after the next start, as if it was another one.
+		v.Log.Error("name of the disk not written", err)
+	}
+	return name
+}
+
+// Disk names the disk of the copy: no two of one host have the same name.
+func (v *Vault) Disk() string { return v.disk }
+
 // Certain reports whether the copy has all records that it ever acknowledged. A copy
 // that lost its disk isn't certain until it has copied those of enough others.
 func (v *Vault) Certain() bool { return v.certain.Load() }
@@ -362,7 +386,7 @@
 	v.mu.Lock()
 	done, err := v.addForEntry([]jkledger.Record{{Spending: &m.Spending}})
 	v.connected.add(&m.Spending, s.Disconnected())
-	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: certain, Behind: v.Behind != nil && v.Behind()}
+	answer := jkledger.ReserveAnswer{Spendings: v.ledger.Spendings(m.Spending.Program), Certain: certain, Behind: v.Behind != nil && v.Behind(), Disk: v.disk}
 	answer.Abandoned = v.connected.abandoned(answer.Spendings)
 	v.mu.Unlock()
 	if err != nil {
