jkentry: a started copy goes on to copy from hosts that start a little later

What callers would see: after a fault of all, a copy whose disk is whole stays behind for good: it grants nothing alone in a cut, and doesn't count where others are silent, until the others are silent once more. Since it keeps spendings beyond their retention for as long, too.

Cause: a start copies from each host once. One that isn't up yet, or fails once, stays pending; if it answers probes within 0.8 s it never counts as silent, so that it isn't copied as one that is back either. The second copying, after 5 s, doesn't count as complete.

Change: the start goes on in the background with hosts that are still pending and in reach, as after a silence.

Measured: TestStartCopiesFromHostsThatStartALittleLater fails on the parent, passes with this (5 of 5 with -race). 'go test -race -timeout 290s -parallel 2 ./jkentry' passes (load 7 to 11). Not played with real processes.

--- a/core/jkentry/storage.go
+++ b/core/jkentry/storage.go
@@ -269,13 +269,17 @@
 	}
 }
 
-// copyFromAll copies what the other storage hosts have recorded while this one was down.
+// copyFromAll copies what the other storage hosts have recorded while this one was down. It goes on in the background with
+// those that didn't answer, as they may have started a little later and then don't count as back.
 func (t *Storage) copyFromAll(ctx context.Context) {
 	for _, c := range t.otherCopies() {
 		begin := t.sources.begin()
 		if t.vault.CatchUp(ctx, []string{c.Addr}, t.vault.CatchUpWindow()) {
 			t.sources.copied(c.Host, begin)
 		}
+		if pending, _ := t.sources.isPending(c.Host); pending {
+			go t.copyFrom(ctx, c.Host, c.Addr, catchUpMargin)
+		}
 	}
 }
 
--- a/core/jkentry/storage_test.go
+++ b/core/jkentry/storage_test.go
@@ -323,6 +323,21 @@
 	}
 }
 
+// Guards against a copy that stays behind for good, since the others started a little later, after a fault of all.
+func TestStartCopiesFromHostsThatStartALittleLater(t *testing.T) {
+	s := newProbedStorage(t)
+	s.settings.First, s.hostsListed = false, make(chan struct{})
+	s.list("b1")
+	close(s.hostsListed)
+	s.copyFromAll(t.Context())
+	if !s.behind() {
+		t.Fatal("not behind before the others run")
+	}
+	s.serve("b1", func() {})
+	s.answer("b1")
+	eventually(t, "copied records", func() bool { return s.isCopied("b1") })
+}
+
 // Guards against a copy that was paused, and that grants half of a budget in a cut which hides all others as it runs again,
 // though these have granted the whole budget meanwhile.
 func TestCopyThatWasPausedIsBehindInACut(t *testing.T) {
